--- /dev/null
+++ b/laureldock/__init__.py
@@ -0,0 +1,1 @@
+"""laureldock: a dispatcher of notifications to outside receivers."""
--- /dev/null
+++ b/laureldock/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire in front of the decisions. Decides nothing."""
--- /dev/null
+++ b/laureldock/benchlink/instance.py
@@ -0,0 +1,260 @@
+"""One instance: the wire's names and ids on one side, the decisions' objects on the other."""
+
+from __future__ import annotations
+
+import base64
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from laureldock import interface as face
+from laureldock.control import Control
+
+Fields = dict[str, Any]
+NS = 1e9
+ENDINGS = {
+    "ok": face.Ending.SERVED,
+    "error": face.Ending.ERROR,
+    "full": face.Ending.FULL,
+    "timeout": face.Ending.TIME_OUT,
+    "connect_failed": face.Ending.NO_CONNECTION,
+    "reset": face.Ending.RESET,
+    "cancelled": face.Ending.CANCELLED,
+    "moot": face.Ending.MOOT,
+}
+RERUNS = {
+    "retryable": face.Rerun.REDELIVERABLE,
+    "dedup": face.Rerun.TAGGED,
+    "fragile": face.Rerun.ONCE_ONLY,
+}
+LISTED = {"up": face.Listed.UP, "draining": face.Listed.DRAINING, "removed": face.Listed.REMOVED}
+
+
+def seconds(value: Any) -> float:
+    return float(value or 0) / NS
+
+
+def queue_class(entry: Fields, halving: bool) -> face.QueueClass:
+    return face.QueueClass(
+        rerun=RERUNS[entry["effect"]],
+        importance=float(entry["points"]),
+        target_delay=seconds(entry["aim_ns"]),
+        lifetime=seconds(entry["deadline_ns"]),
+        late_share=float(entry.get("late_share") or 0),
+        halving=halving,
+        in_order=bool(entry.get("in_order")),
+        memory=seconds(entry.get("window_ns")),
+        one_zone=entry.get("dedup_scope") != "all",
+    )
+
+
+def tariff(seed: int, profile: Fields) -> face.Tariff:
+    limits, rules, family = profile["limits"], profile["invariants"], profile["family_info"]
+    reports: list[str] = (profile.get("telemetry") or {}).get("fields") or []
+    place = {name: index for index, name in enumerate(reports)}
+    return face.Tariff(
+        seed=seed,
+        instances=profile["n_instances"],
+        slots=family["call_slots"],
+        room=limits["most_held"],
+        most_connects=limits["max_attempts"],
+        may_cancel=bool(limits.get("may_cancel")),
+        may_probe=bool(limits.get("probes")),
+        may_copy=bool(limits.get("second_copies")),
+        must_ask=profile.get("discovery") == "subscribe",
+        over_quota=float(profile.get("over_share_worth") or 0),
+        most_retry_after=seconds(limits.get("max_retry_after_ns")) if limits.get("retry_after") else 0.0,
+        key_rest=seconds(rules.get("key_rest_ns")),
+        start_capacity=float(rules["start_capacity"]),
+        tip_multiple=float(rules["tip_multiple"]),
+        fall_time=seconds(rules["fall_ns"]),
+        warm_time=seconds(rules["warm_after_ns"]),
+        rates=profile.get("weight_kind") or "off",
+        rate_report=place.get("x1"),
+        left_report=place.get("x0"),
+    )
+
+
+class Instance:
+    def __init__(self, number: int, seed: int, profile: Fields, now: float) -> None:
+        self.number = number
+        family = profile["family_info"]
+        halving = family.get("fades") == "halving"
+        self.classes = {entry["name"]: queue_class(entry, halving) for entry in profile["classes"]}
+        self.customers = {
+            entry["name"]: face.Customer(float(entry.get("quota_per_s") or 0))
+            for entry in profile.get("customers") or []
+        }
+        batches, apart = family.get("batch_by_kind") or [], family.get("routes_apart") or []
+        self.kinds = {
+            name: face.Kind(max([1, *batches[place : place + 1]]), any(apart[place : place + 1]))
+            for place, name in enumerate(profile.get("kinds") or [])
+        }
+        self.destinations: dict[Any, face.Destination] = {}
+        self.routes: dict[str, face.Route] = {}
+        self.mails: dict[str, face.Mail] = {}
+        self.ids: dict[face.Mail, str] = {}
+        self.shots: dict[face.Mail, dict[int, face.Connect]] = {}
+        self.sent: dict[face.Mail, int] = {}
+        self.leaving: list[face.Mail] = []
+        self.fault: str | None = None
+        self.handlers: dict[str, Callable[[float, Fields], None]] = {
+            "arrival": self.arrival,
+            "attempt_end": self.attempt_end,
+            "check_result": self.check_result,
+            "client_gone": self.client_gone,
+            "heard": self.heard,
+            "tick_due": self.tick_due,
+            "under_way": self.under_way,
+        }
+        start = tariff(seed, profile)
+        self.control: Control | None = None
+        self.guard(lambda: setattr(self, "control", Control(start, now)))
+
+    def guard(self, call: Callable[[], Any]) -> Any:
+        """Run a call of the decisions; its exception becomes the wire's fault action."""
+        if self.fault is None:
+            try:
+                return call()
+            except Exception as fault:
+                place = traceback.extract_tb(fault.__traceback__)[-1]
+                self.fault = f"{type(fault).__name__}: {fault} ({place.name}, line {place.lineno})"
+        return None
+
+    def tell(self, name: str, *args: Any) -> None:
+        self.guard(lambda: getattr(self.control, name)(*args))
+
+    def destination(self, number: Any) -> face.Destination:
+        return self.destinations.setdefault(number, face.Destination())
+
+    def view(self, now: float, form: str, records: list[Fields]) -> None:
+        if form == "unavailable":
+            self.tell("list_failed", now)
+            return
+        if form not in ("update", "replace", "restored"):
+            raise ValueError(f"unknown form {form!r}")
+        named = [self.route(record) for record in records]
+        self.tell("news", now, named, form != "update")
+        known = set(named)
+        for endpoint, route in list(self.routes.items()):
+            if route.listed is face.Listed.REMOVED or (form != "update" and route not in known):
+                del self.routes[endpoint]
+
+    def route(self, record: Fields) -> face.Route:
+        endpoint = record["endpoint"]
+        listed, rate = LISTED[record["health"]], float(record.get("weight") or 0)
+        route = self.routes.get(endpoint)
+        if route is None:
+            kind = self.kinds.get(record["generation_hw"]) or face.Kind()
+            owner = self.destination(record["owner_no"])
+            route = face.Route(owner, str(record.get("dc")), kind, rate, listed, endpoint)
+            self.routes[endpoint] = route
+        route.listed, route.rate = listed, rate
+        return route
+
+    def arrival(self, now: float, fields: Fields) -> None:
+        mail = face.Mail(
+            queue_class=self.classes[fields["band"]],
+            destination=self.destination(fields["addressee_no"]),
+            left=seconds(fields["expires_in_ns"]),
+            customer=self.customers.get(fields.get("realm") or ""),
+            key=fields.get("resource"),
+        )
+        self.mails[fields["op_id"]] = mail
+        self.ids[mail] = fields["op_id"]
+        self.shots[mail] = {}
+        self.sent[mail] = 0
+        self.tell("taken", now, mail)
+
+    def outcome(self, fields: Fields) -> face.Outcome:
+        ending = ENDINGS[fields["ending"]]
+        wait = (fields.get("hold_ms") or 0) / 1000 if ending is face.Ending.FULL else 0.0
+        return face.Outcome(
+            ending, seconds(fields["latency_ns"]), bool(fields.get("closed")), wait, fields.get("stats")
+        )
+
+    def attempt_end(self, now: float, fields: Fields) -> None:
+        mail = self.mails.get(fields["op_id"])
+        connect = self.shots[mail].pop(fields["shot"], None) if mail else None
+        if mail is None or connect is None:
+            return
+        outcome = self.outcome(fields)
+        self.tell("ended", now, connect, outcome)
+        if outcome.finished:
+            self.sent.pop(mail, None)
+        self.leaving.append(mail)
+
+    def check_result(self, now: float, fields: Fields) -> None:
+        route = self.routes.get(fields["endpoint"])
+        if route is not None:
+            self.tell("probed", now, route, self.outcome(fields))
+
+    def client_gone(self, now: float, fields: Fields) -> None:
+        mail = self.mails.get(fields["op_id"])
+        if mail is not None:
+            self.tell("withdrawn", now, mail)
+            self.sent.pop(mail, None)
+            self.leaving.append(mail)
+
+    def heard(self, now: float, fields: Fields) -> None:
+        self.tell("heard", now, fields["sender"], base64.b64decode(fields["blob"] or "", validate=True))
+
+    def tick_due(self, now: float, fields: Fields) -> None:
+        self.tell("timer", now, fields["ref"])
+
+    def under_way(self, now: float, fields: Fields) -> None:
+        """The wire's streamed answers: no queue class here has them, and the attempt's end still comes."""
+        del now, fields["op_id"]
+
+    def forget(self) -> None:
+        """Free the mails that are answered and have no connect out."""
+        for mail in self.leaving:
+            if mail not in self.sent and not self.shots.get(mail):
+                self.shots.pop(mail, None)
+                self.mails.pop(self.ids.pop(mail, ""), None)
+        self.leaving.clear()
+
+    def reply(self, now: float) -> list[Fields]:
+        effects = self.guard(lambda: self.control.turn(now) if self.control else [])
+        if self.fault is not None:
+            return [{"panic": {"dispatcher_id": self.number, "note_text": self.fault}}]
+        lines = [self.action(effect) for effect in effects]
+        self.forget()
+        return lines
+
+    def action(self, effect: face.Effect) -> Fields:
+        name, fields = self.encode(effect)
+        return {name: {"dispatcher_id": self.number, **fields}}
+
+    def encode(self, effect: face.Effect) -> tuple[str, Fields]:
+        match effect:
+            case face.Connect(mail=mail, route=route, time_out=time_out):
+                shot = self.sent[mail]
+                self.sent[mail] = shot + 1
+                self.shots[mail][shot] = effect
+                fields = {"op_id": self.ids[mail], "endpoint": route.name, "try_for_ns": round(time_out * NS)}
+                return "dispatch", fields
+            case face.Cancel(connect=connect):
+                shots = self.shots[connect.mail].items()
+                shot = next(number for number, known in shots if known is connect)
+                return "cancel", {"op_id": self.ids[connect.mail], "shot": shot}
+            case face.Defer(mail=mail, retry_after=retry_after):
+                fields = {"op_id": self.ids[mail], "retry_after_ns": round(retry_after * NS)}
+                self.sent.pop(mail, None)
+                self.leaving.append(mail)
+                return "deny", fields
+            case face.Bounce(mail=mail):
+                fields = {"op_id": self.ids[mail]}
+                self.sent.pop(mail, None)
+                self.leaving.append(mail)
+                return "report_failure", fields
+            case face.Probe(route=route):
+                return "poll", {"endpoint": route.name}
+            case face.Note(peer=peer, data=data):
+                return "memo_to", {"target": peer, "blob": base64.b64encode(data).decode()}
+            case face.AskList(watch=watch):
+                return ("observe", {"active": True}) if watch else ("reload", {})
+            case face.Timer(after=after, name=name):
+                return "remind", {"offset_ns": max(0, round(after * NS)), "ref": name}
+            case face.Log(text=text):
+                return "trace", {"note_text": text}
--- /dev/null
+++ b/laureldock/control.py
@@ -0,0 +1,529 @@
+"""Every decision of laureldock: which mail goes when, over which route, and what becomes of it.
+
+Make one `Control` for an instance, call it with each event of a turn, then call `turn` once for the
+effects. Types and calls live in `laureldock/interface.py`, what is remembered in `laureldock/records.py`;
+the why stands in `docs/design.md`.
+
+A mail waits in the line of its destination. While the destination's window has room, the best mail draws
+one of the live routes by shares. Routes follow ROUTE_TABLE, mails follow MAIL_TABLE, and ANSWERS alone says
+what a mail that did not get through may still have.
+"""
+
+from __future__ import annotations
+
+import heapq
+import zlib
+from bisect import bisect_left
+from collections import deque
+from enum import Enum
+from itertools import accumulate
+
+from laureldock import interface as face
+from laureldock.interface import Connect, Ending, Mail, Outcome, Rerun, Route
+from laureldock.records import Call, Case, Lane, Line, Turns
+
+# A route has its share (live), or share nought: until its pause and any told wait are over, or on trial.
+State = Enum("State", "LIVE NOUGHT TRIAL")
+# RUN: the latest of a run of failures; WAIT: told to wait; UNSENT: the connect says nothing of the route.
+Sign = Enum("Sign", "SERVED REFUSED FAILED RUN WAIT TRIED UNSENT")
+ROUTE_TABLE = {
+    (State.LIVE, Sign.SERVED): (State.LIVE, "grow"),
+    (State.LIVE, Sign.REFUSED): (State.LIVE, "shrink"),
+    (State.LIVE, Sign.FAILED): (State.LIVE, "shrink"),
+    (State.LIVE, Sign.RUN): (State.NOUGHT, "shut"),
+    (State.LIVE, Sign.WAIT): (State.NOUGHT, "keep"),
+    (State.NOUGHT, Sign.TRIED): (State.TRIAL, "keep"),
+    (State.TRIAL, Sign.SERVED): (State.LIVE, "reopen"),
+    (State.TRIAL, Sign.REFUSED): (State.NOUGHT, "shut"),
+    (State.TRIAL, Sign.FAILED): (State.NOUGHT, "shut"),
+    (State.TRIAL, Sign.RUN): (State.NOUGHT, "shut"),
+    (State.TRIAL, Sign.WAIT): (State.NOUGHT, "keep"),
+    (State.TRIAL, Sign.UNSENT): (State.NOUGHT, "keep"),
+}
+
+
+# A mail waits for its first or a further connect, has one out, or is done with.
+Stage = Enum("Stage", "LINE OUT DONE")
+# AGAIN: another connect is allowed; SPENT: nothing more may or can be tried; OVER: relayed, or not wanted.
+Step = Enum("Step", "DRAWN AGAIN SPENT OVER")
+MAIL_TABLE = {
+    (Stage.LINE, Step.DRAWN): (Stage.OUT, "leave"),
+    (Stage.LINE, Step.SPENT): (Stage.DONE, "answer"),
+    (Stage.LINE, Step.OVER): (Stage.DONE, "close"),
+    (Stage.OUT, Step.AGAIN): (Stage.LINE, "queue"),
+    (Stage.OUT, Step.SPENT): (Stage.DONE, "answer"),
+    (Stage.OUT, Step.OVER): (Stage.DONE, "close"),
+}
+
+# What a mail that may have run may still have: a further connect, a deferral. Others may have both.
+ANSWERS = {
+    Rerun.REDELIVERABLE: (True, True),
+    Rerun.TAGGED: (True, True),  # in its group, and as long as it is remembered there
+    Rerun.ONCE_ONLY: (False, False),
+}
+NEVER_RAN = (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT)
+MAY_RUN_ON = (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED)
+
+
+Fresh = dict[Lane, Call]  # the calls opened in a turn
+
+
+class Tally:
+    """Times a route took, in a few coarse bins."""
+
+    # Doubling bins: a factor of two is all that "overdue" needs, from a quick call to the longest lifetime.
+    EDGES = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
+
+    def __init__(self) -> None:
+        self.bins = [0] * (len(self.EDGES) + 1)
+
+    def add(self, took: float) -> None:
+        self.bins[bisect_left(self.EDGES, took)] += 1
+        if sum(self.bins) >= 64:  # enough for a tenth to be told from none; halved so that old days fade
+            self.bins = [count // 2 for count in self.bins]
+
+    def most(self, otherwise: float) -> float:
+        """What nine in ten calls stay under; `otherwise` while too few are known to say."""
+        total, runs = sum(self.bins), accumulate(self.bins)
+        edges = (edge for edge, run in zip(self.EDGES, runs, strict=False) if run >= 0.9 * total)
+        return next(edges, otherwise) if total >= 4 else otherwise
+
+
+class Control:
+    def __init__(self, tariff: face.Tariff, now: float) -> None:
+        self.seed, self.draws = tariff.seed, 0
+        self.slots, self.room, self.most_connects = tariff.slots, tariff.room, tariff.most_connects
+        self.may_probe = tariff.may_probe
+        self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
+        self.part, self.over_quota = 1.0 / tariff.instances, tariff.over_quota
+        # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
+        self.cap, self.sick_cap = max(1, -(-tariff.slots * 3 // 4) - 1), max(1, tariff.slots // 2)
+        self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
+        # This instance's part of what a cold route bears; seven tenths leave slack for trials and chance.
+        self.cold_part = 0.7 * tariff.tip_multiple / tariff.instances
+        # A rough rate may be half too high.
+        self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)
+        self.rate_report, self.left_report = tariff.rate_report, tariff.left_report
+        self.lines: list[Line] = []
+        self.calls: dict[Call, None] = {}
+        self.ends: list[tuple[float, int, Case]] = []
+        self.keys: dict[str, Turns] = {}
+        self.resting: list[tuple[float, int, Turns]] = []
+        self.held = self.order = 0
+        self.ask_pause, self.ticking = 0.0, False
+        self.effects: list[face.Effect] = []
+        self.quotas: dict[face.Customer, tuple[float, float]] = {}
+        if tariff.must_ask:
+            self.effects.append(face.AskList(watch=True))
+
+    def news(self, now: float, routes: list[Route], whole: bool) -> None:
+        self.ask_pause = 0.0
+        named = dict.fromkeys(routes)
+        for line in self.lines if whole else []:
+            for route in [route for route in line.lanes if route not in named]:
+                del line.lanes[route]
+        for route in routes:
+            line = self.line(route.destination)
+            if route.listed is not face.Listed.UP:
+                line.lanes.pop(route, None)  # nothing new to it; what is out runs on
+            elif route not in line.lanes:
+                line.batch = route.kind.batch
+                route.notes = line.lanes[route] = self.lane(route, line)
+
+    def list_failed(self, now: float) -> None:
+        # Doubled from half a second, since a list that turns calls away is short of room; spread by a draw.
+        self.ask_pause = min(8.0, max(0.5, self.ask_pause * 2))
+        self.effects.append(face.Timer(self.ask_pause * (0.75 + 0.5 * self.chance()), "ask"))
+
+    def taken(self, now: float, mail: Mail) -> None:
+        kind, over = mail.queue_class, self.over(now, mail)
+        importance = kind.importance * (self.over_quota if over else 1.0)
+        born, end = now + mail.left - kind.lifetime, now + mail.left
+        case = mail.notes = Case(mail, self.line(mail.destination), Stage.LINE, born, end, over, importance)
+        self.held += 1
+        self.order += 1
+        heapq.heappush(self.ends, (case.end, self.order, case))
+        if mail.queue_class.in_order and mail.key is not None:
+            case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
+            case.turns.cases.append(case)
+            if case.turns.cases[0] is not case or case.turns.rest > now:
+                return
+        self.queue(now, case)
+
+    def ended(self, now: float, connect: Connect, outcome: Outcome) -> None:
+        call: Call = connect.notes
+        case: Case = connect.mail.notes
+        call.out -= 1
+        if not call.out:
+            del self.calls[call]
+            call.lane.line.out -= 1
+        self.judge(now, call, outcome)
+        case.out -= 1
+        if case.turns and outcome.ending in MAY_RUN_ON:
+            case.turns.rest = now + self.key_rest
+        if case.stage is Stage.DONE:
+            self.pass_turn(now, case)
+        elif outcome.finished:
+            self.step(now, case, Step.OVER)
+        else:
+            if outcome.ending not in NEVER_RAN and not case.doubt:
+                case.doubt = call.sent
+            self.step(now, case, Step.AGAIN if self.may_go(now, case) else Step.SPENT)
+
+    def probed(self, now: float, route: Route, outcome: Outcome) -> None:
+        lane: Lane | None = route.notes
+        if lane and lane.state is State.TRIAL:
+            self.sign(now, lane, self.reading(now, lane, outcome))
+
+    def heard(self, now: float, peer: int, data: bytes) -> None:
+        """Notes of peers are not used: they may be lost, and every rule can be kept alone."""
+
+    def timer(self, now: float, name: str) -> None:
+        if name == "ask":
+            self.effects.append(face.AskList(watch=True))
+        else:
+            self.ticking = False
+
+    def withdrawn(self, now: float, mail: Mail) -> None:
+        case: Case = mail.notes
+        if case.stage is not Stage.DONE:
+            self.step(now, case, Step.OVER)
+
+    def turn(self, now: float) -> list[face.Effect]:
+        self.overdue(now)
+        while self.resting and self.resting[0][0] <= now:
+            self.wake(now, heapq.heappop(self.resting)[2])
+        # A mail with less than this left cannot be relayed any more: about the quickest call there is.
+        while self.ends and self.ends[0][0] <= now + 0.05:
+            case = heapq.heappop(self.ends)[2]
+            if case.stage is Stage.LINE:
+                self.step(now, case, Step.SPENT)
+        for line in self.lines:
+            for lane in line.lanes.values():
+                self.refill(now, lane)
+        self.send(now)
+        self.make_room(now)
+        if self.held and not self.ticking:
+            # A twentieth of a second: small against every pause and target delay, and cheap.
+            self.effects.append(face.Timer(0.05, "sweep"))
+            self.ticking = True
+        effects, self.effects = self.effects, []
+        return effects
+
+    def reading(self, now: float, lane: Lane, outcome: Outcome) -> Sign:
+        """What an outcome says of its route."""
+        if outcome.report and self.rate_report is not None and self.left_report is not None:
+            lane.told_rate = outcome.report[self.rate_report]
+            lane.told_left = outcome.report[self.left_report]
+        # Waits bind whatever else the call was: a late answer, or one beside a trial.
+        lane.until = max(lane.until, now + outcome.wait if outcome.wait else 0.0)
+        if not lane.route.kind.apart:
+            lane.line.until = max(lane.line.until, lane.until if outcome.wait else 0.0)
+        if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
+            return Sign.UNSENT
+        if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
+            # A limit used up, by whomever, is no outage: take less, but not under half of the own part.
+            lane.part, lane.credit = max(0.5 * self.part, lane.part * 0.7), min(0.0, lane.credit)
+            return Sign.WAIT if outcome.wait else Sign.REFUSED
+        good = outcome.ending is Ending.SERVED
+        if good and lane.told_left > 0.5:
+            lane.part = min(1.0, lane.part * 1.05)  # others leave much of the limit: take more of it
+        # Three failures in a row, or most of the last few; a tenth of chance errors never adds up to it.
+        lane.ill += 0.3 * ((0.0 if good else 1.0) - lane.ill)
+        if good:
+            return Sign.SERVED
+        if outcome.wait:
+            return Sign.WAIT
+        if lane.ill > 0.6:
+            return Sign.RUN
+        return Sign.REFUSED if outcome.ending is Ending.FULL else Sign.FAILED
+
+    def judge(self, now: float, call: Call, outcome: Outcome) -> None:
+        """The first outcome of a call speaks for its route and for the destination's window."""
+        lane, line = call.lane, call.lane.line
+        if outcome.ending is Ending.SERVED:
+            lane.tally.add(outcome.took)
+        if call.judged and not outcome.wait:
+            return
+        call.judged = True
+        sign = self.reading(now, lane, outcome)
+        if sign is Sign.SERVED:
+            line.window = min(self.cap, line.window + 1)
+        elif sign is not Sign.UNSENT and call.sent >= line.cut:
+            line.window, line.cut = max(1.0, line.window / 2), now
+        if call.trial or lane.state is not State.TRIAL:
+            self.sign(now, lane, sign)
+
+    def sign(self, now: float, lane: Lane, sign: Sign) -> None:
+        if (lane.state, sign) in ROUTE_TABLE:
+            lane.state, effect = ROUTE_TABLE[lane.state, sign]
+            getattr(self, effect)(now, lane)
+
+    def keep(self, now: float, lane: Lane) -> None:
+        pass
+
+    def grow(self, now: float, lane: Lane) -> None:
+        lane.health = min(1.0, lane.health + 0.05)  # twenty served calls undo the worst
+
+    def shrink(self, now: float, lane: Lane) -> None:
+        lane.health = max(0.1, lane.health * 0.7)  # a tenth keeps a stream by which recovery is seen
+
+    def shut(self, now: float, lane: Lane) -> None:
+        # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
+        lane.pause = min(2.0, max(0.5, lane.pause * 1.5))
+        lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
+
+    def reopen(self, now: float, lane: Lane) -> None:
+        if lane.ill > 0.6:  # an outage, not a mere wait: it is cold
+            lane.back = now
+        lane.pause = lane.ill = 0.0
+        lane.health, lane.credit, lane.part = 1.0, 0.0, self.part
+
+    def warmth(self, now: float, lane: Lane) -> float:
+        """The part of its capacity that a route has at least."""
+        return min(1.0, self.start + (1 - self.start) * (now - lane.back) / self.warm_time)
+
+    def rate(self, lane: Lane) -> float:
+        """Calls a second that the route takes from all instances, as far as known; nought if unknown."""
+        parts = 1 if lane.route.kind.apart else len(lane.line.lanes)
+        return lane.told_rate or lane.route.rate * self.rate_trust / max(1, parts)
+
+    def refill(self, now: float, lane: Lane) -> None:
+        """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
+        warmth = self.warmth(now, lane)
+        part = lane.part if warmth == 1 else min(lane.part, self.cold_part * warmth)
+        fill = self.rate(lane) * part
+        if (warmth == 1 and lane.told_rate == 0) or not fill:
+            lane.credit = 1.0  # no limit to keep to
+        else:
+            lane.credit = min(max(1.0, fill * 0.5), lane.credit + fill * (now - lane.filled))
+        lane.filled = now
+
+    def overdue(self, now: float) -> None:
+        """A call that takes far longer than usual speaks before its time-out does."""
+        for call in self.calls:
+            if not call.judged and now - call.sent > call.limit:
+                self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
+
+    def step(self, now: float, case: Case, step: Step) -> None:
+        before = case.stage
+        case.stage, effect = MAIL_TABLE[before, step]
+        if case.queued:
+            case.line.waiting -= 1
+            case.queued = False
+        getattr(self, effect)(now, case)
+
+    def leave(self, now: float, case: Case) -> None:
+        case.connects += 1
+        case.out += 1
+
+    def queue(self, now: float, case: Case) -> None:
+        case.line.waiting += 1
+        case.queued = True
+        self.waiters(case).append(case)
+
+    def answer(self, now: float, case: Case) -> None:
+        kind = case.mail.queue_class
+        deferrable = not case.doubt or (ANSWERS[kind.rerun][1] and not kind.one_zone)
+        wait = min(self.most_retry_after, case.end - now)
+        self.effects.append(face.Defer(case.mail, max(0.0, wait)) if deferrable else face.Bounce(case.mail))
+        self.close(now, case)
+
+    def close(self, now: float, case: Case) -> None:
+        self.held -= 1
+        self.pass_turn(now, case)
+
+    def pass_turn(self, now: float, case: Case) -> None:
+        """Once a mail is over and has nothing out, the next of its key may go, after a rest if need be."""
+        turns = case.turns
+        if turns is None or case.out:
+            return
+        had_turn = turns.cases and turns.cases[0] is case
+        if case in turns.cases:
+            turns.cases.remove(case)
+        if had_turn:
+            self.wake(now, turns)
+
+    def wake(self, now: float, turns: Turns) -> None:
+        while turns.cases and turns.cases[0].stage is Stage.DONE and not turns.cases[0].out:
+            turns.cases.popleft()
+        if turns.rest > now:
+            self.order += 1
+            heapq.heappush(self.resting, (turns.rest, self.order, turns))
+        elif turns.cases and turns.cases[0].stage is Stage.LINE and not turns.cases[0].queued:
+            self.queue(now, turns.cases[0])
+        elif not turns.cases:
+            self.keys.pop(turns.key, None)
+
+    def may_go(self, now: float, case: Case) -> bool:
+        """Whether a further connect is allowed, and can still be of use."""
+        kind = case.mail.queue_class
+        if (case.doubt and not ANSWERS[kind.rerun][0]) or case.connects >= self.most_connects:
+            return False
+        # The margin covers the rounding of the clocks.
+        outside = kind.rerun is Rerun.TAGGED and case.doubt and now > case.doubt + kind.memory - 0.02
+        return not outside and case.end > now + 0.05
+
+    def over(self, now: float, mail: Mail) -> bool:
+        """Whether a mail is above its customer's quota, as far as this instance's part tells."""
+        customer = mail.customer
+        if customer is None or not customer.quota:
+            return False
+        rate = customer.quota * self.part
+        level, then = self.quotas.get(customer, (rate, now))
+        level = min(rate, level + rate * (now - then))  # one second's worth may come at once
+        self.quotas[customer] = (max(level - 1, 0.0), now)
+        return level < 1
+
+    def send(self, now: float) -> None:
+        fresh: Fresh = {}
+        for line in self.lines:
+            if line.waiting and now >= line.until:
+                self.try_routes(now, line, fresh)
+        ready: list[tuple[float, int, Line, Case]] = []
+        aside: list[Case] = []
+        misses = [0] * len(self.lines)
+        for place, line in enumerate(self.lines):
+            if line.waiting and now >= line.until and (case := self.best(now, line)):
+                heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
+        while ready:
+            _, place, line, case = heapq.heappop(ready)
+            lane = self.draw(now, case)
+            if not lane or not self.dispatch(now, case, lane, fresh):
+                aside.append(case)
+                misses[place] += 1
+            # Enough tries for a line to fill the calls that it opened in this turn.
+            if misses[place] <= 2 + line.batch and (following := self.best(now, line)):
+                heapq.heappush(ready, (-self.urgency(now, following), place, line, following))
+        for case in reversed(aside):
+            self.waiters(case).appendleft(case)
+
+    def best(self, now: float, line: Line) -> Case | None:
+        """Takes the next mail off a line: first connects, then further ones, then what came too late."""
+        best: deque[Case] | None = None
+        for cases in line.first.values():
+            while cases:
+                head = cases[0]
+                kind = head.mail.queue_class
+                if head.stage is not Stage.LINE:
+                    cases.popleft()
+                elif kind.halving and now > head.born + kind.target_delay:
+                    line.late.append(cases.popleft())  # its importance fades fast now: the punctual go first
+                else:
+                    break
+            if cases and (not best or self.urgency(now, cases[0]) > self.urgency(now, best[0])):
+                best = cases
+        if best:
+            return best.popleft()
+        for rest in (line.further, line.late):
+            while rest:
+                case = rest.popleft() if rest is line.further else rest.pop()
+                if case.stage is Stage.LINE:
+                    if self.may_go(now, case):
+                        return case
+                    self.step(now, case, Step.SPENT)
+        return None
+
+    def waiters(self, case: Case) -> deque[Case]:
+        """Further connects wait in a line of their own, first connects in one for each sort of mail."""
+        sort = (case.mail.queue_class, case.over)
+        return case.line.further if case.connects else case.line.first.setdefault(sort, deque())
+
+    def urgency(self, now: float, case: Case) -> float:
+        # Importance, growing with age so that no queue class starves; half at birth keeps classes apart.
+        return case.importance * (0.5 + max(0.0, now - case.born) / case.mail.queue_class.target_delay)
+
+    def draw(self, now: float, case: Case) -> Lane | None:
+        """The ordinary path: a weighted random draw over the live routes."""
+        lanes = [lane for lane in case.line.lanes.values() if lane.state is State.LIVE and lane.until <= now]
+        if case.doubt and case.mail.queue_class.one_zone and case.last:
+            lanes = [lane for lane in lanes if lane.route.zone == case.last.route.zone]
+        if len(lanes) > 1 and case.last in lanes:
+            lanes.remove(case.last)  # a further connect goes elsewhere where it can
+        shares = [(self.rate(lane) or 1.0) * lane.health * self.warmth(now, lane) for lane in lanes]
+        point = self.chance() * sum(shares)
+        for lane, share in zip(lanes, shares, strict=True):
+            point -= share
+            if point < 0:
+                return lane
+        return lanes[-1] if lanes else None
+
+    def dispatch(self, now: float, case: Case, lane: Lane, fresh: Fresh, trial: bool = False) -> bool:
+        """Send a mail over a route, in a call of this turn or a new one, if limits leave room."""
+        call, line = fresh.get(lane), case.line
+        if call is None or call.out >= lane.route.kind.batch:
+            sick = any(other.ill > 0.3 or other.state is not State.LIVE for other in line.lanes.values())
+            window = min(line.window, self.sick_cap if sick else self.cap)
+            if len(self.calls) >= self.slots:
+                return False
+            if not trial and (line.out >= int(window) or lane.credit < 1):
+                return False
+            # Three times what nine in ten stay under is late for any work but the odd heavy one.
+            limit = max(0.4, 3 * lane.tally.most(case.mail.queue_class.target_delay / 2))
+            call = fresh[lane] = Call(lane, now, limit, trial)
+            self.calls[call] = None
+            line.out += 1
+            lane.credit -= 1
+        else:
+            lane.credit -= 0.25 * (self.warmth(now, lane) < 1)  # so much does a further mail weigh when cold
+        time_out = case.end - now
+        if case.mail.queue_class.rerun is not Rerun.ONCE_ONLY:
+            time_out = min(time_out, 2 * call.limit * 2**case.connects)
+            if case.mail.queue_class.rerun is Rerun.TAGGED:
+                time_out = min(time_out, max(1.0, case.mail.queue_class.memory / 2))
+        call.out += 1
+        case.last = lane
+        self.step(now, case, Step.DRAWN)
+        self.effects.append(Connect(case.mail, lane.route, time_out, call))
+        return True
+
+    def try_routes(self, now: float, line: Line, fresh: Fresh) -> None:
+        """One trial for each route at nought, of a mail that can bear failing where there is one."""
+        for lane in line.lanes.values():
+            if lane.state is not State.NOUGHT or now < lane.until:
+                continue
+            case = self.bearer(now, line)
+            if case is None and self.may_probe:
+                self.effects.append(face.Probe(lane.route))
+                self.sign(now, lane, Sign.TRIED)
+            elif case and self.dispatch(now, case, lane, fresh, trial=True):
+                self.sign(now, lane, Sign.TRIED)
+            elif case:
+                self.waiters(case).appendleft(case)
+
+    def bearer(self, now: float, line: Line) -> Case | None:
+        """A mail that can bear failing; a once-only one where there is neither a better one nor a probe."""
+        kinds = list(Rerun)[: 2 if self.may_probe else 3]
+        heads = [cases for cases in line.first.values() if cases]
+        if line.further and not (line.further[0].doubt and line.further[0].mail.queue_class.one_zone):
+            heads.append(line.further)
+        heads = [cases for cases in heads if cases[0].stage is Stage.LINE and self.may_go(now, cases[0])]
+        heads = [cases for cases in heads if cases[0].mail.queue_class.rerun in kinds]
+        best = min(heads, key=lambda cases: kinds.index(cases[0].mail.queue_class.rerun), default=None)
+        return best.popleft() if best else None
+
+    def make_room(self, now: float) -> None:
+        """Defer the least valuable before new mails are turned away at the door."""
+        while self.held > self.room - 2:  # two more may come before the next turn
+            line = max(self.lines, key=lambda other: other.waiting)
+            sorts = [cases for cases in line.first.values() if cases]
+            if not sorts:
+                return
+            case = min(sorts, key=lambda cases: cases[-1].importance).pop()
+            if case.stage is Stage.LINE:
+                self.step(now, case, Step.SPENT)
+
+    def lane(self, route: Route, line: Line) -> Lane:
+        # Health and credit start whole: an instance that knows nothing is held back by its window of one.
+        return Lane(route, line, State.LIVE, Tally(), health=1.0, part=self.part, credit=1.0, back=-1e9)
+
+    def line(self, destination: face.Destination) -> Line:
+        if destination.notes is None:
+            destination.notes = Line(window=1.0)
+            self.lines.append(destination.notes)
+        line: Line = destination.notes
+        return line
+
+    def chance(self) -> float:
+        self.draws += 1
+        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
--- /dev/null
+++ b/laureldock/interface.py
@@ -0,0 +1,194 @@
+"""Types and calls between the decisions (`control.Control`) and the door in front of them.
+
+The door (today `laureldock.benchlink`, later a socket server) turns its protocol into these objects and
+calls, and the effects back into its protocol. Nothing here decides. Times are float seconds of one
+monotonic clock. Objects point to each other; ids stay at the door. Where a type has a `notes` field, it
+belongs to the decisions: the door neither reads nor writes it.
+
+Calls, in the order of the events of one turn, then `turn` once:
+
+    Control(tariff, now)                       start of an instance
+    news(now, routes, whole)                   list news; `whole` replaces the list held
+    list_failed(now)                           an ask for the list failed, or the watch broke
+    taken(now, mail)                           a mail was handed in; one final answer is now owed
+    ended(now, connect, outcome)               a connect ended
+    probed(now, route, outcome)                a probe ended
+    heard(now, peer, data)                     a note of a peer
+    timer(now, name)                           a timer set earlier is due
+    withdrawn(now, mail)                       nobody wants this mail any more
+    turn(now) -> list[Effect]                  all effects of the turn, in the order to be carried out
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+
+class Rerun(Enum):
+    """What a second run of a mail does."""
+
+    REDELIVERABLE = "redeliverable"
+    TAGGED = "tagged"
+    ONCE_ONLY = "once-only"
+
+
+class Ending(Enum):
+    """How a connect or a probe ended. The door maps its own protocol's endings onto these."""
+
+    SERVED = "served"
+    ERROR = "error"
+    FULL = "full"
+    TIME_OUT = "time-out"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class Listed(Enum):
+    UP = "up"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+@dataclass(eq=False, slots=True)
+class QueueClass:
+    rerun: Rerun
+    importance: float
+    target_delay: float
+    lifetime: float
+    late_share: float
+    halving: bool
+    in_order: bool = False
+    memory: float = 0.0
+    one_zone: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Customer:
+    quota: float
+    notes: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class Kind:
+    batch: int = 1
+    apart: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Tariff:
+    """What an instance is told at its start."""
+
+    seed: int
+    instances: int
+    slots: int
+    room: int
+    most_connects: int
+    may_cancel: bool
+    may_probe: bool
+    may_copy: bool
+    must_ask: bool
+    over_quota: float
+    most_retry_after: float
+    key_rest: float
+    start_capacity: float
+    tip_multiple: float
+    fall_time: float
+    warm_time: float
+    rates: str
+    rate_report: int | None
+    left_report: int | None
+
+
+@dataclass(eq=False, slots=True)
+class Destination:
+    notes: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class Route:
+    """An endpoint of a destination, as listed."""
+
+    destination: Destination
+    zone: str
+    kind: Kind
+    rate: float
+    listed: Listed
+    name: str = ""
+    notes: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class Mail:
+    queue_class: QueueClass
+    destination: Destination
+    left: float
+    customer: Customer | None = None
+    key: str | None = None
+    notes: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class Outcome:
+    ending: Ending
+    took: float
+    finished: bool = False
+    wait: float = 0.0
+    report: list[float] | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Connect:
+    mail: Mail
+    route: Route
+    time_out: float
+    notes: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class Cancel:
+    connect: Connect
+
+
+@dataclass(eq=False, slots=True)
+class Defer:
+    mail: Mail
+    retry_after: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class Bounce:
+    mail: Mail
+
+
+@dataclass(eq=False, slots=True)
+class Probe:
+    route: Route
+
+
+@dataclass(eq=False, slots=True)
+class Note:
+    peer: int
+    data: bytes
+
+
+@dataclass(eq=False, slots=True)
+class AskList:
+    watch: bool
+
+
+@dataclass(eq=False, slots=True)
+class Timer:
+    after: float
+    name: str
+
+
+@dataclass(eq=False, slots=True)
+class Log:
+    text: str
+
+
+Effect = Connect | Cancel | Defer | Bounce | Probe | Note | AskList | Timer | Log
--- /dev/null
+++ b/laureldock/records.py
@@ -0,0 +1,88 @@
+"""What the decisions remember of routes, destinations and mails: plain records.
+
+Nothing here decides, and no value here is tuned: every field starts empty, or is given by `control`.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from laureldock.interface import Mail, QueueClass, Route
+
+
+@dataclass(eq=False, slots=True)
+class Lane:
+    """A route, as one instance sees it."""
+
+    route: Route
+    line: Line
+    state: Any  # of control's route states
+    tally: Any  # how long its calls took
+    health: float  # scales its share: shrinks on refusals and failures, grows while it serves
+    part: float  # of its limit, what this instance takes
+    credit: float  # calls it may be sent now
+    back: float  # when its last trial after an outage was served
+    ill: float = 0.0  # how much of what it did lately was failing
+    told_rate: float | None = None  # its limit, in calls a second; 0 where it has none, None while not told
+    told_left: float = 1.0  # of its limit, what is left
+    until: float = 0.0  # nothing is sent before
+    pause: float = 0.0  # between its trials
+    filled: float = 0.0  # when its credit was last filled
+
+
+@dataclass(eq=False, slots=True)
+class Line:
+    """A destination: its routes, its window, and the mails that wait for it."""
+
+    window: float  # calls that may be out
+    batch: int = 1  # mails that may share a call
+    out: int = 0  # calls out
+    cut: float = 0.0  # when the window was last halved
+    until: float = 0.0  # nothing is sent before
+    waiting: int = 0  # mails in all of its lines
+    lanes: dict[Route, Lane] = field(default_factory=dict)
+    first: dict[tuple[QueueClass, bool], deque[Case]] = field(default_factory=dict)
+    further: deque[Case] = field(default_factory=deque)
+    late: deque[Case] = field(default_factory=deque)
+
+
+@dataclass(eq=False, slots=True)
+class Case:
+    """A mail, as one instance sees it."""
+
+    mail: Mail
+    line: Line
+    stage: Any  # of control's stages of a mail
+    born: float  # when it was first handed in, to whichever instance
+    end: float  # of its queue lifetime
+    over: bool  # above its customer's quota
+    importance: float
+    queued: bool = False  # in a line; not while an earlier mail of its key has the turn
+    connects: int = 0
+    out: int = 0  # connects without an outcome
+    doubt: float = 0.0  # when the first connect that may have run was sent
+    last: Lane | None = None  # the route of its last connect
+    turns: Turns | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Turns:
+    """The mails of one key, of which only the first may be sent."""
+
+    key: str
+    cases: deque[Case] = field(default_factory=deque)
+    rest: float = 0.0  # the next mail waits until then
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """What one turn sends over one route: a connect, or several that share its fate."""
+
+    lane: Lane
+    sent: float
+    limit: float  # overdue after so long
+    trial: bool
+    out: int = 0  # connects without an outcome
+    judged: bool = False  # it has spoken for its route
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,134 @@
+"""Short traces of decisions, compared with those in `traces/`, which are written to be read."""
+
+from __future__ import annotations
+
+from dock import Dock
+
+
+def test_draw_spreads_over_live_routes_by_their_rates() -> None:
+    dock = Dock(slots=40)
+    dock.listed("north/1", rate=300.0)
+    dock.listed("north/2", rate=100.0)
+    for number in range(12):
+        dock.mail(f"m{number}", "redeliverable")
+        dock.turn()
+        dock.end(f"m{number}", "served", report=[1.0, 0.0])
+        dock.now += 0.1
+    assert dock.same_as("draw")
+
+
+def test_run_of_failures_gives_share_nought_until_a_trial_is_served() -> None:
+    dock = Dock()
+    dock.listed("north/1")
+    for number in range(5):
+        dock.mail(f"m{number}", "redeliverable")
+    dock.turn()
+    for _ in range(3):
+        for name in sorted(dock.out):
+            dock.end(name, "error")
+        dock.after(0.05)
+    dock.after(1.0)
+    dock.end(min(dock.out), "served", report=[1.0, 4.0])
+    dock.after(2.5)
+    assert dock.same_as("failover")
+
+
+def test_told_wait_binds_also_beside_a_trial() -> None:
+    """A wait told by a call that was out beside the trial was once dropped."""
+    dock = Dock()
+    dock.listed("north/1")
+    for number in range(3):
+        dock.mail(f"m{number}", "redeliverable")
+        dock.turn()
+        if number == 0:
+            dock.end("m0", "served", report=[1.0, 0.0])
+    dock.end("m1", "full", wait=0.2)
+    dock.after(0.3)
+    dock.end("m2", "full", wait=1.0)
+    dock.after(0.2)
+    dock.end(min(dock.out), "served", report=[1.0, 0.0])
+    dock.after(1.0)
+    assert dock.same_as("wait")
+
+
+def test_what_a_mail_may_still_have() -> None:
+    dock = Dock(slots=40)
+    dock.listed("north/1", "north/2")
+    for sort in ("redeliverable", "tagged", "once-only"):
+        for ending in ("full", "error", "time-out"):
+            name = f"{sort} {ending}"
+            dock.mail(name, sort, left=4.0)
+            dock.turn()
+            dock.end(name, ending, report=[0.1, 100.0] if ending == "full" else None)
+            dock.turn()
+            if name in dock.out:
+                dock.end(name, "served", report=[1.0, 0.0])
+            dock.now += 0.5
+    assert dock.same_as("answers")
+
+
+def test_mails_of_a_key_go_in_turn_and_rest_after_a_time_out() -> None:
+    """A mail that was answered out of turn, and one whose connect timed out, both leave the key at rest."""
+    dock = Dock()
+    dock.listed("north/1", "north/2")
+    for name in ("first", "second", "third"):
+        dock.mail(name, "in-order", key="k")
+    dock.turn()
+    dock.withdraw("first")
+    dock.withdraw("second")
+    dock.after(0.2)
+    dock.end("first", "cancelled")
+    dock.after(0.4)
+    dock.end("third", "served", report=[1.0, 0.0])
+    dock.turn()
+    assert dock.same_as("order")
+
+
+def test_limit_used_up_is_no_outage_and_mails_share_a_call() -> None:
+    """Fulls above a limit once gave a route share nought and a cold budget for a quarter of the day."""
+    dock = Dock()
+    dock.listed("north/1", rate=2.0, batch=5)
+    for number in range(4):
+        dock.mail(f"m{number}", "redeliverable")
+    dock.turn()
+    for name in sorted(dock.out):
+        dock.end(name, "full", report=[0.1, 2.0])
+    dock.after(1.6)
+    for name in sorted(dock.out):
+        dock.end(name, "served", report=[0.9, 2.0])
+    dock.turn()
+    assert dock.same_as("limit")
+
+
+def test_nothing_new_to_what_drains_and_late_mails_are_answered_in_time() -> None:
+    dock = Dock()
+    dock.mail("early", "redeliverable", left=1.0)
+    dock.turn()
+    dock.listed("north/1", "north/2")
+    dock.listed("north/1", state="draining")
+    dock.mail("next", "redeliverable")
+    dock.after(0.05)
+    dock.listed("north/2", state="removed")
+    dock.end("early", "reset")
+    dock.after(1.0)
+    assert dock.same_as("drain")
+
+
+def test_least_valuable_is_deferred_before_the_door_is_shut() -> None:
+    dock = Dock(room=5)
+    for number in range(4):
+        dock.mail(f"m{number}", ("redeliverable", "once-only")[number % 2])
+        dock.now += 0.1
+        dock.turn()
+    assert dock.same_as("room")
+
+
+def test_list_is_asked_for_at_start_and_after_failures() -> None:
+    dock = Dock(must_ask=True)
+    dock.turn()
+    for _ in range(3):
+        dock.control.list_failed(dock.now)
+        dock.turn()
+    dock.control.timer(dock.now, "ask")
+    dock.turn()
+    assert dock.same_as("list")
