--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -222,12 +222,14 @@
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
         if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
-            # A limit used up, by whomever, is no outage: take less, but not under half of the own part.
-            lane.part, lane.credit = max(0.5 * self.part, lane.part * 0.7), min(0.0, lane.credit)
+            # A limit used up, by whomever, is no outage: take less. Down to a tenth of the own part: where
+            # refused calls use it up too, instances that each keep to their part can hold it at nothing.
+            lane.part, lane.credit = max(0.1 * self.part, lane.part * 0.7), min(0.0, lane.credit)
             return Sign.WAIT if outcome.wait else Sign.REFUSED
         good = outcome.ending is Ending.SERVED
         if good and lane.told_left > 0.5:
-            lane.part = min(1.0, lane.part * 1.05)  # others leave much of the limit: take more of it
+            # Others leave much of the limit: take more of it, up to the own part fast.
+            lane.part = min(1.0, lane.part * (1.25 if lane.part < self.part else 1.05))
         # Three failures in a row, or most of the last few; a tenth of chance errors never adds up to it.
         lane.ill += 0.3 * ((0.0 if good else 1.0) - lane.ill)
         if good:
@@ -275,9 +277,9 @@
 
     def reopen(self, now: float, lane: Lane) -> None:
         if lane.ill > 0.6:  # an outage, not a mere wait: it is cold
-            lane.back = now
-        lane.pause = lane.ill = 0.0
-        lane.health, lane.credit, lane.part = 1.0, 0.0, self.part
+            lane.back, lane.part = now, self.part
+        lane.pause = lane.ill = lane.credit = 0.0
+        lane.health = 1.0
 
     def warmth(self, now: float, lane: Lane) -> float:
         """The part of its capacity that a route has at least."""
@@ -480,7 +482,7 @@
     def try_routes(self, now: float, line: Line, fresh: Fresh) -> None:
         """One trial for each route at nought, of a mail that can bear failing where there is one."""
         for lane in line.lanes.values():
-            if lane.state is not State.NOUGHT or now < lane.until:
+            if lane.state is not State.NOUGHT or now < lane.until or (lane.ill <= 0.6 and lane.credit < 1):
                 continue
             case = self.bearer(now, line)
             if case is None and self.may_probe:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -100,6 +100,19 @@
     assert dock.same_as("limit")
 
 
+def test_refusals_above_a_limit_come_ever_rarer() -> None:
+    """Instances that each tried again as soon as a told wait was over once held a limit at nothing."""
+    dock = Dock()
+    dock.listed("north/1", rate=3.0)
+    dock.mail("m", "redeliverable")
+    dock.turn()
+    for _ in range(5):
+        if "m" in dock.out:
+            dock.end("m", "full", wait=0.2, report=[0.0, 3.0])
+        dock.after(2.0)
+    assert dock.same_as("livelock")
+
+
 def test_nothing_new_to_what_drains_and_late_mails_are_answered_in_time() -> None:
     dock = Dock()
     dock.mail("early", "redeliverable", left=1.0)
