Take overdue calls out of the window and call off the oldest when slots run out

Cause: calls that are never answered held slots and windows for a whole queue lifetime, long after routes were back. May hurt very slow receivers.

--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -5,6 +5,7 @@
 import base64
 import traceback
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from laureldock import interface as face
@@ -75,6 +76,17 @@
     )
 
 
+@dataclass(eq=False, slots=True)
+class Held:
+    """A mail at the door: its id, its connects by number, which of them are out, if an answer is owed."""
+
+    op_id: str
+    mail: face.Mail
+    connects: list[face.Connect] = field(default_factory=list)
+    out: set[int] = field(default_factory=set)
+    owed: bool = True
+
+
 class Instance:
     def __init__(self, number: int, seed: int, profile: Fields, now: float) -> None:
         self.number = number
@@ -92,11 +104,9 @@
         }
         self.destinations: dict[Any, face.Destination] = {}
         self.routes: dict[str, face.Route] = {}
-        self.mails: dict[str, face.Mail] = {}
-        self.ids: dict[face.Mail, str] = {}
-        self.shots: dict[face.Mail, dict[int, face.Connect]] = {}
-        self.sent: dict[face.Mail, int] = {}
-        self.leaving: list[face.Mail] = []
+        self.by_id: dict[str, Held] = {}
+        self.by_mail: dict[face.Mail, Held] = {}
+        self.leaving: list[Held] = []
         self.fault: str | None = None
         self.handlers: dict[str, Callable[[float, Fields], None]] = {
             "arrival": self.arrival,
@@ -160,10 +170,7 @@
             customer=self.customers.get(fields.get("realm") or ""),
             key=fields.get("resource"),
         )
-        self.mails[fields["op_id"]] = mail
-        self.ids[mail] = fields["op_id"]
-        self.shots[mail] = {}
-        self.sent[mail] = 0
+        self.by_id[fields["op_id"]] = self.by_mail[mail] = Held(fields["op_id"], mail)
         self.tell("taken", now, mail)
 
     def outcome(self, fields: Fields) -> face.Outcome:
@@ -174,15 +181,14 @@
         )
 
     def attempt_end(self, now: float, fields: Fields) -> None:
-        mail = self.mails.get(fields["op_id"])
-        connect = self.shots[mail].pop(fields["shot"], None) if mail else None
-        if mail is None or connect is None:
+        held = self.by_id.get(fields["op_id"])
+        if held is None or fields["shot"] not in held.out:
             return
         outcome = self.outcome(fields)
-        self.tell("ended", now, connect, outcome)
-        if outcome.finished:
-            self.sent.pop(mail, None)
-        self.leaving.append(mail)
+        held.out.discard(fields["shot"])
+        self.tell("ended", now, held.connects[fields["shot"]], outcome)
+        held.owed = held.owed and not outcome.finished
+        self.leaving.append(held)
 
     def check_result(self, now: float, fields: Fields) -> None:
         route = self.routes.get(fields["endpoint"])
@@ -190,11 +196,11 @@
             self.tell("probed", now, route, self.outcome(fields))
 
     def client_gone(self, now: float, fields: Fields) -> None:
-        mail = self.mails.get(fields["op_id"])
-        if mail is not None:
-            self.tell("withdrawn", now, mail)
-            self.sent.pop(mail, None)
-            self.leaving.append(mail)
+        held = self.by_id.get(fields["op_id"])
+        if held is not None:
+            self.tell("withdrawn", now, held.mail)
+            held.owed = False
+            self.leaving.append(held)
 
     def heard(self, now: float, fields: Fields) -> None:
         self.tell("heard", now, fields["sender"], base64.b64decode(fields["blob"] or "", validate=True))
@@ -206,12 +212,18 @@
         """The wire's streamed answers: no queue class here has them, and the attempt's end still comes."""
         del now, fields["op_id"]
 
+    def answered(self, mail: face.Mail) -> str:
+        held = self.by_mail[mail]
+        held.owed = False
+        self.leaving.append(held)
+        return held.op_id
+
     def forget(self) -> None:
         """Free the mails that are answered and have no connect out."""
-        for mail in self.leaving:
-            if mail not in self.sent and not self.shots.get(mail):
-                self.shots.pop(mail, None)
-                self.mails.pop(self.ids.pop(mail, ""), None)
+        for held in self.leaving:
+            if not held.owed and not held.out:
+                self.by_id.pop(held.op_id, None)
+                self.by_mail.pop(held.mail, None)
         self.leaving.clear()
 
     def reply(self, now: float) -> list[Fields]:
@@ -229,25 +241,21 @@
     def encode(self, effect: face.Effect) -> tuple[str, Fields]:
         match effect:
             case face.Connect(mail=mail, route=route, time_out=time_out):
-                shot = self.sent[mail]
-                self.sent[mail] = shot + 1
-                self.shots[mail][shot] = effect
-                fields = {"op_id": self.ids[mail], "endpoint": route.name, "try_for_ns": round(time_out * NS)}
-                return "dispatch", fields
+                held = self.by_mail[mail]
+                held.out.add(len(held.connects))
+                held.connects.append(effect)
+                return "dispatch", {
+                    "op_id": held.op_id,
+                    "endpoint": route.name,
+                    "try_for_ns": round(time_out * NS),
+                }
             case face.Cancel(connect=connect):
-                shots = self.shots[connect.mail].items()
-                shot = next(number for number, known in shots if known is connect)
-                return "cancel", {"op_id": self.ids[connect.mail], "shot": shot}
+                held = self.by_mail[connect.mail]
+                return "cancel", {"op_id": held.op_id, "shot": held.connects.index(connect)}
             case face.Defer(mail=mail, retry_after=retry_after):
-                fields = {"op_id": self.ids[mail], "retry_after_ns": round(retry_after * NS)}
-                self.sent.pop(mail, None)
-                self.leaving.append(mail)
-                return "deny", fields
+                return "deny", {"op_id": self.answered(mail), "retry_after_ns": round(retry_after * NS)}
             case face.Bounce(mail=mail):
-                fields = {"op_id": self.ids[mail]}
-                self.sent.pop(mail, None)
-                self.leaving.append(mail)
-                return "report_failure", fields
+                return "report_failure", {"op_id": self.answered(mail)}
             case face.Probe(route=route):
                 return "poll", {"endpoint": route.name}
             case face.Note(peer=peer, data=data):
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -41,7 +41,6 @@
     (State.TRIAL, Sign.UNSENT): (State.NOUGHT, "keep"),
 }
 
-
 # A mail waits for its first or a further connect, has one out, or is done with.
 Stage = Enum("Stage", "LINE OUT DONE")
 # AGAIN: another connect is allowed; SPENT: nothing more may or can be tried; OVER: relayed, or not wanted.
@@ -55,14 +54,12 @@
     (Stage.OUT, Step.OVER): (Stage.DONE, "close"),
 }
 
-# What a mail that may have run may still have: a further connect, a deferral. Others may have both.
+# What a mail that may have run may still have: a further connect, a deferral.
 ANSWERS = {
     Rerun.REDELIVERABLE: (True, True),
     Rerun.TAGGED: (True, True),  # in its group, and as long as it is remembered there
     Rerun.ONCE_ONLY: (False, False),
 }
-NEVER_RAN = (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT)
-MAY_RUN_ON = (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED)
 
 
 Fresh = dict[Lane, Call]  # the calls opened in a turn
@@ -91,9 +88,9 @@
 
 class Control:
     def __init__(self, tariff: face.Tariff, now: float) -> None:
-        self.seed, self.draws = tariff.seed, 0
+        self.seed, self.count = tariff.seed, 0
         self.slots, self.room, self.most_connects = tariff.slots, tariff.room, tariff.most_connects
-        self.may_probe = tariff.may_probe
+        self.may_probe, self.may_cancel = tariff.may_probe, tariff.may_cancel
         self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
         self.part, self.over_quota = 1.0 / tariff.instances, tariff.over_quota
         # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
@@ -109,8 +106,7 @@
         self.ends: list[tuple[float, int, Case]] = []
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
-        self.held = self.order = 0
-        self.ask_pause, self.ticking = 0.0, False
+        self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
         self.quotas: dict[face.Customer, tuple[float, float]] = {}
         if tariff.must_ask:
@@ -141,8 +137,7 @@
         born, end = now + mail.left - kind.lifetime, now + mail.left
         case = mail.notes = Case(mail, self.line(mail.destination), Stage.LINE, born, end, over, importance)
         self.held += 1
-        self.order += 1
-        heapq.heappush(self.ends, (case.end, self.order, case))
+        heapq.heappush(self.ends, (case.end, self.next(), case))
         if mail.queue_class.in_order and mail.key is not None:
             case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
             case.turns.cases.append(case)
@@ -157,16 +152,18 @@
         if not call.out:
             del self.calls[call]
             call.lane.line.out -= 1
+            call.lane.line.stuck -= call.overdue
         self.judge(now, call, outcome)
         case.out -= 1
-        if case.turns and outcome.ending in MAY_RUN_ON:
+        if case.turns and outcome.ending in (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED):
             case.turns.rest = now + self.key_rest
         if case.stage is Stage.DONE:
             self.pass_turn(now, case)
         elif outcome.finished:
             self.step(now, case, Step.OVER)
         else:
-            if outcome.ending not in NEVER_RAN and not case.doubt:
+            proof = outcome.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT)
+            if not proof and not case.doubt:
                 case.doubt = call.sent
             self.step(now, case, Step.AGAIN if self.may_go(now, case) else Step.SPENT)
 
@@ -243,6 +240,8 @@
     def judge(self, now: float, call: Call, outcome: Outcome) -> None:
         """The first outcome of a call speaks for its route and for the destination's window."""
         lane, line = call.lane, call.lane.line
+        if call.out < len(call.connects):
+            lane.heard = now
         if outcome.ending is Ending.SERVED:
             lane.tally.add(outcome.took)
         if call.judged and not outcome.wait:
@@ -302,10 +301,26 @@
         lane.filled = now
 
     def overdue(self, now: float) -> None:
-        """A call that takes far longer than usual speaks before its time-out does."""
+        """A call that takes far longer than usual speaks before its time-out does, and may lose its slot."""
+        quiet: dict[Lane, int] = {}
+        for call in self.calls:
+            # A third of the limit is what nine in ten stay under; three such and no answer since: silence.
+            if call.lane.heard < call.sent and now - call.sent > call.limit / 3:
+                quiet[call.lane] = quiet.get(call.lane, 0) + 1
         for call in self.calls:
-            if not call.judged and now - call.sent > call.limit:
+            if not call.judged and (now - call.sent > call.limit or quiet.get(call.lane, 0) >= 3):
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
+                call.overdue = True
+                call.lane.line.stuck += 1
+        # Guards the slots against silence in many places, or of few calls each: a quarter may be overdue.
+        stuck = [call for call in self.calls if call.overdue]
+        full = len(self.calls) >= self.slots and len(stuck) > self.slots // 4
+        for call in stuck if self.may_cancel else []:
+            if full or call.lane.line.stuck > self.sick_cap // 2:
+                call.overdue = False
+                call.lane.line.stuck -= 1
+                self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail.notes.out]
+                break
 
     def step(self, now: float, case: Case, step: Step) -> None:
         before = case.stage
@@ -337,34 +352,29 @@
 
     def pass_turn(self, now: float, case: Case) -> None:
         """Once a mail is over and has nothing out, the next of its key may go, after a rest if need be."""
-        turns = case.turns
-        if turns is None or case.out:
-            return
-        had_turn = turns.cases and turns.cases[0] is case
-        if case in turns.cases:
-            turns.cases.remove(case)
-        if had_turn:
-            self.wake(now, turns)
+        if case.turns and not case.out:
+            had_turn = case.turns.cases[0] is case
+            case.turns.cases.remove(case)
+            if had_turn:
+                self.wake(now, case.turns)
 
     def wake(self, now: float, turns: Turns) -> None:
-        while turns.cases and turns.cases[0].stage is Stage.DONE and not turns.cases[0].out:
-            turns.cases.popleft()
         if turns.rest > now:
-            self.order += 1
-            heapq.heappush(self.resting, (turns.rest, self.order, turns))
-        elif turns.cases and turns.cases[0].stage is Stage.LINE and not turns.cases[0].queued:
-            self.queue(now, turns.cases[0])
+            heapq.heappush(self.resting, (turns.rest, self.next(), turns))
         elif not turns.cases:
             self.keys.pop(turns.key, None)
+        elif turns.cases[0].stage is Stage.LINE and not turns.cases[0].queued:
+            self.queue(now, turns.cases[0])
 
     def may_go(self, now: float, case: Case) -> bool:
         """Whether a further connect is allowed, and can still be of use."""
         kind = case.mail.queue_class
-        if (case.doubt and not ANSWERS[kind.rerun][0]) or case.connects >= self.most_connects:
+        # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
+        if case.doubt and (kind.one_zone or not ANSWERS[kind.rerun][0]):
             return False
         # The margin covers the rounding of the clocks.
         outside = kind.rerun is Rerun.TAGGED and case.doubt and now > case.doubt + kind.memory - 0.02
-        return not outside and case.end > now + 0.05
+        return not outside and case.connects < self.most_connects and case.end > now + 0.05
 
     def over(self, now: float, mail: Mail) -> bool:
         """Whether a mail is above its customer's quota, as far as this instance's part tells."""
@@ -379,15 +389,14 @@
 
     def send(self, now: float) -> None:
         fresh: Fresh = {}
-        for line in self.lines:
-            if line.waiting and now >= line.until:
-                self.try_routes(now, line, fresh)
         ready: list[tuple[float, int, Line, Case]] = []
         aside: list[Case] = []
         misses = [0] * len(self.lines)
         for place, line in enumerate(self.lines):
-            if line.waiting and now >= line.until and (case := self.best(now, line)):
-                heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
+            if line.waiting and now >= line.until:
+                self.try_routes(now, line, fresh)
+                if case := self.best(now, line):
+                    heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
         while ready:
             _, place, line, case = heapq.heappop(ready)
             lane = self.draw(now, case)
@@ -438,8 +447,6 @@
     def draw(self, now: float, case: Case) -> Lane | None:
         """The ordinary path: a weighted random draw over the live routes."""
         lanes = [lane for lane in case.line.lanes.values() if lane.state is State.LIVE and lane.until <= now]
-        if case.doubt and case.mail.queue_class.one_zone and case.last:
-            lanes = [lane for lane in lanes if lane.route.zone == case.last.route.zone]
         if len(lanes) > 1 and case.last in lanes:
             lanes.remove(case.last)  # a further connect goes elsewhere where it can
         shares = [(self.rate(lane) or 1.0) * lane.health * self.warmth(now, lane) for lane in lanes]
@@ -455,13 +462,14 @@
         call, line = fresh.get(lane), case.line
         if call is None or call.out >= lane.route.kind.batch:
             sick = any(other.ill > 0.3 or other.state is not State.LIVE for other in line.lanes.values())
-            window = min(line.window, self.sick_cap if sick else self.cap)
-            if len(self.calls) >= self.slots:
-                return False
-            if not trial and (line.out >= int(window) or lane.credit < 1):
+            crowded = len(self.calls) >= self.slots or line.out >= (self.sick_cap if sick else self.cap)
+            # Overdue calls leave the window, lest a few silent ones shut a destination for a queue lifetime.
+            if crowded or (not trial and (line.out - line.stuck >= int(line.window) or lane.credit < 1)):
                 return False
-            # Three times what nine in ten stay under is late for any work but the odd heavy one.
-            limit = max(0.4, 3 * lane.tally.most(case.mail.queue_class.target_delay / 2))
+            # Three times what nine in ten stay under is late for all but the odd heavy mail; so is twice the
+            # target delay, however slow the route has been.
+            target = case.mail.queue_class.target_delay
+            limit = min(2 * target, max(0.4, 3 * lane.tally.most(target / 2)))
             call = fresh[lane] = Call(lane, now, limit, trial)
             self.calls[call] = None
             line.out += 1
@@ -476,7 +484,8 @@
         call.out += 1
         case.last = lane
         self.step(now, case, Step.DRAWN)
-        self.effects.append(Connect(case.mail, lane.route, time_out, call))
+        call.connects.append(Connect(case.mail, lane.route, time_out, call))
+        self.effects.append(call.connects[-1])
         return True
 
     def try_routes(self, now: float, line: Line, fresh: Fresh) -> None:
@@ -496,9 +505,7 @@
     def bearer(self, now: float, line: Line) -> Case | None:
         """A mail that can bear failing; a once-only one where there is neither a better one nor a probe."""
         kinds = list(Rerun)[: 2 if self.may_probe else 3]
-        heads = [cases for cases in line.first.values() if cases]
-        if line.further and not (line.further[0].doubt and line.further[0].mail.queue_class.one_zone):
-            heads.append(line.further)
+        heads = [cases for cases in (line.further, *line.first.values()) if cases]
         heads = [cases for cases in heads if cases[0].stage is Stage.LINE and self.may_go(now, cases[0])]
         heads = [cases for cases in heads if cases[0].mail.queue_class.rerun in kinds]
         best = min(heads, key=lambda cases: kinds.index(cases[0].mail.queue_class.rerun), default=None)
@@ -526,6 +533,9 @@
         line: Line = destination.notes
         return line
 
+    def next(self) -> int:
+        self.count += 1
+        return self.count
+
     def chance(self) -> float:
-        self.draws += 1
-        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
+        return zlib.crc32(f"{self.seed}:{self.next()}".encode()) / 2**32
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from laureldock.interface import Mail, QueueClass, Route
+from laureldock.interface import Connect, Mail, QueueClass, Route
 
 
 @dataclass(eq=False, slots=True)
@@ -30,6 +30,7 @@
     until: float = 0.0  # nothing is sent before
     pause: float = 0.0  # between its trials
     filled: float = 0.0  # when its credit was last filled
+    heard: float = 0.0  # when it last answered anything
 
 
 @dataclass(eq=False, slots=True)
@@ -39,6 +40,7 @@
     window: float  # calls that may be out
     batch: int = 1  # mails that may share a call
     out: int = 0  # calls out
+    stuck: int = 0  # of them, those overdue
     cut: float = 0.0  # when the window was last halved
     until: float = 0.0  # nothing is sent before
     waiting: int = 0  # mails in all of its lines
@@ -84,5 +86,7 @@
     sent: float
     limit: float  # overdue after so long
     trial: bool
+    connects: list[Connect] = field(default_factory=list)
     out: int = 0  # connects without an outcome
     judged: bool = False  # it has spoken for its route
+    overdue: bool = False  # it spoke before its outcome, by taking too long
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -75,6 +75,8 @@
                     self.say(f"-> {self.names[mail]} deferred, back in {retry_after:.2f} s")
                 case face.Bounce(mail=mail):
                     self.say(f"-> {self.names[mail]} bounced")
+                case face.Cancel(connect=connect):
+                    self.say(f"-> {self.names[connect.mail]} called off")
                 case face.Probe(route=route):
                     self.say(f"-> probe of {route.name}")
                 case face.AskList(watch=watch):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -113,6 +113,29 @@
     assert dock.same_as("livelock")
 
 
+def test_a_silent_route_does_not_shut_its_destination() -> None:
+    """Two once-only mails that hung once filled a window that had shrunk, for their whole queue lifetime."""
+    dock = Dock()
+    dock.listed("north/1", "north/2")
+    for number in range(4):
+        dock.mail(f"m{number}", "redeliverable")
+        dock.turn()
+        dock.end(f"m{number}", "served", report=[1.0, 0.0])
+    for number in range(4):
+        dock.mail(f"hung{number}", "once-only")
+    dock.after(0.5)
+    dock.mail("late", "redeliverable")
+    dock.after(0.9)
+    dock.end("late", "served", report=[1.0, 0.0])
+    dock.after(2.0)
+    for name in ("hung0", "hung1"):
+        dock.end(name, "cancelled")
+    dock.after(0.1)
+    dock.mail("later", "redeliverable")
+    dock.after(0.1)
+    assert dock.same_as("silence")
+
+
 def test_nothing_new_to_what_drains_and_late_mails_are_answered_in_time() -> None:
     dock = Dock()
     dock.mail("early", "redeliverable", left=1.0)
