Let mails go by importance for each second of a slot

Cause: with all slots taken, mails for receivers that answer late or never took as many as mails for healthy ones. A destination now knows what a mail costs there in time of a slot; a quick failure does not make it look cheap. Should also hold against slow receivers in overload; may hurt a class sent only to slow ones.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -31,14 +31,14 @@
     (State.LIVE, Sign.REFUSED): (State.LIVE, "shrink"),
     (State.LIVE, Sign.FAILED): (State.LIVE, "shrink"),
     (State.LIVE, Sign.RUN): (State.NOUGHT, "shut"),
-    (State.LIVE, Sign.WAIT): (State.NOUGHT, "keep"),
-    (State.NOUGHT, Sign.TRIED): (State.TRIAL, "keep"),
+    (State.LIVE, Sign.WAIT): (State.NOUGHT, ""),
+    (State.NOUGHT, Sign.TRIED): (State.TRIAL, ""),
     (State.TRIAL, Sign.SERVED): (State.LIVE, "reopen"),
     (State.TRIAL, Sign.REFUSED): (State.NOUGHT, "shut"),
     (State.TRIAL, Sign.FAILED): (State.NOUGHT, "shut"),
     (State.TRIAL, Sign.RUN): (State.NOUGHT, "shut"),
-    (State.TRIAL, Sign.WAIT): (State.NOUGHT, "keep"),
-    (State.TRIAL, Sign.UNSENT): (State.NOUGHT, "keep"),
+    (State.TRIAL, Sign.WAIT): (State.NOUGHT, ""),
+    (State.TRIAL, Sign.UNSENT): (State.NOUGHT, ""),
 }
 
 # A mail waits for its first or a further connect, has one out, or is done with.
@@ -62,9 +62,6 @@
 }
 
 
-Fresh = dict[Lane, Call]  # the calls opened in a turn
-
-
 class Tally:
     """Times a route took, in a few coarse bins."""
 
@@ -102,13 +99,13 @@
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)
         self.rate_report, self.left_report = tariff.rate_report, tariff.left_report
         self.lines: list[Line] = []
-        self.calls: dict[Call, None] = {}
+        self.calls: dict[Call, None] = {}  # all that are out
+        self.fresh: dict[Lane, Call] = {}  # those opened in this turn
         self.ends: list[tuple[float, int, Case]] = []
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
         self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
-        self.quotas: dict[face.Customer, tuple[float, float]] = {}
         if tariff.must_ask:
             self.effects.append(face.AskList(watch=True))
 
@@ -124,7 +121,7 @@
                 line.lanes.pop(route, None)  # nothing new to it; what is out runs on
             elif route not in line.lanes:
                 line.batch = route.kind.batch
-                route.notes = line.lanes[route] = self.lane(route, line)
+                route.notes = line.lanes[route] = Lane(route, line, State.LIVE, Tally(), self.part)
 
     def list_failed(self, now: float) -> None:
         # Doubled from half a second, since a list that turns calls away is short of room; spread by a draw.
@@ -151,8 +148,12 @@
         call.out -= 1
         if not call.out:
             del self.calls[call]
-            call.lane.line.out -= 1
-            call.lane.line.stuck -= call.overdue
+            line = call.lane.line
+            line.out, line.stuck = line.out - 1, line.stuck - call.overdue
+            # What a mail costs here in time of a slot; a tenth at a time, so that one heavy mail says little.
+            took = (now - call.sent) / len(call.connects)
+            if outcome.ending is Ending.SERVED or took > line.cost:  # a quick failure is not cheap
+                line.cost += 0.1 * (took - line.cost)
         self.judge(now, call, outcome)
         case.out -= 1
         if case.turns and outcome.ending in (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED):
@@ -182,9 +183,8 @@
             self.ticking = False
 
     def withdrawn(self, now: float, mail: Mail) -> None:
-        case: Case = mail.notes
-        if case.stage is not Stage.DONE:
-            self.step(now, case, Step.OVER)
+        if mail.notes.stage is not Stage.DONE:
+            self.step(now, mail.notes, Step.OVER)
 
     def turn(self, now: float) -> list[face.Effect]:
         self.overdue(now)
@@ -258,10 +258,8 @@
     def sign(self, now: float, lane: Lane, sign: Sign) -> None:
         if (lane.state, sign) in ROUTE_TABLE:
             lane.state, effect = ROUTE_TABLE[lane.state, sign]
-            getattr(self, effect)(now, lane)
-
-    def keep(self, now: float, lane: Lane) -> None:
-        pass
+            if effect:
+                getattr(self, effect)(now, lane)
 
     def grow(self, now: float, lane: Lane) -> None:
         lane.health = min(1.0, lane.health + 0.05)  # twenty served calls undo the worst
@@ -382,25 +380,25 @@
         if customer is None or not customer.quota:
             return False
         rate = customer.quota * self.part
-        level, then = self.quotas.get(customer, (rate, now))
+        level, then = customer.notes or (rate, now)
         level = min(rate, level + rate * (now - then))  # one second's worth may come at once
-        self.quotas[customer] = (max(level - 1, 0.0), now)
+        customer.notes = (max(level - 1, 0.0), now)
         return level < 1
 
     def send(self, now: float) -> None:
-        fresh: Fresh = {}
+        self.fresh.clear()
         ready: list[tuple[float, int, Line, Case]] = []
         aside: list[Case] = []
         misses = [0] * len(self.lines)
         for place, line in enumerate(self.lines):
             if line.waiting and now >= line.until:
-                self.try_routes(now, line, fresh)
+                self.try_routes(now, line)
                 if case := self.best(now, line):
                     heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
         while ready:
             _, place, line, case = heapq.heappop(ready)
             lane = self.draw(now, case)
-            if not lane or not self.dispatch(now, case, lane, fresh):
+            if not lane or not self.dispatch(now, case, lane):
                 aside.append(case)
                 misses[place] += 1
             # Enough tries for a line to fill the calls that it opened in this turn.
@@ -441,8 +439,10 @@
         return case.line.further if case.connects else case.line.first.setdefault(sort, deque())
 
     def urgency(self, now: float, case: Case) -> float:
-        # Importance, growing with age so that no queue class starves; half at birth keeps classes apart.
-        return case.importance * (0.5 + max(0.0, now - case.born) / case.mail.queue_class.target_delay)
+        # Importance, growing with age so that no queue class starves; half at birth keeps classes apart. For
+        # each second of a slot, lest receivers that are slow to answer take the slots of those that are not.
+        age = max(0.0, now - case.born) / case.mail.queue_class.target_delay
+        return case.importance * (0.5 + age) / (0.1 + case.line.cost)
 
     def draw(self, now: float, case: Case) -> Lane | None:
         """The ordinary path: a weighted random draw over the live routes."""
@@ -457,9 +457,9 @@
                 return lane
         return lanes[-1] if lanes else None
 
-    def dispatch(self, now: float, case: Case, lane: Lane, fresh: Fresh, trial: bool = False) -> bool:
+    def dispatch(self, now: float, case: Case, lane: Lane, trial: bool = False) -> bool:
         """Send a mail over a route, in a call of this turn or a new one, if limits leave room."""
-        call, line = fresh.get(lane), case.line
+        call, line = self.fresh.get(lane), case.line
         if call is None or call.out >= lane.route.kind.batch:
             sick = any(other.ill > 0.3 or other.state is not State.LIVE for other in line.lanes.values())
             crowded = len(self.calls) >= self.slots or line.out >= (self.sick_cap if sick else self.cap)
@@ -470,7 +470,7 @@
             # target delay, however slow the route has been.
             target = case.mail.queue_class.target_delay
             limit = min(2 * target, max(0.4, 3 * lane.tally.most(target / 2)))
-            call = fresh[lane] = Call(lane, now, limit, trial)
+            call = self.fresh[lane] = Call(lane, now, limit, trial)
             self.calls[call] = None
             line.out += 1
             lane.credit -= 1
@@ -488,7 +488,7 @@
         self.effects.append(call.connects[-1])
         return True
 
-    def try_routes(self, now: float, line: Line, fresh: Fresh) -> None:
+    def try_routes(self, now: float, line: Line) -> None:
         """One trial for each route at nought, of a mail that can bear failing where there is one."""
         for lane in line.lanes.values():
             if lane.state is not State.NOUGHT or now < lane.until or (lane.ill <= 0.6 and lane.credit < 1):
@@ -497,19 +497,19 @@
             if case is None and self.may_probe:
                 self.effects.append(face.Probe(lane.route))
                 self.sign(now, lane, Sign.TRIED)
-            elif case and self.dispatch(now, case, lane, fresh, trial=True):
+            elif case and self.dispatch(now, case, lane, trial=True):
                 self.sign(now, lane, Sign.TRIED)
             elif case:
                 self.waiters(case).appendleft(case)
 
     def bearer(self, now: float, line: Line) -> Case | None:
         """A mail that can bear failing; a once-only one where there is neither a better one nor a probe."""
-        kinds = list(Rerun)[: 2 if self.may_probe else 3]
         heads = [cases for cases in (line.further, *line.first.values()) if cases]
         heads = [cases for cases in heads if cases[0].stage is Stage.LINE and self.may_go(now, cases[0])]
-        heads = [cases for cases in heads if cases[0].mail.queue_class.rerun in kinds]
-        best = min(heads, key=lambda cases: kinds.index(cases[0].mail.queue_class.rerun), default=None)
-        return best.popleft() if best else None
+        heads.sort(key=lambda cases: list(Rerun).index(cases[0].mail.queue_class.rerun))
+        if heads and not (self.may_probe and heads[0][0].mail.queue_class.rerun is Rerun.ONCE_ONLY):
+            return heads[0].popleft()
+        return None
 
     def make_room(self, now: float) -> None:
         """Defer the least valuable before new mails are turned away at the door."""
@@ -522,10 +522,6 @@
             if case.stage is Stage.LINE:
                 self.step(now, case, Step.SPENT)
 
-    def lane(self, route: Route, line: Line) -> Lane:
-        # Health and credit start whole: an instance that knows nothing is held back by its window of one.
-        return Lane(route, line, State.LIVE, Tally(), health=1.0, part=self.part, credit=1.0, back=-1e9)
-
     def line(self, destination: face.Destination) -> Line:
         if destination.notes is None:
             destination.notes = Line(window=1.0)
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 from laureldock.interface import Connect, Mail, QueueClass, Route
@@ -20,10 +21,10 @@
     line: Line
     state: Any  # of control's route states
     tally: Any  # how long its calls took
-    health: float  # scales its share: shrinks on refusals and failures, grows while it serves
     part: float  # of its limit, what this instance takes
-    credit: float  # calls it may be sent now
-    back: float  # when its last trial after an outage was served
+    health: float = 1.0  # scales its share: shrinks on refusals and failures, grows while it serves
+    credit: float = 0.0  # calls it may be sent now
+    back: float = -inf  # when its last trial after an outage was served
     ill: float = 0.0  # how much of what it did lately was failing
     told_rate: float | None = None  # its limit, in calls a second; 0 where it has none, None while not told
     told_left: float = 1.0  # of its limit, what is left
@@ -41,6 +42,7 @@
     batch: int = 1  # mails that may share a call
     out: int = 0  # calls out
     stuck: int = 0  # of them, those overdue
+    cost: float = 0.0  # seconds of a slot that a mail takes
     cut: float = 0.0  # when the window was last halved
     until: float = 0.0  # nothing is sent before
     waiting: int = 0  # mails in all of its lines
