--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -51,8 +51,6 @@
 
 def tariff(seed: int, profile: Fields) -> face.Tariff:
     limits, rules, family = profile["limits"], profile["invariants"], profile["family_info"]
-    reports: list[str] = (profile.get("telemetry") or {}).get("fields") or []
-    place = {name: index for index, name in enumerate(reports)}
     return face.Tariff(
         seed=seed,
         instances=profile["n_instances"],
@@ -71,8 +69,6 @@
         fall_time=seconds(rules["fall_ns"]),
         warm_time=seconds(rules["warm_after_ns"]),
         rates=profile.get("weight_kind") or "off",
-        rate_report=place.get("x1"),
-        left_report=place.get("x0"),
     )
 
 
@@ -117,6 +113,7 @@
             "tick_due": self.tick_due,
             "under_way": self.under_way,
         }
+        self.reports: list[str] = (profile.get("telemetry") or {}).get("fields") or []
         start = tariff(seed, profile)
         self.control: Control | None = None
         self.guard(lambda: setattr(self, "control", Control(start, now)))
@@ -176,9 +173,9 @@
     def outcome(self, fields: Fields) -> face.Outcome:
         ending = ENDINGS[fields["ending"]]
         wait = (fields.get("hold_ms") or 0) / 1000 if ending is face.Ending.FULL else 0.0
-        return face.Outcome(
-            ending, seconds(fields["latency_ns"]), bool(fields.get("closed")), wait, fields.get("stats")
-        )
+        told = dict(zip(self.reports, fields.get("stats") or [], strict=False))
+        took, finished = seconds(fields["latency_ns"]), bool(fields.get("closed"))
+        return face.Outcome(ending, took, finished, wait, told.get("x1"), told.get("x0", 1.0))
 
     def attempt_end(self, now: float, fields: Fields) -> None:
         held = self.by_id.get(fields["op_id"])
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -76,10 +76,10 @@
         if sum(self.bins) >= 64:  # enough for a tenth to be told from none; halved so that old days fade
             self.bins = [count // 2 for count in self.bins]
 
-    def most(self, otherwise: float) -> float:
-        """What nine in ten calls stay under; `otherwise` while too few are known to say."""
+    def most(self, otherwise: float, part: float = 0.9) -> float:
+        """What that part of the calls stays under; `otherwise` while too few are known to say."""
         total, runs = sum(self.bins), accumulate(self.bins)
-        edges = (edge for edge, run in zip(self.EDGES, runs, strict=False) if run >= 0.9 * total)
+        edges = (edge for edge, run in zip(self.EDGES, runs, strict=False) if run >= part * total)
         return next(edges, otherwise) if total >= 4 else otherwise
 
 
@@ -97,7 +97,6 @@
         self.cold_part = 0.7 * tariff.tip_multiple / tariff.instances
         # A rough rate may be half too high.
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)
-        self.rate_report, self.left_report = tariff.rate_report, tariff.left_report
         self.lines: list[Line] = []
         self.calls: dict[Call, None] = {}  # all that are out
         self.fresh: dict[Lane, Call] = {}  # those opened in this turn
@@ -145,7 +144,7 @@
     def ended(self, now: float, connect: Connect, outcome: Outcome) -> None:
         call: Call = connect.notes
         case: Case = connect.mail.notes
-        call.out -= 1
+        call.out, call.lane.heard = call.out - 1, now
         if not call.out:
             del self.calls[call]
             line = call.lane.line
@@ -163,8 +162,7 @@
         elif outcome.finished:
             self.step(now, case, Step.OVER)
         else:
-            proof = outcome.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT)
-            if not proof and not case.doubt:
+            if not case.doubt and outcome.ending not in (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT):
                 case.doubt = call.sent
             self.step(now, case, Step.AGAIN if self.may_go(now, case) else Step.SPENT)
 
@@ -177,10 +175,9 @@
         """Notes of peers are not used: they may be lost, and every rule can be kept alone."""
 
     def timer(self, now: float, name: str) -> None:
+        self.ticking = self.ticking and name != "sweep"
         if name == "ask":
             self.effects.append(face.AskList(watch=True))
-        else:
-            self.ticking = False
 
     def withdrawn(self, now: float, mail: Mail) -> None:
         if mail.notes.stage is not Stage.DONE:
@@ -209,13 +206,11 @@
 
     def reading(self, now: float, lane: Lane, outcome: Outcome) -> Sign:
         """What an outcome says of its route."""
-        if outcome.report and self.rate_report is not None and self.left_report is not None:
-            lane.told_rate = outcome.report[self.rate_report]
-            lane.told_left = outcome.report[self.left_report]
-        # Waits bind whatever else the call was: a late answer, or one beside a trial.
-        lane.until = max(lane.until, now + outcome.wait if outcome.wait else 0.0)
-        if not lane.route.kind.apart:
-            lane.line.until = max(lane.line.until, lane.until if outcome.wait else 0.0)
+        if outcome.limit is not None:
+            lane.told_rate, lane.told_left = outcome.limit, outcome.left
+        if outcome.wait:  # binds whatever else the call was: a late answer, or one beside a trial
+            bound = lane if lane.route.kind.apart else lane.line
+            bound.until = max(bound.until, now + outcome.wait)
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
         if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
@@ -240,8 +235,6 @@
     def judge(self, now: float, call: Call, outcome: Outcome) -> None:
         """The first outcome of a call speaks for its route and for the destination's window."""
         lane, line = call.lane, call.lane.line
-        if call.out < len(call.connects):
-            lane.heard = now
         if outcome.ending is Ending.SERVED:
             lane.tally.add(outcome.took)
         if call.judged and not outcome.wait:
@@ -289,6 +282,8 @@
 
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
+        if lane.part < self.part:
+            lane.part += 0.1 * self.part * (now - lane.filled)  # ten seconds undo any shrinking
         warmth = self.warmth(now, lane)
         part = lane.part if warmth == 1 else min(lane.part, self.cold_part * warmth)
         fill = self.rate(lane) * part
@@ -321,8 +316,7 @@
                 break
 
     def step(self, now: float, case: Case, step: Step) -> None:
-        before = case.stage
-        case.stage, effect = MAIL_TABLE[before, step]
+        case.stage, effect = MAIL_TABLE[case.stage, step]
         if case.queued:
             case.line.waiting -= 1
             case.queued = False
@@ -460,6 +454,11 @@
     def dispatch(self, now: float, case: Case, lane: Lane, trial: bool = False) -> bool:
         """Send a mail over a route, in a call of this turn or a new one, if limits leave room."""
         call, line = self.fresh.get(lane), case.line
+        if case.end - now < lane.tally.most(0.0, 0.25):
+            self.step(
+                now, case, Step.SPENT
+            )  # not one call in four is as quick as what is left of its lifetime
+            return True
         if call is None or call.out >= lane.route.kind.batch:
             sick = any(other.ill > 0.3 or other.state is not State.LIVE for other in line.lanes.values())
             crowded = len(self.calls) >= self.slots or line.out >= (self.sick_cap if sick else self.cap)
@@ -475,7 +474,8 @@
             line.out += 1
             lane.credit -= 1
         else:
-            lane.credit -= 0.25 * (self.warmth(now, lane) < 1)  # so much does a further mail weigh when cold
+            # A further mail is more work, though no further call. Weighed a little, and fully when cold.
+            lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
         time_out = case.end - now
         if case.mail.queue_class.rerun is not Rerun.ONCE_ONLY:
             time_out = min(time_out, 2 * call.limit * 2**case.connects)
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -99,8 +99,6 @@
     fall_time: float
     warm_time: float
     rates: str
-    rate_report: int | None
-    left_report: int | None
 
 
 @dataclass(eq=False, slots=True)
@@ -137,7 +135,8 @@
     took: float
     finished: bool = False
     wait: float = 0.0
-    report: list[float] | None = None
+    limit: float | None = None  # of the route, in calls a second; 0 where it has none, None where not told
+    left: float = 1.0  # of the limit, what is left as a share
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -13,7 +13,7 @@
 TARIFF = face.Tariff(
     seed=7, instances=2, slots=8, room=40, most_connects=4, may_cancel=True, may_probe=False, may_copy=False,
     must_ask=False, over_quota=0.2, most_retry_after=3.0, key_rest=0.3, start_capacity=0.2, tip_multiple=2.0,
-    fall_time=3.0, warm_time=10.0, rates="nominal", rate_report=1, left_report=0,
+    fall_time=3.0, warm_time=10.0, rates="nominal",
 )  # fmt: skip
 SORTS = {
     "redeliverable": face.QueueClass(Rerun.REDELIVERABLE, 1, 2, 10, 0.5, False),
@@ -54,10 +54,13 @@
         self.mails[name], self.names[mail] = mail, name
         self.control.taken(self.now, mail)
 
-    def end(self, name: str, ending: str, wait: float = 0.0, report: list[float] | None = None) -> None:
+    def end(
+        self, name: str, ending: str, wait: float = 0.0, report: tuple[float, float] | None = None
+    ) -> None:
         """The connect of a mail that is out ends; `report` is what is left of the limit, and the limit."""
         kind, connect = Ending(ending), self.out.pop(name)
-        outcome = face.Outcome(kind, 0.1, kind is Ending.SERVED, wait, report)
+        left, limit = report or (1.0, None)
+        outcome = face.Outcome(kind, 0.1, kind is Ending.SERVED, wait, limit, left)
         self.say(f"{name}: {ending}" + (f", wait {wait:g}" if wait else ""))
         self.control.ended(self.now, connect, outcome)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,7 +12,7 @@
     for number in range(12):
         dock.mail(f"m{number}", "redeliverable")
         dock.turn()
-        dock.end(f"m{number}", "served", report=[1.0, 0.0])
+        dock.end(f"m{number}", "served", report=(1.0, 0.0))
         dock.now += 0.1
     assert dock.same_as("draw")
 
@@ -28,7 +28,7 @@
             dock.end(name, "error")
         dock.after(0.05)
     dock.after(1.0)
-    dock.end(min(dock.out), "served", report=[1.0, 4.0])
+    dock.end(min(dock.out), "served", report=(1.0, 4.0))
     dock.after(2.5)
     assert dock.same_as("failover")
 
@@ -41,12 +41,12 @@
         dock.mail(f"m{number}", "redeliverable")
         dock.turn()
         if number == 0:
-            dock.end("m0", "served", report=[1.0, 0.0])
+            dock.end("m0", "served", report=(1.0, 0.0))
     dock.end("m1", "full", wait=0.2)
     dock.after(0.3)
     dock.end("m2", "full", wait=1.0)
     dock.after(0.2)
-    dock.end(min(dock.out), "served", report=[1.0, 0.0])
+    dock.end(min(dock.out), "served", report=(1.0, 0.0))
     dock.after(1.0)
     assert dock.same_as("wait")
 
@@ -59,10 +59,10 @@
             name = f"{sort} {ending}"
             dock.mail(name, sort, left=4.0)
             dock.turn()
-            dock.end(name, ending, report=[0.1, 100.0] if ending == "full" else None)
+            dock.end(name, ending, report=(0.1, 100.0) if ending == "full" else None)
             dock.turn()
             if name in dock.out:
-                dock.end(name, "served", report=[1.0, 0.0])
+                dock.end(name, "served", report=(1.0, 0.0))
             dock.now += 0.5
     assert dock.same_as("answers")
 
@@ -79,7 +79,7 @@
     dock.after(0.2)
     dock.end("first", "cancelled")
     dock.after(0.4)
-    dock.end("third", "served", report=[1.0, 0.0])
+    dock.end("third", "served", report=(1.0, 0.0))
     dock.turn()
     assert dock.same_as("order")
 
@@ -92,10 +92,10 @@
         dock.mail(f"m{number}", "redeliverable")
     dock.turn()
     for name in sorted(dock.out):
-        dock.end(name, "full", report=[0.1, 2.0])
+        dock.end(name, "full", report=(0.1, 2.0))
     dock.after(1.6)
     for name in sorted(dock.out):
-        dock.end(name, "served", report=[0.9, 2.0])
+        dock.end(name, "served", report=(0.9, 2.0))
     dock.turn()
     assert dock.same_as("limit")
 
@@ -108,7 +108,7 @@
     dock.turn()
     for _ in range(5):
         if "m" in dock.out:
-            dock.end("m", "full", wait=0.2, report=[0.0, 3.0])
+            dock.end("m", "full", wait=0.2, report=(0.0, 3.0))
         dock.after(2.0)
     assert dock.same_as("livelock")
 
@@ -120,13 +120,13 @@
     for number in range(4):
         dock.mail(f"m{number}", "redeliverable")
         dock.turn()
-        dock.end(f"m{number}", "served", report=[1.0, 0.0])
+        dock.end(f"m{number}", "served", report=(1.0, 0.0))
     for number in range(4):
         dock.mail(f"hung{number}", "once-only")
     dock.after(0.5)
     dock.mail("late", "redeliverable")
     dock.after(0.9)
-    dock.end("late", "served", report=[1.0, 0.0])
+    dock.end("late", "served", report=(1.0, 0.0))
     dock.after(2.0)
     for name in ("hung0", "hung1"):
         dock.end(name, "cancelled")
