Spare once-only mails unsteady routes, and all mails routes that owe a due answer

Cause: between some instances and some receivers no call was answered; each such pair cost three overdue calls, and trials on them took the slots. Once-only mails met receivers that failed a part of their calls, a bounce for each. Now a route that owes a due answer has a tenth of its share, silence weighs more, trials take a quarter of the slots at most, and once-only mails wait for a route that lately failed little. A trial given up no longer blocks its route. Holds against cut links; may hurt where a route is just slow.

--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 from laureldock import interface as face
@@ -44,7 +45,7 @@
         late_share=float(entry.get("late_share") or 0),
         halving=halving,
         in_order=bool(entry.get("in_order")),
-        memory=seconds(entry.get("window_ns")),
+        memory=seconds(entry.get("window_ns")) if entry["effect"] == "dedup" else inf,
         one_zone=entry.get("dedup_scope") != "all",
     )
 
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -13,7 +13,7 @@
 
 import heapq
 import zlib
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections import deque
 from enum import Enum
 from itertools import accumulate
@@ -95,8 +95,7 @@
         self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
         # This instance's part of what a cold route bears; seven tenths leave slack for trials and chance.
         self.cold_part = 0.7 * tariff.tip_multiple / tariff.instances
-        # A rough rate may be half too high.
-        self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)
+        self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
         self.lines: list[Line] = []
         self.calls: dict[Call, None] = {}  # all that are out
         self.fresh: dict[Lane, Call] = {}  # those opened in this turn
@@ -112,8 +111,7 @@
         self.ask_pause = 0.0
         named = dict.fromkeys(routes)
         for line in self.lines if whole else []:
-            for route in [route for route in line.lanes if route not in named]:
-                del line.lanes[route]
+            line.lanes = {route: lane for route, lane in line.lanes.items() if route in named}
         for route in routes:
             line = self.line(route.destination)
             if route.listed is not face.Listed.UP:
@@ -131,15 +129,17 @@
         kind, over = mail.queue_class, self.over(now, mail)
         importance = kind.importance * (self.over_quota if over else 1.0)
         born, end = now + mail.left - kind.lifetime, now + mail.left
-        case = mail.notes = Case(mail, self.line(mail.destination), Stage.LINE, born, end, over, importance)
+        once = kind.rerun is Rerun.ONCE_ONLY
+        line = self.line(mail.destination)
+        case = mail.notes = Case(mail, line, Stage.LINE, born, end, once, over, importance)
         self.held += 1
         heapq.heappush(self.ends, (case.end, self.next(), case))
-        if mail.queue_class.in_order and mail.key is not None:
+        if kind.in_order and mail.key is not None:
             case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
             case.turns.cases.append(case)
-            if case.turns.cases[0] is not case or case.turns.rest > now:
-                return
-        self.queue(now, case)
+            self.wake(now, case.turns)
+        else:
+            self.queue(now, case)
 
     def ended(self, now: float, connect: Connect, outcome: Outcome) -> None:
         call: Call = connect.notes
@@ -184,6 +184,9 @@
             self.step(now, mail.notes, Step.OVER)
 
     def turn(self, now: float) -> list[face.Effect]:
+        for line in self.lines:
+            for lane in line.lanes.values():
+                self.refill(now, lane)
         self.overdue(now)
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
@@ -192,9 +195,6 @@
             case = heapq.heappop(self.ends)[2]
             if case.stage is Stage.LINE:
                 self.step(now, case, Step.SPENT)
-        for line in self.lines:
-            for lane in line.lanes.values():
-                self.refill(now, lane)
         self.send(now)
         self.make_room(now)
         if self.held and not self.ticking:
@@ -223,7 +223,8 @@
             # Others leave much of the limit: take more of it, up to the own part fast.
             lane.part = min(1.0, lane.part * (1.25 if lane.part < self.part else 1.05))
         # Three failures in a row, or most of the last few; a tenth of chance errors never adds up to it.
-        lane.ill += 0.3 * ((0.0 if good else 1.0) - lane.ill)
+        weight = 0.5 if outcome.ending is Ending.TIME_OUT and lane.quiet else 0.3
+        lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
         if good:
             return Sign.SERVED
         if outcome.wait:
@@ -268,7 +269,7 @@
     def reopen(self, now: float, lane: Lane) -> None:
         if lane.ill > 0.6:  # an outage, not a mere wait: it is cold
             lane.back, lane.part = now, self.part
-        lane.pause = lane.ill = lane.credit = 0.0
+        lane.pause, lane.ill, lane.credit = 0.0, min(0.4, lane.ill), 0.0
         lane.health = 1.0
 
     def warmth(self, now: float, lane: Lane) -> float:
@@ -280,10 +281,17 @@
         parts = 1 if lane.route.kind.apart else len(lane.line.lanes)
         return lane.told_rate or lane.route.rate * self.rate_trust / max(1, parts)
 
+    def share(self, now: float, lane: Lane) -> float:
+        # Guards mails against a route gone silent: while it owes an answer that is due, it hardly gets any.
+        silence = 0.1 if lane.quiet else 1.0
+        return (self.rate(lane) or 1.0) * lane.health * self.warmth(now, lane) * silence
+
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
         if lane.part < self.part:
             lane.part += 0.1 * self.part * (now - lane.filled)  # ten seconds undo any shrinking
+        if lane.state is State.LIVE:
+            lane.ill -= min(1.0, 0.2 * (now - lane.filled)) * lane.ill
         warmth = self.warmth(now, lane)
         part = lane.part if warmth == 1 else min(lane.part, self.cold_part * warmth)
         fill = self.rate(lane) * part
@@ -291,17 +299,15 @@
             lane.credit = 1.0  # no limit to keep to
         else:
             lane.credit = min(max(1.0, fill * 0.5), lane.credit + fill * (now - lane.filled))
-        lane.filled = now
+        lane.filled, lane.quiet = now, 0
 
     def overdue(self, now: float) -> None:
         """A call that takes far longer than usual speaks before its time-out does, and may lose its slot."""
-        quiet: dict[Lane, int] = {}
         for call in self.calls:
-            # A third of the limit is what nine in ten stay under; three such and no answer since: silence.
-            if call.lane.heard < call.sent and now - call.sent > call.limit / 3:
-                quiet[call.lane] = quiet.get(call.lane, 0) + 1
+            # A third of the limit is what nine in ten stay under: due, and no answer to any call since.
+            call.lane.quiet += call.lane.heard < call.sent and now - call.sent > call.limit / 3
         for call in self.calls:
-            if not call.judged and (now - call.sent > call.limit or quiet.get(call.lane, 0) >= 3):
+            if not call.judged and now - call.sent > call.limit:
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
                 call.overdue = True
                 call.lane.line.stuck += 1
@@ -345,10 +351,8 @@
     def pass_turn(self, now: float, case: Case) -> None:
         """Once a mail is over and has nothing out, the next of its key may go, after a rest if need be."""
         if case.turns and not case.out:
-            had_turn = case.turns.cases[0] is case
             case.turns.cases.remove(case)
-            if had_turn:
-                self.wake(now, case.turns)
+            self.wake(now, case.turns)
 
     def wake(self, now: float, turns: Turns) -> None:
         if turns.rest > now:
@@ -364,9 +368,9 @@
         # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
         if case.doubt and (kind.one_zone or not ANSWERS[kind.rerun][0]):
             return False
-        # The margin covers the rounding of the clocks.
-        outside = kind.rerun is Rerun.TAGGED and case.doubt and now > case.doubt + kind.memory - 0.02
-        return not outside and case.connects < self.most_connects and case.end > now + 0.05
+        outside = case.doubt and now > case.doubt + kind.memory - 0.02  # less the rounding of clocks
+        spent = case.stage is Stage.DONE or case.connects >= self.most_connects
+        return not outside and not spent and case.end > now + 0.05
 
     def over(self, now: float, mail: Mail) -> bool:
         """Whether a mail is above its customer's quota, as far as this instance's part tells."""
@@ -392,7 +396,9 @@
         while ready:
             _, place, line, case = heapq.heappop(ready)
             lane = self.draw(now, case)
-            if not lane or not self.dispatch(now, case, lane):
+            if lane and case.end - now < lane.tally.most(0.0, 0.25):
+                self.step(now, case, Step.SPENT)  # not one call in four would come in time
+            elif not lane or not self.dispatch(now, case, lane):
                 aside.append(case)
                 misses[place] += 1
             # Enough tries for a line to fill the calls that it opened in this turn.
@@ -404,6 +410,7 @@
     def best(self, now: float, line: Line) -> Case | None:
         """Takes the next mail off a line: first connects, then further ones, then what came too late."""
         best: deque[Case] | None = None
+        steady = any(lane.ill <= 0.2 for lane in line.lanes.values())
         for cases in line.first.values():
             while cases:
                 head = cases[0]
@@ -414,16 +421,17 @@
                     line.late.append(cases.popleft())  # its importance fades fast now: the punctual go first
                 else:
                     break
-            if cases and (not best or self.urgency(now, cases[0]) > self.urgency(now, best[0])):
+            may = cases and (steady or not cases[0].once)
+            if may and (not best or self.urgency(now, cases[0]) > self.urgency(now, best[0])):
                 best = cases
         if best:
             return best.popleft()
         for rest in (line.further, line.late):
             while rest:
                 case = rest.popleft() if rest is line.further else rest.pop()
+                if self.may_go(now, case):
+                    return case
                 if case.stage is Stage.LINE:
-                    if self.may_go(now, case):
-                        return case
                     self.step(now, case, Step.SPENT)
         return None
 
@@ -441,24 +449,18 @@
     def draw(self, now: float, case: Case) -> Lane | None:
         """The ordinary path: a weighted random draw over the live routes."""
         lanes = [lane for lane in case.line.lanes.values() if lane.state is State.LIVE and lane.until <= now]
+        if case.once:
+            # Guards mails that cannot be tried anew against a route that fails now and then: two served calls
+            # or five quiet seconds after the last failure it is steady again.
+            lanes = [lane for lane in lanes if lane.ill <= 0.2]
         if len(lanes) > 1 and case.last in lanes:
             lanes.remove(case.last)  # a further connect goes elsewhere where it can
-        shares = [(self.rate(lane) or 1.0) * lane.health * self.warmth(now, lane) for lane in lanes]
-        point = self.chance() * sum(shares)
-        for lane, share in zip(lanes, shares, strict=True):
-            point -= share
-            if point < 0:
-                return lane
-        return lanes[-1] if lanes else None
+        sums = list(accumulate(self.share(now, lane) for lane in lanes))
+        return lanes[bisect_right(sums, self.chance() * sums[-1])] if lanes else None
 
     def dispatch(self, now: float, case: Case, lane: Lane, trial: bool = False) -> bool:
         """Send a mail over a route, in a call of this turn or a new one, if limits leave room."""
         call, line = self.fresh.get(lane), case.line
-        if case.end - now < lane.tally.most(0.0, 0.25):
-            self.step(
-                now, case, Step.SPENT
-            )  # not one call in four is as quick as what is left of its lifetime
-            return True
         if call is None or call.out >= lane.route.kind.batch:
             sick = any(other.ill > 0.3 or other.state is not State.LIVE for other in line.lanes.values())
             crowded = len(self.calls) >= self.slots or line.out >= (self.sick_cap if sick else self.cap)
@@ -477,10 +479,9 @@
             # A further mail is more work, though no further call. Weighed a little, and fully when cold.
             lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
         time_out = case.end - now
-        if case.mail.queue_class.rerun is not Rerun.ONCE_ONLY:
-            time_out = min(time_out, 2 * call.limit * 2**case.connects)
-            if case.mail.queue_class.rerun is Rerun.TAGGED:
-                time_out = min(time_out, max(1.0, case.mail.queue_class.memory / 2))
+        if not case.once:
+            longest = min(case.mail.queue_class.memory / 2, 2 * call.limit * 2**case.connects)
+            time_out = min(time_out, call.limit if trial else longest)
         call.out += 1
         case.last = lane
         self.step(now, case, Step.DRAWN)
@@ -491,6 +492,8 @@
     def try_routes(self, now: float, line: Line) -> None:
         """One trial for each route at nought, of a mail that can bear failing where there is one."""
         for lane in line.lanes.values():
+            if sum(call.trial for call in self.calls) >= max(1, self.slots // 4):
+                return  # many silent routes would take all slots for trials
             if lane.state is not State.NOUGHT or now < lane.until or (lane.ill <= 0.6 and lane.credit < 1):
                 continue
             case = self.bearer(now, line)
@@ -504,12 +507,10 @@
 
     def bearer(self, now: float, line: Line) -> Case | None:
         """A mail that can bear failing; a once-only one where there is neither a better one nor a probe."""
-        heads = [cases for cases in (line.further, *line.first.values()) if cases]
-        heads = [cases for cases in heads if cases[0].stage is Stage.LINE and self.may_go(now, cases[0])]
+        lists = (line.further, *line.first.values())
+        heads = [cases for cases in lists if cases and self.may_go(now, cases[0])]
         heads.sort(key=lambda cases: list(Rerun).index(cases[0].mail.queue_class.rerun))
-        if heads and not (self.may_probe and heads[0][0].mail.queue_class.rerun is Rerun.ONCE_ONLY):
-            return heads[0].popleft()
-        return None
+        return heads[0].popleft() if heads and not (self.may_probe and heads[0][0].once) else None
 
     def make_room(self, now: float) -> None:
         """Defer the least valuable before new mails are turned away at the door."""
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -23,6 +23,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Any
 
 
@@ -62,7 +63,7 @@
     late_share: float
     halving: bool
     in_order: bool = False
-    memory: float = 0.0
+    memory: float = inf  # for tagged mails: how long a repeat is known
     one_zone: bool = False
 
 
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -32,6 +32,7 @@
     pause: float = 0.0  # between its trials
     filled: float = 0.0  # when its credit was last filled
     heard: float = 0.0  # when it last answered anything
+    quiet: int = 0  # calls out that are due, with no answer to any since they were sent
 
 
 @dataclass(eq=False, slots=True)
@@ -61,6 +62,7 @@
     stage: Any  # of control's stages of a mail
     born: float  # when it was first handed in, to whichever instance
     end: float  # of its queue lifetime
+    once: bool  # once-only
     over: bool  # above its customer's quota
     importance: float
     queued: bool = False  # in a line; not while an earlier mail of its key has the turn
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -136,6 +136,37 @@
     assert dock.same_as("silence")
 
 
+def test_once_only_mails_wait_for_a_steady_route() -> None:
+    """A receiver that failed some of its calls once cost one bounce for each such mail that met it."""
+    dock = Dock()
+    dock.listed("north/1")
+    for number in range(3):
+        dock.mail(f"m{number}", "redeliverable")
+    dock.turn()
+    dock.end("m0", "error")
+    dock.mail("charge", "once-only")
+    for _ in range(3):
+        dock.after(0.1)
+        if dock.out:
+            dock.end(min(dock.out), "served", report=(1.0, 0.0))
+    dock.after(1.0)
+    assert dock.same_as("steady")
+
+
+def test_a_mail_too_late_for_its_trial_leaves_the_route_free() -> None:
+    """A trial whose mail was given up instead of sent once left its route on trial for good."""
+    dock = Dock()
+    dock.listed("north/1")
+    for number in range(6):
+        dock.mail(f"m{number}", "redeliverable", left=2.0)
+        dock.turn()
+        dock.end(min(dock.out), "served" if number < 4 else "reset", report=(1.0, 0.0))
+    dock.after(3.0)
+    dock.mail("next", "redeliverable")
+    dock.after(0.1)
+    assert dock.same_as("trial")
+
+
 def test_nothing_new_to_what_drains_and_late_mails_are_answered_in_time() -> None:
     dock = Dock()
     dock.mail("early", "redeliverable", left=1.0)
