--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -4,9 +4,8 @@
 effects. Types and calls live in `laureldock/interface.py`, what is remembered in `laureldock/records.py`;
 the why stands in `docs/design.md`.
 
-A mail waits in the line of its destination. While the destination's window has room, the best mail draws
-one of the live routes by shares. Routes follow ROUTE_TABLE, mails follow MAIL_TABLE, and ANSWERS alone says
-what a mail that did not get through may still have.
+A mail waits in the line of its destination; while the window there has room, the best mail draws one of the
+live routes by shares. ROUTE_TABLE leads the routes, MAIL_TABLE and ANSWERS lead the mails.
 """
 
 from __future__ import annotations
@@ -198,8 +197,7 @@
         self.send(now)
         self.make_room(now)
         if self.held and not self.ticking:
-            # A twentieth of a second: small against every pause and target delay, and cheap.
-            self.effects.append(face.Timer(0.05, "sweep"))
+            self.effects.append(face.Timer(0.05, "sweep"))  # short against every pause and target delay
             self.ticking = True
         effects, self.effects = self.effects, []
         return effects
@@ -311,11 +309,13 @@
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
                 call.overdue = True
                 call.lane.line.stuck += 1
-        # Guards the slots against silence in many places, or of few calls each: a quarter may be overdue.
+        # Guards the slots against silence in many places, or of few calls each: when all are taken, an
+        # overdue call gives way, a once-only mail's when a quarter is overdue.
         stuck = [call for call in self.calls if call.overdue]
-        full = len(self.calls) >= self.slots and len(stuck) > self.slots // 4
+        full, many = len(self.calls) >= self.slots, len(stuck) > self.slots // 4
         for call in stuck if self.may_cancel else []:
-            if full or call.lane.line.stuck > self.sick_cap // 2:
+            gives_way = full and (many or not call.connects[0].mail.notes.once)
+            if gives_way or call.lane.line.stuck > self.sick_cap // 2:
                 call.overdue = False
                 call.lane.line.stuck -= 1
                 self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail.notes.out]
