Call off silent calls once their route is at nought; only answers count as hearing

Cause: a tagged mail on a route gone dark waited 8 s for its time-out, and those behind it in its key; and our own cancels and time-outs counted as hearing from a route, so silence was not seen. Should hold against any link that goes dark; may hurt where all calls of a route are slow at once.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -108,9 +108,8 @@
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_pause = 0.0
-        named = dict.fromkeys(routes)
         for line in self.lines if whole else []:
-            line.lanes = {route: lane for route, lane in line.lanes.items() if route in named}
+            line.lanes = {route: lane for route, lane in line.lanes.items() if route in routes}
         for route in routes:
             line = self.line(route.destination)
             if route.listed is not face.Listed.UP:
@@ -143,7 +142,9 @@
     def ended(self, now: float, connect: Connect, outcome: Outcome) -> None:
         call: Call = connect.notes
         case: Case = connect.mail.notes
-        call.out, call.lane.heard = call.out - 1, now
+        call.out -= 1
+        if outcome.ending in (Ending.SERVED, Ending.ERROR, Ending.FULL):
+            call.lane.heard = now
         if not call.out:
             del self.calls[call]
             line = call.lane.line
@@ -309,13 +310,14 @@
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
                 call.overdue = True
                 call.lane.line.stuck += 1
-        # Guards the slots against silence in many places, or of few calls each: when all are taken, an
-        # overdue call gives way, a once-only mail's when a quarter is overdue.
+        # Guards slots and keys against silence: an overdue call gives way when all slots are taken (that of a
+        # once-only mail if a quarter is overdue), and at once where its route went to nought in silence.
         stuck = [call for call in self.calls if call.overdue]
         full, many = len(self.calls) >= self.slots, len(stuck) > self.slots // 4
         for call in stuck if self.may_cancel else []:
-            gives_way = full and (many or not call.connects[0].mail.notes.once)
-            if gives_way or call.lane.line.stuck > self.sick_cap // 2:
+            once, lane = call.connects[0].mail.notes.once, call.lane
+            lost = lane.state is not State.LIVE and lane.heard < call.sent and not once
+            if lost or (full and (many or not once)) or lane.line.stuck > self.sick_cap // 2:
                 call.overdue = False
                 call.lane.line.stuck -= 1
                 self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail.notes.out]
@@ -348,8 +350,7 @@
         self.held -= 1
         self.pass_turn(now, case)
 
-    def pass_turn(self, now: float, case: Case) -> None:
-        """Once a mail is over and has nothing out, the next of its key may go, after a rest if need be."""
+    def pass_turn(self, now: float, case: Case) -> None:  # once it is over and has nothing out
         if case.turns and not case.out:
             case.turns.cases.remove(case)
             self.wake(now, case.turns)
@@ -478,10 +479,9 @@
         else:
             # A further mail is more work, though no further call. Weighed a little, and fully when cold.
             lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
-        time_out = case.end - now
-        if not case.once:
-            longest = min(case.mail.queue_class.memory / 2, 2 * call.limit * 2**case.connects)
-            time_out = min(time_out, call.limit if trial else longest)
+        memory, patience = case.mail.queue_class.memory, call.limit * 2 ** (1 + case.connects)
+        patience = call.limit if trial else min(memory / 2, patience)
+        time_out = case.end - now if case.once else min(case.end - now, patience)
         call.out += 1
         case.last = lane
         self.step(now, case, Step.DRAWN)
