Count a failed connection beside answered calls as a refusal

Cause: endpoints take few connections; a full table looked like an outage, with share nought and a cold budget after it. Should also hold where a balancer in front of a receiver sheds connections; may be slow to see a crash while calls from before it are still being answered.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -45,7 +45,7 @@
 # AGAIN: another connect is allowed; SPENT: nothing more may or can be tried; OVER: relayed, or not wanted.
 Step = Enum("Step", "DRAWN AGAIN SPENT OVER")
 MAIL_TABLE = {
-    (Stage.LINE, Step.DRAWN): (Stage.OUT, "leave"),
+    (Stage.LINE, Step.DRAWN): (Stage.OUT, ""),
     (Stage.LINE, Step.SPENT): (Stage.DONE, "answer"),
     (Stage.LINE, Step.OVER): (Stage.DONE, "close"),
     (Stage.OUT, Step.AGAIN): (Stage.LINE, "queue"),
@@ -217,6 +217,8 @@
             # refused calls use it up too, instances that each keep to their part can hold it at nothing.
             lane.part, lane.credit = max(0.1 * self.part, lane.part * 0.7), min(0.0, lane.credit)
             return Sign.WAIT if outcome.wait else Sign.REFUSED
+        if outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took:
+            return Sign.REFUSED  # it has answered others since: no outage, but a full table of connections
         good = outcome.ending is Ending.SERVED
         if good and lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
@@ -328,11 +330,8 @@
         if case.queued:
             case.line.waiting -= 1
             case.queued = False
-        getattr(self, effect)(now, case)
-
-    def leave(self, now: float, case: Case) -> None:
-        case.connects += 1
-        case.out += 1
+        if effect:
+            getattr(self, effect)(now, case)
 
     def queue(self, now: float, case: Case) -> None:
         case.line.waiting += 1
@@ -482,8 +481,8 @@
         memory, patience = case.mail.queue_class.memory, call.limit * 2 ** (1 + case.connects)
         patience = call.limit if trial else min(memory / 2, patience)
         time_out = case.end - now if case.once else min(case.end - now, patience)
+        case.connects, case.out, case.last = case.connects + 1, case.out + 1, lane
         call.out += 1
-        case.last = lane
         self.step(now, case, Step.DRAWN)
         call.connects.append(Connect(case.mail, lane.route, time_out, call))
         self.effects.append(call.connects[-1])
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -167,6 +167,22 @@
     assert dock.same_as("trial")
 
 
+def test_a_full_table_of_connections_is_no_outage() -> None:
+    """Connects that failed beside answered ones once gave a working route share nought and a cold budget."""
+    dock = Dock()
+    dock.listed("north/1")
+    for number in range(9):
+        dock.mail(f"m{number}", "redeliverable")
+    for _ in range(5):
+        dock.turn()
+        for name in sorted(dock.out)[:1]:
+            dock.end(name, "served", report=(1.0, 0.0))
+        for name in sorted(dock.out)[1:2]:
+            dock.end(name, "no connection")
+        dock.now += 0.05
+    assert dock.same_as("table")
+
+
 def test_nothing_new_to_what_drains_and_late_mails_are_answered_in_time() -> None:
     dock = Dock()
     dock.mail("early", "redeliverable", left=1.0)
