--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -297,7 +297,7 @@
         part = lane.part if warmth == 1 else min(lane.part, self.cold_part * warmth)
         fill = self.rate(lane) * part
         if (warmth == 1 and lane.told_rate == 0) or not fill:
-            lane.credit = 1.0  # no limit to keep to
+            lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
             lane.credit = min(max(1.0, fill * 0.5), lane.credit + fill * (now - lane.filled))
         lane.filled, lane.quiet = now, 0
