With all slots taken, let silent calls of one mail give way sooner

Should hold against any silence when slots are short; may hurt where a quiet receiver is slow under overload.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -127,8 +127,7 @@
         kind, over = mail.queue_class, self.over(now, mail)
         importance = kind.importance * (self.over_quota if over else 1.0)
         born, end = now + mail.left - kind.lifetime, now + mail.left
-        once = kind.rerun is Rerun.ONCE_ONLY
-        line = self.line(mail.destination)
+        line, once = self.line(mail.destination), kind.rerun is Rerun.ONCE_ONLY
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, once, over, importance)
         self.held += 1
         heapq.heappush(self.ends, (case.end, self.next(), case))
@@ -304,22 +303,24 @@
 
     def overdue(self, now: float) -> None:
         """A call that takes far longer than usual speaks before its time-out does, and may lose its slot."""
+        full = len(self.calls) >= self.slots
         for call in self.calls:
             # A third of the limit is what nine in ten stay under: due, and no answer to any call since.
             call.lane.quiet += call.lane.heard < call.sent and now - call.sent > call.limit / 3
         for call in self.calls:
-            if not call.judged and now - call.sent > call.limit:
+            # With all slots taken, four fifths must do for a call of one mail on a route not heard since.
+            soon = full and len(call.connects) == 1 and not call.once and call.lane.heard < call.sent
+            if not call.judged and now - call.sent > call.limit * (0.8 if soon else 1):
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
                 call.overdue = True
                 call.lane.line.stuck += 1
         # Guards slots and keys against silence: an overdue call gives way when all slots are taken (that of a
         # once-only mail if a quarter is overdue), and at once where its route went to nought in silence.
         stuck = [call for call in self.calls if call.overdue]
-        full, many = len(self.calls) >= self.slots, len(stuck) > self.slots // 4
+        many = len(stuck) > self.slots // 4
         for call in stuck if self.may_cancel else []:
-            once, lane = call.connects[0].mail.notes.once, call.lane
-            lost = lane.state is not State.LIVE and lane.heard < call.sent and not once
-            if lost or (full and (many or not once)) or lane.line.stuck > self.sick_cap // 2:
+            lost = call.lane.state is not State.LIVE and call.lane.heard < call.sent and not call.once
+            if lost or (full and (many or not call.once)) or call.lane.line.stuck > self.sick_cap // 2:
                 call.overdue = False
                 call.lane.line.stuck -= 1
                 self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail.notes.out]
@@ -414,10 +415,9 @@
         for cases in line.first.values():
             while cases:
                 head = cases[0]
-                kind = head.mail.queue_class
                 if head.stage is not Stage.LINE:
                     cases.popleft()
-                elif kind.halving and now > head.born + kind.target_delay:
+                elif head.mail.queue_class.halving and now > head.born + head.mail.queue_class.target_delay:
                     line.late.append(cases.popleft())  # its importance fades fast now: the punctual go first
                 else:
                     break
@@ -471,7 +471,7 @@
             # target delay, however slow the route has been.
             target = case.mail.queue_class.target_delay
             limit = min(2 * target, max(0.4, 3 * lane.tally.most(target / 2)))
-            call = self.fresh[lane] = Call(lane, now, limit, trial)
+            call = self.fresh[lane] = Call(lane, now, limit, trial, case.once)
             self.calls[call] = None
             line.out += 1
             lane.credit -= 1
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -90,6 +90,7 @@
     sent: float
     limit: float  # overdue after so long
     trial: bool
+    once: bool  # its first mail is once-only
     connects: list[Connect] = field(default_factory=list)
     out: int = 0  # connects without an outcome
     judged: bool = False  # it has spoken for its route
