--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -1,8 +1,7 @@
 """Every decision of laureldock: which mail goes when, over which route, and what becomes of it.
 
-Make one `Control` for an instance, call it with each event of a turn, then call `turn` once for the
-effects. Types and calls live in `laureldock/interface.py`, what is remembered in `laureldock/records.py`;
-the why stands in `docs/design.md`.
+Make one `Control` for an instance, call it with each event of a turn, then `turn` once for the effects. Calls
+and types: `laureldock/interface.py`; what is remembered: `laureldock/records.py`; the why: `docs/design.md`.
 
 A mail waits in the line of its destination; while the window there has room, the best mail draws one of the
 live routes by shares. ROUTE_TABLE leads the routes, MAIL_TABLE and ANSWERS lead the mails.
@@ -419,6 +418,8 @@
                     cases.popleft()
                 elif head.mail.queue_class.halving and now > head.born + head.mail.queue_class.target_delay:
                     line.late.append(cases.popleft())  # its importance fades fast now: the punctual go first
+                    while line.late[0].stage is not Stage.LINE:
+                        line.late.popleft()
                 else:
                     break
             may = cases and (steady or not cases[0].once)
@@ -450,8 +451,7 @@
         """The ordinary path: a weighted random draw over the live routes."""
         lanes = [lane for lane in case.line.lanes.values() if lane.state is State.LIVE and lane.until <= now]
         if case.once:
-            # Guards mails that cannot be tried anew against a route that fails now and then: two served calls
-            # or five quiet seconds after the last failure it is steady again.
+            # Guards what cannot be tried anew: two served calls or five quiet seconds make a route steady.
             lanes = [lane for lane in lanes if lane.ill <= 0.2]
         if len(lanes) > 1 and case.last in lanes:
             lanes.remove(case.last)  # a further connect goes elsewhere where it can
