--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -197,8 +197,7 @@
         held = self.by_id.get(fields["op_id"])
         if held is not None:
             self.tell("withdrawn", now, held.mail)
-            held.owed = False
-            self.leaving.append(held)
+            self.answered(held.mail)
 
     def heard(self, now: float, fields: Fields) -> None:
         self.tell("heard", now, fields["sender"], base64.b64decode(fields["blob"] or "", validate=True))
@@ -211,6 +210,7 @@
         del now, fields["op_id"]
 
     def answered(self, mail: face.Mail) -> str:
+        """No answer is owed any more: given, or not wanted."""
         held = self.by_mail[mail]
         held.owed = False
         self.leaving.append(held)
