Say once what a failing route is, how long a connect may take, and that a trial went

The bound for a failing route stood in three places, the sign of a trial in two; trials out were counted for each route on each turn and are now only when one is due.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -221,17 +221,19 @@
         if good and lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
             lane.part = min(1.0, lane.part * (1.25 if lane.part < self.part else 1.05))
-        # Three failures in a row, or most of the last few; a tenth of chance errors never adds up to it.
         weight = 0.5 if outcome.ending is Ending.TIME_OUT and lane.quiet else 0.3
         lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
         if good:
             return Sign.SERVED
         if outcome.wait:
             return Sign.WAIT
-        if lane.ill > 0.6:
+        if self.failing(lane):
             return Sign.RUN
         return Sign.REFUSED if outcome.ending is Ending.FULL else Sign.FAILED
 
+    def failing(self, lane: Lane) -> bool:
+        return lane.ill > 0.6  # three in a row, or most of the last few; a tenth of chance errors never is
+
     def judge(self, now: float, call: Call, outcome: Outcome) -> None:
         """The first outcome of a call speaks for its route and for the destination's window."""
         lane, line = call.lane, call.lane.line
@@ -266,7 +268,7 @@
         lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
 
     def reopen(self, now: float, lane: Lane) -> None:
-        if lane.ill > 0.6:  # an outage, not a mere wait: it is cold
+        if self.failing(lane):  # an outage, not a mere wait: it is cold
             lane.back, lane.part = now, self.part
         lane.pause, lane.ill, lane.credit = 0.0, min(0.4, lane.ill), 0.0
         lane.health = 1.0
@@ -478,9 +480,8 @@
         else:
             # A further mail is more work, though no further call. Weighed a little, and fully when cold.
             lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
-        memory, patience = case.mail.queue_class.memory, call.limit * 2 ** (1 + case.connects)
-        patience = call.limit if trial else min(memory / 2, patience)
-        time_out = case.end - now if case.once else min(case.end - now, patience)
+        patience = min(case.mail.queue_class.memory / 2, call.limit * 2 ** (1 + case.connects))
+        time_out = case.end - now if case.once else min(case.end - now, call.limit if trial else patience)
         case.connects, case.out, case.last = case.connects + 1, case.out + 1, lane
         call.out += 1
         self.step(now, case, Step.DRAWN)
@@ -491,18 +492,18 @@
     def try_routes(self, now: float, line: Line) -> None:
         """One trial for each route at nought, of a mail that can bear failing where there is one."""
         for lane in line.lanes.values():
+            rests = now < lane.until or (lane.credit < 1 and not self.failing(lane))
+            if lane.state is not State.NOUGHT or rests:
+                continue
             if sum(call.trial for call in self.calls) >= max(1, self.slots // 4):
                 return  # many silent routes would take all slots for trials
-            if lane.state is not State.NOUGHT or now < lane.until or (lane.ill <= 0.6 and lane.credit < 1):
-                continue
             case = self.bearer(now, line)
-            if case is None and self.may_probe:
-                self.effects.append(face.Probe(lane.route))
-                self.sign(now, lane, Sign.TRIED)
-            elif case and self.dispatch(now, case, lane, trial=True):
-                self.sign(now, lane, Sign.TRIED)
-            elif case:
+            if case and not self.dispatch(now, case, lane, trial=True):
                 self.waiters(case).appendleft(case)
+            elif case or self.may_probe:
+                if case is None:
+                    self.effects.append(face.Probe(lane.route))
+                self.sign(now, lane, Sign.TRIED)
 
     def bearer(self, now: float, line: Line) -> Case | None:
         """A mail that can bear failing; a once-only one where there is neither a better one nor a probe."""
