--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -95,6 +95,7 @@
         self.cold_part = 0.7 * tariff.tip_multiple / tariff.instances
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
         self.lines: list[Line] = []
+        self.busy: dict[Line, None] = {}  # those with mails that wait: a turn looks at no others
         self.calls: dict[Call, None] = {}  # all that are out
         self.fresh: dict[Lane, Call] = {}  # those opened in this turn
         self.ends: list[tuple[float, int, Case]] = []
@@ -107,8 +108,9 @@
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_pause = 0.0
+        kept = set(routes)
         for line in self.lines if whole else []:
-            line.lanes = {route: lane for route, lane in line.lanes.items() if route in routes}
+            line.lanes = {route: lane for route, lane in line.lanes.items() if route in kept}
         for route in routes:
             line = self.line(route.destination)
             if route.listed is not face.Listed.UP:
@@ -182,9 +184,6 @@
             self.step(now, mail.notes, Step.OVER)
 
     def turn(self, now: float) -> list[face.Effect]:
-        for line in self.lines:
-            for lane in line.lanes.values():
-                self.refill(now, lane)
         self.overdue(now)
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
@@ -203,6 +202,7 @@
 
     def reading(self, now: float, lane: Lane, outcome: Outcome) -> Sign:
         """What an outcome says of its route."""
+        self.refill(now, lane)
         if outcome.limit is not None:
             lane.told_rate, lane.told_left = outcome.limit, outcome.left
         if outcome.wait:  # binds whatever else the call was: a late answer, or one beside a trial
@@ -221,7 +221,7 @@
         if good and lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
             lane.part = min(1.0, lane.part * (1.25 if lane.part < self.part else 1.05))
-        weight = 0.5 if outcome.ending is Ending.TIME_OUT and lane.quiet else 0.3
+        weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
         lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
         if good:
             return Sign.SERVED
@@ -284,15 +284,20 @@
 
     def share(self, now: float, lane: Lane) -> float:
         # Guards mails against a route gone silent: while it owes an answer that is due, it hardly gets any.
-        silence = 0.1 if lane.quiet else 1.0
+        silence = 0.1 if self.quiet(now, lane) else 1.0
         return (self.rate(lane) or 1.0) * lane.health * self.warmth(now, lane) * silence
 
+    def quiet(self, now: float, lane: Lane) -> bool:
+        """Whether it owes an answer past what nine in ten take (a third of the limit), with none since."""
+        owed = (call for call in self.calls if call.lane is lane and lane.heard < call.sent)
+        return any(now - call.sent > call.limit / 3 for call in owed)
+
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
         if lane.part < self.part:
             lane.part += 0.1 * self.part * (now - lane.filled)  # ten seconds undo any shrinking
         if lane.state is State.LIVE:
-            lane.ill -= min(1.0, 0.2 * (now - lane.filled)) * lane.ill
+            lane.ill *= 0.8 ** (now - lane.filled)
         warmth = self.warmth(now, lane)
         part = lane.part if warmth == 1 else min(lane.part, self.cold_part * warmth)
         fill = self.rate(lane) * part
@@ -300,14 +305,11 @@
             lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
             lane.credit = min(max(1.0, fill * 0.5), lane.credit + fill * (now - lane.filled))
-        lane.filled, lane.quiet = now, 0
+        lane.filled = now
 
     def overdue(self, now: float) -> None:
         """A call that takes far longer than usual speaks before its time-out does, and may lose its slot."""
         full = len(self.calls) >= self.slots
-        for call in self.calls:
-            # A third of the limit is what nine in ten stay under: due, and no answer to any call since.
-            call.lane.quiet += call.lane.heard < call.sent and now - call.sent > call.limit / 3
         for call in self.calls:
             # With all slots taken, four fifths must do for a call of one mail on a route not heard since.
             soon = full and len(call.connects) == 1 and not call.once and call.lane.heard < call.sent
@@ -332,11 +334,14 @@
         if case.queued:
             case.line.waiting -= 1
             case.queued = False
+            if not case.line.waiting:
+                del self.busy[case.line]
         if effect:
             getattr(self, effect)(now, case)
 
     def queue(self, now: float, case: Case) -> None:
         case.line.waiting += 1
+        self.busy[case.line] = None
         case.queued = True
         self.waiters(case).append(case)
 
@@ -389,9 +394,11 @@
         self.fresh.clear()
         ready: list[tuple[float, int, Line, Case]] = []
         aside: list[Case] = []
-        misses = [0] * len(self.lines)
-        for place, line in enumerate(self.lines):
-            if line.waiting and now >= line.until:
+        misses = [0] * len(self.busy)
+        for place, line in enumerate(list(self.busy)):
+            for lane in line.lanes.values():
+                self.refill(now, lane)
+            if now >= line.until:
                 self.try_routes(now, line)
                 if case := self.best(now, line):
                     heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
@@ -515,8 +522,8 @@
     def make_room(self, now: float) -> None:
         """Defer the least valuable before new mails are turned away at the door."""
         while self.held > self.room - 2:  # two more may come before the next turn
-            line = max(self.lines, key=lambda other: other.waiting)
-            sorts = [cases for cases in line.first.values() if cases]
+            line = max(self.busy, key=lambda other: other.waiting, default=None)
+            sorts = [cases for cases in line.first.values() if cases] if line else []
             if not sorts:
                 return
             case = min(sorts, key=lambda cases: cases[-1].importance).pop()
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -32,7 +32,6 @@
     pause: float = 0.0  # between its trials
     filled: float = 0.0  # when its credit was last filled
     heard: float = 0.0  # when it last answered anything
-    quiet: int = 0  # calls out that are due, with no answer to any since they were sent
 
 
 @dataclass(eq=False, slots=True)
