--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -395,16 +395,16 @@
         ready: list[tuple[float, int, Line, Case]] = []
         aside: list[Case] = []
         misses = [0] * len(self.busy)
-        for place, line in enumerate(list(self.busy)):
-            for lane in line.lanes.values():
-                self.refill(now, lane)
+        for place, line in enumerate(list(self.busy) if len(self.calls) < self.slots else []):
             if now >= line.until:
+                for lane in line.lanes.values():
+                    self.refill(now, lane)
                 self.try_routes(now, line)
-                if case := self.best(now, line):
+                if line.out - line.stuck < int(line.window) and (case := self.best(now, line)):
                     heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
         while ready:
             _, place, line, case = heapq.heappop(ready)
-            lane = self.draw(now, case)
+            lane = self.draw(now, case) if len(self.calls) < self.slots or line.batch > 1 else None
             if lane and case.end - now < lane.tally.most(0.0, 0.25):
                 self.step(now, case, Step.SPENT)  # not one call in four would come in time
             elif not lane or not self.dispatch(now, case, lane):
