Close idle connections sooner the more instances there are

Cause: receivers cap their connections, idle ones counted; 150 to 300 instances that each kept one idle for 5 to 15 s filled the tables, and 20 to 50 of 100 connects found none. Also covers connections that are dropped unseen after some idle time. May hurt where a handshake is dear and traffic comes in gaps of seconds.

--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -256,6 +256,8 @@
                 return "report_failure", {"op_id": self.answered(mail)}
             case face.Probe(route=route):
                 return "poll", {"endpoint": route.name}
+            case face.HangUp(route=route):
+                return "close_idle", {"endpoint": route.name}
             case face.Note(peer=peer, data=data):
                 return "memo_to", {"target": peer, "blob": base64.b64encode(data).decode()}
             case face.AskList(watch=watch):
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -101,6 +101,9 @@
         self.ends: list[tuple[float, int, Case]] = []
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
+        # Guards tables of connections at the receivers against many instances that each keep some idle, and
+        # mails against a connection dropped unseen. Ten seconds for one instance, a connect's time for many.
+        self.keep, self.idle = max(0.5, 10.0 / tariff.instances), deque[tuple[float, Lane]]()
         self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
@@ -147,7 +150,9 @@
             call.lane.heard = now
         if not call.out:
             del self.calls[call]
-            line = call.lane.line
+            line, call.lane.used = call.lane.line, now
+            self.idle.append((now, call.lane))
+            self.effects.append(face.Timer(self.keep, "idle"))
             line.out, line.stuck = line.out - 1, line.stuck - call.overdue
             # What a mail costs here in time of a slot; a tenth at a time, so that one heavy mail says little.
             took = (now - call.sent) / len(call.connects)
@@ -185,6 +190,10 @@
 
     def turn(self, now: float) -> list[face.Effect]:
         self.overdue(now)
+        while self.idle and self.idle[0][0] <= now - self.keep:
+            used, lane = self.idle.popleft()
+            if lane.used == used:
+                self.effects.append(face.HangUp(lane.route))
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
         # A mail with less than this left cannot be relayed any more: about the quickest call there is.
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -169,6 +169,13 @@
     route: Route
 
 
+@dataclass(eq=False, slots=True)
+class HangUp:
+    """Close the connections to a route that no call uses just now."""
+
+    route: Route
+
+
 @dataclass(eq=False, slots=True)
 class Note:
     peer: int
@@ -191,4 +198,4 @@
     text: str
 
 
-Effect = Connect | Cancel | Defer | Bounce | Probe | Note | AskList | Timer | Log
+Effect = Connect | Cancel | Defer | Bounce | Probe | HangUp | Note | AskList | Timer | Log
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -32,6 +32,7 @@
     pause: float = 0.0  # between its trials
     filled: float = 0.0  # when its credit was last filled
     heard: float = 0.0  # when it last answered anything
+    used: float = 0.0  # when its last call ended
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -86,6 +86,10 @@
                     self.say("-> watch the list" if watch else "-> ask for the list")
                 case face.Timer(name="sweep"):
                     self.control.timer(self.now, "sweep")
+                case face.Timer(name="idle"):
+                    pass  # turns come anyway
+                case face.HangUp(route=route):
+                    self.say(f"-> idle connections to {route.name} closed")
                 case _:
                     self.say(f"-> {effect}")
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -38,7 +38,7 @@
     outcome = {"attempt_end": {**ended, "latency_ns": 5000000, "hold_ms": None, "stats": None}}
     done = run(*batch(7, *BORN), *batch(8, outcome), *batch(9, outcome), *batch(10))
     names = [next(iter(json.loads(line))) for line in done.stdout.splitlines()]
-    assert names == ["observe", "dispatch", "remind", "next", "next", "next", "next"]
+    assert names == ["observe", "dispatch", "remind", "next", "remind", "next", "next", "next"]
     assert done.returncode == 0
 
 
