--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -120,7 +120,7 @@
                 line.lanes.pop(route, None)  # nothing new to it; what is out runs on
             elif route not in line.lanes:
                 line.batch = route.kind.batch
-                route.notes = line.lanes[route] = Lane(route, line, State.LIVE, Tally(), self.part)
+                route.notes = line.lanes[route] = Lane(route, line, State.LIVE, Tally())
 
     def list_failed(self, now: float) -> None:
         # Doubled from half a second, since a list that turns calls away is short of room; spread by a draw.
@@ -222,14 +222,15 @@
         if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
             # A limit used up, by whomever, is no outage: take less. Down to a tenth of the own part: where
             # refused calls use it up too, instances that each keep to their part can hold it at nothing.
-            lane.part, lane.credit = max(0.1 * self.part, lane.part * 0.7), min(0.0, lane.credit)
+            # Half a call more or less, lest all that were refused come again at once.
+            lane.part, lane.credit = max(0.1, lane.part * 0.7), min(0.0, lane.credit) + 0.5 - self.chance()
             return Sign.WAIT if outcome.wait else Sign.REFUSED
         if outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took:
             return Sign.REFUSED  # it has answered others since: no outage, but a full table of connections
         good = outcome.ending is Ending.SERVED
         if good and lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
-            lane.part = min(1.0, lane.part * (1.25 if lane.part < self.part else 1.05))
+            lane.part = min(1 / self.part, lane.part * (1.25 if lane.part < 1 else 1.05))
         weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
         lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
         if good:
@@ -273,12 +274,14 @@
 
     def shut(self, now: float, lane: Lane) -> None:
         # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
-        lane.pause = min(2.0, max(0.5, lane.pause * 1.5))
+        # Where many may be trying, up to what all of them together may send to a cold route.
+        most = max(2.0, 1.0 / (self.rate(lane) * self.cold_part * self.start or 1.0))
+        lane.pause = min(most, max(0.5, lane.pause * 1.5))
         lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
 
     def reopen(self, now: float, lane: Lane) -> None:
         if self.failing(lane):  # an outage, not a mere wait: it is cold
-            lane.back, lane.part = now, self.part
+            lane.back, lane.part = now, 1.0
         lane.pause, lane.ill, lane.credit = 0.0, min(0.4, lane.ill), 0.0
         lane.health = 1.0
 
@@ -303,13 +306,16 @@
 
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
-        if lane.part < self.part:
-            lane.part += 0.1 * self.part * (now - lane.filled)  # ten seconds undo any shrinking
+        if lane.part < 1:
+            lane.part = min(1.0, lane.part + 0.1 * (now - lane.filled))  # ten seconds undo any shrinking
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
-        warmth = self.warmth(now, lane)
-        part = lane.part if warmth == 1 else min(lane.part, self.cold_part * warmth)
-        fill = self.rate(lane) * part
+        warmth, rate = self.warmth(now, lane), self.rate(lane)
+        # Even parts of many instances would be a call a minute, while most others send nothing: a call a
+        # second may go until the route refuses one. Not to a cold one: all may have seen its outage.
+        fill = lane.part * max(rate * self.part, min(rate, 1.0))
+        if warmth < 1:
+            fill = min(fill, rate * self.cold_part * warmth)
         if (warmth == 1 and lane.told_rate == 0) or not fill:
             lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
@@ -394,8 +400,9 @@
         if customer is None or not customer.quota:
             return False
         rate = customer.quota * self.part
-        level, then = customer.notes or (rate, now)
-        level = min(rate, level + rate * (now - then))  # one second's worth may come at once
+        most = max(3.0, rate)  # one second's worth may come at once, and a few where that is nothing
+        level, then = customer.notes or (most, now)
+        level = min(most, level + rate * (now - then))
         customer.notes = (max(level - 1, 0.0), now)
         return level < 1
 
@@ -467,7 +474,11 @@
 
     def draw(self, now: float, case: Case) -> Lane | None:
         """The ordinary path: a weighted random draw over the live routes."""
-        lanes = [lane for lane in case.line.lanes.values() if lane.state is State.LIVE and lane.until <= now]
+        lanes = [
+            lane
+            for lane in case.line.lanes.values()
+            if lane.state is State.LIVE and lane.until <= now and (lane.credit >= 1 or lane in self.fresh)
+        ]
         if case.once:
             # Guards what cannot be tried anew: two served calls or five quiet seconds make a route steady.
             lanes = [lane for lane in lanes if lane.ill <= 0.2]
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -21,9 +21,9 @@
     line: Line
     state: Any  # of control's route states
     tally: Any  # how long its calls took
-    part: float  # of its limit, what this instance takes
     health: float = 1.0  # scales its share: shrinks on refusals and failures, grows while it serves
-    credit: float = 0.0  # calls it may be sent now
+    part: float = 1.0  # scales what this instance takes of its limit
+    credit: float = 1.0  # calls it may be sent now
     back: float = -inf  # when its last trial after an outage was served
     ill: float = 0.0  # how much of what it did lately was failing
     told_rate: float | None = None  # its limit, in calls a second; 0 where it has none, None while not told
