What was refused or failed earns its calls by the mails that come in for it

Cause: with hundreds of instances an even part is a call a minute, and a call a second for all of them is a flood. A route is free while nothing was refused or failed; after that each mail that comes in earns its part of a call, beside the even part, also while the route is cold.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -91,8 +91,9 @@
         # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
         self.cap, self.sick_cap = max(1, -(-tariff.slots * 3 // 4) - 1), max(1, tariff.slots // 2)
         self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
-        # This instance's part of what a cold route bears; seven tenths leave slack for trials and chance.
-        self.cold_part = 0.7 * tariff.tip_multiple / tariff.instances
+        # What a cold route bears, for each call that it takes when warm; the rest is slack for trials, chance,
+        # and for what comes in on top of even parts.
+        self.cold = 0.5 * tariff.tip_multiple
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
         self.lines: list[Line] = []
         self.busy: dict[Line, None] = {}  # those with mails that wait: a turn looks at no others
@@ -134,6 +135,9 @@
         line, once = self.line(mail.destination), kind.rerun is Rerun.ONCE_ONLY
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, once, over, importance)
         self.held += 1
+        for lane in line.lanes.values():  # what is not free is earned by what comes in
+            self.refill(now, lane)
+            lane.credit += self.bears(now, lane) / len(line.lanes)
         heapq.heappush(self.ends, (case.end, self.next(), case))
         if kind.in_order and mail.key is not None:
             case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
@@ -219,15 +223,16 @@
             bound.until = max(bound.until, now + outcome.wait)
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
-        if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
-            # A limit used up, by whomever, is no outage: take less. Down to a tenth of the own part: where
-            # refused calls use it up too, instances that each keep to their part can hold it at nothing.
-            # Half a call more or less, lest all that were refused come again at once.
+        good = outcome.ending is Ending.SERVED
+        if not good:
+            # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
+            # their part can hold it at nothing. Half a call more or less, lest all come again at once.
             lane.part, lane.credit = max(0.1, lane.part * 0.7), min(0.0, lane.credit) + 0.5 - self.chance()
+        if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
+            # A limit used up, by whomever, is no outage.
             return Sign.WAIT if outcome.wait else Sign.REFUSED
         if outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took:
             return Sign.REFUSED  # it has answered others since: no outage, but a full table of connections
-        good = outcome.ending is Ending.SERVED
         if good and lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
             lane.part = min(1 / self.part, lane.part * (1.25 if lane.part < 1 else 1.05))
@@ -275,13 +280,13 @@
     def shut(self, now: float, lane: Lane) -> None:
         # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
         # Where many may be trying, up to what all of them together may send to a cold route.
-        most = max(2.0, 1.0 / (self.rate(lane) * self.cold_part * self.start or 1.0))
+        most = max(2.0, 1.0 / (self.rate(lane) * self.part * self.cold * self.start or 1.0))
         lane.pause = min(most, max(0.5, lane.pause * 1.5))
         lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
 
     def reopen(self, now: float, lane: Lane) -> None:
         if self.failing(lane):  # an outage, not a mere wait: it is cold
-            lane.back, lane.part = now, 1.0
+            lane.back = now
         lane.pause, lane.ill, lane.credit = 0.0, min(0.4, lane.ill), 0.0
         lane.health = 1.0
 
@@ -289,6 +294,11 @@
         """The part of its capacity that a route has at least."""
         return min(1.0, self.start + (1 - self.start) * (now - lane.back) / self.warm_time)
 
+    def bears(self, now: float, lane: Lane) -> float:
+        """The part of what comes in for a route that may go to it."""
+        warmth = self.warmth(now, lane)
+        return lane.part if warmth == 1 else min(lane.part, self.cold * warmth)
+
     def rate(self, lane: Lane) -> float:
         """Calls a second that the route takes from all instances, as far as known; nought if unknown."""
         parts = 1 if lane.route.kind.apart else len(lane.line.lanes)
@@ -307,16 +317,15 @@
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
         if lane.part < 1:
-            lane.part = min(1.0, lane.part + 0.1 * (now - lane.filled))  # ten seconds undo any shrinking
+            lane.part = min(1.0, lane.part + 0.03 * (now - lane.filled))  # half a minute undoes any shrinking
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
-        warmth, rate = self.warmth(now, lane), self.rate(lane)
-        # Even parts of many instances would be a call a minute, while most others send nothing: a call a
-        # second may go until the route refuses one. Not to a cold one: all may have seen its outage.
-        fill = lane.part * max(rate * self.part, min(rate, 1.0))
-        if warmth < 1:
-            fill = min(fill, rate * self.cold_part * warmth)
-        if (warmth == 1 and lane.told_rate == 0) or not fill:
+        even = self.rate(lane) * self.part
+        fill = even * self.bears(now, lane)
+        # Even parts of many instances are a call a minute, while most others send nothing: under one a second
+        # says little, so that calls go freely until one is refused or fails.
+        free = lane.part >= 1 and self.warmth(now, lane) == 1 and (lane.told_rate == 0 or even < 1)
+        if free or not fill:
             lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
             lane.credit = min(max(1.0, fill * 0.5), lane.credit + fill * (now - lane.filled))
