--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -91,9 +91,8 @@
         # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
         self.cap, self.sick_cap = max(1, -(-tariff.slots * 3 // 4) - 1), max(1, tariff.slots // 2)
         self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
-        # What a cold route bears, for each call that it takes when warm; the rest is slack for trials, chance,
-        # and for what comes in on top of even parts.
-        self.cold = 0.5 * tariff.tip_multiple
+        # What a cold route bears, for each call that it takes when warm; the rest is slack for trials and chance.
+        self.cold = 0.6 * tariff.tip_multiple
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
         self.lines: list[Line] = []
         self.busy: dict[Line, None] = {}  # those with mails that wait: a turn looks at no others
@@ -136,8 +135,9 @@
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, once, over, importance)
         self.held += 1
         for lane in line.lanes.values():  # what is not free is earned by what comes in
-            self.refill(now, lane)
-            lane.credit += self.bears(now, lane) / len(line.lanes)
+            if self.rare(lane):
+                self.refill(now, lane)
+                lane.credit += self.bears(now, lane) / len(line.lanes)
         heapq.heappush(self.ends, (case.end, self.next(), case))
         if kind.in_order and mail.key is not None:
             case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
@@ -224,11 +224,12 @@
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
         good = outcome.ending is Ending.SERVED
-        if not good:
+        used_up = outcome.ending is Ending.FULL and bool(lane.told_rate) and lane.told_left < 0.5
+        if used_up or (not good and self.rare(lane)):
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
             lane.part, lane.credit = max(0.1, lane.part * 0.7), min(0.0, lane.credit) + 0.5 - self.chance()
-        if outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5:
+        if used_up:
             # A limit used up, by whomever, is no outage.
             return Sign.WAIT if outcome.wait else Sign.REFUSED
         if outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took:
@@ -280,8 +281,8 @@
     def shut(self, now: float, lane: Lane) -> None:
         # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
         # Where many may be trying, up to what all of them together may send to a cold route.
-        most = max(2.0, 1.0 / (self.rate(lane) * self.part * self.cold * self.start or 1.0))
-        lane.pause = min(most, max(0.5, lane.pause * 1.5))
+        cold = self.rate(lane) * self.part * self.cold * self.start
+        lane.pause = min(1 / cold if cold and self.rare(lane) else 2.0, max(0.5, lane.pause * 1.5))
         lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
 
     def reopen(self, now: float, lane: Lane) -> None:
@@ -294,6 +295,11 @@
         """The part of its capacity that a route has at least."""
         return min(1.0, self.start + (1 - self.start) * (now - lane.back) / self.warm_time)
 
+    def rare(self, lane: Lane) -> bool:
+        """Whether an even part is so little that it says nothing: of many instances, most send nothing. Calls
+        go freely then until one is refused or fails, and have to be earned after that."""
+        return self.rate(lane) * self.part < 0.5  # a call in two seconds, about a target delay
+
     def bears(self, now: float, lane: Lane) -> float:
         """The part of what comes in for a route that may go to it."""
         warmth = self.warmth(now, lane)
@@ -316,15 +322,13 @@
 
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
-        if lane.part < 1:
-            lane.part = min(1.0, lane.part + 0.03 * (now - lane.filled))  # half a minute undoes any shrinking
+        rare = self.rare(lane)
+        if lane.part < 1:  # ten seconds undo any shrinking, half a minute where they hold but a call or two
+            lane.part = min(1.0, lane.part + (0.03 if rare else 0.1) * (now - lane.filled))
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
-        even = self.rate(lane) * self.part
-        fill = even * self.bears(now, lane)
-        # Even parts of many instances are a call a minute, while most others send nothing: under one a second
-        # says little, so that calls go freely until one is refused or fails.
-        free = lane.part >= 1 and self.warmth(now, lane) == 1 and (lane.told_rate == 0 or even < 1)
+        fill = self.rate(lane) * self.part * self.bears(now, lane)
+        free = self.warmth(now, lane) == 1 and (lane.part >= 1 if rare else lane.told_rate == 0)
         if free or not fill:
             lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
