--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -228,9 +228,7 @@
         if used_up or (not good and self.rare(lane)):
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
-            # What may be an outage counts double.
-            lane.part = max(0.1, lane.part * (0.7 if used_up else 0.5))
-            lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
+            lane.part, lane.credit = max(0.1, lane.part * 0.7), min(0.0, lane.credit) + 0.5 - self.chance()
         if used_up:
             # A limit used up, by whomever, is no outage.
             return Sign.WAIT if outcome.wait else Sign.REFUSED
@@ -325,9 +323,8 @@
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
         rare = self.rare(lane)
-        if lane.part < 1:  # ten seconds undo any shrinking; the first refusals of a rare call in two each
-            gained = lane.part * (1.2 ** (now - lane.filled) - 1) if rare else 0.1 * (now - lane.filled)
-            lane.part = min(1.0, lane.part + gained)
+        if lane.part < 1:  # ten seconds undo any shrinking, a hundred where they hold a call or two
+            lane.part = min(1.0, lane.part + (0.01 if rare else 0.1) * (now - lane.filled))
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
         fill = self.rate(lane) * self.part * self.bears(now, lane)
