--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -228,7 +228,8 @@
         if used_up or (not good and self.rare(lane)):
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
-            lane.part, lane.credit = max(0.1, lane.part * 0.7), min(0.0, lane.credit) + 0.5 - self.chance()
+            lane.part = max(0.1, lane.part * (0.4 if self.rare(lane) else 0.7))
+            lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
         if used_up:
             # A limit used up, by whomever, is no outage.
             return Sign.WAIT if outcome.wait else Sign.REFUSED
