--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -101,8 +101,9 @@
         self.ends: list[tuple[float, int, Case]] = []
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
-        # How long connections are kept idle, and the routes last used, the longest idle first.
-        self.keep, self.idle = max(0.5, 10.0 / tariff.instances), deque[tuple[float, Lane]]()
+        # Guards tables of connections at the receivers against many instances that each keep some idle, and
+        # mails against a connection dropped unseen. Half a minute for one instance, a connect's time for many.
+        self.keep, self.idle = max(0.5, 30.0 / tariff.instances), deque[tuple[float, Lane]]()
         self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
@@ -193,7 +194,6 @@
 
     def turn(self, now: float) -> list[face.Effect]:
         self.overdue(now)
-        # Guards tables of connections at the receivers against many instances that each keep some idle.
         while self.idle and self.idle[0][0] <= now - self.keep:
             used, lane = self.idle.popleft()
             if lane.used == used:
@@ -256,10 +256,6 @@
         lane, line = call.lane, call.lane.line
         if outcome.ending is Ending.SERVED:
             lane.tally.add(outcome.took)
-            # Handshakes take time of slots: keep connections until one call in thirty finds none or is lost.
-            self.keep = min(10.0, self.keep * 1.01)
-        elif outcome.ending in (Ending.NO_CONNECTION, Ending.RESET, Ending.TIME_OUT):
-            self.keep = max(0.5, self.keep * 0.7)
         if call.judged and not outcome.wait:
             return
         call.judged = True
