--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -88,6 +88,9 @@
         self.may_probe, self.may_cancel = tariff.may_probe, tariff.may_cancel
         self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
         self.part, self.over_quota = 1.0 / tariff.instances, tariff.over_quota
+        # Even parts of many say little, since most send nothing just now: calls go freely then until one is
+        # refused or fails, and have to be earned after that. Of eight, each still sees a fair sample.
+        self.many = tariff.instances > 8
         # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
         self.cap, self.sick_cap = max(1, -(-tariff.slots * 3 // 4) - 1), max(1, tariff.slots // 2)
         self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
@@ -135,7 +138,7 @@
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, once, over, importance)
         self.held += 1
         for lane in line.lanes.values():  # what is not free is earned by what comes in
-            if self.rare(lane):
+            if self.many:
                 self.refill(now, lane)
                 lane.credit += self.bears(now, lane) / len(line.lanes)
         heapq.heappush(self.ends, (case.end, self.next(), case))
@@ -225,10 +228,10 @@
             return Sign.UNSENT
         good = outcome.ending is Ending.SERVED
         used_up = outcome.ending is Ending.FULL and bool(lane.told_rate) and lane.told_left < 0.5
-        if used_up or (not good and self.rare(lane)):
+        if used_up or (not good and self.many):
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
-            lane.part = max(0.1, lane.part * (0.4 if self.rare(lane) else 0.7))
+            lane.part = max(0.1, lane.part * (0.4 if self.many else 0.7))
             lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
         if used_up:
             # A limit used up, by whomever, is no outage.
@@ -283,7 +286,7 @@
         # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
         # Where many may be trying, up to what all of them together may send to a cold route.
         cold = self.rate(lane) * self.part * self.cold * self.start
-        lane.pause = min(1 / cold if cold and self.rare(lane) else 2.0, max(0.5, lane.pause * 1.5))
+        lane.pause = min(1 / cold if cold and self.many else 2.0, max(0.5, lane.pause * 1.5))
         lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
 
     def reopen(self, now: float, lane: Lane) -> None:
@@ -296,11 +299,6 @@
         """The part of its capacity that a route has at least."""
         return min(1.0, self.start + (1 - self.start) * (now - lane.back) / self.warm_time)
 
-    def rare(self, lane: Lane) -> bool:
-        """Whether an even part is so little that it says nothing: of many instances, most send nothing. Calls
-        go freely then until one is refused or fails, and have to be earned after that."""
-        return self.rate(lane) * self.part < 0.5  # a call in two seconds, about a target delay
-
     def bears(self, now: float, lane: Lane) -> float:
         """The part of what comes in for a route that may go to it."""
         warmth = self.warmth(now, lane)
@@ -323,13 +321,12 @@
 
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
-        rare = self.rare(lane)
         if lane.part < 1:  # ten seconds undo any shrinking, a hundred where they hold a call or two
-            lane.part = min(1.0, lane.part + (0.01 if rare else 0.1) * (now - lane.filled))
+            lane.part = min(1.0, lane.part + (0.01 if self.many else 0.1) * (now - lane.filled))
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
         fill = self.rate(lane) * self.part * self.bears(now, lane)
-        free = self.warmth(now, lane) == 1 and (lane.part >= 1 if rare else lane.told_rate == 0)
+        free = self.warmth(now, lane) == 1 and (lane.part >= 1 if self.many else lane.told_rate == 0)
         if free or not fill:
             lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
