Shares follow the same part as budgets: one measure in place of two

Folded: health (of a share) and part (of a limit) both shrank on refusals and grew while served. Traces for many instances: earned, crowd, hang-up.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -23,16 +23,12 @@
 # A route has its share (live), or share nought: until its pause and any told wait are over, or on trial.
 State = Enum("State", "LIVE NOUGHT TRIAL")
 # RUN: the latest of a run of failures; WAIT: told to wait; UNSENT: the connect says nothing of the route.
-Sign = Enum("Sign", "SERVED REFUSED FAILED RUN WAIT TRIED UNSENT")
+Sign = Enum("Sign", "SERVED FAILED RUN WAIT TRIED UNSENT")
 ROUTE_TABLE = {
-    (State.LIVE, Sign.SERVED): (State.LIVE, "grow"),
-    (State.LIVE, Sign.REFUSED): (State.LIVE, "shrink"),
-    (State.LIVE, Sign.FAILED): (State.LIVE, "shrink"),
     (State.LIVE, Sign.RUN): (State.NOUGHT, "shut"),
     (State.LIVE, Sign.WAIT): (State.NOUGHT, ""),
     (State.NOUGHT, Sign.TRIED): (State.TRIAL, ""),
     (State.TRIAL, Sign.SERVED): (State.LIVE, "reopen"),
-    (State.TRIAL, Sign.REFUSED): (State.NOUGHT, "shut"),
     (State.TRIAL, Sign.FAILED): (State.NOUGHT, "shut"),
     (State.TRIAL, Sign.RUN): (State.NOUGHT, "shut"),
     (State.TRIAL, Sign.WAIT): (State.NOUGHT, ""),
@@ -227,29 +223,24 @@
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
         good = outcome.ending is Ending.SERVED
-        used_up = outcome.ending is Ending.FULL and bool(lane.told_rate) and lane.told_left < 0.5
-        if used_up or (not good and self.many):
+        if not good:
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
             lane.part = max(0.1, lane.part * (0.4 if self.many else 0.7))
             lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
-        if used_up:
-            # A limit used up, by whomever, is no outage.
-            return Sign.WAIT if outcome.wait else Sign.REFUSED
-        if outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took:
-            return Sign.REFUSED  # it has answered others since: no outage, but a full table of connections
-        if good and lane.told_left > 0.5:
+        elif lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
             lane.part = min(1 / self.part, lane.part * (1.25 if lane.part < 1 else 1.05))
-        weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
-        lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
+        used_up = outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5
+        table = outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took
+        if not used_up and not table:  # a limit used up, or connections beside answered calls, is no outage
+            weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
+            lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
         if good:
             return Sign.SERVED
         if outcome.wait:
             return Sign.WAIT
-        if self.failing(lane):
-            return Sign.RUN
-        return Sign.REFUSED if outcome.ending is Ending.FULL else Sign.FAILED
+        return Sign.RUN if self.failing(lane) else Sign.FAILED
 
     def failing(self, lane: Lane) -> bool:
         return lane.ill > 0.6  # three in a row, or most of the last few; a tenth of chance errors never is
@@ -276,12 +267,6 @@
             if effect:
                 getattr(self, effect)(now, lane)
 
-    def grow(self, now: float, lane: Lane) -> None:
-        lane.health = min(1.0, lane.health + 0.05)  # twenty served calls undo the worst
-
-    def shrink(self, now: float, lane: Lane) -> None:
-        lane.health = max(0.1, lane.health * 0.7)  # a tenth keeps a stream by which recovery is seen
-
     def shut(self, now: float, lane: Lane) -> None:
         # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
         # Where many may be trying, up to what all of them together may send to a cold route.
@@ -293,7 +278,6 @@
         if self.failing(lane):  # an outage, not a mere wait: it is cold
             lane.back = now
         lane.pause, lane.ill, lane.credit = 0.0, min(0.4, lane.ill), 0.0
-        lane.health = 1.0
 
     def warmth(self, now: float, lane: Lane) -> float:
         """The part of its capacity that a route has at least."""
@@ -312,7 +296,7 @@
     def share(self, now: float, lane: Lane) -> float:
         # Guards mails against a route gone silent: while it owes an answer that is due, it hardly gets any.
         silence = 0.1 if self.quiet(now, lane) else 1.0
-        return (self.rate(lane) or 1.0) * lane.health * self.warmth(now, lane) * silence
+        return (self.rate(lane) or 1.0) * min(1.0, lane.part) * self.warmth(now, lane) * silence
 
     def quiet(self, now: float, lane: Lane) -> bool:
         """Whether it owes an answer past what nine in ten take (a third of the limit), with none since."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -214,3 +214,39 @@
     dock.control.timer(dock.now, "ask")
     dock.turn()
     assert dock.same_as("list")
+
+
+def test_of_many_each_calls_at_once_and_earns_what_was_refused() -> None:
+    """Even parts of a hundred instances once held a first mail for a minute; the refused came back too soon."""
+    dock = Dock(instances=100)
+    dock.listed("north/1", rate=5.0)
+    dock.mail("m0", "redeliverable")
+    dock.turn()
+    dock.end("m0", "full", report=(0.0, 5.0))
+    for number in range(1, 5):
+        dock.mail(f"m{number}", "redeliverable")
+        dock.after(0.5)
+    assert dock.same_as("earned")
+
+
+def test_of_many_each_tries_rarely_and_returns_slowly() -> None:
+    """Trials of many instances alone overran a receiver that came back cold, and so did what they had held."""
+    dock = Dock(instances=100)
+    dock.listed("north/1", rate=5.0)
+    for number in range(12):
+        dock.mail(f"m{number}", "redeliverable", left=60.0)
+        dock.after(2.0)
+        for name in sorted(dock.out):
+            dock.end(name, "reset" if dock.now < 115 else "served", report=(1.0, 0.0))
+    assert dock.same_as("crowd")
+
+
+def test_of_many_each_hangs_up_soon() -> None:
+    """Connections that hundreds of instances kept idle once left no room in the receivers' tables."""
+    dock = Dock(instances=100)
+    dock.listed("north/1")
+    dock.mail("m", "redeliverable")
+    dock.turn()
+    dock.end("m", "served", report=(1.0, 0.0))
+    dock.after(0.6)
+    assert dock.same_as("hang-up")
