--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -223,15 +223,16 @@
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
         good = outcome.ending is Ending.SERVED
+        used_up = outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5
         if not good:
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
             lane.part = max(0.1, lane.part * (0.4 if self.many else 0.7))
-            lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
+            if used_up or self.many:
+                lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
         elif lane.told_left > 0.5:
             # Others leave much of the limit: take more of it, up to the own part fast.
             lane.part = min(1 / self.part, lane.part * (1.25 if lane.part < 1 else 1.05))
-        used_up = outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5
         table = outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took
         if not used_up and not table:  # a limit used up, or connections beside answered calls, is no outage
             weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
