--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -227,7 +227,7 @@
         if not good:
             # Take less, down to a tenth: where refused calls use up a limit too, instances that each keep to
             # their part can hold it at nothing. Half a call more or less, lest all come again at once.
-            lane.part = max(0.1, lane.part * (0.4 if self.many else 0.7))
+            lane.part = max(0.1, lane.part * (0.4 if self.many else 0.7 if used_up else 0.9))
             if used_up or self.many:
                 lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
         elif lane.told_left > 0.5:
