--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -46,7 +46,7 @@
         halving=halving,
         in_order=bool(entry.get("in_order")),
         memory=seconds(entry.get("window_ns")) if entry["effect"] == "dedup" else inf,
-        one_zone=entry.get("dedup_scope") != "all",
+        one_zone=entry["effect"] == "dedup" and entry.get("dedup_scope") != "all",
     )
 
 
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -4,7 +4,7 @@
 and types: `laureldock/interface.py`; what is remembered: `laureldock/records.py`; the why: `docs/design.md`.
 
 A mail waits in the line of its destination; while the window there has room, the best mail draws one of the
-live routes by shares. ROUTE_TABLE leads the routes, MAIL_TABLE and ANSWERS lead the mails.
+live routes by shares. ROUTE_TABLE leads the routes, MAIL_TABLE leads the mails.
 """
 
 from __future__ import annotations
@@ -48,13 +48,6 @@
     (Stage.OUT, Step.OVER): (Stage.DONE, "close"),
 }
 
-# What a mail that may have run may still have: a further connect, a deferral.
-ANSWERS = {
-    Rerun.REDELIVERABLE: (True, True),
-    Rerun.TAGGED: (True, True),  # in its group, and as long as it is remembered there
-    Rerun.ONCE_ONLY: (False, False),
-}
-
 
 class Tally:
     """Times a route took, in a few coarse bins."""
@@ -131,7 +124,10 @@
         importance = kind.importance * (self.over_quota if over else 1.0)
         born, end = now + mail.left - kind.lifetime, now + mail.left
         line, once = self.line(mail.destination), kind.rerun is Rerun.ONCE_ONLY
-        case = mail.notes = Case(mail, line, Stage.LINE, born, end, once, over, importance)
+        # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
+        single, fades = once or kind.one_zone, born + kind.target_delay if kind.halving else end
+        case = Case(mail, line, Stage.LINE, born, end, fades, once, single, over, importance)
+        mail.notes = case
         self.held += 1
         for lane in line.lanes.values():  # what is not free is earned by what comes in
             if self.many:
@@ -207,7 +203,8 @@
         self.send(now)
         self.make_room(now)
         if self.held and not self.ticking:
-            self.effects.append(face.Timer(0.05, "sweep"))  # short against every pause and target delay
+            # Short against every pause and target delay; of many instances each has little to miss.
+            self.effects.append(face.Timer(0.1 if self.many else 0.05, "sweep"))
             self.ticking = True
         effects, self.effects = self.effects, []
         return effects
@@ -357,10 +354,9 @@
         self.waiters(case).append(case)
 
     def answer(self, now: float, case: Case) -> None:
-        kind = case.mail.queue_class
-        deferrable = not case.doubt or (ANSWERS[kind.rerun][1] and not kind.one_zone)
-        wait = min(self.most_retry_after, case.end - now)
-        self.effects.append(face.Defer(case.mail, max(0.0, wait)) if deferrable else face.Bounce(case.mail))
+        wait = max(0.0, min(self.most_retry_after, case.end - now))
+        final = case.doubt and case.single
+        self.effects.append(face.Bounce(case.mail) if final else face.Defer(case.mail, wait))
         self.close(now, case)
 
     def close(self, now: float, case: Case) -> None:
@@ -382,11 +378,10 @@
 
     def may_go(self, now: float, case: Case) -> bool:
         """Whether a further connect is allowed, and can still be of use."""
-        kind = case.mail.queue_class
-        # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
-        if case.doubt and (kind.one_zone or not ANSWERS[kind.rerun][0]):
+        if case.doubt and case.single:
             return False
-        outside = case.doubt and now > case.doubt + kind.memory - 0.02  # less the rounding of clocks
+        # Tagged mails, as long as they are remembered, less the rounding of clocks.
+        outside = case.doubt and now > case.doubt + case.mail.queue_class.memory - 0.02
         spent = case.stage is Stage.DONE or case.connects >= self.most_connects
         return not outside and not spent and case.end > now + 0.05
 
@@ -433,16 +428,11 @@
         best: deque[Case] | None = None
         steady = any(lane.ill <= 0.2 for lane in line.lanes.values())
         for cases in line.first.values():
-            while cases:
-                head = cases[0]
-                if head.stage is not Stage.LINE:
-                    cases.popleft()
-                elif head.mail.queue_class.halving and now > head.born + head.mail.queue_class.target_delay:
-                    line.late.append(cases.popleft())  # its importance fades fast now: the punctual go first
-                    while line.late[0].stage is not Stage.LINE:
-                        line.late.popleft()
-                else:
-                    break
+            # Those whose importance fades fast now let the punctual go first.
+            while cases and (cases[0].stage is not Stage.LINE or now > cases[0].fades):
+                line.late.append(cases.popleft())
+                while line.late and line.late[0].stage is not Stage.LINE:
+                    line.late.popleft()
             may = cases and (steady or not cases[0].once)
             if may and (not best or self.urgency(now, cases[0]) > self.urgency(now, best[0])):
                 best = cases
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -62,7 +62,9 @@
     stage: Any  # of control's stages of a mail
     born: float  # when it was first handed in, to whichever instance
     end: float  # of its queue lifetime
+    fades: float  # when its importance begins to fade fast
     once: bool  # once-only
+    single: bool  # nothing more may be sent for it once it may have run
     over: bool  # above its customer's quota
     importance: float
     queued: bool = False  # in a line; not while an earlier mail of its key has the turn
