--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -80,6 +80,8 @@
         # Even parts of many say little, since most send nothing just now: calls go freely then until one is
         # refused or fails, and have to be earned after that. Of eight, each still sees a fair sample.
         self.many = tariff.instances > 8
+        # Between sweeps: short against every pause and target delay; of many, each has little to miss.
+        self.tick = 0.1 if self.many else 0.05
         # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
         self.cap, self.sick_cap = max(1, -(-tariff.slots * 3 // 4) - 1), max(1, tariff.slots // 2)
         self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
@@ -195,16 +197,14 @@
                 self.effects.append(face.HangUp(lane.route))
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
-        # A mail with less than this left cannot be relayed any more: about the quickest call there is.
-        while self.ends and self.ends[0][0] <= now + 0.05:
+        while self.ends and self.ends[0][0] <= now + self.tick:  # to be answered before it is too late
             case = heapq.heappop(self.ends)[2]
             if case.stage is Stage.LINE:
                 self.step(now, case, Step.SPENT)
         self.send(now)
         self.make_room(now)
         if self.held and not self.ticking:
-            # Short against every pause and target delay; of many instances each has little to miss.
-            self.effects.append(face.Timer(0.1 if self.many else 0.05, "sweep"))
+            self.effects.append(face.Timer(self.tick, "sweep"))
             self.ticking = True
         effects, self.effects = self.effects, []
         return effects
@@ -383,7 +383,7 @@
         # Tagged mails, as long as they are remembered, less the rounding of clocks.
         outside = case.doubt and now > case.doubt + case.mail.queue_class.memory - 0.02
         spent = case.stage is Stage.DONE or case.connects >= self.most_connects
-        return not outside and not spent and case.end > now + 0.05
+        return not outside and not spent and case.end > now + self.tick
 
     def over(self, now: float, mail: Mail) -> bool:
         """Whether a mail is above its customer's quota, as far as this instance's part tells."""
