--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -493,9 +493,7 @@
         else:
             # A further mail is more work, though no further call. Weighed a little, and fully when cold.
             lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
-        # Of many instances none learns that a route is silent: a first connect is given half the time there.
-        waits = call.limit * 2 ** (case.connects + (not self.many))
-        patience = min(case.mail.queue_class.memory / 2, waits)
+        patience = min(case.mail.queue_class.memory / 2, call.limit * 2 ** (1 + case.connects))
         time_out = case.end - now if case.once else min(case.end - now, call.limit if trial else patience)
         case.connects, case.out, case.last = case.connects + 1, case.out + 1, lane
         call.out += 1
