--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -96,8 +96,8 @@
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
         # Guards tables of connections at the receivers against many instances that each keep some idle, and
-        # mails against a connection dropped unseen. Half a minute for one instance, a connect's time for many.
-        self.keep, self.idle = max(0.5, 30.0 / tariff.instances), deque[tuple[float, Lane]]()
+        # mails against a connection dropped unseen. Five minutes for one instance, a call or two for many.
+        self.keep, self.idle = max(0.5, 300.0 / tariff.instances), deque[tuple[float, Lane]]()
         self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
