--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -96,8 +96,8 @@
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
         # Guards tables of connections at the receivers against many instances that each keep some idle, and
-        # mails against a connection dropped unseen. Five minutes for one instance, a call or two for many.
-        self.keep, self.idle = max(0.5, 300.0 / tariff.instances), deque[tuple[float, Lane]]()
+        # mails against a connection dropped unseen. Longer than receivers do where instances are few.
+        self.keep, self.idle = max(0.5, 100.0 / tariff.instances), deque[tuple[float, Lane]]()
         self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
@@ -248,6 +248,9 @@
         lane, line = call.lane, call.lane.line
         if outcome.ending is Ending.SERVED:
             lane.tally.add(outcome.took)
+            self.keep = min(30.0, self.keep * 1.02)  # handshakes take slots: until one in twenty finds none
+        elif outcome.ending is Ending.NO_CONNECTION and self.many:
+            self.keep = max(0.5, self.keep * 0.7)
         if call.judged and not outcome.wait:
             return
         call.judged = True
