--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -76,7 +76,7 @@
         self.slots, self.room, self.most_connects = tariff.slots, tariff.room, tariff.most_connects
         self.may_probe, self.may_cancel = tariff.may_probe, tariff.may_cancel
         self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
-        self.part, self.over_quota = 1.0 / tariff.instances, tariff.over_quota
+        self.part = 1.0 / tariff.instances
         # Even parts of many say little, since most send nothing just now: calls go freely then until one is
         # refused or fails, and have to be earned after that. Of eight, each still sees a fair sample.
         self.many = tariff.instances > 8
@@ -85,7 +85,7 @@
         # Under three quarters of the slots for a destination, and half for a sick one: the design's figures.
         self.cap, self.sick_cap = max(1, -(-tariff.slots * 3 // 4) - 1), max(1, tariff.slots // 2)
         self.start, self.warm_time = tariff.start_capacity, tariff.warm_time
-        # What a cold route bears, for each call that it takes when warm; the rest is slack for trials and chance.
+        # What a cold route bears, for each call that it takes when warm; the rest is for trials and chance.
         self.cold = 0.6 * tariff.tip_multiple
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
         self.lines: list[Line] = []
@@ -96,8 +96,8 @@
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
         # Guards tables of connections at the receivers against many instances that each keep some idle, and
-        # mails against a connection dropped unseen. Longer than receivers do where instances are few.
-        self.keep, self.idle = max(0.5, 100.0 / tariff.instances), deque[tuple[float, Lane]]()
+        # mails against a connection dropped unseen. Half a minute for one instance, a call's time for many.
+        self.keep, self.idle = max(0.5, 30.0 / tariff.instances), deque[tuple[float, Lane]]()
         self.held, self.ask_pause, self.ticking = 0, 0.0, False
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
@@ -122,14 +122,11 @@
         self.effects.append(face.Timer(self.ask_pause * (0.75 + 0.5 * self.chance()), "ask"))
 
     def taken(self, now: float, mail: Mail) -> None:
-        kind, over = mail.queue_class, self.over(now, mail)
-        importance = kind.importance * (self.over_quota if over else 1.0)
-        born, end = now + mail.left - kind.lifetime, now + mail.left
-        line, once = self.line(mail.destination), kind.rerun is Rerun.ONCE_ONLY
+        kind, line, end = mail.queue_class, self.line(mail.destination), now + mail.left
+        born, once = end - kind.lifetime, kind.rerun is Rerun.ONCE_ONLY
         # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
         single, fades = once or kind.one_zone, born + kind.target_delay if kind.halving else end
-        case = Case(mail, line, Stage.LINE, born, end, fades, once, single, over, importance)
-        mail.notes = case
+        case = mail.notes = Case(mail, line, Stage.LINE, born, end, fades, once, single)
         self.held += 1
         for lane in line.lanes.values():  # what is not free is earned by what comes in
             if self.many:
@@ -248,9 +245,6 @@
         lane, line = call.lane, call.lane.line
         if outcome.ending is Ending.SERVED:
             lane.tally.add(outcome.took)
-            self.keep = min(30.0, self.keep * 1.02)  # handshakes take slots: until one in twenty finds none
-        elif outcome.ending is Ending.NO_CONNECTION and self.many:
-            self.keep = max(0.5, self.keep * 0.7)
         if call.judged and not outcome.wait:
             return
         call.judged = True
@@ -388,18 +382,6 @@
         spent = case.stage is Stage.DONE or case.connects >= self.most_connects
         return not outside and not spent and case.end > now + self.tick
 
-    def over(self, now: float, mail: Mail) -> bool:
-        """Whether a mail is above its customer's quota, as far as this instance's part tells."""
-        customer = mail.customer
-        if customer is None or not customer.quota:
-            return False
-        rate = customer.quota * self.part
-        most = max(3.0, rate)  # one second's worth may come at once, and a few where that is nothing
-        level, then = customer.notes or (most, now)
-        level = min(most, level + rate * (now - then))
-        customer.notes = (max(level - 1, 0.0), now)
-        return level < 1
-
     def send(self, now: float) -> None:
         self.fresh.clear()
         ready: list[tuple[float, int, Line, Case]] = []
@@ -407,8 +389,8 @@
         misses = [0] * len(self.busy)
         for place, line in enumerate(list(self.busy) if len(self.calls) < self.slots else []):
             if now >= line.until:
-                for lane in line.lanes.values():
-                    self.refill(now, lane)
+                for each in line.lanes.values():
+                    self.refill(now, each)
                 self.try_routes(now, line)
                 if line.out - line.stuck < int(line.window) and (case := self.best(now, line)):
                     heapq.heappush(ready, (-self.urgency(now, case), place, line, case))
@@ -452,14 +434,14 @@
 
     def waiters(self, case: Case) -> deque[Case]:
         """Further connects wait in a line of their own, first connects in one for each sort of mail."""
-        sort = (case.mail.queue_class, case.over)
+        sort = case.mail.queue_class
         return case.line.further if case.connects else case.line.first.setdefault(sort, deque())
 
     def urgency(self, now: float, case: Case) -> float:
         # Importance, growing with age so that no queue class starves; half at birth keeps classes apart. For
         # each second of a slot, lest receivers that are slow to answer take the slots of those that are not.
         age = max(0.0, now - case.born) / case.mail.queue_class.target_delay
-        return case.importance * (0.5 + age) / (0.1 + case.line.cost)
+        return case.mail.queue_class.importance * (0.5 + age) / (0.1 + case.line.cost)
 
     def draw(self, now: float, case: Case) -> Lane | None:
         """The ordinary path: a weighted random draw over the live routes."""
@@ -535,7 +517,7 @@
             sorts = [cases for cases in line.first.values() if cases] if line else []
             if not sorts:
                 return
-            case = min(sorts, key=lambda cases: cases[-1].importance).pop()
+            case = min(sorts, key=lambda cases: cases[-1].mail.queue_class.importance).pop()
             if case.stage is Stage.LINE:
                 self.step(now, case, Step.SPENT)
 
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -48,7 +48,7 @@
     until: float = 0.0  # nothing is sent before
     waiting: int = 0  # mails in all of its lines
     lanes: dict[Route, Lane] = field(default_factory=dict)
-    first: dict[tuple[QueueClass, bool], deque[Case]] = field(default_factory=dict)
+    first: dict[QueueClass, deque[Case]] = field(default_factory=dict)
     further: deque[Case] = field(default_factory=deque)
     late: deque[Case] = field(default_factory=deque)
 
@@ -65,8 +65,6 @@
     fades: float  # when its importance begins to fade fast
     once: bool  # once-only
     single: bool  # nothing more may be sent for it once it may have run
-    over: bool  # above its customer's quota
-    importance: float
     queued: bool = False  # in a line; not while an earlier mail of its key has the turn
     connects: int = 0
     out: int = 0  # connects without an outcome
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -217,7 +217,7 @@
 
 
 def test_of_many_each_calls_at_once_and_earns_what_was_refused() -> None:
-    """Even parts of a hundred instances once held a first mail for a minute; the refused came back too soon."""
+    """Even parts of a hundred instances once held first mails a minute; the refused came back too soon."""
     dock = Dock(instances=100)
     dock.listed("north/1", rate=5.0)
     dock.mail("m0", "redeliverable")
@@ -230,7 +230,7 @@
 
 
 def test_of_many_each_tries_rarely_and_returns_slowly() -> None:
-    """Trials of many instances alone overran a receiver that came back cold, and so did what they had held."""
+    """Trials of many instances alone overran a receiver that came back cold; so did what they held."""
     dock = Dock(instances=100)
     dock.listed("north/1", rate=5.0)
     for number in range(12):
