--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -190,7 +190,7 @@
         self.overdue(now)
         while self.idle and self.idle[0][0] <= now - self.keep:
             used, lane = self.idle.popleft()
-            if lane.used == used and len(self.calls) < self.slots:  # a handshake takes time of a slot
+            if lane.used == used:
                 self.effects.append(face.HangUp(lane.route))
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
