--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -21,8 +21,7 @@
     line: Line
     state: Any  # of control's route states
     tally: Any  # how long its calls took
-    health: float = 1.0  # scales its share: shrinks on refusals and failures, grows while it serves
-    part: float = 1.0  # scales what this instance takes of its limit
+    part: float = 1.0  # scales its share, and what this instance takes of its limit
     credit: float = 1.0  # calls it may be sent now
     back: float = -inf  # when its last trial after an outage was served
     ill: float = 0.0  # how much of what it did lately was failing
