The dispatcher on sockets: clients, receivers, the list, notices and the spool

Built on Twisted's LineReceiver, a file per peer in laureldock/net. The decisions are the module's; it is told three things more: that a notice was answered, whether a connect put off by its connection may still begin, and that the process ends. Settings are read in one place for both doors (laureldock/tariff.py).

--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -6,14 +6,12 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from math import inf
 from typing import Any
 
 from laureldock import interface as face
 from laureldock.control import Control
+from laureldock.tariff import NS, Book, Entry, Fields, seconds
 
-Fields = dict[str, Any]
-NS = 1e9
 ENDINGS = {
     "ok": face.Ending.SERVED,
     "error": face.Ending.ERROR,
@@ -24,55 +22,9 @@
     "cancelled": face.Ending.CANCELLED,
     "moot": face.Ending.MOOT,
 }
-RERUNS = {
-    "retryable": face.Rerun.REDELIVERABLE,
-    "dedup": face.Rerun.TAGGED,
-    "fragile": face.Rerun.ONCE_ONLY,
-}
 LISTED = {"up": face.Listed.UP, "draining": face.Listed.DRAINING, "removed": face.Listed.REMOVED}
 
 
-def seconds(value: Any) -> float:
-    return float(value or 0) / NS
-
-
-def queue_class(entry: Fields, halving: bool) -> face.QueueClass:
-    return face.QueueClass(
-        rerun=RERUNS[entry["effect"]],
-        importance=float(entry["points"]),
-        target_delay=seconds(entry["aim_ns"]),
-        lifetime=seconds(entry["deadline_ns"]),
-        late_share=float(entry.get("late_share") or 0),
-        halving=halving,
-        in_order=bool(entry.get("in_order")),
-        memory=seconds(entry.get("window_ns")) if entry["effect"] == "dedup" else inf,
-        one_zone=entry["effect"] == "dedup" and entry.get("dedup_scope") != "all",
-    )
-
-
-def tariff(seed: int, profile: Fields) -> face.Tariff:
-    limits, rules, family = profile["limits"], profile["invariants"], profile["family_info"]
-    return face.Tariff(
-        seed=seed,
-        instances=profile["n_instances"],
-        slots=family["call_slots"],
-        room=limits["most_held"],
-        most_connects=limits["max_attempts"],
-        may_cancel=bool(limits.get("may_cancel")),
-        may_probe=bool(limits.get("probes")),
-        may_copy=bool(limits.get("second_copies")),
-        must_ask=profile.get("discovery") == "subscribe",
-        over_quota=float(profile.get("over_share_worth") or 0),
-        most_retry_after=seconds(limits.get("max_retry_after_ns")) if limits.get("retry_after") else 0.0,
-        key_rest=seconds(rules.get("key_rest_ns")),
-        start_capacity=float(rules["start_capacity"]),
-        tip_multiple=float(rules["tip_multiple"]),
-        fall_time=seconds(rules["fall_ns"]),
-        warm_time=seconds(rules["warm_after_ns"]),
-        rates=profile.get("weight_kind") or "off",
-    )
-
-
 @dataclass(eq=False, slots=True)
 class Held:
     """A mail at the door: its id, its connects by number, which of them are out, if an answer is owed."""
@@ -87,20 +39,7 @@
 class Instance:
     def __init__(self, number: int, seed: int, profile: Fields, now: float) -> None:
         self.number = number
-        family = profile["family_info"]
-        halving = family.get("fades") == "halving"
-        self.classes = {entry["name"]: queue_class(entry, halving) for entry in profile["classes"]}
-        self.customers = {
-            entry["name"]: face.Customer(float(entry.get("quota_per_s") or 0))
-            for entry in profile.get("customers") or []
-        }
-        batches, apart = family.get("batch_by_kind") or [], family.get("routes_apart") or []
-        self.kinds = {
-            name: face.Kind(max([1, *batches[place : place + 1]]), any(apart[place : place + 1]))
-            for place, name in enumerate(profile.get("kinds") or [])
-        }
-        self.destinations: dict[Any, face.Destination] = {}
-        self.routes: dict[str, face.Route] = {}
+        self.book = Book(seed, profile)
         self.by_id: dict[str, Held] = {}
         self.by_mail: dict[face.Mail, Held] = {}
         self.leaving: list[Held] = []
@@ -114,10 +53,8 @@
             "tick_due": self.tick_due,
             "under_way": self.under_way,
         }
-        self.reports: list[str] = (profile.get("telemetry") or {}).get("fields") or []
-        start = tariff(seed, profile)
         self.control: Control | None = None
-        self.guard(lambda: setattr(self, "control", Control(start, now)))
+        self.guard(lambda: setattr(self, "control", Control(self.book.tariff, now)))
 
     def guard(self, call: Callable[[], Any]) -> Any:
         """Run a call of the decisions; its exception becomes the wire's fault action."""
@@ -132,40 +69,31 @@
     def tell(self, name: str, *args: Any) -> None:
         self.guard(lambda: getattr(self.control, name)(*args))
 
-    def destination(self, number: Any) -> face.Destination:
-        return self.destinations.setdefault(number, face.Destination())
-
     def view(self, now: float, form: str, records: list[Fields]) -> None:
         if form == "unavailable":
             self.tell("list_failed", now)
             return
         if form not in ("update", "replace", "restored"):
             raise ValueError(f"unknown form {form!r}")
-        named = [self.route(record) for record in records]
-        self.tell("news", now, named, form != "update")
-        known = set(named)
-        for endpoint, route in list(self.routes.items()):
-            if route.listed is face.Listed.REMOVED or (form != "update" and route not in known):
-                del self.routes[endpoint]
-
-    def route(self, record: Fields) -> face.Route:
-        endpoint = record["endpoint"]
-        listed, rate = LISTED[record["health"]], float(record.get("weight") or 0)
-        route = self.routes.get(endpoint)
-        if route is None:
-            kind = self.kinds.get(record["generation_hw"]) or face.Kind()
-            owner = self.destination(record["owner_no"])
-            route = face.Route(owner, str(record.get("dc")), kind, rate, listed, endpoint)
-            self.routes[endpoint] = route
-        route.listed, route.rate = listed, rate
-        return route
+        whole = form != "update"
+        self.tell("news", now, self.book.listed([self.entry(record) for record in records], whole), whole)
+
+    def entry(self, record: Fields) -> Entry:
+        return Entry(
+            name=record["endpoint"],
+            destination=record["owner_no"],
+            zone=str(record.get("dc")),
+            kind=record["generation_hw"],
+            rate=float(record.get("weight") or 0),
+            listed=LISTED[record["health"]],
+        )
 
     def arrival(self, now: float, fields: Fields) -> None:
         mail = face.Mail(
-            queue_class=self.classes[fields["band"]],
-            destination=self.destination(fields["addressee_no"]),
+            queue_class=self.book.classes[fields["band"]],
+            destination=self.book.destination(fields["addressee_no"]),
             left=seconds(fields["expires_in_ns"]),
-            customer=self.customers.get(fields.get("realm") or ""),
+            customer=self.book.customers.get(fields.get("realm") or ""),
             key=fields.get("resource"),
         )
         self.by_id[fields["op_id"]] = self.by_mail[mail] = Held(fields["op_id"], mail)
@@ -174,7 +102,7 @@
     def outcome(self, fields: Fields) -> face.Outcome:
         ending = ENDINGS[fields["ending"]]
         wait = (fields.get("hold_ms") or 0) / 1000 if ending is face.Ending.FULL else 0.0
-        told = dict(zip(self.reports, fields.get("stats") or [], strict=False))
+        told = dict(zip(self.book.reports, fields.get("stats") or [], strict=False))
         took, finished = seconds(fields["latency_ns"]), bool(fields.get("closed"))
         return face.Outcome(ending, took, finished, wait, told.get("x1"), told.get("x0", 1.0))
 
@@ -189,7 +117,7 @@
         self.leaving.append(held)
 
     def check_result(self, now: float, fields: Fields) -> None:
-        route = self.routes.get(fields["endpoint"])
+        route = self.book.routes.get(fields["endpoint"])
         if route is not None:
             self.tell("probed", now, route, self.outcome(fields))
 
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -14,7 +14,8 @@
 from bisect import bisect_left, bisect_right
 from collections import deque
 from enum import Enum
-from itertools import accumulate
+from itertools import accumulate, count
+from math import inf
 
 from laureldock import interface as face
 from laureldock.interface import Connect, Ending, Mail, Outcome, Rerun, Route
@@ -42,10 +43,10 @@
 MAIL_TABLE = {
     (Stage.LINE, Step.DRAWN): (Stage.OUT, ""),
     (Stage.LINE, Step.SPENT): (Stage.DONE, "answer"),
-    (Stage.LINE, Step.OVER): (Stage.DONE, "close"),
+    (Stage.LINE, Step.OVER): (Stage.DONE, "pass_turn"),
     (Stage.OUT, Step.AGAIN): (Stage.LINE, "queue"),
     (Stage.OUT, Step.SPENT): (Stage.DONE, "answer"),
-    (Stage.OUT, Step.OVER): (Stage.DONE, "close"),
+    (Stage.OUT, Step.OVER): (Stage.DONE, "pass_turn"),
 }
 
 
@@ -72,9 +73,9 @@
 
 class Control:
     def __init__(self, tariff: face.Tariff, now: float) -> None:
-        self.seed, self.count = tariff.seed, 0
+        self.seed, self.serial = tariff.seed, count(1)
         self.slots, self.room, self.most_connects = tariff.slots, tariff.room, tariff.most_connects
-        self.may_probe, self.may_cancel = tariff.may_probe, tariff.may_cancel
+        self.may_probe, self.may_cancel, self.notices = tariff.may_probe, tariff.may_cancel, tariff.notices
         self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
         self.part = 1.0 / tariff.instances
         # Even parts of many say little, since most send nothing just now: calls go freely then until one is
@@ -88,7 +89,7 @@
         # What a cold route bears, for each call that it takes when warm; the rest is for trials and chance.
         self.cold = 0.6 * tariff.tip_multiple
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
-        self.lines: list[Line] = []
+        self.lines: dict[face.Destination, Line] = {}
         self.busy: dict[Line, None] = {}  # those with mails that wait: a turn looks at no others
         self.calls: dict[Call, None] = {}  # all that are out
         self.fresh: dict[Lane, Call] = {}  # those opened in this turn
@@ -98,15 +99,15 @@
         # Guards tables of connections at the receivers against many instances that each keep some idle, and
         # mails against a connection dropped unseen. Half a minute for one instance, a call's time for many.
         self.keep, self.idle = max(0.5, 30.0 / tariff.instances), deque[tuple[float, Lane]]()
-        self.held, self.ask_pause, self.ticking = 0, 0.0, False
+        self.held, self.ask_pause, self.ticking, self.close_at = 0, 0.0, False, inf
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
-            self.effects.append(face.AskList(watch=True))
+            self.timer(now, "ask")
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_pause = 0.0
         kept = set(routes)
-        for line in self.lines if whole else []:
+        for line in self.lines.values() if whole else ():
             line.lanes = {route: lane for route, lane in line.lanes.items() if route in kept}
         for route in routes:
             line = self.line(route.destination)
@@ -127,15 +128,19 @@
         # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
         single, fades = once or kind.one_zone, born + kind.target_delay if kind.halving else end
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, fades, once, single)
+        # What an earlier life of this dispatcher tried counts as if this one had.
+        case.connects, case.doubt = mail.connects, 0.0 if mail.ran is None else now - mail.ran
         self.held += 1
-        for lane in line.lanes.values():  # what is not free is earned by what comes in
-            if self.many:
-                self.refill(now, lane)
-                lane.credit += self.bears(now, lane) / len(line.lanes)
-        heapq.heappush(self.ends, (case.end, self.next(), case))
+        for lane in line.lanes.values() if self.many else ():  # what is not free is earned by what comes in
+            self.refill(now, lane)
+            lane.credit += self.bears(now, lane) / len(line.lanes)
+        heapq.heappush(self.ends, (case.end, next(self.serial), case))
         if kind.in_order and mail.key is not None:
             case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
             case.turns.cases.append(case)
+        if case.doubt and not self.may_go(now, case):
+            self.step(now, case, Step.SPENT)
+        elif case.turns:
             self.wake(now, case.turns)
         else:
             self.queue(now, case)
@@ -160,14 +165,13 @@
         case.out -= 1
         if case.turns and outcome.ending in (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED):
             case.turns.rest = now + self.key_rest
+        if not case.doubt and outcome.ending not in (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT):
+            case.doubt = call.sent
         if case.stage is Stage.DONE:
             self.pass_turn(now, case)
-        elif outcome.finished:
-            self.step(now, case, Step.OVER)
         else:
-            if not case.doubt and outcome.ending not in (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT):
-                case.doubt = call.sent
-            self.step(now, case, Step.AGAIN if self.may_go(now, case) else Step.SPENT)
+            further = Step.AGAIN if self.may_go(now, case) else Step.SPENT
+            self.step(now, case, Step.OVER if outcome.finished else further)
 
     def probed(self, now: float, route: Route, outcome: Outcome) -> None:
         lane: Lane | None = route.notes
@@ -180,12 +184,25 @@
     def timer(self, now: float, name: str) -> None:
         self.ticking = self.ticking and name != "sweep"
         if name == "ask":
-            self.effects.append(face.AskList(watch=True))
+            # A watch that has gone silent is begun anew within six seconds: a list is seconds old at best.
+            self.effects.append(face.AskList(watch=True, wait=4.0, time_out=6.0))
 
     def withdrawn(self, now: float, mail: Mail) -> None:
         if mail.notes.stage is not Stage.DONE:
             self.step(now, mail.notes, Step.OVER)
 
+    def noticed(self, now: float, mail: Mail) -> None:
+        mail.notes.out -= 1
+        self.pass_turn(now, mail.notes)
+
+    def may_begin(self, now: float, connect: Connect) -> bool:
+        """Guards waits and drains against a connect whose connection came up only after they were told."""
+        lane: Lane = connect.notes.lane
+        return max(lane.until, lane.line.until) <= now and connect.route.listed is face.Listed.UP
+
+    def closing(self, now: float, left: float) -> None:
+        self.close_at = now + left / 2  # what is sent until then has as long again to end
+
     def turn(self, now: float) -> list[face.Effect]:
         self.overdue(now)
         while self.idle and self.idle[0][0] <= now - self.keep:
@@ -231,11 +248,8 @@
         if not used_up and not table:  # a limit used up, or connections beside answered calls, is no outage
             weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
             lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
-        if good:
-            return Sign.SERVED
-        if outcome.wait:
-            return Sign.WAIT
-        return Sign.RUN if self.failing(lane) else Sign.FAILED
+        bad = Sign.WAIT if outcome.wait else Sign.RUN if self.failing(lane) else Sign.FAILED
+        return Sign.SERVED if good else bad
 
     def failing(self, lane: Lane) -> bool:
         return lane.ill > 0.6  # three in a row, or most of the last few; a tenth of chance errors never is
@@ -336,6 +350,7 @@
 
     def step(self, now: float, case: Case, step: Step) -> None:
         case.stage, effect = MAIL_TABLE[case.stage, step]
+        self.held -= case.stage is Stage.DONE
         if case.queued:
             case.line.waiting -= 1
             case.queued = False
@@ -354,10 +369,7 @@
         wait = max(0.0, min(self.most_retry_after, case.end - now))
         final = case.doubt and case.single
         self.effects.append(face.Bounce(case.mail) if final else face.Defer(case.mail, wait))
-        self.close(now, case)
-
-    def close(self, now: float, case: Case) -> None:
-        self.held -= 1
+        case.out += self.notices  # it is not over before its notice is
         self.pass_turn(now, case)
 
     def pass_turn(self, now: float, case: Case) -> None:  # once it is over and has nothing out
@@ -367,7 +379,7 @@
 
     def wake(self, now: float, turns: Turns) -> None:
         if turns.rest > now:
-            heapq.heappush(self.resting, (turns.rest, self.next(), turns))
+            heapq.heappush(self.resting, (turns.rest, next(self.serial), turns))
         elif not turns.cases:
             self.keys.pop(turns.key, None)
         elif turns.cases[0].stage is Stage.LINE and not turns.cases[0].queued:
@@ -386,8 +398,8 @@
         self.fresh.clear()
         ready: list[tuple[float, int, Line, Case]] = []
         aside: list[Case] = []
-        misses = [0] * len(self.busy)
-        for place, line in enumerate(list(self.busy) if len(self.calls) < self.slots else []):
+        misses, may = [0] * len(self.busy), len(self.calls) < self.slots and now < self.close_at
+        for place, line in enumerate(list(self.busy) if may else []):
             if now >= line.until:
                 for each in line.lanes.values():
                     self.refill(now, each)
@@ -445,14 +457,10 @@
 
     def draw(self, now: float, case: Case) -> Lane | None:
         """The ordinary path: a weighted random draw over the live routes."""
-        lanes = [
-            lane
-            for lane in case.line.lanes.values()
-            if lane.state is State.LIVE and lane.until <= now and (lane.credit >= 1 or lane in self.fresh)
-        ]
-        if case.once:
-            # Guards what cannot be tried anew: two served calls or five quiet seconds make a route steady.
-            lanes = [lane for lane in lanes if lane.ill <= 0.2]
+        # Guards what cannot be tried anew: two served calls or five quiet seconds make a route steady.
+        fit = (lane for lane in case.line.lanes.values() if lane.ill <= 0.2 or not case.once)
+        live = (lane for lane in fit if lane.state is State.LIVE and lane.until <= now)
+        lanes = [lane for lane in live if lane.credit >= 1 or lane in self.fresh]
         if len(lanes) > 1 and case.last in lanes:
             lanes.remove(case.last)  # a further connect goes elsewhere where it can
         sums = list(accumulate(self.share(now, lane) for lane in lanes))
@@ -500,7 +508,7 @@
                 self.waiters(case).appendleft(case)
             elif case or self.may_probe:
                 if case is None:
-                    self.effects.append(face.Probe(lane.route))
+                    self.effects.append(face.Probe(lane.route, 2.0))  # as long as the longest pause
                 self.sign(now, lane, Sign.TRIED)
 
     def bearer(self, now: float, line: Line) -> Case | None:
@@ -522,15 +530,7 @@
                 self.step(now, case, Step.SPENT)
 
     def line(self, destination: face.Destination) -> Line:
-        if destination.notes is None:
-            destination.notes = Line(window=1.0)
-            self.lines.append(destination.notes)
-        line: Line = destination.notes
-        return line
-
-    def next(self) -> int:
-        self.count += 1
-        return self.count
+        return self.lines.setdefault(destination, Line(window=1.0))
 
     def chance(self) -> float:
-        return zlib.crc32(f"{self.seed}:{self.next()}".encode()) / 2**32
+        return zlib.crc32(f"{self.seed}:{next(self.serial)}".encode()) / 2**32
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -1,8 +1,8 @@
 """Types and calls between the decisions (`control.Control`) and the door in front of them.
 
-The door (today `laureldock.benchlink`, later a socket server) turns its protocol into these objects and
-calls, and the effects back into its protocol. Nothing here decides. Times are float seconds of one
-monotonic clock. Objects point to each other; ids stay at the door. Where a type has a `notes` field, it
+The door (`laureldock.net` on sockets, `laureldock.benchlink` on the bench) turns its protocol into these
+objects and calls, and the effects back into its protocol. Nothing here decides. Times are float seconds of
+one monotonic clock. Objects point to each other; ids stay at the door. Where a type has a `notes` field, it
 belongs to the decisions: the door neither reads nor writes it.
 
 Calls, in the order of the events of one turn, then `turn` once:
@@ -16,6 +16,9 @@
     heard(now, peer, data)                     a note of a peer
     timer(now, name)                           a timer set earlier is due
     withdrawn(now, mail)                       nobody wants this mail any more
+    noticed(now, mail)                         its notice was answered (where the tariff has notices)
+    may_begin(now, connect) -> bool            whether a connect, put off by its door, may still be sent
+    closing(now, left)                         the process ends in so many seconds; what waits is kept
     turn(now) -> list[Effect]                  all effects of the turn, in the order to be carried out
 """
 
@@ -92,6 +95,7 @@
     may_probe: bool
     may_copy: bool
     must_ask: bool
+    notices: bool  # a mail deferred or bounced is over only once its notice is answered
     over_quota: float
     most_retry_after: float
     key_rest: float
@@ -100,6 +104,8 @@
     fall_time: float
     warm_time: float
     rates: str
+    connect_time: float = 0.0  # a connection not up within it counts as none
+    idle_time: float = inf  # for which a receiver keeps an unused connection
 
 
 @dataclass(eq=False, slots=True)
@@ -127,6 +133,8 @@
     left: float
     customer: Customer | None = None
     key: str | None = None
+    connects: int = 0  # that an earlier life of this dispatcher had
+    ran: float | None = None  # seconds since the first of those that may have run was sent; None: none may
     notes: Any = None
 
 
@@ -167,6 +175,7 @@
 @dataclass(eq=False, slots=True)
 class Probe:
     route: Route
+    time_out: float
 
 
 @dataclass(eq=False, slots=True)
@@ -185,6 +194,8 @@
 @dataclass(eq=False, slots=True)
 class AskList:
     watch: bool
+    wait: float  # how long the list may hold its answer back until there is news
+    time_out: float  # after which no answer is a failure
 
 
 @dataclass(eq=False, slots=True)
--- /dev/null
+++ b/laureldock/net/clients.py
@@ -0,0 +1,183 @@
+"""Clients: RESP2 commands, one at a time on each connection."""
+
+from __future__ import annotations
+
+import re
+import time
+from typing import TYPE_CHECKING
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Factory
+from twisted.internet.tcp import Connection
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+from laureldock.net.flush import Flush
+from laureldock.net.spool import Owed
+
+if TYPE_CHECKING:
+    from laureldock.net.dispatcher import Dispatcher, Letter
+
+MOST_BODY = 65536  # the protocol's figure
+MOST_WORDS = 8  # in a command; MSG.PUT has five
+WORD = re.compile(rb"[!-~]{1,256}")  # what may go on in a header or a notice
+PAIR = re.compile(rb"([a-z]+)=([^,]*)")
+
+
+class MalformedError(Exception):
+    """A request that is not one."""
+
+
+class Client(LineReceiver):
+    transport: Connection  # type: ignore[assignment]
+    MAX_LENGTH = 1024  # far over a length or count, and enough for a command typed by hand
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients = clients
+        self.words: list[bytes] = []
+        self.due = 0  # words still to come
+        self.bulk, self.size = bytearray(), 0
+        self.pending: Letter | None = None  # taken on, and its client has not been told
+        self.answering = self.closing = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.clients.joined(self)
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        self.clients.left(self)
+        if self.pending:
+            self.clients.dispatcher.withdrawn(self.pending)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        super().dataReceived(data)
+        if self.paused and len(self._buffer) > MOST_BODY:
+            self.transport.pauseProducing()
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        if self.closing:
+            return
+        try:
+            self.read(line)
+        except MalformedError as fault:
+            self.refuse(str(fault))
+
+    def read(self, line: bytes) -> None:
+        if self.due:
+            if line[:1] != b"$":
+                raise MalformedError("a bulk string was due")
+            self.size = self.count(line[1:], MOST_BODY)
+            self.bulk.clear()
+            self.setRawMode()
+        elif line[:1] == b"*":
+            self.words, self.due = [], self.count(line[1:], MOST_WORDS)
+        elif line.strip():
+            self.command(line.split())
+
+    def count(self, digits: bytes, most: int) -> int:
+        if not digits.isdigit() or len(digits) > 9 or int(digits) > most:
+            raise MalformedError("a count that cannot be")
+        return int(digits)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        part = data[: self.size + 2 - len(self.bulk)]
+        self.bulk += part
+        if len(self.bulk) < self.size + 2:
+            return
+        self._buffer = data[len(part) :]
+        self.setLineMode()
+        if self.bulk[self.size :] != b"\r\n":
+            self.refuse("a bulk string without its end")
+            return
+        self.words.append(bytes(self.bulk[: self.size]))
+        self.due -= 1
+        if not self.due:
+            words, self.words = self.words, []
+            try:
+                self.command(words)
+            except MalformedError as fault:
+                self.refuse(str(fault))
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        self.refuse("a line too long")
+
+    def command(self, words: list[bytes]) -> None:
+        dispatcher = self.clients.dispatcher
+        match [words[0].upper(), *words[1:]]:
+            case [b"MSG.PUT", key, name, pairs, body]:
+                self.put(key, name, pairs, body)
+            case [b"PING"]:
+                self.answer(b"+PONG\r\n")
+            case [b"PING", word]:
+                self.answer(b"$%d\r\n%s\r\n" % (len(word), word))
+            case [b"INFO", *_]:
+                text = dispatcher.info().encode()
+                self.answer(b"$%d\r\n%s\r\n" % (len(text), text))
+            case [b"QUIT"]:
+                self.closing = True
+                self.answer(b"+OK\r\n")
+            case _:
+                raise MalformedError("unknown command or wrong number of words")
+
+    def put(self, key: bytes, name: bytes, pairs: bytes, body: bytes) -> None:
+        fields = dict(PAIR.findall(pairs))
+        told, tag = fields.get(b"d", b""), fields.get(b"k", b"")
+        words = [key, name, *([tag] if tag else [])]
+        if not all(WORD.fullmatch(word) for word in words):
+            raise MalformedError("a key or id that cannot go on")
+        if not told.isdigit() or len(told) > 9 or not fields.get(b"dest", b"").isdigit():
+            raise MalformedError("no lifetime or no destination")
+        names = fields.get(b"c", b"").decode("latin-1"), fields.get(b"t", b"").decode("latin-1")
+        order = None if not key.strip(b"0") else key.decode()
+        left, destination = int(told) / 1000, int(fields[b"dest"])
+        owed = Owed(name, order, *names, tag, destination, time.time() + left, body)
+        self.answer(self.clients.dispatcher.put(self, owed, left) or b"+OK\r\n")
+
+    def answer(self, data: bytes) -> None:
+        """What else has come waits until the answer has left; a close by the client is still seen."""
+        self.answering = self.paused = True
+        Flush(self.transport, data, self.answered)
+
+    def answered(self) -> None:
+        self.answering, self.pending = False, None
+        if self.closing:
+            self.transport.loseConnection()
+        else:
+            self.resumeProducing()
+
+    def refuse(self, why: str) -> None:
+        """One error, and the close."""
+        if not self.closing:
+            self.closing = True
+            self.clients.dispatcher.malformed(why)
+            self.answer(b"-ERR " + why.encode() + b"\r\n")
+
+    def finish(self) -> None:
+        """Close between requests; one that has come whole is answered before."""
+        self.closing = True
+        if not self.answering:
+            self.transport.loseConnection()
+
+
+class Clients(Factory):
+    noisy = False
+
+    def __init__(self, dispatcher: Dispatcher, most: int) -> None:
+        self.dispatcher, self.most = dispatcher, most
+        self.open: dict[Client, None] = {}
+
+    def buildProtocol(self, addr: IAddress | None) -> Client | None:  # noqa: N802
+        if len(self.open) >= self.most:
+            self.dispatcher.counters["clients turned away"] += 1
+            return None
+        return Client(self)
+
+    def joined(self, client: Client) -> None:
+        self.open[client] = None
+
+    def left(self, client: Client) -> None:
+        self.open.pop(client, None)
+
+    def finish(self) -> None:
+        for client in list(self.open):
+            client.finish()
--- /dev/null
+++ b/laureldock/net/directory.py
@@ -0,0 +1,129 @@
+"""The list of receivers: a watch that goes on for as long as it is answered."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.base import DelayedCall
+from twisted.python.failure import Failure
+
+from laureldock.interface import AskList, Listed
+from laureldock.net.http import Headers, HttpLine, open_line
+from laureldock.tariff import Entry
+
+if TYPE_CHECKING:
+    from laureldock.net.dispatcher import Dispatcher
+
+LISTED = {"Ready": Listed.UP, "Terminating": Listed.DRAINING, "Gone": Listed.REMOVED}
+MOST_BODY = 1 << 22  # some ten thousand entries, and far from the memory allowed
+
+
+def read(news: Any) -> tuple[int, bool, list[tuple[Entry, str]]]:
+    """A list or changes of it, each entry with where to dial; ValueError for what is neither."""
+    try:
+        seq, whole, hosts = news["seq"], news["whole"], news["hosts"]
+        if not isinstance(seq, int) or not isinstance(whole, bool):
+            raise ValueError("its version or kind is missing")
+        return seq, whole, [(entry(host), address(host)) for host in hosts]
+    except (KeyError, TypeError, AttributeError) as fault:
+        raise ValueError(f"not a list of hosts: {fault!r}") from None
+
+
+def entry(host: dict[str, Any]) -> Entry:
+    return Entry(
+        name=str(host["host"]),
+        destination=host["block"],
+        zone=str(host.get("site")),
+        kind=str(host.get("class")),
+        rate=float(host.get("share") or 0),
+        listed=LISTED[host["health"]],
+    )
+
+
+def address(host: dict[str, Any]) -> str:
+    dial = str(host["dial"])
+    name, _, port = dial.rpartition(":")
+    if not name or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {dial!r}")
+    return dial
+
+
+class Directory:
+    def __init__(self, dispatcher: Dispatcher, dial: str) -> None:
+        self.dispatcher, self.dial = dispatcher, dial
+        self.seq: int | None = None
+        self.asked: AskList | None = None
+        self.line: HttpLine | None = None
+        self.timer: DelayedCall | None = None
+
+    def known(self, news: Any) -> None:
+        """What this dispatcher had last, from its configuration."""
+        self.take(*read(news))
+
+    def take(self, seq: int, whole: bool, hosts: list[tuple[Entry, str]]) -> None:
+        self.seq = seq
+        self.dispatcher.news(hosts, whole)
+
+    def ask(self, asked: AskList) -> None:
+        if self.asked:
+            return
+        self.asked = asked
+        self.timer = self.dispatcher.later(asked.time_out, self.fail, "no answer in time")
+        if self.line and not self.line.closed:
+            self.send(self.line)
+        else:
+            self.line = None
+            opening = open_line(self.dispatcher.reactor, self.dial, MOST_BODY, asked.time_out)
+            opening.addCallbacks(self.opened, self.unopened)
+
+    def opened(self, line: HttpLine) -> None:
+        if self.asked and self.line is None:
+            self.line = line
+            self.send(line)
+        else:
+            line.drop()
+
+    def unopened(self, failure: Failure) -> None:
+        self.fail(failure.getErrorMessage())
+
+    def send(self, line: HttpLine) -> None:
+        assert self.asked
+        query = b"?after=%d&wait_ms=%d" % (self.seq, self.asked.wait * 1000) if self.seq is not None else b""
+        head = [b"GET /discovery/hosts" + query + b" HTTP/1.1", b"Host: " + self.dial.encode()]
+        line.ask(head, b"", self)
+
+    def answered(self, status: int, headers: Headers, body: bytes) -> None:
+        if status != 200:
+            return self.fail(f"answer {status}")
+        try:
+            news = read(json.loads(body))
+        except (ValueError, RecursionError) as fault:
+            self.seq = None  # the next ask is for the whole list
+            return self.fail(str(fault))
+        asked = self.settle()
+        self.take(*news)
+        if asked and self.dispatcher.running:
+            self.ask(asked)  # the watch goes on
+        return None
+
+    def unanswered(self, written: bool, garbled: bool) -> None:
+        self.fail("a bad answer" if garbled else "the connection broke")
+
+    def settle(self) -> AskList | None:
+        asked, self.asked = self.asked, None
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        return asked
+
+    def fail(self, why: str) -> None:
+        if self.settle():
+            if self.line:
+                self.line.drop()
+                self.line = None
+            self.dispatcher.list_failed(why)
+
+    def close(self) -> None:
+        self.settle()
+        if self.line:
+            self.line.drop()
--- /dev/null
+++ b/laureldock/net/ends.py
@@ -0,0 +1,51 @@
+"""Every way in which a connection, and what is out on it, can end; and what the decisions hear of it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from laureldock.interface import Ending
+
+
+class End(Enum):
+    DELIVERED = "200"
+    FAULT = "500"
+    TOLD_TO_WAIT = "429"
+    TURNED_AWAY = "503"
+    NO_SLOT = "503, all slots taken"
+    SPENT = "504, no connect left"
+    OVER = "410, the mail is over"
+    STRANGE = "another status"
+    GARBLED = "an answer that cannot be read"
+    UNREACHED = "no connection, or broken before the last byte was written"
+    BROKEN = "broken after that"
+    SILENT = "no answer in time"
+    CALLED_OFF = "called off"
+    HELD_BACK = "not begun: it may not begin any more"
+
+
+# What each means to the decisions, and whether the mail is over by it.
+OUTCOMES: dict[End, tuple[Ending, bool]] = {
+    End.DELIVERED: (Ending.SERVED, True),
+    End.FAULT: (Ending.ERROR, False),
+    End.TOLD_TO_WAIT: (Ending.FULL, False),
+    End.TURNED_AWAY: (Ending.FULL, False),
+    End.NO_SLOT: (Ending.MOOT, False),
+    End.SPENT: (Ending.MOOT, False),
+    End.OVER: (Ending.MOOT, True),
+    End.STRANGE: (Ending.ERROR, False),
+    End.GARBLED: (Ending.ERROR, False),
+    End.UNREACHED: (Ending.NO_CONNECTION, False),
+    End.BROKEN: (Ending.RESET, False),
+    End.SILENT: (Ending.TIME_OUT, False),
+    End.CALLED_OFF: (Ending.CANCELLED, False),
+    End.HELD_BACK: (Ending.MOOT, False),
+}
+STATUSES = {
+    200: End.DELIVERED,
+    410: End.OVER,
+    429: End.TOLD_TO_WAIT,
+    500: End.FAULT,
+    503: End.TURNED_AWAY,
+    504: End.SPENT,
+}
--- /dev/null
+++ b/laureldock/net/http.py
@@ -0,0 +1,173 @@
+"""HTTP/1.1 as far as receivers, the list and notices need it: one call at a time on a kept connection."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionClosed
+from twisted.internet.posixbase import PosixReactorBase
+from twisted.internet.protocol import Factory
+from twisted.internet.tcp import Connection
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+from laureldock.net.flush import Flush
+
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: .*)?")
+Headers = dict[bytes, bytes]
+
+
+class Reader(Protocol):
+    """Who asked: told once either of the answer or that there is none."""
+
+    def answered(self, status: int, headers: Headers, body: bytes) -> None: ...
+
+    def unanswered(self, written: bool, garbled: bool) -> None: ...
+
+
+class HttpLine(LineReceiver):
+    """A connection. `free` is called when it may carry the next call, `gone` when it is closed."""
+
+    transport: Connection  # type: ignore[assignment]
+
+    MAX_LENGTH = 8192  # of a line, as common servers have it
+    MOST_HEADERS = 64
+
+    def __init__(self, most_body: int) -> None:
+        self.most_body = most_body
+        self.reader: Reader | None = None
+        self.written = self.closed = False
+        self.used = 0  # calls that it carried
+        self.free: Callable[[HttpLine], None] = lambda line: None
+        self.gone: Callable[[HttpLine], None] = lambda line: None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.reset()
+
+    def reset(self) -> None:
+        self.status, self.headers, self.body = 0, Headers(), bytearray()
+        self.left: int | None = 0  # bytes of the body, or of its chunk, still to come; None: up to the close
+        self.chunks, self.trailers, self.lines = False, False, 0
+
+    def ask(self, head: list[bytes], body: bytes, reader: Reader) -> None:
+        self.reader, self.written, self.used = reader, False, self.used + 1
+        Flush(self.transport, b"\r\n".join([*head, b"", body]), self.all_written)
+
+    def all_written(self) -> None:
+        self.written = True
+
+    def drop(self) -> None:
+        """Close it at once; nobody is told."""
+        self.reader = None
+        self.closed = True
+        self.transport.abortConnection()
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        if self.reader is None or self.closed:
+            self.garble()
+        elif self.trailers:
+            if not line:
+                self.finish()
+        elif self.chunks:
+            self.chunk(line)
+        elif not self.status:
+            found = STATUS_LINE.fullmatch(line)
+            if not found:
+                return self.garble()
+            self.status = int(found[1])
+        elif line:
+            name, colon, value = line.partition(b":")
+            self.lines += 1
+            if not colon or self.lines > self.MOST_HEADERS:
+                return self.garble()
+            self.headers[name.strip().lower()] = value.strip()
+        elif self.status < 200:
+            self.reset()
+        else:
+            self.start_body()
+        return None
+
+    def start_body(self) -> None:
+        length = self.headers.get(b"content-length")
+        if self.status in (204, 304) or length == b"0":
+            self.finish()
+        elif self.headers.get(b"transfer-encoding", b"").lower() == b"chunked":
+            self.chunks = True
+        elif length is None or (length.isdigit() and len(length) < 10):
+            self.left = None if length is None else int(length)
+            self.setRawMode()
+        else:
+            self.garble()
+
+    def chunk(self, line: bytes) -> None:
+        size = line.partition(b";")[0].strip()
+        if not size and self.body:
+            return  # the end of the chunk before
+        if not re.fullmatch(rb"[0-9a-fA-F]{1,7}", size):
+            self.garble()
+            return
+        self.left = int(size, 16)
+        if self.left:
+            self.setRawMode()
+        else:
+            self.trailers = True
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.closed:
+            return
+        part = data if self.left is None else data[: self.left]
+        self.body += part
+        if len(self.body) > self.most_body:
+            self.garble()
+        elif self.left is not None:
+            self.left -= len(part)
+            if not self.left:
+                self._buffer = data[len(part) :]
+                self.setLineMode()
+                if not self.chunks:
+                    self.finish()
+
+    def finish(self) -> None:
+        """The answer is whole."""
+        reader, self.reader = self.reader, None
+        status, headers, body = self.status, self.headers, bytes(self.body)
+        # Bytes past the answer, or before the call was written, are not for the next call to read.
+        strays = self._buffer or not self.written
+        self.reset()
+        if strays or b"close" in headers.get(b"connection", b"").lower():
+            self.closed = True
+            self.transport.loseConnection()
+        else:
+            self.free(self)
+        if reader:
+            reader.answered(status, headers, body)
+
+    def garble(self) -> None:
+        reader = self.reader
+        self.drop()
+        if reader:
+            reader.unanswered(True, True)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        self.garble()
+
+    def connectionLost(self, reason: Failure = ConnectionClosed) -> None:  # type: ignore[assignment]  # noqa: N802
+        self.closed = True
+        reader, self.reader = self.reader, None
+        if reader and self.status >= 200:  # what the first line said holds, however the rest was cut
+            reader.answered(self.status, self.headers, bytes(self.body) if self.left is None else b"")
+        elif reader:
+            reader.unanswered(self.written, False)
+        self.gone(self)
+
+
+def open_line(reactor: PosixReactorBase, dial: str, most_body: int, time_out: float) -> Deferred[HttpLine]:
+    host, _, port = dial.rpartition(":")
+    endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=time_out)
+    opening: Deferred[HttpLine] = endpoint.connect(Factory.forProtocol(lambda: HttpLine(most_body)))  # type: ignore
+    return opening
--- /dev/null
+++ b/laureldock/net/receivers.py
@@ -0,0 +1,226 @@
+"""Receivers: connects and probes over kept connections, a pool for each route."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from twisted.internet.base import DelayedCall
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from laureldock.interface import Connect, Listed, Outcome, Probe, Route
+from laureldock.net.ends import OUTCOMES, STATUSES, End
+from laureldock.net.http import Headers, HttpLine, open_line
+
+if TYPE_CHECKING:
+    from laureldock.net.dispatcher import Dispatcher, Letter
+
+MOST_BODY = 65536  # the protocol's figure for a body
+
+
+class Pool:
+    """The connections to one route."""
+
+    def __init__(self, route: Route, dial: str) -> None:
+        self.route, self.dial = route, dial
+        self.idle: list[tuple[float, HttpLine]] = []  # since when, the longest first
+
+    def hang_up(self, before: float) -> None:
+        """Close what has been idle since before then."""
+        while self.idle and self.idle[0][0] <= before:
+            self.idle.pop(0)[1].drop()
+
+    def free(self, line: HttpLine) -> None:
+        if self.route.listed is Listed.UP:
+            self.idle.append((time.monotonic(), line))
+        else:
+            line.drop()
+
+    def gone(self, line: HttpLine) -> None:
+        self.idle = [(since, other) for since, other in self.idle if other is not line]
+
+
+class Receivers:
+    def __init__(self, dispatcher: Dispatcher, most_sockets: int) -> None:
+        self.dispatcher, self.most_sockets = dispatcher, most_sockets
+        self.pools: dict[Route, Pool] = {}
+        self.out: dict[Connect, Errand] = {}
+        self.sockets = 0
+
+    def listed(self, route: Route, dial: str) -> None:
+        pool = self.pools.setdefault(route, Pool(route, dial))
+        if route.listed is not Listed.UP or pool.dial != dial:
+            pool.hang_up(time.monotonic())
+        pool.dial = dial
+
+    def forget(self) -> None:
+        for route, pool in list(self.pools.items()):
+            if route.listed is Listed.REMOVED:
+                pool.hang_up(time.monotonic())
+                del self.pools[route]
+
+    def connect(self, connect: Connect, letter: Letter) -> None:
+        head = [b"POST /hook HTTP/1.1", b"X-Call-Id: " + letter.name]
+        head += [b"Idempotency-Key: " + letter.tag] if letter.tag else []
+        head += [b"X-Budget: %dm" % max(1, connect.time_out * 1000), b"Content-Length: %d" % len(letter.body)]
+
+        def may_begin() -> bool:
+            return self.dispatcher.may_begin(connect, letter)
+
+        def ended(end: End, outcome: Outcome) -> None:
+            del self.out[connect]
+            self.dispatcher.ended(connect, letter, end, outcome)
+
+        pool = self.pools[connect.route]
+        self.out[connect] = Errand(self, pool, head, letter.body, connect.time_out, may_begin, ended)
+        self.out[connect].start()
+
+    def cancel(self, connect: Connect) -> None:
+        if connect in self.out:
+            self.out[connect].stop(End.CALLED_OFF)
+
+    def probe(self, probe: Probe) -> None:
+        head, route = [b"GET /alive HTTP/1.1"], probe.route
+
+        def ended(end: End, outcome: Outcome) -> None:
+            self.dispatcher.probed(route, outcome)
+
+        def may_begin() -> bool:
+            return route.listed is Listed.UP
+
+        if route in self.pools:
+            Errand(self, self.pools[route], head, b"", probe.time_out, may_begin, ended).start()
+
+    def hang_up(self, route: Route) -> None:
+        if route in self.pools:
+            self.pools[route].hang_up(time.monotonic())
+
+    def take(self, pool: Pool) -> HttpLine | None:
+        """A kept connection that its receiver has surely not closed yet."""
+        # In the time for which one may take to come up, a call gets there too.
+        tariff = self.dispatcher.book.tariff
+        pool.hang_up(time.monotonic() - (tariff.idle_time - tariff.connect_time))
+        return pool.idle.pop()[1] if pool.idle else None
+
+    def spare(self) -> None:
+        """Room for one more connection: of all that are idle, the longest gives way."""
+        while self.sockets >= self.most_sockets:
+            pools = [pool for pool in self.pools.values() if pool.idle]
+            if not pools:
+                return
+            pool = min(pools, key=lambda each: each.idle[0][0])
+            pool.hang_up(pool.idle[0][0])
+
+    def close(self) -> None:
+        for pool in self.pools.values():
+            pool.hang_up(time.monotonic())
+
+
+class Errand:
+    """One connect or probe on the wire, from its start to its one end."""
+
+    def __init__(
+        self,
+        receivers: Receivers,
+        pool: Pool,
+        head: list[bytes],
+        body: bytes,
+        time_out: float,
+        may_begin: Callable[[], bool],
+        ended: Callable[[End, Outcome], None],
+    ) -> None:
+        self.receivers, self.pool, self.head, self.body = receivers, pool, head, body
+        self.time_out, self.may_begin, self.ended = time_out, may_begin, ended
+        self.began, self.over = time.monotonic(), False
+        self.line: HttpLine | None = None
+        self.opening: Deferred[HttpLine] | None = None
+        self.timer: DelayedCall | None = None
+
+    def start(self) -> None:
+        dispatcher = self.receivers.dispatcher
+        self.timer = dispatcher.later(self.time_out, self.stop, End.SILENT)
+        line = self.receivers.take(self.pool)
+        if line:
+            self.go(line)
+            return
+        self.receivers.spare()
+        self.receivers.sockets += 1
+        dispatcher.counters["connections opened"] += 1
+        patience = dispatcher.book.tariff.connect_time
+        self.opening = open_line(dispatcher.reactor, self.pool.dial, MOST_BODY, patience)
+        self.opening.addCallbacks(self.opened, self.failed)
+
+    def opened(self, line: HttpLine) -> None:
+        self.opening = None
+        line.free, line.gone = self.pool.free, self.gone
+        self.go(line)
+
+    def gone(self, line: HttpLine) -> None:
+        self.receivers.sockets -= 1
+        self.pool.gone(line)
+
+    def failed(self, failure: Failure) -> None:
+        self.receivers.sockets -= 1
+        if not failure.check(CancelledError):
+            self.finish(End.UNREACHED)
+
+    def go(self, line: HttpLine) -> None:
+        if self.over or not self.may_begin():
+            self.pool.free(line)
+            self.finish(End.HELD_BACK)
+            return
+        self.line = line
+        line.ask([*self.head, b"Host: " + self.pool.dial.encode()], self.body, self)
+
+    def stop(self, end: End) -> None:
+        """Not waited for any more; what was not written whole has not run."""
+        if self.over:
+            return
+        if self.opening:
+            self.opening.cancel()
+        status, written = (self.line.status, self.line.written) if self.line else (0, False)
+        if self.line:
+            self.line.drop()
+        self.finish(STATUSES.get(status, end) if written else End.UNREACHED)
+
+    def answered(self, status: int, headers: Headers, body: bytes) -> None:
+        end = STATUSES.get(status, End.STRANGE)
+        if end is End.TURNED_AWAY and headers.get(b"x-over-slots") == b"1":
+            end = End.NO_SLOT
+        self.finish(end, headers)
+
+    def unanswered(self, written: bool, garbled: bool) -> None:
+        self.finish(End.GARBLED if garbled else End.BROKEN if written else End.UNREACHED)
+
+    def finish(self, end: End, headers: Headers | None = None) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        headers = headers or {}
+        told = report(headers.get(b"x-load-report", b""))
+        wait = number(headers.get(b"x-ratelimit-wait-ms", b"")) if end is End.TOLD_TO_WAIT else None
+        ending, finished = OUTCOMES[end]
+        took = time.monotonic() - self.began
+        self.ended(
+            end,
+            Outcome(ending, took, finished, (wait or 0.0) / 1000, told.get("x1"), told.get("x0", 1.0)),
+        )
+
+
+def number(text: bytes) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e9 else None
+
+
+def report(text: bytes) -> dict[str, float]:
+    """The names and values of a load report; what cannot be read is left out."""
+    pairs = (part.partition(b"=") for part in text.split(b",") if part)
+    read = ((name.strip().decode("latin-1"), number(value)) for name, _, value in pairs)
+    return {name: value for name, value in read if value is not None}
--- /dev/null
+++ b/laureldock/net/spool.py
@@ -0,0 +1,174 @@
+"""What was taken on and is still owed, in files that outlive the process.
+
+One file of records, appended to: a length, a checksum, a line of JSON and, for a mail, its body. Before it is
+full it is written anew with only what is still owed. What was written outlives a kill; no sync is needed.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from struct import Struct
+from typing import Any
+
+HEAD = Struct(">II")
+BLOCK = 512  # in which the folder's limit is counted
+
+
+@dataclass(eq=False, slots=True)
+class Owed:
+    """A mail as the spool knows it. Times are of the wall clock, which goes on between two lives."""
+
+    name: bytes
+    key: str | None
+    queue_class: str
+    customer: str
+    tag: bytes
+    destination: Any
+    end: float
+    body: bytes
+    connects: int = 0
+    ran: float | None = None  # when the first connect that may have run was sent
+    out: float | None = None  # when the last one was sent, unless it is known not to have run
+    notice: bytes = b""  # its end, not answered yet
+    room: int = 0  # bytes set apart for it
+
+    def record(self) -> bytes:
+        fields = [self.key, self.queue_class, self.customer, self.tag.decode(), self.destination, self.end]
+        return pack(["mail", self.name.decode(), *fields, self.connects, self.ran, self.out], self.body)
+
+
+def pack(fields: list[Any], body: bytes = b"") -> bytes:
+    data = json.dumps(fields, separators=(",", ":")).encode() + b"\n" + body
+    return HEAD.pack(len(data), zlib.crc32(data)) + data
+
+
+def records(data: bytes) -> Iterator[tuple[int, list[Any], bytes]]:
+    """Each whole record with the place where it ends; a torn one ends them."""
+    place = 0
+    while place + HEAD.size <= len(data):
+        size, check = HEAD.unpack_from(data, place)
+        place += HEAD.size + size
+        text = data[place - size : place]
+        if len(text) < size or zlib.crc32(text) != check:
+            return
+        line, _, body = text.partition(b"\n")
+        yield place, json.loads(line), body
+
+
+class Spool:
+    def __init__(self, folder: Path, disk: float) -> None:
+        self.path, self.fresh = folder / "spool", folder / "spool.new"
+        # Two files stand side by side while one is written anew: a third of the room for what is owed, two
+        # for the file that grows; one block of each is lost to the way of counting.
+        self.most_owed = int(disk / 3) - 2 * BLOCK
+        self.most = 2 * self.most_owed
+        self.owed: dict[bytes, Owed] = {}
+        self.room = 0
+        self.fresh.unlink(missing_ok=True)
+        data = self.path.read_bytes() if self.path.exists() else b""
+        self.size = 0
+        for place, fields, body in records(data):
+            self.size = place
+            self.replay(fields, body)
+        self.torn = len(data) - self.size
+        self.file = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
+        os.ftruncate(self.file, self.size)
+        os.lseek(self.file, 0, os.SEEK_END)
+
+    def replay(self, fields: list[Any], body: bytes) -> None:
+        sort, name, *rest = fields
+        name = name.encode()
+        if sort == "mail":
+            key, queue_class, customer, tag, destination, end, connects, ran, out = rest
+            tag = tag.encode()
+            mail = Owed(name, key, queue_class, customer, tag, destination, end, body, connects, ran, out)
+            self.add(mail, len(mail.record()))
+        elif name in self.owed:
+            self.apply(sort, self.owed[name], rest)
+
+    def add(self, mail: Owed, size: int) -> None:
+        # Besides the mail: its notice, and the record that it is over.
+        mail.room = size + 8 * len(mail.name) + 256
+        self.room += mail.room
+        self.owed[mail.name] = mail
+
+    def apply(self, sort: str, mail: Owed, rest: list[Any]) -> None:
+        match sort:
+            case "out":
+                if mail.ran is None:
+                    mail.ran = mail.out
+                mail.connects, mail.out = mail.connects + 1, rest[0]
+            case "back":
+                mail.out = None
+            case "notice":
+                mail.notice = rest[0].encode()
+            case "over":
+                self.room -= mail.room
+                del self.owed[mail.name]
+
+    def take(self, mail: Owed) -> bool:
+        """Whether there was room for it."""
+        record = mail.record()
+        if self.room + len(record) + 8 * len(mail.name) + 256 > self.most_owed:
+            return False
+        try:
+            self.write(record)
+        except OSError:
+            return False
+        self.add(mail, len(record))
+        return True
+
+    def out(self, name: bytes, at: float) -> None:
+        self.tell("out", name, at)
+
+    def back(self, name: bytes) -> None:
+        """Its last connect has not run."""
+        self.tell("back", name)
+
+    def notice(self, name: bytes, line: bytes) -> None:
+        self.tell("notice", name, line.decode())
+
+    def over(self, name: bytes) -> None:
+        self.tell("over", name)
+
+    def tell(self, sort: str, name: bytes, *rest: Any) -> None:
+        if name in self.owed:
+            self.write(pack([sort, name.decode(), *rest]))
+            self.apply(sort, self.owed[name], list(rest))
+
+    def write(self, record: bytes) -> None:
+        if self.size + len(record) > self.most:
+            self.renew()
+        done = os.write(self.file, record)
+        if done < len(record):
+            os.ftruncate(self.file, self.size)
+            os.lseek(self.file, self.size, os.SEEK_SET)
+            raise OSError("the spool's disk is full")
+        self.size += done
+
+    def renew(self) -> None:
+        parts = []
+        for mail in self.owed.values():
+            parts.append(mail.record())
+            if mail.notice:
+                parts.append(pack(["notice", mail.name.decode(), mail.notice.decode()]))
+        data = b"".join(parts)
+        file = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            if os.write(file, data) < len(data):
+                raise OSError("the spool's disk is full")
+            os.rename(self.fresh, self.path)
+        except OSError:
+            os.close(file)
+            self.fresh.unlink(missing_ok=True)
+            raise
+        os.close(self.file)
+        self.file, self.size = file, len(data)
+
+    def close(self) -> None:
+        os.close(self.file)
