One turn for all that has come in; a stop hands back what waits; doubt kept in the spool

Seen by reading: an event's turn ran before the other answers of the same poll were read, so that after a stall calls that had been answered would count as silent; timers ran before sockets. A connect that found no connection cleared the spool's word that an earlier one may have run (letter.noted now says which is meant).

--- a/laureldock/__main__.py
+++ b/laureldock/__main__.py
@@ -29,6 +29,12 @@
     def seconds(self) -> float:
         return time.monotonic()
 
+    def runUntilCurrent(self) -> None:  # noqa: N802
+        """After a stall, what has come in is read before any timer says that it has not come."""
+        if self.running:
+            self.doIteration(0)
+        super().runUntilCurrent()
+
 
 def place(environ: Mapping[str, str]) -> Place:
     """What the environment and the file that it names tell; ValueError in plain words if they don't."""
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -101,6 +101,7 @@
         self.keep, self.idle = max(0.5, 30.0 / tariff.instances), deque[tuple[float, Lane]]()
         self.held, self.ask_pause, self.ticking, self.close_at = 0, 0.0, False, inf
         self.effects: list[face.Effect] = []
+        self.most_ask_pause = 0.5 if tariff.near_list else 8.0  # one near by costs nothing to ask
         if tariff.must_ask:
             self.timer(now, "ask")
 
@@ -119,7 +120,7 @@
 
     def list_failed(self, now: float) -> None:
         # Doubled from half a second, since a list that turns calls away is short of room; spread by a draw.
-        self.ask_pause = min(8.0, max(0.5, self.ask_pause * 2))
+        self.ask_pause = min(self.most_ask_pause, max(0.5, self.ask_pause * 2))
         self.effects.append(face.Timer(self.ask_pause * (0.75 + 0.5 * self.chance()), "ask"))
 
     def taken(self, now: float, mail: Mail) -> None:
@@ -138,7 +139,7 @@
         if kind.in_order and mail.key is not None:
             case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
             case.turns.cases.append(case)
-        if case.doubt and not self.may_go(now, case):
+        if case.connects and not self.may_go(now, case):
             self.step(now, case, Step.SPENT)
         elif case.turns:
             self.wake(now, case.turns)
@@ -201,7 +202,7 @@
         return max(lane.until, lane.line.until) <= now and connect.route.listed is face.Listed.UP
 
     def closing(self, now: float, left: float) -> None:
-        self.close_at = now + left / 2  # what is sent until then has as long again to end
+        self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
 
     def turn(self, now: float) -> list[face.Effect]:
         self.overdue(now)
@@ -211,7 +212,7 @@
                 self.effects.append(face.HangUp(lane.route))
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
-        while self.ends and self.ends[0][0] <= now + self.tick:  # to be answered before it is too late
+        while self.ends and (now >= self.close_at or self.ends[0][0] <= now + self.tick):
             case = heapq.heappop(self.ends)[2]
             if case.stage is Stage.LINE:
                 self.step(now, case, Step.SPENT)
@@ -366,7 +367,7 @@
         self.waiters(case).append(case)
 
     def answer(self, now: float, case: Case) -> None:
-        wait = max(0.0, min(self.most_retry_after, case.end - now))
+        wait = max(0.0, min(self.most_retry_after, case.end - now)) if now < self.close_at else 0.0
         final = case.doubt and case.single
         self.effects.append(face.Bounce(case.mail) if final else face.Defer(case.mail, wait))
         case.out += self.notices  # it is not over before its notice is
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -95,6 +95,7 @@
     may_probe: bool
     may_copy: bool
     must_ask: bool
+    near_list: bool  # it answers at no cost
     notices: bool  # a mail deferred or bounced is over only once its notice is answered
     over_quota: float
     most_retry_after: float
--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -131,7 +131,10 @@
         order = None if not key.strip(b"0") else key.decode()
         left, destination = int(told) / 1000, int(fields[b"dest"])
         owed = Owed(name, order, *names, tag, destination, time.time() + left, body)
-        self.answer(self.clients.dispatcher.put(self, owed, left) or b"+OK\r\n")
+        self.paused = True
+        answer = self.clients.dispatcher.put(self, owed, left)
+        if answer:
+            self.answer(answer)
 
     def answer(self, data: bytes) -> None:
         """What else has come waits until the answer has left; a close by the client is still seen."""
@@ -139,7 +142,8 @@
         Flush(self.transport, data, self.answered)
 
     def answered(self) -> None:
-        self.answering, self.pending = False, None
+        self.answering = False
+        self.pending = None
         if self.closing:
             self.transport.loseConnection()
         else:
@@ -155,7 +159,7 @@
     def finish(self) -> None:
         """Close between requests; one that has come whole is answered before."""
         self.closing = True
-        if not self.answering:
+        if not self.answering and not self.pending:
             self.transport.loseConnection()
 
 
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -30,6 +30,8 @@
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 DOOR_STAYS, ALL_OVER = 0.6, 3.3
 
+NOT_RUN = face.Ending.FULL, face.Ending.NO_CONNECTION, face.Ending.MOOT
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -56,6 +58,7 @@
     mail: face.Mail
     client: Client | None = None  # has not been told yet that it is taken on
     refusal: bytes = b""
+    noted: face.Connect | None = None  # the last connect that the spool says is out
 
 
 class Dispatcher:
@@ -75,9 +78,9 @@
         self.port: Port | None = None
         self.running, self.stopped_at = True, 0.0
         self.fault: str | None = None  # for which the process ends
-        self.events: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
-        self.busy = False
-        self.control = Control(self.book.tariff, time.monotonic())
+        self.fresh: list[Letter] = []  # taken since the last turn
+        self.turn_due = False
+        self.control = Control(self.book.tariff, self.now())
 
     # The life of the process
 
@@ -95,7 +98,7 @@
         if self.notices.owed:
             self.later(0.01, self.recover)
             return
-        now, clock = time.monotonic(), time.time()
+        clock = time.time()
         for owed in self.spool.owed.values():
             kind = self.book.classes.get(owed.queue_class)
             if kind is None:  # the settings have changed since
@@ -112,8 +115,7 @@
                 max(0.0, clock - min(starts)) if starts else None,
             )
             self.hold(Letter(owed.name, owed.tag, owed.body, mail))
-            self.control.taken(now, mail)
-        self.turn()
+            self.tell(self.control.taken, mail)
         self.open_door()
 
     def open_door(self) -> None:
@@ -130,7 +132,7 @@
     def stop(self) -> Deferred[None]:
         """A planned stop: still serve what comes, finish what is out, keep the rest for the next start."""
         self.log.info("stopping", out=len(self.receivers.out), held=len(self.letters))
-        self.stopped_at = time.monotonic()
+        self.stopped_at = self.now()
         self.tell(self.control.closing, ALL_OVER)
         done: Deferred[None] = Deferred()
         self.later(DOOR_STAYS, self.shut_door)
@@ -143,7 +145,7 @@
         self.clients.finish()
 
     def wind_up(self, done: Deferred[None]) -> None:
-        late = time.monotonic() - self.stopped_at > ALL_OVER
+        late = self.now() - self.stopped_at > ALL_OVER
         if not late and (self.receivers.out or self.notices.owed or self.clients.open):
             self.later(0.02, self.wind_up, done)
             return
@@ -157,24 +159,35 @@
     def later(self, after: float, call: Callable[..., None], *args: Any) -> DelayedCall:
         return self.reactor.callLater(max(0.0, after), call, *args)
 
-    # Events: calls of the decisions, then their effects
+    def now(self) -> float:
+        return self.reactor.seconds()
+
+    # Events: calls of the decisions; when all that has come in is read, one turn with its effects
 
     def tell(self, call: Callable[..., None], *args: Any) -> None:
-        """One event and its turn; one that comes up within a turn follows it."""
-        self.events.append((call, args))
-        if not self.busy:
-            self.busy = True
-            try:
-                while self.events:
-                    event, given = self.events.popleft()
-                    event(time.monotonic(), *given)
-                    self.turn()
-            finally:
-                self.busy = False
+        self.guard(call, self.now(), *args)
+        if not self.turn_due:
+            self.turn_due = True
+            self.later(0, self.turn)
 
     def turn(self) -> None:
-        for effect in self.control.turn(time.monotonic()):
-            self.carry_out(effect)
+        self.turn_due = False
+        for effect in self.guard(self.control.turn, self.now()) or ():
+            self.guard(self.carry_out, effect)
+        fresh, self.fresh = self.fresh, []
+        for letter in fresh:
+            if letter.client:
+                client, letter.client = letter.client, None
+                client.answer(letter.refusal or b"+OK\r\n")
+
+    def guard(self, call: Callable[..., Any], *args: Any) -> Any:
+        """A fault ends what it was about, not the process."""
+        try:
+            return call(*args)
+        except Exception:
+            self.counters["faults"] += 1
+            self.log.exception("fault", call=call.__qualname__)
+        return None
 
     def carry_out(self, effect: face.Effect) -> None:
         match effect:
@@ -205,31 +218,29 @@
     # Clients
 
     def put(self, client: Client, owed: Owed, left: float) -> bytes:
-        """Take a mail on; what is given back is the refusal, if any."""
+        """Take a mail on: its client is answered after the turn, or now with what is given back."""
         kind = self.book.classes.get(owed.queue_class)
         if kind is None:
             raise MalformedError("unknown class")
-        if owed.name in self.by_name:
-            return b""
+        if owed.name in self.by_name:  # sent once more, since a close had crossed it
+            return b"+OK\r\n"
         if not self.spool.take(owed):
             self.counters["spool full"] += 1
             return b"-BUSY\r\n"
         customer = self.book.customers.get(owed.customer)
         mail = face.Mail(kind, self.book.destination(owed.destination), left, customer, owed.key)
-        letter = Letter(owed.name, owed.tag, owed.body, mail, client)
+        client.pending = letter = Letter(owed.name, owed.tag, owed.body, mail, client)
         self.hold(letter)
-        client.pending = letter
+        self.fresh.append(letter)
         self.counters["taken"] += 1
         self.tell(self.control.taken, mail)
-        letter.client = None
-        if letter.refusal:
-            client.pending = None
-        return letter.refusal
+        return b""
 
     def withdrawn(self, letter: Letter) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
         if letter.name in self.by_name:
             self.counters["withdrawn"] += 1
+            letter.client = None
             self.tell(self.control.withdrawn, letter.mail)
             self.forget(letter)
 
@@ -284,8 +295,9 @@
 
     def may_begin(self, connect: face.Connect, letter: Letter) -> bool:
         """Asked when the connection is up: what was told meanwhile may forbid it; and the spool must know."""
-        if letter.name not in self.by_name or not self.control.may_begin(time.monotonic(), connect):
+        if letter.name not in self.by_name or not self.control.may_begin(self.now(), connect):
             return False
+        letter.noted = connect
         return self.keep(self.spool.out, letter.name, time.time())
 
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
@@ -293,7 +305,7 @@
         if outcome.finished:
             self.counters["relayed"] += end is End.DELIVERED
             self.forget(letter)
-        elif outcome.ending in (face.Ending.FULL, face.Ending.NO_CONNECTION, face.Ending.MOOT):
+        elif letter.noted is connect and outcome.ending in NOT_RUN:
             self.keep(self.spool.back, letter.name)
         self.tell(self.control.ended, connect, outcome)
 
@@ -303,11 +315,11 @@
     # The list
 
     def news(self, hosts: list[tuple[Entry, str]], whole: bool) -> None:
-        known = dict(self.book.routes)
+        up = [route for route in self.book.routes.values() if route.listed is face.Listed.UP]
         routes = self.book.listed([entry for entry, _ in hosts], whole)
         for route, (_, dial) in zip(routes, hosts, strict=True):
             self.receivers.listed(route, dial)
-        drained = [name for name, route in known.items() if route.listed is not face.Listed.UP]
+        drained = [route.name for route in up if route.listed is not face.Listed.UP]
         if drained:
             self.log.info("drained or gone", routes=drained)
         self.receivers.forget()
--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -17,7 +17,7 @@
 
 from laureldock.net.flush import Flush
 
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: .*)?")
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: .*)?")
 Headers = dict[bytes, bytes]
 
 
@@ -51,6 +51,7 @@
 
     def reset(self) -> None:
         self.status, self.headers, self.body = 0, Headers(), bytearray()
+        self.kept = True  # the other side keeps connections
         self.left: int | None = 0  # bytes of the body, or of its chunk, still to come; None: up to the close
         self.chunks, self.trailers, self.lines = False, False, 0
 
@@ -62,10 +63,12 @@
         self.written = True
 
     def drop(self) -> None:
-        """Close it at once; nobody is told."""
-        self.reader = None
-        self.closed = True
-        self.transport.abortConnection()
+        """Close it, and give up what is out on it; nobody is told."""
+        idle, self.reader, self.closed = self.reader is None, None, True
+        if idle:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if self.reader is None or self.closed:
@@ -79,7 +82,7 @@
             found = STATUS_LINE.fullmatch(line)
             if not found:
                 return self.garble()
-            self.status = int(found[1])
+            self.status, self.kept = int(found[2]), found[1] == b"1"
         elif line:
             name, colon, value = line.partition(b":")
             self.lines += 1
@@ -137,7 +140,7 @@
         reader, self.reader = self.reader, None
         status, headers, body = self.status, self.headers, bytes(self.body)
         # Bytes past the answer, or before the call was written, are not for the next call to read.
-        strays = self._buffer or not self.written
+        strays = self._buffer or not self.written or not self.kept
         self.reset()
         if strays or b"close" in headers.get(b"connection", b"").lower():
             self.closed = True
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from twisted.internet.base import DelayedCall
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from laureldock.interface import Connect, Listed, Outcome, Probe, Route
+from laureldock.interface import Connect, Ending, Listed, Outcome, Probe, Route
 from laureldock.net.ends import OUTCOMES, STATUSES, End
 from laureldock.net.http import Headers, HttpLine, open_line
 
@@ -23,18 +22,18 @@
 class Pool:
     """The connections to one route."""
 
-    def __init__(self, route: Route, dial: str) -> None:
-        self.route, self.dial = route, dial
+    def __init__(self, route: Route, dial: str, now: Callable[[], float]) -> None:
+        self.route, self.dial, self.now = route, dial, now
         self.idle: list[tuple[float, HttpLine]] = []  # since when, the longest first
 
-    def hang_up(self, before: float) -> None:
-        """Close what has been idle since before then."""
-        while self.idle and self.idle[0][0] <= before:
+    def hang_up(self, idle_for: float = 0.0) -> None:
+        """Close what has been idle for so long."""
+        while self.idle and self.idle[0][0] <= self.now() - idle_for:
             self.idle.pop(0)[1].drop()
 
     def free(self, line: HttpLine) -> None:
         if self.route.listed is Listed.UP:
-            self.idle.append((time.monotonic(), line))
+            self.idle.append((self.now(), line))
         else:
             line.drop()
 
@@ -50,15 +49,15 @@
         self.sockets = 0
 
     def listed(self, route: Route, dial: str) -> None:
-        pool = self.pools.setdefault(route, Pool(route, dial))
+        pool = self.pools.setdefault(route, Pool(route, dial, self.dispatcher.now))
         if route.listed is not Listed.UP or pool.dial != dial:
-            pool.hang_up(time.monotonic())
+            pool.hang_up()
         pool.dial = dial
 
     def forget(self) -> None:
         for route, pool in list(self.pools.items()):
             if route.listed is Listed.REMOVED:
-                pool.hang_up(time.monotonic())
+                pool.hang_up()
                 del self.pools[route]
 
     def connect(self, connect: Connect, letter: Letter) -> None:
@@ -95,13 +94,13 @@
 
     def hang_up(self, route: Route) -> None:
         if route in self.pools:
-            self.pools[route].hang_up(time.monotonic())
+            self.pools[route].hang_up()
 
     def take(self, pool: Pool) -> HttpLine | None:
         """A kept connection that its receiver has surely not closed yet."""
         # In the time for which one may take to come up, a call gets there too.
         tariff = self.dispatcher.book.tariff
-        pool.hang_up(time.monotonic() - (tariff.idle_time - tariff.connect_time))
+        pool.hang_up(tariff.idle_time - tariff.connect_time)
         return pool.idle.pop()[1] if pool.idle else None
 
     def spare(self) -> None:
@@ -111,11 +110,11 @@
             if not pools:
                 return
             pool = min(pools, key=lambda each: each.idle[0][0])
-            pool.hang_up(pool.idle[0][0])
+            pool.idle.pop(0)[1].drop()
 
     def close(self) -> None:
         for pool in self.pools.values():
-            pool.hang_up(time.monotonic())
+            pool.hang_up()
 
 
 class Errand:
@@ -133,7 +132,7 @@
     ) -> None:
         self.receivers, self.pool, self.head, self.body = receivers, pool, head, body
         self.time_out, self.may_begin, self.ended = time_out, may_begin, ended
-        self.began, self.over = time.monotonic(), False
+        self.began, self.over = receivers.dispatcher.now(), False
         self.line: HttpLine | None = None
         self.opening: Deferred[HttpLine] | None = None
         self.timer: DelayedCall | None = None
@@ -155,7 +154,7 @@
     def opened(self, line: HttpLine) -> None:
         self.opening = None
         line.free, line.gone = self.pool.free, self.gone
-        self.go(line)
+        self.receivers.dispatcher.later(0, self.go, line)  # when all that has come in is read
 
     def gone(self, line: HttpLine) -> None:
         self.receivers.sockets -= 1
@@ -163,10 +162,12 @@
 
     def failed(self, failure: Failure) -> None:
         self.receivers.sockets -= 1
-        if not failure.check(CancelledError):
-            self.finish(End.UNREACHED)
+        self.finish(End.UNREACHED)
 
     def go(self, line: HttpLine) -> None:
+        if line.closed:
+            self.finish(End.UNREACHED)
+            return
         if self.over or not self.may_begin():
             self.pool.free(line)
             self.finish(End.HELD_BACK)
@@ -201,10 +202,10 @@
         if self.timer and self.timer.active():
             self.timer.cancel()
         headers = headers or {}
-        told = report(headers.get(b"x-load-report", b""))
-        wait = number(headers.get(b"x-ratelimit-wait-ms", b"")) if end is End.TOLD_TO_WAIT else None
         ending, finished = OUTCOMES[end]
-        took = time.monotonic() - self.began
+        told = report(headers.get(b"x-load-report", b""))
+        wait = number(headers.get(b"x-ratelimit-wait-ms", b"")) if ending is Ending.FULL else None
+        took = self.receivers.dispatcher.now() - self.began
         self.ended(
             end,
             Outcome(ending, took, finished, (wait or 0.0) / 1000, told.get("x1"), told.get("x0", 1.0)),
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -50,6 +50,7 @@
         may_probe=bool(limits.get("probes")),
         may_copy=bool(limits.get("second_copies")),
         must_ask=sockets or profile.get("discovery") == "subscribe",
+        near_list=sockets,
         notices=sockets,
         over_quota=float(profile.get("over_share_worth") or 0),
         most_retry_after=seconds(limits.get("max_retry_after_ns")) if limits.get("retry_after") else 0.0,
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -13,7 +13,7 @@
 TARIFF = face.Tariff(
     seed=7, instances=2, slots=8, room=40, most_connects=4, may_cancel=True, may_probe=False, may_copy=False,
     must_ask=False, over_quota=0.2, most_retry_after=3.0, key_rest=0.3, start_capacity=0.2, tip_multiple=2.0,
-    fall_time=3.0, warm_time=10.0, rates="nominal", notices=False,
+    fall_time=3.0, warm_time=10.0, rates="nominal", near_list=False, notices=False,
 )  # fmt: skip
 SORTS = {
     "redeliverable": face.QueueClass(Rerun.REDELIVERABLE, 1, 2, 10, 0.5, False),
