Traces of the whole dispatcher among peers that are not real; notices sent again sooner

Read in the traces: an unanswered notice was sent again only after two seconds, while a mail's end may be 0.3 s late; retry_in_ms 0 was sent where a wait rounds to nothing.

--- a/laureldock/net/notices.py
+++ b/laureldock/net/notices.py
@@ -14,14 +14,16 @@
     from laureldock.net.dispatcher import Dispatcher
 
 MOST_BODY = 65536  # the protocol's figure for a body
+# The protocol has them answered at once, and lets a mail's end be 0.3 s late: twice and again fit into that.
+PATIENCE, PAUSE = 0.1, 0.05
 
 
 def line_of(name: bytes, handed_back: bool, retry_after: float) -> bytes:
     fields: dict[str, object] = {"message": name.decode("ascii"), "outcome": "given_up"}
     if handed_back:
         fields["outcome"] = "handed_back"
-        if retry_after > 0:
-            fields["retry_in_ms"] = round(retry_after * 1000)
+        if wait := round(retry_after * 1000):
+            fields["retry_in_ms"] = wait
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
@@ -30,7 +32,7 @@
         self.dispatcher, self.dial = dispatcher, dial
         self.owed: dict[bytes, bytes] = {}  # by mail, in the order of their ends
         self.sent: list[bytes] = []  # those in the call that is out
-        self.busy = False
+        self.busy = self.failing = False
         self.line: HttpLine | None = None
         self.timer: DelayedCall | None = None
 
@@ -48,14 +50,12 @@
             if size > MOST_BODY:
                 break
             self.sent.append(name)
-        # As long as a connection may take to come up; the same pause before it is sent again.
-        patience = self.dispatcher.book.tariff.connect_time
-        self.timer = self.dispatcher.later(patience, self.fail)
+        self.timer = self.dispatcher.later(PATIENCE, self.fail)
         if self.line and not self.line.closed:
             self.send(self.line)
         else:
             self.line = None
-            opening = open_line(self.dispatcher.reactor, self.dial, MOST_BODY, patience)
+            opening = open_line(self.dispatcher.reactor, self.dial, MOST_BODY, PATIENCE)
             opening.addCallbacks(self.opened, self.unopened)
 
     def opened(self, line: HttpLine) -> None:
@@ -80,8 +80,10 @@
 
     def answered(self, status: int, headers: Headers, body: bytes) -> None:
         if status != 204:
-            self.dispatcher.log.warning("notices not taken", status=status, waiting=len(self.owed))
             return self.fail()
+        if self.failing:
+            self.dispatcher.log.info("notices taken again", waiting=len(self.owed))
+        self.failing = False
         self.settle()
         done, self.sent = self.sent, []
         for name in done:
@@ -101,12 +103,14 @@
         """Send it again: at once where only a kept connection had broken, else after a pause."""
         if self.busy:
             self.settle()
+            if not self.failing:
+                self.dispatcher.log.warning("notices not taken", waiting=len(self.owed))
+            self.failing = True
             reused = self.line is not None and self.line.used > 1
             if self.line:
                 self.line.drop()
                 self.line = None
-            pause = 0.0 if again and reused else self.dispatcher.book.tariff.connect_time
-            self.dispatcher.later(pause, self.post)
+            self.dispatcher.later(0.0 if again and reused else PAUSE, self.post)
 
     def close(self) -> None:
         self.settle()
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -1,14 +1,21 @@
-"""Drives a `Control` by hand and prints what it decides, one line a decision."""
+"""Drives the decisions (`Dock`) or the whole dispatcher (`Quay`) by hand and prints what they do."""
 
 from __future__ import annotations
 
 import dataclasses
+import json
+import re
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
 from laureldock import interface as face
 from laureldock.control import Control
 from laureldock.interface import Ending, Rerun
+from laureldock.net.dispatcher import Dispatcher, Place
 
 TARIFF = face.Tariff(
     seed=7, instances=2, slots=8, room=40, most_connects=4, may_cancel=True, may_probe=False, may_copy=False,
@@ -24,16 +31,32 @@
 }
 
 
-class Dock:
-    def __init__(self, **changes: Any) -> None:
+class Trace:
+    def __init__(self) -> None:
         self.now = 100.0
+        self.lines: list[str] = []
+
+    def say(self, text: str) -> None:
+        self.lines.append(f"{self.now - 100:6.2f} {text}")
+
+    def same_as(self, name: str) -> bool:
+        """Whether the trace is the one that is kept; shows where it is not."""
+        path = Path(__file__).parent / "traces" / f"{name}.txt"
+        kept = path.read_text().splitlines() if path.exists() else []
+        if kept != self.lines:
+            print("\n".join(["decided now:", *self.lines, "kept:", *kept]))
+        return kept == self.lines
+
+
+class Dock(Trace):
+    def __init__(self, **changes: Any) -> None:
+        super().__init__()
         self.control = Control(dataclasses.replace(TARIFF, **changes), self.now)
         self.mails: dict[str, face.Mail] = {}
         self.names: dict[face.Mail, str] = {}
         self.out: dict[str, face.Connect] = {}
         self.destinations: dict[str, face.Destination] = {}
         self.routes: dict[str, face.Route] = {}
-        self.lines: list[str] = []
 
     def listed(
         self, *names: str, rate: float = 100.0, batch: int = 1, apart: bool = True, state: str = "up"
@@ -99,12 +122,162 @@
             self.now += 0.05
             self.turn()
 
-    def say(self, text: str) -> None:
-        self.lines.append(f"{self.now - 100:6.2f} {text}")
 
-    def same_as(self, name: str) -> bool:
-        """Whether the trace is the one that is kept; shows where it is not."""
-        kept = (Path(__file__).parent / "traces" / f"{name}.txt").read_text().splitlines()
-        if kept != self.lines:
-            print("\n".join(["decided now:", *self.lines, "kept:", *kept]))
-        return kept == self.lines
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": "news", "effect": "retryable", "points": 1, "aim_ns": 2e9, "deadline_ns": 9e9},
+        {"name": "order", "effect": "dedup", "points": 1, "aim_ns": 2e9, "deadline_ns": 9e9, "window_ns": 9e9,
+         "dedup_scope": "all", "in_order": True},
+        {"name": "charge", "effect": "fragile", "points": 5, "aim_ns": 2e9, "deadline_ns": 9e9},
+    ],
+    "kinds": ["any"], "n_instances": 1, "telemetry": {"fields": ["x0", "x1"], "via": "inline"},
+    "family_info": {"call_slots": 8, "batch_by_kind": [1], "routes_apart": [True], "fades": "linear"},
+    "limits": {"most_held": 40, "max_attempts": 4, "may_cancel": True, "connect_timeout_ns": 1e9,
+               "conn_idle_ns": 15e9, "retry_after": True, "max_retry_after_ns": 3e9},
+    "invariants": {"start_capacity": 0.3, "tip_multiple": 2, "fall_ns": 2e9, "warm_after_ns": 9e9,
+                   "key_rest_ns": 3e8},
+}  # fmt: skip
+
+
+class Pipe(StringTransport):
+    """A connection whose bytes leave at once, unless it is `stuck`."""
+
+    def __init__(self, name: str, protocol: Any) -> None:
+        super().__init__()
+        self.name, self.protocol, self.stuck, self.asked = name, protocol, False, False
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
+        super().registerProducer(producer, streaming)
+        producer.resumeProducing()
+        if not self.stuck:
+            producer.resumeProducing()
+
+    def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
+        """Bytes leave at once in any case."""
+
+
+class Quay(Trace):
+    """A dispatcher among clients, receivers, the list and notices, none of them real, on a clock set by hand.
+
+    Receivers are named by their ports; those of destination 7 are listed from the start.
+    """
+
+    def __init__(self, state: Path, monkeypatch: Any, disk: float = 1e6, routes: str = "1") -> None:
+        super().__init__()
+        self.reactor = MemoryReactorClock()
+        self.reactor.advance(100)
+        monkeypatch.setattr("time.time", lambda: 1e9 + self.reactor.seconds())
+        known = self.hosts(routes)
+        self.place = Place("n0", "127.0.0.1:1", "127.0.0.9:9", state, 7, 64, disk, known, SETTINGS)
+        self.down: set[str] = set()  # receivers that refuse connections
+        self.late: set[str] = set()  # those whose connections do not come up yet
+        self.takes_notices = True
+        self.start()
+
+    def start(self) -> None:
+        """A new life, with the folder that the one before left."""
+        self.reactor.tcpClients.clear()
+        self.pipes: list[Pipe] = []
+        self.dispatcher = Dispatcher(self.place, self.reactor)  # type: ignore[arg-type]
+        self.dispatcher.start()
+        self.flow()
+
+    @staticmethod
+    def hosts(names: str, health: str = "Ready", seq: int = 1, whole: bool = True) -> dict[str, Any]:
+        entry = {"site": "a", "class": "any", "block": 7, "share": 100.0, "health": health}
+        hosts = [{"host": f"r{name}", "dial": f"127.0.0.2:{name}", **entry} for name in names]
+        return {"seq": seq, "whole": whole, "hosts": hosts}
+
+    def flow(self) -> None:
+        """Connections come up or fail, bytes arrive and turns are taken, until nothing moves any more."""
+        for _ in range(6):
+            opens, self.reactor.tcpClients[:] = list(self.reactor.tcpClients), []
+            for each in opens:
+                host, port = each[0], str(each[1])
+                factory: Any = each[2]
+                if port in self.late:
+                    self.reactor.tcpClients.append(each)
+                elif port in self.down:
+                    self.say(f"{port}: no connection")
+                    factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+                else:
+                    self.join("list" if host == "127.0.0.9" else port, factory)
+            self.reactor.advance(0)
+            for pipe in list(self.pipes):
+                self.show(pipe)
+                if pipe.disconnecting and pipe in self.pipes:
+                    self.say(f"{pipe.name}: closed by the dispatcher")
+                    self.lose(pipe)
+
+    def join(self, name: str, factory: Any) -> Pipe:
+        pipe = Pipe(name, factory.buildProtocol(None))
+        self.pipes.append(pipe)
+        pipe.protocol.makeConnection(pipe)
+        return pipe
+
+    def lose(self, pipe: Pipe) -> None:
+        self.pipes.remove(pipe)
+        pipe.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def show(self, pipe: Pipe) -> None:
+        data = pipe.value()
+        pipe.clear()
+        if data.startswith(b"POST /v1/notices"):
+            pipe.name = "notices"
+        if data:
+            head, _, body = data.decode("latin-1").partition("\r\n\r\n")
+            asked = [line for line in head.split("\r\n") if not re.match("Host|Content-", line)]
+            self.say(f"-> {pipe.name}: " + " | ".join(part for part in [*asked, *body.split()] if part))
+            pipe.asked = True
+        if pipe.name == "notices" and pipe.asked and self.takes_notices:
+            pipe.asked = False
+            pipe.protocol.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    # What the others do
+
+    def client(self, name: str = "client") -> Pipe:
+        return self.join(name, self.dispatcher.clients)
+
+    def send(self, pipe: Pipe, data: bytes) -> None:
+        pipe.protocol.dataReceived(data)
+        self.flow()
+
+    def put(self, client: Pipe, name: str, sort: str = "news", key: str = "0", left: int = 9000) -> None:
+        self.send(client, self.command("MSG.PUT", key, name, f"c={sort},t=x,d={left},dest=7", "hello"))
+
+    @staticmethod
+    def command(*words: str) -> bytes:
+        parts = [b"$%d\r\n%s\r\n" % (len(word), word.encode()) for word in words]
+        return b"*%d\r\n" % len(words) + b"".join(parts)
+
+    def pipe(self, name: str) -> Pipe:
+        """The oldest of that name (or of these one-letter names) with a call that waits."""
+        found = next((pipe for pipe in self.pipes if pipe.name in (name, *name) and pipe.asked), None)
+        assert found, "\n".join([f"nothing waits at {name}", *self.lines])
+        return found
+
+    def answer(self, name: str, status: str, *headers: str, body: str = "") -> None:
+        pipe = self.pipe(name)
+        pipe.asked = False
+        self.say(f"{pipe.name}: " + " | ".join([status, *headers]))
+        lines = [f"HTTP/1.1 {status}", *headers, f"Content-Length: {len(body)}", "", body]
+        self.send(pipe, "\r\n".join(lines).encode())
+
+    def cut(self, name: str) -> None:
+        pipe = self.pipe(name)
+        self.say(f"{pipe.name}: connection broken")
+        self.lose(pipe)
+        self.flow()
+
+    def news(self, names: str, health: str, seq: int) -> None:
+        self.say(f"list: {names} {health}")
+        pipe = self.pipe("list")
+        pipe.asked = False
+        body = json.dumps(self.hosts(names, health, seq, whole=False))
+        self.send(pipe, f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    def after(self, wait: float) -> None:
+        for _ in range(round(wait / 0.05)):
+            self.now += 0.05
+            self.reactor.advance(self.now - self.reactor.seconds())
+            self.flow()
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,295 @@
+"""Short traces of the whole dispatcher, compared with those in `traces/`; none of its peers is real."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from dock import Quay
+
+from laureldock.net.spool import Owed, Spool
+
+Port = Callable[..., Quay]
+
+
+@pytest.fixture
+def port(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Port:
+    return lambda **changes: Quay(tmp_path, monkeypatch, **changes)
+
+
+def test_a_mail_is_taken_on_sent_and_over(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    quay.send(client, quay.command("PING"))
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.put(client, "m2")  # on the kept connection
+    quay.answer("1", "429 Too Many", "X-RateLimit-Wait-Ms: 400", "X-Load-Report: x0=0.4,x1=25")
+    quay.after(0.6)
+    quay.answer("1", "200 OK", "Connection: close")
+    assert not quay.dispatcher.spool.owed
+    assert quay.same_as("net-served")
+
+
+def test_every_end_of_a_connection(port: Port) -> None:
+    """Broken before the last byte: it has not run, and once-only goes again; after that it may have."""
+    quay = port(routes="12")
+    client = quay.client()
+    quay.down = {"1", "2"}
+    quay.put(client, "m1", "charge")
+    quay.down = set()
+    quay.after(2.0)
+    quay.answer("12", "503 Full")
+    quay.after(2.0)
+    quay.cut("12")
+    quay.after(0.2)
+    assert quay.same_as("net-ends")
+
+
+def test_what_was_not_written_whole_has_not_run(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.pipes[-1].stuck = True
+    quay.put(client, "m2", "charge")
+    quay.cut("1")
+    assert quay.dispatcher.spool.owed[b"m2"].out is None
+    quay.after(2.0)
+    quay.answer("1", "200 OK")
+    assert quay.same_as("net-unwritten")
+
+
+def test_a_connection_up_after_a_wait_or_drain_was_told_carries_nothing(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.late = {"1"}
+    quay.put(client, "m2")
+    quay.put(client, "m3")
+    quay.answer("1", "429 Too Many", "X-RateLimit-Wait-Ms: 300")
+    quay.late = set()
+    quay.after(0.5)
+    for _ in range(2):
+        quay.answer("1", "200 OK", "Connection: close")
+    quay.late = {"1"}
+    quay.put(client, "m4")
+    quay.news("1", "Terminating", 2)
+    quay.late = set()
+    quay.after(0.2)
+    assert quay.same_as("net-held-back")
+
+
+def test_a_notice_is_kept_until_it_is_answered_and_its_key_waits(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    quay.down, quay.takes_notices = {"1"}, False
+    quay.put(client, "m1", "order", key="k", left=400)
+    quay.put(client, "m2", "order", key="k")
+    quay.after(0.4)
+    quay.down = set()
+    quay.after(0.4)  # the notice has no answer: it is sent again, and the key's next mail waits
+    quay.takes_notices = True
+    quay.after(1.5)
+    quay.answer("1", "200 OK")
+    assert not quay.dispatcher.spool.owed
+    assert quay.same_as("net-notices")
+
+
+def test_a_deferral_in_the_turn_that_took_a_mail_is_the_answer(port: Port) -> None:
+    quay = port()
+    quay.put(quay.client(), "m1", left=20)
+    assert not quay.dispatcher.spool.owed
+    assert quay.same_as("net-busy")
+
+
+def test_a_client_gone_before_its_answer_withdraws_its_mail(port: Port) -> None:
+    """After a stall the close is read before the turn, so that nothing is sent."""
+    quay = port()
+    client = quay.client()
+    client.protocol.dataReceived(quay.command("MSG.PUT", "0", "m1", "c=news,d=9000,dest=7", "hello"))
+    quay.lose(client)
+    quay.flow()
+    stuck = quay.client()
+    stuck.stuck = True
+    quay.put(stuck, "m2")
+    quay.lose(stuck)
+    quay.flow()
+    assert not quay.dispatcher.spool.owed
+    assert quay.same_as("net-withdrawn")
+
+
+def test_a_new_life_owes_what_the_last_one_took_on(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    for name, sort in (("m1", "order"), ("m2", "order"), ("m3", "charge"), ("m4", "news")):
+        quay.put(client, name, sort, key="k" if sort == "order" else "0")
+        quay.after(0.05)
+    quay.answer("1", "200 OK")
+    quay.after(0.05)
+    with (quay.place.state / "spool").open("ab") as file:
+        file.write(b"\0\0\0\x40torn")
+    quay.say("killed")
+    quay.now += 1.0
+    quay.reactor.advance(1.0)
+    quay.start()
+    for _ in range(2):
+        quay.after(0.1)
+        quay.answer("1", "200 OK")
+    assert not quay.dispatcher.spool.owed
+    assert quay.same_as("net-restart")
+
+
+def test_notices_owed_come_before_the_door_opens(port: Port) -> None:
+    quay = port()
+    quay.takes_notices, quay.down = False, {"1"}
+    quay.put(quay.client(), "m1", left=300)
+    quay.after(0.4)
+    quay.say("killed")
+    quay.reactor.tcpServers.clear()
+    quay.start()
+    assert not quay.reactor.tcpServers
+    quay.takes_notices = True
+    quay.after(1.1)
+    assert quay.reactor.tcpServers and not quay.dispatcher.spool.owed
+    assert quay.same_as("net-owed-notices")
+
+
+def test_malformed_requests_get_one_error_and_the_close(port: Port) -> None:
+    quay = port()
+    put = quay.command("MSG.PUT", "0", "m1", "c=news,d=9000,dest=7", "hello")
+    bad = [
+        b"*9999999999\r\n", b"*2\r\n:5\r\n", b"*1\r\n$-1\r\n", b"*1\r\n$70000\r\n", b"*1\r\n$1\r\nabc",
+        b"x" * 2000, b"SNEEZE\r\n", b"\xff\xfe\r\n" * 3, put.replace(b"m1", b"\r\n"),
+        put.replace(b"news", b"nope"), put.replace(b"dest=7", b"dest=x"),
+    ]  # fmt: skip
+    for data in bad:
+        quay.send(quay.client(), data)
+    quay.send(quay.client("good"), put)
+    assert quay.same_as("net-malformed")
+
+
+def test_pipelined_requests_are_answered_in_turn(port: Port) -> None:
+    quay = port()
+    data = quay.command("PING") + quay.command("MSG.PUT", "0", "m1", "c=news,d=9000,dest=7", "x\r\ny")
+    client = quay.client()
+    for place in range(len(data)):
+        quay.send(client, data[place : place + 1])
+    quay.send(client, data.replace(b"m1", b"m2") + data.replace(b"m1", b"m3") + b"ping\r\n")
+    assert quay.same_as("net-pipelined")
+
+
+def test_bad_answers_end_the_connect_alone(port: Port) -> None:
+    quay = port(routes="12345678")
+    client = quay.client()
+    texts = [
+        b"SMTP ready\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 70,
+        b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n", b"\0" * 9000,
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+    ]  # fmt: skip
+    for number, text in enumerate(texts):
+        quay.put(client, f"m{number}", "charge")
+        pipe = quay.pipe("12345678")
+        pipe.asked = False
+        quay.say(f"{pipe.name}: {text[:60]!r}")
+        quay.send(pipe, text)
+        if text.endswith(b"cut"):
+            quay.lose(pipe)
+            quay.flow()
+        quay.after(0.2)
+    ends = {name: count for name, count in sorted(quay.dispatcher.counters.items()) if "ended" in name}
+    quay.say(str(ends))
+    assert quay.same_as("net-bad-answers")
+
+
+def test_bad_news_of_the_list_counts_as_failed_and_the_whole_is_asked_for(port: Port) -> None:
+    quay = port()
+    quay.answer("list", "200 OK", body='{"seq":2,"whole":false,"hosts":[{"host":"r2","dial":"nowhere"}]}')
+    quay.after(0.8)
+    quay.answer("list", "500 Sorry")
+    quay.after(0.8)
+    quay.after(6.8)  # silent: asked anew
+    quay.news("12", "Ready", 3)
+    assert len(quay.dispatcher.book.routes) == 2
+    assert quay.same_as("net-list")
+
+
+def test_answers_that_came_in_together_are_read_before_the_turn(port: Port) -> None:
+    """After a stall of two seconds one answer's turn once held the others, unread, for silent."""
+    quay = port(routes="12")
+    client = quay.client()
+    for number in range(6):
+        quay.put(client, f"m{number}")
+        if number < 3:
+            quay.answer("12", "200 OK")
+    quay.say("stalled for three seconds")
+    quay.now += 3.0
+    asked = [pipe for pipe in quay.pipes if pipe.name in "12" and pipe.asked]
+    quay.reactor.rightNow += 3.0
+    for pipe in asked:
+        pipe.asked = False
+        pipe.protocol.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    quay.flow()
+    assert len(asked) == 3
+    assert quay.dispatcher.counters["relayed"] == 6
+    assert quay.same_as("net-stall")
+
+
+def test_a_planned_stop_serves_what_comes_and_hands_back_what_waits(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.put(client, "m2")
+    quay.say("told to stop")
+    stopped: list[float] = []
+    quay.dispatcher.stop().addCallback(lambda _: stopped.append(round(quay.now - 100, 2)))
+    quay.after(0.3)
+    quay.put(client, "m3")
+    quay.after(2.0)
+    quay.answer("1", "200 OK")
+    quay.after(0.1)
+    assert stopped and stopped[0] < 3.7
+    assert quay.same_as("net-stop")
+
+
+def test_a_stop_with_silent_receivers_ends_in_time_and_keeps_what_is_out(port: Port) -> None:
+    quay = port()
+    quay.put(quay.client(), "m1", "charge")
+    stopped: list[float] = []
+    quay.dispatcher.stop().addCallback(lambda _: stopped.append(quay.now - 100))
+    quay.after(3.6)
+    assert stopped and quay.dispatcher.spool.owed[b"m1"].out
+
+
+def test_the_spool_stays_within_its_disk_and_says_so(tmp_path: Path) -> None:
+    disk = 60_000
+    spool = Spool(tmp_path, disk)
+    most, refused = 0, 0
+    for number in range(400):
+        name = b"m%d" % number
+        taken = spool.take(Owed(name, "k", "news", "x", b"", 7, 1e9, bytes(3000)))
+        refused += not taken
+        for _ in range(3 if taken else 0):
+            spool.out(name, 1e9)
+            spool.back(name)
+        if number >= 5:
+            spool.over(b"m%d" % (number - 5))
+        most = max(most, sum(-(-file.stat().st_size // 512) * 512 for file in tmp_path.iterdir()))
+    assert 0 < refused < 400 and most <= disk
+    left = {name: (owed.connects, owed.ran, owed.out, len(owed.body)) for name, owed in spool.owed.items()}
+    spool.close()
+    again = Spool(tmp_path, disk)
+    assert left == {n: (o.connects, o.ran, o.out, len(o.body)) for n, o in again.owed.items()} and left
+
+
+def test_a_full_spool_turns_mails_away(port: Port) -> None:
+    quay = port(disk=3900)
+    client = quay.client()
+    quay.put(client, "m1")
+    assert quay.dispatcher.spool.room == 0
+    assert quay.same_as("net-full")
