Process tests: killed, stopped and badly started; the spool command only reads

A stop answers a request that has begun to come before it closes. The spool is opened for writing apart from being read, so that the command can't drop what a running dispatcher renews.

--- a/laureldock/__main__.py
+++ b/laureldock/__main__.py
@@ -117,7 +117,7 @@
 @cli.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
 def spool(folder: Path) -> None:
-    """Print what the spool in FOLDER owes. Only while no dispatcher runs on it."""
+    """Print what the spool in FOLDER owes; it is only read."""
     for owed in Spool(folder, 0).owed.values():
         what = f"{owed.connects} connects, {len(owed.body)} bytes"
         click.echo(f"{owed.name.decode()} to {owed.destination}: {what}")
--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -38,7 +38,8 @@
         self.due = 0  # words still to come
         self.bulk, self.size = bytearray(), 0
         self.pending: Letter | None = None  # taken on, and its client has not been told
-        self.answering = self.closing = False
+        self.answering = False
+        self.closing = self.leaving = False  # nothing more is read; nothing after this request
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -127,10 +128,10 @@
             raise MalformedError("a key or id that cannot go on")
         if not told.isdigit() or len(told) > 9 or not fields.get(b"dest", b"").isdigit():
             raise MalformedError("no lifetime or no destination")
-        names = fields.get(b"c", b"").decode("latin-1"), fields.get(b"t", b"").decode("latin-1")
+        sort, customer = (fields.get(field, b"").decode(errors="replace") for field in (b"c", b"t"))
         order = None if not key.strip(b"0") else key.decode()
         left, destination = int(told) / 1000, int(fields[b"dest"])
-        owed = Owed(name, order, *names, tag, destination, time.time() + left, body)
+        owed = Owed(name, order, sort, customer, tag, destination, time.time() + left, body)
         self.paused = True
         answer = self.clients.dispatcher.put(self, owed, left)
         if answer:
@@ -144,7 +145,7 @@
     def answered(self) -> None:
         self.answering = False
         self.pending = None
-        if self.closing:
+        if self.closing or (self.leaving and not self._buffer):
             self.transport.loseConnection()
         else:
             self.resumeProducing()
@@ -157,9 +158,9 @@
             self.answer(b"-ERR " + why.encode() + b"\r\n")
 
     def finish(self) -> None:
-        """Close between requests; one that has come whole is answered before."""
-        self.closing = True
-        if not self.answering and not self.pending:
+        """Close between requests; one that has begun to come is answered before."""
+        self.leaving = True
+        if not (self.answering or self.pending or self.due or self._buffer):
             self.transport.loseConnection()
 
 
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -68,6 +68,7 @@
         self.counters: Counter[str] = Counter()
         self.book = Book(place.seed, place.settings, sockets=True)
         self.spool = Spool(place.state, place.disk)
+        self.spool.open()
         self.letters: dict[face.Mail, Letter] = {}
         self.by_name: dict[bytes, Letter] = {}
         # Half of the sockets for clients, a quarter for receivers; the rest is for files and what is brief.
--- a/laureldock/net/spool.py
+++ b/laureldock/net/spool.py
@@ -69,13 +69,17 @@
         self.most = 2 * self.most_owed
         self.owed: dict[bytes, Owed] = {}
         self.room = 0
-        self.fresh.unlink(missing_ok=True)
         data = self.path.read_bytes() if self.path.exists() else b""
         self.size = 0
         for place, fields, body in records(data):
             self.size = place
             self.replay(fields, body)
         self.torn = len(data) - self.size
+        self.file = -1
+
+    def open(self) -> None:
+        """From here on the folder is written to; what was torn or half renewed is dropped."""
+        self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
         os.ftruncate(self.file, self.size)
         os.lseek(self.file, 0, os.SEEK_END)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -269,6 +269,7 @@
 def test_the_spool_stays_within_its_disk_and_says_so(tmp_path: Path) -> None:
     disk = 60_000
     spool = Spool(tmp_path, disk)
+    spool.open()
     most, refused = 0, 0
     for number in range(400):
         name = b"m%d" % number
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,157 @@
+"""The dispatcher as a process, on loopback, with one server of our own as receiver, list and notices."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+from dock import SETTINGS, Quay
+
+
+class Platform(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    relayed: list[str]
+    notices: list[str]
+    slow: threading.Event
+
+    def do_GET(self) -> None:
+        time.sleep(0.2)  # no news
+        self.reply(200, b'{"seq":1,"whole":false,"hosts":[]}')
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        if self.path == "/v1/notices":
+            self.notices.extend(body.decode().split())
+            self.reply(204, b"")
+            return
+        if body.startswith(b"slow"):
+            self.slow.wait(20)
+        self.relayed.append(self.headers["X-Call-Id"])
+        self.reply(200, b"")
+
+    def reply(self, status: int, body: bytes) -> None:
+        self.send_response(status)
+        if status != 204:
+            self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args: Any) -> None:
+        """Quiet."""
+
+
+@pytest.fixture
+def platform() -> Iterator[ThreadingHTTPServer]:
+    Platform.relayed, Platform.notices, Platform.slow = [], [], threading.Event()
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Platform)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield server
+    Platform.slow.set()
+    server.shutdown()
+    server.server_close()
+
+
+class Process:
+    def __init__(self, folder: Path, platform: ThreadingHTTPServer) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        address = f"127.0.0.1:{platform.server_port}"
+        hosts = {**Quay.hosts("1"), "hosts": [{**Quay.hosts("1")["hosts"][0], "dial": address}]}
+        told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": address, "seed": "7"}
+        limits = {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": 1}
+        config = folder / "config.json"
+        config.write_text(json.dumps({**told, "limits": limits, "known": hosts, "settings": SETTINGS}))
+
+        (folder / "state").mkdir()
+        self.environ = {**os.environ, "LB_CONFIG": str(config), "LB_STATE": str(folder / "state")}
+        self.start()
+
+    def start(self) -> None:
+        command = [sys.executable, "-m", "laureldock", "serve"]
+        self.child = subprocess.Popen(command, env=self.environ, stdout=subprocess.PIPE)
+        until(lambda: self.ask(b"PING\r\n") == b"+PONG\r\n")
+
+    def open(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port), 10)
+
+    def ask(self, *parts: bytes, link: socket.socket | None = None) -> bytes:
+        try:
+            with link.dup() if link else self.open() as own:
+                own.settimeout(10)
+                own.sendall(b"".join(parts))
+                return own.recv(4096)
+        except ConnectionRefusedError:
+            return b""
+
+    def put(self, name: str, sort: str, body: str, link: socket.socket | None = None) -> bytes:
+        return self.ask(Quay.command("MSG.PUT", "0", name, f"c={sort},d=9000,dest=7", body), link=link)
+
+
+def until(true: Callable[[], bool]) -> None:
+    end = time.monotonic() + 20
+    while not true():
+        assert time.monotonic() < end, "it did not come about"
+        time.sleep(0.02)
+
+
+def test_killed_and_stopped_processes_keep_what_they_owe(
+    tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    process = Process(tmp_path, platform)
+    try:
+        assert process.put("m1", "news", "quick") == b"+OK\r\n"
+        until(lambda: Platform.relayed == ["m1"])
+        assert process.put("m2", "charge", "slow") == b"+OK\r\n"
+        until(lambda: b'"out": 1' in process.ask(b"INFO\r\n"))
+
+        process.child.kill()
+        process.child.wait(10)
+        process.start()
+        until(lambda: Platform.notices == ['{"message":"m2","outcome":"given_up"}'])
+        with process.open() as link:
+            assert process.put("m3", "news", "slow", link) == b"+OK\r\n"
+            process.child.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+            assert process.put("m4", "news", "slow too", link) == b"+OK\r\n"
+            threading.Timer(1.0, Platform.slow.set).start()
+            began = time.monotonic()
+            assert process.child.wait(10) == 0
+            assert time.monotonic() - began < 3.7
+        over = [*Platform.relayed, *(json.loads(line)["message"] for line in Platform.notices)]
+        assert "m3" in over and "m4" in over
+
+        command = [sys.executable, "-m", "laureldock", "spool", str(tmp_path / "state")]
+        assert subprocess.run(command, capture_output=True, check=True).stdout == b""
+    finally:
+        process.child.kill()
+
+
+@pytest.mark.parametrize("spoil", ["LB_STATE", "LB_CONFIG", "settings", "known", "seed"])
+def test_bad_start_settings_end_it_with_a_plain_line(
+    spoil: str, tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    process = Process(tmp_path, platform)
+    process.child.kill()
+    process.child.wait(10)
+    config = Path(process.environ["LB_CONFIG"])
+    if spoil.startswith("LB_"):
+        process.environ[spoil] = str(tmp_path / "nowhere")
+    else:
+        config.write_text(json.dumps({**json.loads(config.read_text()), spoil: {"hosts": 5}}))
+    command = [sys.executable, "-m", "laureldock", "serve"]
+    done = subprocess.run(command, env=process.environ, capture_output=True, text=True, timeout=20)
+
+    assert done.returncode > 0
+    assert done.stderr.startswith("Error: cannot start: ") and "Traceback" not in done.stderr
