After a stall, requests whose clients are gone are not taken; a stop waits to hand back

The request now looks for a close right behind it. A stop ended once no call was out, and left what waited for a route at nought to the next start.

--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -132,11 +133,23 @@
         order = None if not key.strip(b"0") else key.decode()
         left, destination = int(told) / 1000, int(fields[b"dest"])
         owed = Owed(name, order, sort, customer, tag, destination, time.time() + left, body)
+        if self.gone():
+            self.finish()
+            return
         self.paused = True
         answer = self.clients.dispatcher.put(self, owed, left)
         if answer:
             self.answer(answer)
 
+    def gone(self) -> bool:
+        """Whether its close has come right behind the request, as after a stall of this process."""
+        try:
+            return not self.transport.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def answer(self, data: bytes) -> None:
         """What else has come waits until the answer has left; a close by the client is still seen."""
         self.answering = self.paused = True
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -147,7 +147,7 @@
 
     def wind_up(self, done: Deferred[None]) -> None:
         late = self.now() - self.stopped_at > ALL_OVER
-        if not late and (self.receivers.out or self.notices.owed or self.clients.open):
+        if not late and (self.letters or self.notices.owed or self.clients.open):
             self.later(0.02, self.wind_up, done)
             return
         self.running = False
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -152,6 +152,14 @@
         if not self.stuck:
             producer.resumeProducing()
 
+    @property
+    def socket(self) -> Pipe:
+        return self
+
+    def recv(self, size: int, flags: int) -> bytes:
+        """Nothing more has come."""
+        raise BlockingIOError
+
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         """Bytes leave at once in any case."""
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -257,6 +257,20 @@
     assert quay.same_as("net-stop")
 
 
+def test_a_stop_hands_back_what_waits_for_a_route_at_nought(port: Port) -> None:
+    """The process once ended as soon as no call was out, and what waited had to wait for its next start."""
+    quay = port()
+    quay.down = {"1"}
+    client = quay.client()
+    for number in range(3):
+        quay.put(client, f"m{number}")
+        quay.after(0.7)
+    quay.dispatcher.stop()
+    quay.after(2.0)
+    assert not quay.dispatcher.spool.owed
+    assert quay.same_as("net-stop-waiting")
+
+
 def test_a_stop_with_silent_receivers_ends_in_time_and_keeps_what_is_out(port: Port) -> None:
     quay = port()
     quay.put(quay.client(), "m1", "charge")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -138,6 +138,31 @@
         process.child.kill()
 
 
+def test_what_clients_gave_up_during_a_stall_is_not_sent(
+    tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    """A process that wakes reads the requests before their closes; all of them were once sent."""
+    process = Process(tmp_path, platform)
+    try:
+        kept = process.open()
+        assert process.put("m0", "news", "quick", kept) == b"+OK\r\n"
+        until(lambda: Platform.relayed == ["m0"])  # from here on a connection stands ready
+        process.child.send_signal(signal.SIGSTOP)
+        links = [kept, *(process.open() for _ in range(6))]
+        for number, link in enumerate(links):
+            link.sendall(Quay.command("MSG.PUT", "0", f"s{number}", "c=news,d=9000,dest=7", "quick"))
+        time.sleep(0.4)
+        for link in links:
+            link.close()
+        process.child.send_signal(signal.SIGCONT)
+        until(lambda: b'"clients": 1' in process.ask(b"INFO\r\n"))
+        assert process.put("m1", "news", "quick") == b"+OK\r\n"
+        until(lambda: len(Platform.relayed) > 1)
+        assert Platform.relayed == ["m0", "m1"]
+    finally:
+        process.child.kill()
+
+
 @pytest.mark.parametrize("spoil", ["LB_STATE", "LB_CONFIG", "settings", "known", "seed"])
 def test_bad_start_settings_end_it_with_a_plain_line(
     spoil: str, tmp_path: Path, platform: ThreadingHTTPServer
