--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from laureldock.net.flush import Flush
+from laureldock.net.flush import Flush, close_has_come
 from laureldock.net.spool import Owed
 
 if TYPE_CHECKING:
@@ -133,7 +132,7 @@
         order = None if not key.strip(b"0") else key.decode()
         left, destination = int(told) / 1000, int(fields[b"dest"])
         owed = Owed(name, order, sort, customer, tag, destination, time.time() + left, body)
-        if self.gone():
+        if close_has_come(self.transport):  # as after a stall of this process: it has given up
             self.finish()
             return
         self.paused = True
@@ -141,15 +140,6 @@
         if answer:
             self.answer(answer)
 
-    def gone(self) -> bool:
-        """Whether its close has come right behind the request, as after a stall of this process."""
-        try:
-            return not self.transport.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
     def answer(self, data: bytes) -> None:
         """What else has come waits until the answer has left; a close by the client is still seen."""
         self.answering = self.paused = True
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -100,7 +100,7 @@
             self.later(0.01, self.recover)
             return
         clock = time.time()
-        for owed in self.spool.owed.values():
+        for owed in list(self.spool.owed.values()):
             kind = self.book.classes.get(owed.queue_class)
             if kind is None:  # the settings have changed since
                 self.end_by_notice(owed.name, handed_back=False)
@@ -239,7 +239,7 @@
 
     def withdrawn(self, letter: Letter) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
-        if letter.name in self.by_name:
+        if letter.name in self.by_name and letter.name not in self.notices.owed:
             self.counters["withdrawn"] += 1
             letter.client = None
             self.tell(self.control.withdrawn, letter.mail)
--- a/laureldock/net/flush.py
+++ b/laureldock/net/flush.py
@@ -1,7 +1,8 @@
-"""Writes bytes and tells when the last of them has left this process."""
+"""What transports don't tell by themselves: when the last byte has left, and whether a close has come."""
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IPullProducer
@@ -9,6 +10,16 @@
 from zope.interface import implementer
 
 
+def close_has_come(transport: Connection) -> bool:
+    """Whether the other side has closed right behind what was read, though that has not been read yet."""
+    try:
+        return not transport.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 @implementer(IPullProducer)
 class Flush:
     """A pull producer of one write: asked a second time, the transport's buffer is empty."""
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -11,6 +11,7 @@
 
 from laureldock.interface import Connect, Ending, Listed, Outcome, Probe, Route
 from laureldock.net.ends import OUTCOMES, STATUSES, End
+from laureldock.net.flush import close_has_come
 from laureldock.net.http import Headers, HttpLine, open_line
 
 if TYPE_CHECKING:
@@ -101,7 +102,12 @@
         # In the time for which one may take to come up, a call gets there too.
         tariff = self.dispatcher.book.tariff
         pool.hang_up(tariff.idle_time - tariff.connect_time)
-        return pool.idle.pop()[1] if pool.idle else None
+        while pool.idle:
+            line = pool.idle.pop()[1]
+            if not close_has_come(line.transport):
+                return line
+            line.drop()
+        return None
 
     def spare(self) -> None:
         """Room for one more connection: of all that are idle, the longest gives way."""
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -145,6 +145,7 @@
     def __init__(self, name: str, protocol: Any) -> None:
         super().__init__()
         self.name, self.protocol, self.stuck, self.asked = name, protocol, False, False
+        self.ended = False  # the other side has closed, which is not read yet
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         super().registerProducer(producer, streaming)
@@ -157,7 +158,9 @@
         return self
 
     def recv(self, size: int, flags: int) -> bytes:
-        """Nothing more has come."""
+        """Nothing more has come, or the close has."""
+        if self.ended:
+            return b""
         raise BlockingIOError
 
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -61,6 +61,32 @@
     assert quay.same_as("net-unwritten")
 
 
+def test_a_kept_connection_whose_close_has_come_is_not_used(port: Port) -> None:
+    """A once-only mail written to it could not be told from one that ran."""
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.pipes[-1].ended = True
+    quay.put(client, "m2", "charge")
+    assert quay.dispatcher.counters["connections opened"] == 2
+    assert quay.same_as("net-stale")
+
+
+def test_a_mail_ended_by_notice_is_not_withdrawn(port: Port) -> None:
+    """Its key's turn was never given on: the answer of its notice found no mail."""
+    quay = port()
+    client = quay.client()
+    client.stuck, quay.down, quay.takes_notices = True, {"1"}, False
+    quay.put(client, "m1", "order", key="k", left=300)
+    quay.after(0.3)
+    quay.lose(client)
+    quay.down, quay.takes_notices = set(), True
+    quay.put(quay.client("other"), "m2", "order", key="k")
+    quay.after(1.0)
+    assert quay.same_as("net-turn-given-on")
+
+
 def test_a_connection_up_after_a_wait_or_drain_was_told_carries_nothing(port: Port) -> None:
     quay = port()
     client = quay.client()
