--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -96,6 +96,8 @@
 
     def recover(self) -> None:
         """First the notices that are owed: a key's next mail waits for the one before. Then the mails."""
+        if self.stopped_at:
+            return
         if self.notices.owed:
             self.later(0.01, self.recover)
             return
