A connect whose connection came up after the tag was forgotten is not begun

Found by reading: may_go was asked when a mail drew its route, up to a connection's second before the call went out. may_begin asks again. Lines at fault: control.may_begin; may_go counts connects that are over.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -197,9 +197,9 @@
         self.pass_turn(now, mail.notes)
 
     def may_begin(self, now: float, connect: Connect) -> bool:
-        """Guards waits and drains against a connect whose connection came up only after they were told."""
-        lane: Lane = connect.notes.lane
-        return max(lane.until, lane.line.until) <= now and connect.route.listed is face.Listed.UP
+        """Guards waits, drains and what may run once against a connection that came up only after them."""
+        lane, listed = connect.notes.lane, connect.route.listed is face.Listed.UP
+        return listed and max(lane.until, lane.line.until) <= now and self.may_go(now, connect.mail.notes)
 
     def closing(self, now: float, left: float) -> None:
         self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
@@ -392,7 +392,7 @@
             return False
         # Tagged mails, as long as they are remembered, less the rounding of clocks.
         outside = case.doubt and now > case.doubt + case.mail.queue_class.memory - 0.02
-        spent = case.stage is Stage.DONE or case.connects >= self.most_connects
+        spent = case.stage is Stage.DONE or case.connects - case.out >= self.most_connects
         return not outside and not spent and case.end > now + self.tick
 
     def send(self, now: float) -> None:
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -128,6 +128,8 @@
         {"name": "news", "effect": "retryable", "points": 1, "aim_ns": 2e9, "deadline_ns": 9e9},
         {"name": "order", "effect": "dedup", "points": 1, "aim_ns": 2e9, "deadline_ns": 9e9, "window_ns": 9e9,
          "dedup_scope": "all", "in_order": True},
+        {"name": "stamp", "effect": "dedup", "points": 1, "aim_ns": 2e9, "deadline_ns": 9e9, "window_ns": 1e9,
+         "dedup_scope": "all"},
         {"name": "charge", "effect": "fragile", "points": 5, "aim_ns": 2e9, "deadline_ns": 9e9},
     ],
     "kinds": ["any"], "n_instances": 1, "telemetry": {"fields": ["x0", "x1"], "via": "inline"},
@@ -188,6 +190,8 @@
     def start(self) -> None:
         """A new life, with the folder that the one before left."""
         self.reactor.tcpClients.clear()
+        self.reactor.connectors.clear()
+        self.opens: list[tuple[Any, Any]] = []  # connections that are to come up
         self.pipes: list[Pipe] = []
         self.dispatcher = Dispatcher(self.place, self.reactor)  # type: ignore[arg-type]
         self.dispatcher.start()
@@ -202,12 +206,17 @@
     def flow(self) -> None:
         """Connections come up or fail, bytes arrive and turns are taken, until nothing moves any more."""
         for _ in range(6):
-            opens, self.reactor.tcpClients[:] = list(self.reactor.tcpClients), []
-            for each in opens:
+            self.opens += zip(self.reactor.tcpClients, self.reactor.connectors, strict=True)
+            self.reactor.tcpClients.clear()
+            self.reactor.connectors.clear()
+            opens, self.opens = self.opens, []
+            for each, connector in opens:
                 host, port = each[0], str(each[1])
                 factory: Any = each[2]
-                if port in self.late:
-                    self.reactor.tcpClients.append(each)
+                if connector.stoppedConnecting:
+                    self.say(f"{port}: not waited for")
+                elif port in self.late:
+                    self.opens.append((each, connector))
                 elif port in self.down:
                     self.say(f"{port}: no connection")
                     factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -108,6 +108,19 @@
     assert quay.same_as("net-held-back")
 
 
+def test_a_connection_up_when_a_tag_is_forgotten_carries_nothing(port: Port) -> None:
+    """The decision to go again was taken within the tag's memory, the call would have come after it."""
+    quay = port()
+    quay.put(quay.client(), "m1", "stamp")
+    quay.after(0.3)
+    quay.late = {"1"}
+    quay.cut("1")
+    quay.after(0.75)
+    quay.late = set()
+    quay.after(0.2)
+    assert quay.same_as("net-forgotten")
+
+
 def test_a_notice_is_kept_until_it_is_answered_and_its_key_waits(port: Port) -> None:
     quay = port()
     client = quay.client()
