Clients and receivers share the sockets as needed; clients over the limit wait unaccepted

A client over the limit was accepted and closed, which loses a mail whose request is already written; now the door stops accepting.

--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -173,18 +173,24 @@
     def __init__(self, dispatcher: Dispatcher, most: int) -> None:
         self.dispatcher, self.most = dispatcher, most
         self.open: dict[Client, None] = {}
+        self.full = False
 
-    def buildProtocol(self, addr: IAddress | None) -> Client | None:  # noqa: N802
-        if len(self.open) >= self.most:
-            self.dispatcher.counters["clients turned away"] += 1
-            return None
+    def buildProtocol(self, addr: IAddress | None) -> Client:  # noqa: N802
         return Client(self)
 
     def joined(self, client: Client) -> None:
         self.open[client] = None
+        self.dispatcher.receivers.spare()
+        if len(self.open) >= self.most and not self.full:
+            # The next ones wait unaccepted: one closed without an answer would lose its mail.
+            self.full = True
+            self.dispatcher.full(True)
 
     def left(self, client: Client) -> None:
         self.open.pop(client, None)
+        if self.full and len(self.open) < self.most:
+            self.full = False
+            self.dispatcher.full(False)
 
     def finish(self) -> None:
         for client in list(self.open):
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -71,9 +71,10 @@
         self.spool.open()
         self.letters: dict[face.Mail, Letter] = {}
         self.by_name: dict[bytes, Letter] = {}
-        # Half of the sockets for clients, a quarter for receivers; the rest is for files and what is brief.
+        # Half of the sockets for clients at most, three quarters for them and receivers; the rest is for
+        # files and what is brief.
         self.clients = Clients(self, place.sockets // 2)
-        self.receivers = Receivers(self, place.sockets // 4)
+        self.receivers = Receivers(self, place.sockets * 3 // 4)
         self.directory = Directory(self, place.directory)
         self.notices = Notices(self, place.directory)
         self.port: Port | None = None
@@ -247,6 +248,11 @@
             self.tell(self.control.withdrawn, letter.mail)
             self.forget(letter)
 
+    def full(self, full: bool) -> None:
+        self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
+        if self.port and not self.stopped_at:
+            (self.port.stopReading if full else self.port.startReading)()
+
     def malformed(self, why: str) -> None:
         self.counters["malformed requests"] += 1
         self.log.warning("malformed request", why=why)
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -110,12 +110,10 @@
         return None
 
     def spare(self) -> None:
-        """Room for one more connection: of all that are idle, the longest gives way."""
-        while self.sockets >= self.most_sockets:
-            pools = [pool for pool in self.pools.values() if pool.idle]
-            if not pools:
-                return
-            pool = min(pools, key=lambda each: each.idle[0][0])
+        """Room for one more connection, a client's or our own: those idle for longest give way."""
+        over = self.sockets + len(self.dispatcher.clients.open) - self.most_sockets
+        idle = [(since, pool) for pool in self.pools.values() for since, _ in pool.idle]
+        for _, pool in sorted(idle, key=lambda each: each[0])[: max(0, over + 1)]:
             pool.idle.pop(0)[1].drop()
 
     def close(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,6 +13,19 @@
 Port = Callable[..., Quay]
 
 
+class Accepting:
+    """A listening port that notes whether it accepts."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def stopReading(self) -> None:  # noqa: N802
+        self.calls.append("stop")
+
+    def startReading(self) -> None:  # noqa: N802
+        self.calls.append("start")
+
+
 @pytest.fixture
 def port(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Port:
     return lambda **changes: Quay(tmp_path, monkeypatch, **changes)
@@ -210,6 +223,35 @@
     assert quay.same_as("net-malformed")
 
 
+def test_clients_over_half_of_the_sockets_wait_unaccepted(port: Port) -> None:
+    """They were once accepted and closed, which loses a mail whose request is already written."""
+    quay = port()
+    clients = [quay.client(f"c{number}") for number in range(31)]
+    fake = quay.dispatcher.port = Accepting()  # type: ignore[assignment]
+    clients.append(quay.client("c31"))  # of 64 sockets
+    assert fake.calls == ["stop"]
+    quay.lose(clients.pop())
+    assert fake.calls == ["stop", "start"]
+
+
+def test_idle_connections_give_way_to_clients(port: Port) -> None:
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.put(client, "m2")
+    quay.put(client, "m3")
+    quay.answer("1", "200 OK")
+    quay.answer("1", "200 OK")
+    quay.dispatcher.receivers.most_sockets = 5
+    quay.client("second")
+    quay.flow()
+    assert len([pipe for pipe in quay.pipes if pipe.name == "1"]) == 2
+    quay.client("third")  # the third and fourth of five
+    quay.flow()
+    assert len([pipe for pipe in quay.pipes if pipe.name == "1"]) == 1
+
+
 def test_pipelined_requests_are_answered_in_turn(port: Port) -> None:
     quay = port()
     data = quay.command("PING") + quay.command("MSG.PUT", "0", "m1", "c=news,d=9000,dest=7", "x\r\ny")
