--- a/laureldock/net/directory.py
+++ b/laureldock/net/directory.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from laureldock.interface import AskList, Listed
+from laureldock.net.ends import End
 from laureldock.net.http import Headers, HttpLine, open_line
 from laureldock.tariff import Entry
 
@@ -69,7 +70,7 @@
         if self.asked:
             return
         self.asked = asked
-        self.timer = self.dispatcher.later(asked.time_out, self.fail, "no answer in time")
+        self.timer = self.dispatcher.later(asked.time_out, self.fail, End.SILENT.value)
         if self.line and not self.line.closed:
             self.send(self.line)
         else:
@@ -107,8 +108,8 @@
             self.ask(asked)  # the watch goes on
         return None
 
-    def unanswered(self, written: bool, garbled: bool) -> None:
-        self.fail("a bad answer" if garbled else "the connection broke")
+    def unanswered(self, end: End) -> None:
+        self.fail(end.value)
 
     def settle(self) -> AskList | None:
         asked, self.asked = self.asked, None
--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -15,6 +15,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from laureldock.net.ends import End
 from laureldock.net.flush import Flush
 
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: .*)?")
@@ -26,7 +27,7 @@
 
     def answered(self, status: int, headers: Headers, body: bytes) -> None: ...
 
-    def unanswered(self, written: bool, garbled: bool) -> None: ...
+    def unanswered(self, end: End) -> None: ...
 
 
 class HttpLine(LineReceiver):
@@ -154,7 +155,7 @@
         reader = self.reader
         self.drop()
         if reader:
-            reader.unanswered(True, True)
+            reader.unanswered(End.GARBLED)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         self.garble()
@@ -165,7 +166,7 @@
         if reader and self.status >= 200:  # what the first line said holds, however the rest was cut
             reader.answered(self.status, self.headers, bytes(self.body) if self.left is None else b"")
         elif reader:
-            reader.unanswered(self.written, False)
+            reader.unanswered(End.BROKEN if self.written else End.UNREACHED)
         self.gone(self)
 
 
--- a/laureldock/net/notices.py
+++ b/laureldock/net/notices.py
@@ -8,6 +8,7 @@
 from twisted.internet.base import DelayedCall
 from twisted.python.failure import Failure
 
+from laureldock.net.ends import End
 from laureldock.net.http import Headers, HttpLine, open_line
 
 if TYPE_CHECKING:
@@ -91,8 +92,8 @@
             self.dispatcher.noticed(name)
         return self.post()
 
-    def unanswered(self, written: bool, garbled: bool) -> None:
-        self.fail(again=self.line is not None and not garbled)
+    def unanswered(self, end: End) -> None:
+        self.fail(again=end is not End.GARBLED)
 
     def settle(self) -> None:
         self.busy = False
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -196,8 +196,8 @@
             end = End.NO_SLOT
         self.finish(end, headers)
 
-    def unanswered(self, written: bool, garbled: bool) -> None:
-        self.finish(End.GARBLED if garbled else End.BROKEN if written else End.UNREACHED)
+    def unanswered(self, end: End) -> None:
+        self.finish(end)
 
     def finish(self, end: End, headers: Headers | None = None) -> None:
         if self.over:
--- a/laureldock/net/spool.py
+++ b/laureldock/net/spool.py
@@ -142,8 +142,10 @@
 
     def tell(self, sort: str, name: bytes, *rest: Any) -> None:
         if name in self.owed:
-            self.write(pack([sort, name.decode(), *rest]))
-            self.apply(sort, self.owed[name], list(rest))
+            try:
+                self.write(pack([sort, name.decode(), *rest]))
+            finally:  # true all the same, and in the file once that is written anew
+                self.apply(sort, self.owed[name], list(rest))
 
     def write(self, record: bytes) -> None:
         if self.size + len(record) > self.most:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -389,3 +389,25 @@
     quay.put(client, "m1")
     assert quay.dispatcher.spool.room == 0
     assert quay.same_as("net-full")
+
+
+def test_while_the_spool_cannot_be_written_mails_go_to_others(
+    port: Port, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing is sent that the spool does not know of."""
+
+    def full(*_: object) -> None:
+        raise OSError("no space left")
+
+    quay = port()
+    client = quay.client()
+    quay.late = {"1"}
+    quay.put(client, "m1", "charge")
+    with monkeypatch.context() as broken:
+        broken.setattr(Spool, "write", full)
+        quay.put(client, "m2")
+        quay.late = set()
+        quay.after(0.1)
+    assert not quay.dispatcher.spool.owed
+    quay.put(client, "m3")
+    assert quay.same_as("net-disk")
