--- a/laureldock/__main__.py
+++ b/laureldock/__main__.py
@@ -88,7 +88,7 @@
         dispatcher.start()
     except (ValueError, KeyError, TypeError, AttributeError, OSError, CannotListenError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
-    signal.signal(signal.SIGUSR1, lambda *_: dispatcher.log.info("counters", counters=dispatcher.info()))
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(dispatcher.log_counters))
     reactor.run()
     sys.exit(dispatcher.fault)
 
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -341,6 +341,9 @@
 
     # Counters
 
+    def log_counters(self) -> None:
+        self.log.info("counters", **json.loads(self.info()))
+
     def info(self) -> str:
         held = {"held": len(self.letters), "out": len(self.receivers.out), "clients": len(self.clients.open)}
         return json.dumps({**held, **dict(sorted(self.counters.items()))})
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -122,6 +122,7 @@
         until(lambda: Platform.notices == ['{"message":"m2","outcome":"given_up"}'])
         with process.open() as link:
             assert process.put("m3", "news", "slow", link) == b"+OK\r\n"
+            process.child.send_signal(signal.SIGUSR1)
             process.child.send_signal(signal.SIGTERM)
             time.sleep(0.1)
             assert process.put("m4", "news", "slow too", link) == b"+OK\r\n"
@@ -129,6 +130,10 @@
             began = time.monotonic()
             assert process.child.wait(10) == 0
             assert time.monotonic() - began < 3.7
+        assert process.child.stdout
+        told = [json.loads(line) for line in process.child.stdout]
+        assert [line["event"] for line in told] == ["starting", "ready", "counters", "stopping", "stopped"]
+        assert told[2]["taken"] == 1 and told[4]["taken"] == 2
         over = [*Platform.relayed, *(json.loads(line)["message"] for line in Platform.notices)]
         assert "m3" in over and "m4" in over
 
