One place for what stood twice in net/: room in the spool, the body's bound, forgetting

Behaviour is as it was. Counters are no longer written as JSON to be read again for the log, and a new connection no longer sorts all idle ones unless one has to give way.

--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 import time
 from typing import TYPE_CHECKING
@@ -12,13 +13,13 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from laureldock.net import MOST_BODY
 from laureldock.net.flush import Flush, close_has_come
 from laureldock.net.spool import Owed
 
 if TYPE_CHECKING:
     from laureldock.net.dispatcher import Dispatcher, Letter
 
-MOST_BODY = 65536  # the protocol's figure
 MOST_WORDS = 8  # in a command; MSG.PUT has five
 WORD = re.compile(rb"[!-~]{1,256}")  # what may go on in a header or a notice
 PAIR = re.compile(rb"([a-z]+)=([^,]*)")
@@ -103,7 +104,6 @@
         self.refuse("a line too long")
 
     def command(self, words: list[bytes]) -> None:
-        dispatcher = self.clients.dispatcher
         match [words[0].upper(), *words[1:]]:
             case [b"MSG.PUT", key, name, pairs, body]:
                 self.put(key, name, pairs, body)
@@ -112,7 +112,7 @@
             case [b"PING", word]:
                 self.answer(b"$%d\r\n%s\r\n" % (len(word), word))
             case [b"INFO", *_]:
-                text = dispatcher.info().encode()
+                text = json.dumps(self.clients.dispatcher.figures()).encode()
                 self.answer(b"$%d\r\n%s\r\n" % (len(text), text))
             case [b"QUIT"]:
                 self.closing = True
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -294,11 +293,12 @@
         self.notices.put(name, line)
 
     def noticed(self, name: bytes) -> None:
-        self.keep(self.spool.over, name)
-        letter = self.by_name.pop(name, None)
+        letter = self.by_name.get(name)
         if letter:
-            self.letters.pop(letter.mail, None)
+            self.forget(letter)
             self.tell(self.control.noticed, letter.mail)
+        else:  # ended in an earlier life
+            self.keep(self.spool.over, name)
 
     # Receivers
 
@@ -342,8 +342,8 @@
     # Counters
 
     def log_counters(self) -> None:
-        self.log.info("counters", **json.loads(self.info()))
+        self.log.info("counters", **self.figures())
 
-    def info(self) -> str:
+    def figures(self) -> dict[str, int]:
         held = {"held": len(self.letters), "out": len(self.receivers.out), "clients": len(self.clients.open)}
-        return json.dumps({**held, **dict(sorted(self.counters.items()))})
+        return {**held, **dict(sorted(self.counters.items()))}
--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -8,7 +8,6 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionClosed
 from twisted.internet.posixbase import PosixReactorBase
 from twisted.internet.protocol import Factory
 from twisted.internet.tcp import Connection
@@ -160,7 +159,7 @@
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         self.garble()
 
-    def connectionLost(self, reason: Failure = ConnectionClosed) -> None:  # type: ignore[assignment]  # noqa: N802
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         self.closed = True
         reader, self.reader = self.reader, None
         if reader and self.status >= 200:  # what the first line said holds, however the rest was cut
--- a/laureldock/net/notices.py
+++ b/laureldock/net/notices.py
@@ -8,13 +8,13 @@
 from twisted.internet.base import DelayedCall
 from twisted.python.failure import Failure
 
+from laureldock.net import MOST_BODY
 from laureldock.net.ends import End
 from laureldock.net.http import Headers, HttpLine, open_line
 
 if TYPE_CHECKING:
     from laureldock.net.dispatcher import Dispatcher
 
-MOST_BODY = 65536  # the protocol's figure for a body
 # The protocol has them answered at once, and lets a mail's end be 0.3 s late: twice and again fit into that.
 PATIENCE, PAUSE = 0.1, 0.05
 
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from laureldock.interface import Connect, Ending, Listed, Outcome, Probe, Route
+from laureldock.net import MOST_BODY
 from laureldock.net.ends import OUTCOMES, STATUSES, End
 from laureldock.net.flush import close_has_come
 from laureldock.net.http import Headers, HttpLine, open_line
@@ -17,8 +18,6 @@
 if TYPE_CHECKING:
     from laureldock.net.dispatcher import Dispatcher, Letter
 
-MOST_BODY = 65536  # the protocol's figure for a body
-
 
 class Pool:
     """The connections to one route."""
@@ -112,8 +111,10 @@
     def spare(self) -> None:
         """Room for one more connection, a client's or our own: those idle for longest give way."""
         over = self.sockets + len(self.dispatcher.clients.open) - self.most_sockets
+        if over < 0:
+            return
         idle = [(since, pool) for pool in self.pools.values() for since, _ in pool.idle]
-        for _, pool in sorted(idle, key=lambda each: each[0])[: max(0, over + 1)]:
+        for _, pool in sorted(idle, key=lambda each: each[0])[: over + 1]:
             pool.idle.pop(0)[1].drop()
 
     def close(self) -> None:
--- a/laureldock/net/spool.py
+++ b/laureldock/net/spool.py
@@ -91,13 +91,17 @@
             key, queue_class, customer, tag, destination, end, connects, ran, out = rest
             tag = tag.encode()
             mail = Owed(name, key, queue_class, customer, tag, destination, end, body, connects, ran, out)
-            self.add(mail, len(mail.record()))
+            self.add(mail, mail.record())
         elif name in self.owed:
             self.apply(sort, self.owed[name], rest)
 
-    def add(self, mail: Owed, size: int) -> None:
-        # Besides the mail: its notice, and the record that it is over.
-        mail.room = size + 8 * len(mail.name) + 256
+    @staticmethod
+    def room_for(mail: Owed, record: bytes) -> int:
+        """Besides the mail: its notice, and the record that it is over."""
+        return len(record) + 8 * len(mail.name) + 256
+
+    def add(self, mail: Owed, record: bytes) -> None:
+        mail.room = self.room_for(mail, record)
         self.room += mail.room
         self.owed[mail.name] = mail
 
@@ -118,13 +122,13 @@
     def take(self, mail: Owed) -> bool:
         """Whether there was room for it."""
         record = mail.record()
-        if self.room + len(record) + 8 * len(mail.name) + 256 > self.most_owed:
+        if self.room + self.room_for(mail, record) > self.most_owed:
             return False
         try:
             self.write(record)
         except OSError:
             return False
-        self.add(mail, len(record))
+        self.add(mail, record)
         return True
 
     def out(self, name: bytes, at: float) -> None:
