The list and the notices share one way of asking over a kept connection

Both opened, timed, settled and dropped their connection in lines of their own; Asker in net/http.py does it for both.

--- a/laureldock/net/directory.py
+++ b/laureldock/net/directory.py
@@ -5,12 +5,9 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.base import DelayedCall
-from twisted.python.failure import Failure
-
 from laureldock.interface import AskList, Listed
 from laureldock.net.ends import End
-from laureldock.net.http import Headers, HttpLine, open_line
+from laureldock.net.http import Asker, Headers, HttpLine
 from laureldock.tariff import Entry
 
 if TYPE_CHECKING:
@@ -53,14 +50,12 @@
     return dial
 
 
-class Directory:
+class Directory(Asker):
     def __init__(self, dispatcher: Dispatcher, dial: str) -> None:
-        self.dispatcher, self.dial = dispatcher, dial
+        super().__init__(dispatcher, dial, MOST_BODY)
         self.seq: int | None = None
-        self.asked: AskList | None = None
-        self.since = 0.0  # when
-        self.line: HttpLine | None = None
-        self.timer: DelayedCall | None = None
+        self.asked: AskList | None = None  # and since when
+        self.since = 0.0
 
     def known(self, news: Any) -> None:
         """What this dispatcher had last, from its configuration."""
@@ -71,26 +66,9 @@
         self.dispatcher.news(hosts, whole)
 
     def ask(self, asked: AskList) -> None:
-        if self.asked:
-            return
-        self.asked, self.since = asked, self.dispatcher.now()
-        self.timer = self.dispatcher.later(asked.time_out, self.fail, End.SILENT.value)
-        if self.line and not self.line.closed:
-            self.send(self.line)
-        else:
-            self.line = None
-            opening = open_line(self.dispatcher.reactor, self.dial, MOST_BODY, asked.time_out)
-            opening.addCallbacks(self.opened, self.unopened)
-
-    def opened(self, line: HttpLine) -> None:
-        if self.asked and self.line is None:
-            self.line = line
-            self.send(line)
-        else:
-            line.drop()
-
-    def unopened(self, failure: Failure) -> None:
-        self.fail(failure.getErrorMessage())
+        if not self.busy:
+            self.asked, self.since = asked, self.dispatcher.now()
+            self.begin(asked.time_out)
 
     def send(self, line: HttpLine) -> None:
         assert self.asked
@@ -123,20 +101,7 @@
     def unanswered(self, end: End) -> None:
         self.fail(end.value)
 
-    def settle(self) -> AskList | None:
-        asked, self.asked = self.asked, None
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-        return asked
-
     def fail(self, why: str) -> None:
         if self.settle():
-            if self.line:
-                self.line.drop()
-                self.line = None
+            self.drop()
             self.dispatcher.list_failed(why)
-
-    def close(self) -> None:
-        self.settle()
-        if self.line:
-            self.line.drop()
--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -4,8 +4,9 @@
 
 import re
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
+from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.posixbase import PosixReactorBase
@@ -17,6 +18,9 @@
 from laureldock.net.ends import End
 from laureldock.net.flush import Flush
 
+if TYPE_CHECKING:
+    from laureldock.net.dispatcher import Dispatcher
+
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: .*)?")
 Headers = dict[bytes, bytes]
 
@@ -174,3 +178,52 @@
     endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=time_out)
     opening: Deferred[HttpLine] = endpoint.connect(Factory.forProtocol(lambda: HttpLine(most_body)))  # type: ignore
     return opening
+
+
+class Asker:
+    """Asks the platform one thing at a time, on one kept connection, and waits only so long."""
+
+    def __init__(self, dispatcher: Dispatcher, dial: str, most_body: int) -> None:
+        self.dispatcher, self.dial, self.most_body = dispatcher, dial, most_body
+        self.busy = False
+        self.line: HttpLine | None = None
+        self.timer: DelayedCall | None = None
+
+    def send(self, line: HttpLine) -> None:
+        raise NotImplementedError
+
+    def fail(self, why: str) -> None:
+        raise NotImplementedError
+
+    def begin(self, time_out: float) -> None:
+        self.busy = True
+        self.timer = self.dispatcher.later(time_out, self.fail, End.SILENT.value)
+        if self.line and not self.line.closed:
+            self.send(self.line)
+        else:
+            self.line = None
+            opening = open_line(self.dispatcher.reactor, self.dial, self.most_body, time_out)
+            opening.addCallbacks(self.opened, lambda failure: self.fail(failure.getErrorMessage()))
+
+    def opened(self, line: HttpLine) -> None:
+        if self.busy and self.line is None:
+            self.line = line
+            self.send(line)
+        else:
+            line.drop()
+
+    def settle(self) -> bool:
+        """The call is over; whether there was one."""
+        was, self.busy = self.busy, False
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        return was
+
+    def drop(self) -> None:
+        if self.line:
+            self.line.drop()
+            self.line = None
+
+    def close(self) -> None:
+        self.settle()
+        self.drop()
--- a/laureldock/net/notices.py
+++ b/laureldock/net/notices.py
@@ -5,12 +5,9 @@
 import json
 from typing import TYPE_CHECKING
 
-from twisted.internet.base import DelayedCall
-from twisted.python.failure import Failure
-
 from laureldock.net import MOST_BODY
 from laureldock.net.ends import End
-from laureldock.net.http import Headers, HttpLine, open_line
+from laureldock.net.http import Asker, Headers, HttpLine
 
 if TYPE_CHECKING:
     from laureldock.net.dispatcher import Dispatcher
@@ -28,14 +25,12 @@
     return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
-class Notices:
+class Notices(Asker):
     def __init__(self, dispatcher: Dispatcher, dial: str) -> None:
-        self.dispatcher, self.dial = dispatcher, dial
+        super().__init__(dispatcher, dial, MOST_BODY)
         self.owed: dict[bytes, bytes] = {}  # by mail, in the order of their ends
         self.sent: list[bytes] = []  # those in the call that is out
-        self.busy = self.failing = False
-        self.line: HttpLine | None = None
-        self.timer: DelayedCall | None = None
+        self.failing = False
 
     def put(self, name: bytes, line: bytes) -> None:
         self.owed[name] = line
@@ -44,30 +39,14 @@
     def post(self) -> None:
         if self.busy or not self.owed:
             return
-        self.busy, self.sent = True, []
+        self.sent = []
         size = 0
         for name, line in self.owed.items():
             size += len(line)
             if size > MOST_BODY:
                 break
             self.sent.append(name)
-        self.timer = self.dispatcher.later(PATIENCE, self.fail)
-        if self.line and not self.line.closed:
-            self.send(self.line)
-        else:
-            self.line = None
-            opening = open_line(self.dispatcher.reactor, self.dial, MOST_BODY, PATIENCE)
-            opening.addCallbacks(self.opened, self.unopened)
-
-    def opened(self, line: HttpLine) -> None:
-        if self.busy and self.line is None:
-            self.line = line
-            self.send(line)
-        else:
-            line.drop()
-
-    def unopened(self, failure: Failure) -> None:
-        self.fail()
+        self.begin(PATIENCE)
 
     def send(self, line: HttpLine) -> None:
         body = b"".join(self.owed[name] for name in self.sent)
@@ -81,7 +60,7 @@
 
     def answered(self, status: int, headers: Headers, body: bytes) -> None:
         if status != 204:
-            return self.fail()
+            return self.fail(f"answer {status}")
         if self.failing:
             self.dispatcher.log.info("notices taken again", waiting=len(self.owed))
         self.failing = False
@@ -93,27 +72,14 @@
         return self.post()
 
     def unanswered(self, end: End) -> None:
-        self.fail(again=end is not End.GARBLED)
+        self.fail(end.value, again=end is not End.GARBLED)
 
-    def settle(self) -> None:
-        self.busy = False
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-
-    def fail(self, again: bool = False) -> None:
+    def fail(self, why: str, again: bool = False) -> None:
         """Send it again: at once where only a kept connection had broken, else after a pause."""
-        if self.busy:
-            self.settle()
+        if self.settle():
             if not self.failing:
                 self.dispatcher.log.warning("notices not taken", waiting=len(self.owed))
             self.failing = True
             reused = self.line is not None and self.line.used > 1
-            if self.line:
-                self.line.drop()
-                self.line = None
+            self.drop()
             self.dispatcher.later(0.0 if again and reused else PAUSE, self.post)
-
-    def close(self) -> None:
-        self.settle()
-        if self.line:
-            self.line.drop()
