SIGHUP rereads the configuration: the list and owed notices move to its address

Nothing in __main__ handled the signal; Asker held one address for the life of the process.

Now the file is read anew, its discovery wins over LB_DISCOVERY, what is out at the old address is dropped (an answer still on its way has no reader), the whole list is asked for and owed notices are sent at the new one. A file that cannot be read is logged and changes nothing.

Ruled out: stale versions (the new place's versions are not compared with the old), a connection that was coming up to the old address (its opening is cancelled).

--- a/laureldock/__main__.py
+++ b/laureldock/__main__.py
@@ -36,6 +36,21 @@
         super().runUntilCurrent()
 
 
+def address(told: Any) -> str:
+    host, _, port = str(told).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {told!r}")
+    return str(told)
+
+
+def directory(environ: Mapping[str, str]) -> str:
+    """Where the list and the notices are by the file as it is now, newer than the environment."""
+    try:
+        return address(json.loads(Path(environ["LB_CONFIG"]).read_bytes())["discovery"])
+    except (OSError, KeyError, TypeError, RecursionError) as fault:
+        raise ValueError(repr(fault)) from None
+
+
 def place(environ: Mapping[str, str]) -> Place:
     """What the environment and the file that it names tell; ValueError in plain words if they don't."""
     try:
@@ -43,8 +58,8 @@
         limits = told["limits"]
         found = Place(
             name=environ.get("LB_NAME") or told["name"],
-            listen=environ.get("LB_LISTEN") or told["listen"],
-            directory=environ.get("LB_DISCOVERY") or told["discovery"],
+            listen=address(environ.get("LB_LISTEN") or told["listen"]),
+            directory=address(environ.get("LB_DISCOVERY") or told["discovery"]),
             state=Path(environ["LB_STATE"]),
             seed=int(told["seed"], 16),
             sockets=int(limits["sockets"]),
@@ -56,9 +71,6 @@
         raise ValueError(f"{fault} is not set") from None
     except (OSError, TypeError, AttributeError) as fault:
         raise ValueError(str(fault)) from None
-    for address in (found.listen, found.directory):
-        if not address.rpartition(":")[0] or not address.rpartition(":")[2].isdigit():
-            raise ValueError(f"no address: {address!r}")
     if not found.state.is_dir():
         raise ValueError(f"no folder for the spool: {found.state}")
     return found
@@ -89,6 +101,10 @@
     except (ValueError, KeyError, TypeError, AttributeError, OSError, CannotListenError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(dispatcher.log_counters))
+    signal.signal(
+        signal.SIGHUP,
+        lambda *_: reactor.callFromThread(dispatcher.moved, lambda: directory(os.environ)),
+    )
     reactor.run()
     sys.exit(dispatcher.fault)
 
--- a/laureldock/net/directory.py
+++ b/laureldock/net/directory.py
@@ -68,7 +68,14 @@
     def ask(self, asked: AskList) -> None:
         if not self.busy:
             self.asked, self.since = asked, self.dispatcher.now()
-            self.begin(asked.time_out)
+            # What need not wait for news is answered at once, so that silence shows sooner.
+            self.begin(asked.time_out - (asked.wait if self.seq is None else 0.0))
+
+    def move(self, dial: str) -> None:
+        super().move(dial)
+        self.seq = None  # its versions are its own: the whole list is asked for
+        if self.asked:
+            self.ask(self.asked)
 
     def send(self, line: HttpLine) -> None:
         assert self.asked
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -159,6 +159,19 @@
         self.log.info("stopped", kept=len(self.letters), out=len(self.receivers.out), **self.counters)
         done.callback(None)
 
+    def moved(self, reread: Callable[[], str]) -> None:
+        """Told to read its configuration anew: the platform's door may stand elsewhere."""
+        try:
+            directory = reread()
+        except ValueError as fault:
+            self.log.error("configuration not read, the old one stays", fault=str(fault))
+            return
+        self.counters["configurations read"] += 1
+        self.log.info("configuration read", directory=directory, notices=len(self.notices.owed))
+        if directory != self.directory.dial and self.running:
+            self.directory.move(directory)
+            self.notices.move(directory)
+
     def later(self, after: float, call: Callable[..., None], *args: Any) -> DelayedCall:
         return self.reactor.callLater(max(0.0, after), call, *args)
 
--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -187,6 +187,7 @@
         self.dispatcher, self.dial, self.most_body = dispatcher, dial, most_body
         self.busy = False
         self.line: HttpLine | None = None
+        self.opening: Deferred[HttpLine] | None = None
         self.timer: DelayedCall | None = None
 
     def send(self, line: HttpLine) -> None:
@@ -202,15 +203,17 @@
             self.send(self.line)
         else:
             self.line = None
-            opening = open_line(self.dispatcher.reactor, self.dial, self.most_body, time_out)
-            opening.addCallbacks(self.opened, lambda failure: self.fail(failure.getErrorMessage()))
+            self.opening = open_line(self.dispatcher.reactor, self.dial, self.most_body, time_out)
+            self.opening.addCallbacks(self.opened, self.failed)
 
     def opened(self, line: HttpLine) -> None:
-        if self.busy and self.line is None:
-            self.line = line
-            self.send(line)
-        else:
-            line.drop()
+        self.opening, self.line = None, line
+        self.send(line)
+
+    def failed(self, failure: Failure) -> None:
+        if self.opening:  # else it was dropped
+            self.opening = None
+            self.fail(failure.getErrorMessage())
 
     def settle(self) -> bool:
         """The call is over; whether there was one."""
@@ -220,10 +223,18 @@
         return was
 
     def drop(self) -> None:
+        if self.opening:
+            opening, self.opening = self.opening, None
+            opening.cancel()
         if self.line:
             self.line.drop()
             self.line = None
 
+    def move(self, dial: str) -> None:
+        """Ask at another address from now on; what was asked at the old one has no answer any more."""
+        self.close()
+        self.dial = dial
+
     def close(self) -> None:
         self.settle()
         self.drop()
--- a/laureldock/net/notices.py
+++ b/laureldock/net/notices.py
@@ -71,6 +71,10 @@
             self.dispatcher.noticed(name)
         return self.post()
 
+    def move(self, dial: str) -> None:
+        super().move(dial)
+        self.post()
+
     def unanswered(self, end: End) -> None:
         self.fail(end.value, again=end is not End.GARBLED)
 
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -221,7 +221,7 @@
                     self.say(f"{port}: no connection")
                     factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
                 else:
-                    self.join("list" if host == "127.0.0.9" else port, factory)
+                    self.join({"127.0.0.9": "list", "127.0.0.8": "new list"}.get(host, port), factory)
             self.reactor.advance(0)
             for pipe in list(self.pipes):
                 self.show(pipe)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -289,6 +289,30 @@
     assert quay.same_as("net-bad-answers")
 
 
+def test_told_of_another_address_the_list_and_the_notices_move_there(port: Port) -> None:
+    """SIGHUP once ended the process."""
+    quay = port()
+    quay.down, quay.takes_notices = {"1"}, False
+    quay.put(quay.client(), "m1", left=300)
+    quay.after(0.4)
+    old = quay.pipe("list")
+
+    def unreadable() -> str:
+        raise ValueError("nothing there")
+
+    quay.dispatcher.moved(unreadable)
+    assert old in quay.pipes
+    quay.say("moved")
+    quay.dispatcher.moved(lambda: "127.0.0.8:9")
+    quay.flow()
+    assert old not in quay.pipes and old.disconnected
+    quay.takes_notices = True
+    quay.answer("new list", "200 OK", body=json.dumps(quay.hosts("2", seq=1)))
+    quay.after(0.1)
+    assert list(quay.dispatcher.book.routes) == ["r2"] and not quay.dispatcher.spool.owed
+    assert quay.same_as("net-moved")
+
+
 def test_bad_news_of_the_list_counts_as_failed_and_the_whole_is_asked_for(port: Port) -> None:
     quay = port()
     quay.answer("list", "200 OK", body='{"seq":2,"whole":false,"hosts":[{"host":"r2","dial":"nowhere"}]}')
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -122,6 +122,8 @@
         until(lambda: Platform.notices == ['{"message":"m2","outcome":"given_up"}'])
         with process.open() as link:
             assert process.put("m3", "news", "slow", link) == b"+OK\r\n"
+            process.child.send_signal(signal.SIGHUP)
+            until(lambda: b'"configurations read": 1' in process.ask(b"INFO\r\n"))
             process.child.send_signal(signal.SIGUSR1)
             process.child.send_signal(signal.SIGTERM)
             time.sleep(0.1)
@@ -132,8 +134,10 @@
             assert time.monotonic() - began < 3.7
         assert process.child.stdout
         told = [json.loads(line) for line in process.child.stdout]
-        assert [line["event"] for line in told] == ["starting", "ready", "counters", "stopping", "stopped"]
-        assert told[2]["taken"] == 1 and told[4]["taken"] == 2
+        assert [line["event"] for line in told] == [
+            "starting", "ready", "configuration read", "counters", "stopping", "stopped"
+        ]  # fmt: skip
+        assert told[3]["taken"] == 1 and told[5]["taken"] == 2
         over = [*Platform.relayed, *(json.loads(line)["message"] for line in Platform.notices)]
         assert "m3" in over and "m4" in over
 
