Silent, half-sent and idle clients give way; unknown destinations get an error

Checked: memory flat, descriptors below the limit, CPU at a third of its bound, receivers all served. At fault: Clients.joined stops accepting at the limit, and nothing ever closed a connection that asks nothing.

Now a command that is not whole 2 s after its wait began gets one error and the close, idle connections beyond a quarter of the sockets are closed after 2 s as the protocol allows, and at the limit the longest idle give way at once, those that never asked first; one with bytes unread is left. After an error the sending side is closed and input is read on for up to 5 s, since a close with bytes unread would reset the error line away. One log line a second for what is malformed. Also: a kept connection to a receiver is not used if anything on it is unread (a second copy of the answer before).

It may hurt a client that needs over 2 s to send one command.

--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -14,13 +14,19 @@
 from twisted.python.failure import Failure
 
 from laureldock.net import MOST_BODY
-from laureldock.net.flush import Flush, close_has_come
+from laureldock.net.flush import Flush, unread
 from laureldock.net.spool import Owed
 
 if TYPE_CHECKING:
     from laureldock.net.dispatcher import Dispatcher, Letter
 
 MOST_WORDS = 8  # in a command; MSG.PUT has five
+MOST_BEHIND = 16  # commands behind one that waits; clients of the protocol send none
+# By the platform's protocol: who sends nothing whole is told so within 3 s of connecting, 6 s if there is
+# much to read, and a connection with no open request may be closed after 2 s.
+PATIENCE, DRAINED, LOOK = 2.0, 5.0, 0.25
+# Who has said nothing for two looks gives way when room is short: clients open a connection to send.
+QUIET = 2 * LOOK
 WORD = re.compile(rb"[!-~]{1,256}")  # what may go on in a header or a notice
 PAIR = re.compile(rb"([a-z]+)=([^,]*)")
 
@@ -41,6 +47,17 @@
         self.pending: Letter | None = None  # taken on, and its client has not been told
         self.answering = False
         self.closing = self.leaving = False  # nothing more is read; nothing after this request
+        self.asked = False  # something whole
+        self.since = clients.dispatcher.now()  # what is to come next is awaited
+
+    @property
+    def idle(self) -> bool:
+        """Between requests, as far as has been read."""
+        return not (self.answering or self.pending or self.closing or self.half)
+
+    @property
+    def half(self) -> bool:
+        return bool(self.words or self.due or self._buffer)
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -52,13 +69,15 @@
             self.clients.dispatcher.withdrawn(self.pending)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.closing:
+            return  # read on all the same: a close with bytes unread would take the error line with it
+        if self.idle and self.asked:
+            self.since = self.clients.dispatcher.now()
         super().dataReceived(data)
         if self.paused and len(self._buffer) > MOST_BODY:
             self.transport.pauseProducing()
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        if self.closing:
-            return
         try:
             self.read(line)
         except MalformedError as fault:
@@ -104,6 +123,9 @@
         self.refuse("a line too long")
 
     def command(self, words: list[bytes]) -> None:
+        if self._buffer.count(b"\r\n*") >= MOST_BEHIND:
+            raise MalformedError("too many commands at once")
+        self.asked = True
         match [words[0].upper(), *words[1:]]:
             case [b"MSG.PUT", key, name, pairs, body]:
                 self.put(key, name, pairs, body)
@@ -126,13 +148,14 @@
         words = [key, name, *([tag] if tag else [])]
         if not all(WORD.fullmatch(word) for word in words):
             raise MalformedError("a key or id that cannot go on")
-        if not told.isdigit() or len(told) > 9 or not fields.get(b"dest", b"").isdigit():
+        number = fields.get(b"dest", b"")
+        if not told.isdigit() or len(told) > 9 or not number.isdigit() or len(number) > 9:
             raise MalformedError("no lifetime or no destination")
         sort, customer = (fields.get(field, b"").decode(errors="replace") for field in (b"c", b"t"))
         order = None if not key.strip(b"0") else key.decode()
-        left, destination = int(told) / 1000, int(fields[b"dest"])
+        left, destination = int(told) / 1000, int(number)
         owed = Owed(name, order, sort, customer, tag, destination, time.time() + left, body)
-        if close_has_come(self.transport):  # as after a stall of this process: it has given up
+        if unread(self.transport) == b"":  # as after a stall of this process: it has given up
             self.finish()
             return
         self.paused = True
@@ -148,7 +171,10 @@
     def answered(self) -> None:
         self.answering = False
         self.pending = None
-        if self.closing or (self.leaving and not self._buffer):
+        self.since = self.clients.dispatcher.now()
+        if self.closing:
+            self.transport.loseWriteConnection()  # the rest of the close when the other side has closed
+        elif self.leaving and not self._buffer:
             self.transport.loseConnection()
         else:
             self.resumeProducing()
@@ -157,13 +183,24 @@
         """One error, and the close."""
         if not self.closing:
             self.closing = True
+            self.words, self._buffer = [], b""
+            self.bulk.clear()
             self.clients.dispatcher.malformed(why)
             self.answer(b"-ERR " + why.encode() + b"\r\n")
 
+    def look(self, now: float) -> None:
+        """What has not come in time is not waited for."""
+        waited = now - self.since
+        if self.closing:
+            if waited >= (PATIENCE if self.answering else DRAINED):
+                self.transport.abortConnection()
+        elif waited >= PATIENCE and not self.answering and not self.pending and (self.half or not self.asked):
+            self.refuse("no whole command in time")
+
     def finish(self) -> None:
         """Close between requests; one that has begun to come is answered before."""
         self.leaving = True
-        if not (self.answering or self.pending or self.due or self._buffer):
+        if self.idle:
             self.transport.loseConnection()
 
 
@@ -173,7 +210,7 @@
     def __init__(self, dispatcher: Dispatcher, most: int) -> None:
         self.dispatcher, self.most = dispatcher, most
         self.open: dict[Client, None] = {}
-        self.full = False
+        self.full = self.looking = False
 
     def buildProtocol(self, addr: IAddress | None) -> Client:  # noqa: N802
         return Client(self)
@@ -181,8 +218,40 @@
     def joined(self, client: Client) -> None:
         self.open[client] = None
         self.dispatcher.receivers.spare()
-        if len(self.open) >= self.most and not self.full:
-            # The next ones wait unaccepted: one closed without an answer would lose its mail.
+        if len(self.open) >= self.most:
+            self.make_room()
+        if not self.looking:
+            self.looking = True
+            self.dispatcher.later(LOOK, self.look)
+
+    def look(self) -> None:
+        now = self.dispatcher.now()
+        for client in list(self.open):
+            client.look(now)
+        # Before room is short, only those that may be closed by the protocol.
+        for client in self.idle(now, PATIENCE)[: max(0, len(self.open) - self.most // 2)]:
+            client.finish()
+        self.looking = bool(self.open)
+        if self.looking:
+            self.dispatcher.later(LOOK, self.look)
+        if self.full:
+            self.make_room()
+
+    def idle(self, now: float, waited: float) -> list[Client]:
+        """Those between requests: the ones that never asked, then the ones that wait for longest."""
+        found = [client for client in self.open if client.idle and client.since <= now - waited]
+        found = [client for client in found if unread(client.transport) is None]
+        return sorted(found, key=lambda client: (client.asked, client.since))
+
+    def make_room(self) -> None:
+        """A sixteenth at a time; where nobody is idle, the next ones wait unaccepted.
+
+        One closed with a request on its way would lose its mail, or ask once more.
+        """
+        idle = self.idle(self.dispatcher.now(), QUIET)
+        for client in idle[: max(1, self.most // 16)]:
+            client.finish()
+        if not idle and len(self.open) >= self.most and not self.full:
             self.full = True
             self.dispatcher.full(True)
 
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -78,6 +78,7 @@
         self.notices = Notices(self, place.directory)
         self.port: Port | None = None
         self.running, self.stopped_at = True, 0.0
+        self.quiet_until = 0.0
         self.fault: str | None = None  # for which the process ends
         self.fresh: list[Letter] = []  # taken since the last turn
         self.turn_due = False
@@ -238,6 +239,8 @@
         kind = self.book.classes.get(owed.queue_class)
         if kind is None:
             raise MalformedError("unknown class")
+        if owed.destination not in self.book.destinations:  # none was ever listed for it
+            raise MalformedError("unknown destination")
         if owed.name in self.by_name:  # sent once more, since a close had crossed it
             return b"+OK\r\n"
         if not self.spool.take(owed):
@@ -267,7 +270,9 @@
 
     def malformed(self, why: str) -> None:
         self.counters["malformed requests"] += 1
-        self.log.warning("malformed request", why=why)
+        if self.now() >= self.quiet_until:  # the log is bounded, whoever sends
+            self.quiet_until = self.now() + 1.0
+            self.log.warning("malformed request", why=why, so_far=self.counters["malformed requests"])
 
     def hold(self, letter: Letter) -> None:
         self.letters[letter.mail] = self.by_name[letter.name] = letter
--- a/laureldock/net/flush.py
+++ b/laureldock/net/flush.py
@@ -1,4 +1,4 @@
-"""What transports don't tell by themselves: when the last byte has left, and whether a close has come."""
+"""What transports don't tell by themselves: when the last byte has left, and whether something has come."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 from zope.interface import implementer
 
 
-def close_has_come(transport: Connection) -> bool:
-    """Whether the other side has closed right behind what was read, though that has not been read yet."""
+def unread(transport: Connection) -> bytes | None:
+    """A byte of what has come behind what was read; none (b"") if that is a close, None if nothing has."""
     try:
-        return not transport.socket.recv(1, socket.MSG_PEEK)
+        return transport.socket.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return False
+        return None
     except OSError:
-        return True
+        return b""
 
 
 @implementer(IPullProducer)
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -12,7 +12,7 @@
 from laureldock.interface import Connect, Ending, Listed, Outcome, Probe, Route
 from laureldock.net import MOST_BODY
 from laureldock.net.ends import OUTCOMES, STATUSES, End
-from laureldock.net.flush import close_has_come
+from laureldock.net.flush import unread
 from laureldock.net.http import Headers, HttpLine, open_line
 
 if TYPE_CHECKING:
@@ -97,13 +97,13 @@
             self.pools[route].hang_up()
 
     def take(self, pool: Pool) -> HttpLine | None:
-        """A kept connection that its receiver has surely not closed yet."""
+        """A kept connection, surely not closed yet, with nothing on it to be taken for the next answer."""
         # In the time for which one may take to come up, a call gets there too.
         tariff = self.dispatcher.book.tariff
         pool.hang_up(tariff.idle_time - tariff.connect_time)
         while pool.idle:
             line = pool.idle.pop()[1]
-            if not close_has_come(line.transport):
+            if unread(line.transport) is None:
                 return line
             line.drop()
         return None
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -147,7 +147,8 @@
     def __init__(self, name: str, protocol: Any) -> None:
         super().__init__()
         self.name, self.protocol, self.stuck, self.asked = name, protocol, False, False
-        self.ended = False  # the other side has closed, which is not read yet
+        self.deaf = False  # goes on whatever it is sent
+        self.unread: bytes | None = None  # what has come and is not read yet; nothing is a close
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         super().registerProducer(producer, streaming)
@@ -160,10 +161,14 @@
         return self
 
     def recv(self, size: int, flags: int) -> bytes:
-        """Nothing more has come, or the close has."""
-        if self.ended:
-            return b""
-        raise BlockingIOError
+        if self.unread is None:
+            raise BlockingIOError
+        return self.unread[:size]
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """The other side closes in its turn once it has seen this."""
+        if not self.deaf:
+            self.loseConnection()
 
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         """Bytes leave at once in any case."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -81,12 +81,23 @@
     client = quay.client()
     quay.put(client, "m1")
     quay.answer("1", "200 OK")
-    quay.pipes[-1].ended = True
+    quay.pipes[-1].unread = b""
     quay.put(client, "m2", "charge")
     assert quay.dispatcher.counters["connections opened"] == 2
     assert quay.same_as("net-stale")
 
 
+def test_a_kept_connection_with_a_second_copy_unread_is_not_used(port: Port) -> None:
+    """The copy of one mail's answer once passed for that of the next."""
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.pipes[-1].unread = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    quay.put(client, "m2", "charge")
+    assert quay.dispatcher.counters["connections opened"] == 2
+
+
 def test_a_mail_ended_by_notice_is_not_withdrawn(port: Port) -> None:
     """Its key's turn was never given on: the answer of its notice found no mail."""
     quay = port()
@@ -218,12 +229,45 @@
         b"x" * 2000, b"SNEEZE\r\n", b"\xff\xfe\r\n" * 3, put.replace(b"m1", b"\r\n"),
         put.replace(b"news", b"nope"), put.replace(b"dest=7", b"dest=x"),
     ]  # fmt: skip
-    for data in bad:
+    for data in [*bad, put.replace(b"dest=7", b"dest=8"), put * 40]:
         quay.send(quay.client(), data)
     quay.send(quay.client("good"), put)
     assert quay.same_as("net-malformed")
 
 
+def test_clients_that_ask_nothing_whole_are_told_and_closed_in_time(port: Port) -> None:
+    """They once held half of the sockets for good, and no other client was accepted."""
+    quay = port()
+    silent, half, kept = quay.client("silent"), quay.client("half"), quay.client("kept")
+    quay.send(half, b"*5\r\n$7\r\nMSG")
+    quay.put(kept, "m1")
+    deaf = quay.client("deaf")
+    deaf.deaf = True
+    quay.send(deaf, b"*1\r\n$60000000\r\n")
+    for _ in range(4):
+        quay.after(0.6)
+        quay.send(deaf, b"x" * 5000)
+    assert silent not in quay.pipes and half not in quay.pipes and kept in quay.pipes and deaf in quay.pipes
+    quay.send(kept, b"*1\r\n")
+    quay.after(3.0)
+    assert deaf not in quay.pipes and kept not in quay.pipes
+    assert quay.same_as("net-half")
+
+
+def test_idle_clients_give_way_before_others_wait(port: Port) -> None:
+    quay = port()
+    idle = [quay.client(f"c{number}") for number in range(30)]
+    for number, client in enumerate(idle):
+        quay.put(client, f"m{number}")
+    quay.after(0.6)
+    last = quay.client("last")
+    quay.client("one more")
+    quay.flow()
+    assert idle[0] not in quay.pipes and last in quay.pipes and len(quay.pipes) > 30
+    quay.after(2.0)
+    assert 0 < len([pipe for pipe in idle if pipe in quay.pipes]) <= 16  # a quarter of the sockets stays
+
+
 def test_clients_over_half_of_the_sockets_wait_unaccepted(port: Port) -> None:
     """They were once accepted and closed, which loses a mail whose request is already written."""
     quay = port()
