A first line of 200 holds however the answer is spoilt; no other spoilt answer is believed

Seen by a probe of the traces: an answer with a first line of 200 and a head or body that cannot be read ended as an error, so a once-only mail that was relayed was bounced (HttpLine.garble forgot the status). An answer of 429, 503, 504 or 410 that was cut or broke its own length was believed, though a spoilt answer says nothing of whether the call has run (connectionLost and Errand.stop took the status as it stood).

Now: 200 first, relayed; else it may have run. A head of 200 whose body is missing ends the connect at once and the rest is only read for the connection's sake, for as long as one may take to come up. What comes unasked ends a kept connection. A bare LF ends a line too. A length over the bound is not waited for.

--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -32,6 +32,9 @@
 
     def unanswered(self, end: End) -> None: ...
 
+    def head_read(self, status: int, headers: Headers) -> None:
+        """Told besides, of an answer whose body is not whole yet."""
+
 
 class HttpLine(LineReceiver):
     """A connection. `free` is called when it may carry the next call, `gone` when it is closed."""
@@ -39,6 +42,7 @@
     transport: Connection  # type: ignore[assignment]
 
     MAX_LENGTH = 8192  # of a line, as common servers have it
+    delimiter = b"\n"  # a bare one ends a line too (RFC 9112, 2.2)
     MOST_HEADERS = 64
 
     def __init__(self, most_body: int) -> None:
@@ -57,7 +61,8 @@
         self.status, self.headers, self.body = 0, Headers(), bytearray()
         self.kept = True  # the other side keeps connections
         self.left: int | None = 0  # bytes of the body, or of its chunk, still to come; None: up to the close
-        self.chunks, self.trailers, self.lines = False, False, 0
+        self.headed = self.chunks = self.trailers = False
+        self.lines = 0
 
     def ask(self, head: list[bytes], body: bytes, reader: Reader) -> None:
         self.reader, self.written, self.used = reader, False, self.used + 1
@@ -74,7 +79,16 @@
         else:
             self.transport.abortConnection()
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.reader is None:  # nothing was asked: it is for nobody, and would stand before the next answer
+            self.drop()
+            return
+        super().dataReceived(data)
+        if self.headed and self.reader:
+            self.reader.head_read(self.status, self.headers)
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        line = line.removesuffix(b"\r")
         if self.reader is None or self.closed:
             self.garble()
         elif self.trailers:
@@ -100,12 +114,13 @@
         return None
 
     def start_body(self) -> None:
+        self.headed = True
         length = self.headers.get(b"content-length")
         if self.status in (204, 304) or length == b"0":
             self.finish()
         elif self.headers.get(b"transfer-encoding", b"").lower() == b"chunked":
             self.chunks = True
-        elif length is None or (length.isdigit() and len(length) < 10):
+        elif length is None or (length.isdigit() and len(length) < 10 and int(length) <= self.most_body):
             self.left = None if length is None else int(length)
             self.setRawMode()
         else:
@@ -157,8 +172,14 @@
     def garble(self) -> None:
         reader = self.reader
         self.drop()
-        if reader:
-            reader.unanswered(End.GARBLED)
+        self.spoilt(reader, End.GARBLED)
+
+    def spoilt(self, reader: Reader | None, end: End) -> None:
+        """It will never be whole. A first line of 200 is true even so; of any other answer nothing holds."""
+        if reader and self.status == 200:
+            reader.answered(200, Headers(), b"")
+        elif reader:
+            reader.unanswered(end)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         self.garble()
@@ -166,10 +187,10 @@
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         self.closed = True
         reader, self.reader = self.reader, None
-        if reader and self.status >= 200:  # what the first line said holds, however the rest was cut
-            reader.answered(self.status, self.headers, bytes(self.body) if self.left is None else b"")
-        elif reader:
-            reader.unanswered(End.BROKEN if self.written else End.UNREACHED)
+        if reader and self.headed and self.left is None:  # its body goes up to the close
+            reader.answered(self.status, self.headers, bytes(self.body))
+        else:
+            self.spoilt(reader, End.BROKEN if self.written else End.UNREACHED)
         self.gone(self)
 
 
@@ -196,6 +217,9 @@
     def fail(self, why: str) -> None:
         raise NotImplementedError
 
+    def head_read(self, status: int, headers: Headers) -> None:
+        """The body matters, and is waited for."""
+
     def begin(self, time_out: float) -> None:
         self.busy = True
         self.timer = self.dispatcher.later(time_out, self.fail, End.SILENT.value)
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -189,7 +189,14 @@
         status, written = (self.line.status, self.line.written) if self.line else (0, False)
         if self.line:
             self.line.drop()
-        self.finish(STATUSES.get(status, end) if written else End.UNREACHED)
+        self.finish(End.DELIVERED if status == 200 else end if written else End.UNREACHED)
+
+    def head_read(self, status: int, headers: Headers) -> None:
+        """A first line of 200 is true whatever follows: the rest is read for the connection's sake alone."""
+        if status == 200 and not self.over and self.line:
+            self.finish(End.DELIVERED, headers)
+            dispatcher = self.receivers.dispatcher
+            self.timer = dispatcher.later(dispatcher.book.tariff.connect_time, self.line.drop)
 
     def answered(self, status: int, headers: Headers, body: bytes) -> None:
         end = STATUSES.get(status, End.STRANGE)
@@ -201,11 +208,11 @@
         self.finish(end)
 
     def finish(self, end: End, headers: Headers | None = None) -> None:
+        if self.timer and self.timer.active():
+            self.timer.cancel()
         if self.over:
             return
         self.over = True
-        if self.timer and self.timer.active():
-            self.timer.cancel()
         headers = headers or {}
         ending, finished = OUTCOMES[end]
         told = report(headers.get(b"x-load-report", b""))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -317,6 +317,10 @@
         b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+        b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\ncut",
+        b"HTTP/1.1 429 Too Many\r\nX-RateLimit-Wait-Ms 400\r\n",
+        b"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\nContent-Length: 0\n\n", b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nnot more",
     ]  # fmt: skip
     for number, text in enumerate(texts):
         quay.put(client, f"m{number}", "charge")
@@ -330,9 +334,22 @@
         quay.after(0.2)
     ends = {name: count for name, count in sorted(quay.dispatcher.counters.items()) if "ended" in name}
     quay.say(str(ends))
+    quay.after(1.5)  # what is left of the last answer is not waited for longer
     assert quay.same_as("net-bad-answers")
 
 
+def test_what_comes_unasked_ends_a_kept_connection(port: Port) -> None:
+    """Noise without an end of line once stood before the next answer."""
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1")
+    quay.answer("1", "200 OK")
+    quay.send(quay.pipes[-1], b"noise")
+    quay.put(client, "m2", "charge")
+    quay.answer("1", "200 OK")
+    assert quay.dispatcher.counters["relayed"] == 2 and quay.dispatcher.counters["connections opened"] == 2
+
+
 def test_told_of_another_address_the_list_and_the_notices_move_there(port: Port) -> None:
     """SIGHUP once ended the process."""
     quay = port()
