While slots are scarce, shares weigh how long a route's calls hold one

Checked: that slots are counted as the wire counts them.

Line at fault: share() knew rate, part, warmth and silence, not time. Now each lane has the mean time of its calls, as its destination had, and over three quarters of the slots the share is weighed by the square of the two means' ratio. Calls out are also kept by lane, so that quiet() no longer scans all.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -107,9 +107,8 @@
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_pause = 0.0
-        kept = set(routes)
         for line in self.lines.values() if whole else ():
-            line.lanes = {route: lane for route, lane in line.lanes.items() if route in kept}
+            line.lanes = {route: lane for route, lane in line.lanes.items() if route.listed is face.Listed.UP}
         for route in routes:
             line = self.line(route.destination)
             if route.listed is not face.Listed.UP:
@@ -153,15 +152,16 @@
         if outcome.ending in (Ending.SERVED, Ending.ERROR, Ending.FULL):
             call.lane.heard = now
         if not call.out:
-            del self.calls[call]
+            del self.calls[call], call.lane.calls[call]
             line, call.lane.used = call.lane.line, now
             self.idle.append((now, call.lane))
             self.effects.append(face.Timer(self.keep, "idle"))
             line.out, line.stuck = line.out - 1, line.stuck - call.overdue
             # What a mail costs here in time of a slot; a tenth at a time, so that one heavy mail says little.
             took = (now - call.sent) / len(call.connects)
-            if outcome.ending is Ending.SERVED or took > line.cost:  # a quick failure is not cheap
-                line.cost += 0.1 * (took - line.cost)
+            for each in (line, call.lane):
+                if outcome.ending is Ending.SERVED or took > each.cost:  # a quick failure is not cheap
+                    each.cost += (0.1 if each.cost else 1.0) * (took - each.cost)
         self.judge(now, call, outcome)
         case.out -= 1
         if case.turns and outcome.ending in (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED):
@@ -306,12 +306,14 @@
     def share(self, now: float, lane: Lane) -> float:
         # Guards mails against a route gone silent: while it owes an answer that is due, it hardly gets any.
         silence = 0.1 if self.quiet(now, lane) else 1.0
-        return (self.rate(lane) or 1.0) * min(1.0, lane.part) * self.warmth(now, lane) * silence
+        # Guards slots, while few are free, against routes that hold them long: half the time, fourfold share.
+        scarce = lane.cost and 4 * len(self.calls) > 3 * self.slots
+        thrift = (lane.line.cost / lane.cost) ** 2 if scarce else 1.0
+        return (self.rate(lane) or 1.0) * min(1.0, lane.part) * self.warmth(now, lane) * silence * thrift
 
     def quiet(self, now: float, lane: Lane) -> bool:
         """Whether it owes an answer past what nine in ten take (a third of the limit), with none since."""
-        owed = (call for call in self.calls if call.lane is lane and lane.heard < call.sent)
-        return any(now - call.sent > call.limit / 3 for call in owed)
+        return any(now - call.sent > call.limit / 3 for call in lane.calls if lane.heard < call.sent)
 
     def refill(self, now: float, lane: Lane) -> None:
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
@@ -388,10 +390,9 @@
 
     def may_go(self, now: float, case: Case) -> bool:
         """Whether a further connect is allowed, and can still be of use."""
-        if case.doubt and case.single:
-            return False
-        # Tagged mails, as long as they are remembered, less the rounding of clocks.
-        outside = case.doubt and now > case.doubt + case.mail.queue_class.memory - 0.02
+        # Tagged mails, as long as they are remembered, less the rounding of clocks; once-only, never.
+        memory = -inf if case.single else case.mail.queue_class.memory - 0.02
+        outside = case.doubt and now > case.doubt + memory
         spent = case.stage is Stage.DONE or case.connects - case.out >= self.most_connects
         return not outside and not spent and case.end > now + self.tick
 
@@ -476,12 +477,11 @@
             # Overdue calls leave the window, lest a few silent ones shut a destination for a queue lifetime.
             if crowded or (not trial and (line.out - line.stuck >= int(line.window) or lane.credit < 1)):
                 return False
-            # Three times what nine in ten stay under is late for all but the odd heavy mail; so is twice the
-            # target delay, however slow the route has been.
+            # Late for all but the odd heavy mail: thrice what nine in ten take, or twice the target delay.
             target = case.mail.queue_class.target_delay
             limit = min(2 * target, max(0.4, 3 * lane.tally.most(target / 2)))
             call = self.fresh[lane] = Call(lane, now, limit, trial, case.once)
-            self.calls[call] = None
+            self.calls[call] = lane.calls[call] = None
             line.out += 1
             lane.credit -= 1
         else:
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -32,6 +32,8 @@
     filled: float = 0.0  # when its credit was last filled
     heard: float = 0.0  # when it last answered anything
     used: float = 0.0  # when its last call ended
+    cost: float = 0.0  # seconds of a slot that a mail takes
+    calls: dict[Call, None] = field(default_factory=dict)  # those out
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,6 +17,33 @@
     assert dock.same_as("draw")
 
 
+def test_while_slots_are_scarce_the_route_that_holds_them_short_gets_more() -> None:
+    """Each had its even share, though a call to the slow one held a slot as long as three others."""
+    dock = Dock(slots=8)
+    dock.listed("north/1", "north/2", "south/1")
+    drawn: list[str] = []
+
+    def play(name: str, to: str = "north") -> None:
+        dock.mail(name, "redeliverable", to)
+        dock.turn()
+        route = dock.out[name].route.name
+        dock.now += 0.15 if route == "north/1" else 0.05
+        dock.end(name, "served", report=(1.0, 0.0))
+        drawn.append(route[-1])
+
+    for number in range(30):
+        play(f"free{number}")
+        play(f"south{number}", "south")
+    for number in range(7):  # five and two of eight slots
+        dock.mail(f"held{number}", "redeliverable", "south" if number < 5 else "north")
+    dock.turn()
+    free, drawn = drawn[::2], []
+    for number in range(30):
+        play(f"scarce{number}")
+    dock.lines = [f"free:   {''.join(free)}", f"scarce: {''.join(drawn)}"]
+    assert dock.same_as("thrift")
+
+
 def test_run_of_failures_gives_share_nought_until_a_trial_is_served() -> None:
     dock = Dock()
     dock.listed("north/1")
