A break on a rested connection says nothing of its route; once-only mails keep off such

Ruled out: closes right behind an answer (rests under 2 ms break no more often), closes that could be seen (nothing was unread), single receivers. Lines at fault: reading() counted each such break against a route that was well, and the door took a kept connection for once-only mails whatever its rest.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -1,7 +1,6 @@
 """Every decision of laureldock: which mail goes when, over which route, and what becomes of it.
 
-Make one `Control` for an instance, call it with each event of a turn, then `turn` once for the effects. Calls
-and types: `laureldock/interface.py`; what is remembered: `laureldock/records.py`; the why: `docs/design.md`.
+Calls, types: `laureldock/interface.py`; what is remembered: `laureldock/records.py`; why: `docs/design.md`.
 
 A mail waits in the line of its destination; while the window there has room, the best mail draws one of the
 live routes by shares. ROUTE_TABLE leads the routes, MAIL_TABLE leads the mails.
@@ -99,6 +98,7 @@
         # Guards tables of connections at the receivers against many instances that each keep some idle, and
         # mails against a connection dropped unseen. Half a minute for one instance, a call's time for many.
         self.keep, self.idle = max(0.5, 30.0 / tariff.instances), deque[tuple[float, Lane]]()
+        self.rest, self.broke = inf, now  # for how long a connection may have rested when one last broke
         self.held, self.ask_pause, self.ticking, self.close_at = 0, 0.0, False, inf
         self.effects: list[face.Effect] = []
         self.most_ask_pause = 0.5 if tariff.near_list else 8.0  # one near by costs nothing to ask
@@ -107,13 +107,12 @@
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_pause = 0.0
-        for line in self.lines.values() if whole else ():
+        for line in self.lines.values() if whole else [self.line(route.destination) for route in routes]:
+            # Nothing new to the others; what is out runs on.
             line.lanes = {route: lane for route, lane in line.lanes.items() if route.listed is face.Listed.UP}
         for route in routes:
             line = self.line(route.destination)
-            if route.listed is not face.Listed.UP:
-                line.lanes.pop(route, None)  # nothing new to it; what is out runs on
-            elif route not in line.lanes:
+            if route.listed is face.Listed.UP and route not in line.lanes:
                 line.batch = route.kind.batch
                 route.notes = line.lanes[route] = Lane(route, line, State.LIVE, Tally())
 
@@ -234,6 +233,10 @@
             bound.until = max(bound.until, now + outcome.wait)
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
+        # Guards against connections closed at rest, unseen until their next call; sooner it is chance.
+        if outcome.ending is Ending.RESET and outcome.rested > 0.1:
+            self.rest, self.broke = max(0.1, 0.75 * outcome.rested), now
+            return Sign.UNSENT
         good = outcome.ending is Ending.SERVED
         used_up = outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5
         if not good:
@@ -278,8 +281,7 @@
                 getattr(self, effect)(now, lane)
 
     def shut(self, now: float, lane: Lane) -> None:
-        # Half a second, growing by half up to two seconds: outages last seconds, a trial costs little.
-        # Where many may be trying, up to what all of them together may send to a cold route.
+        # Half a second, growing by half up to two; of many, up to what all may send to a cold route together.
         cold = self.rate(lane) * self.part * self.cold * self.start
         lane.pause = min(1 / cold if cold and self.many else 2.0, max(0.5, lane.pause * 1.5))
         lane.until = max(lane.until, now + lane.pause * (0.75 + 0.5 * self.chance()))
@@ -337,8 +339,7 @@
             soon = full and len(call.connects) == 1 and not call.once and call.lane.heard < call.sent
             if not call.judged and now - call.sent > call.limit * (0.8 if soon else 1):
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
-                call.overdue = True
-                call.lane.line.stuck += 1
+                call.overdue, call.lane.line.stuck = True, call.lane.line.stuck + 1
         # Guards slots and keys against silence: an overdue call gives way when all slots are taken (that of a
         # once-only mail if a quarter is overdue), and at once where its route went to nought in silence.
         stuck = [call for call in self.calls if call.overdue]
@@ -346,8 +347,7 @@
         for call in stuck if self.may_cancel else []:
             lost = call.lane.state is not State.LIVE and call.lane.heard < call.sent and not call.once
             if lost or (full and (many or not call.once)) or call.lane.line.stuck > self.sick_cap // 2:
-                call.overdue = False
-                call.lane.line.stuck -= 1
+                call.overdue, call.lane.line.stuck = False, call.lane.line.stuck - 1
                 self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail.notes.out]
                 break
 
@@ -355,8 +355,7 @@
         case.stage, effect = MAIL_TABLE[case.stage, step]
         self.held -= case.stage is Stage.DONE
         if case.queued:
-            case.line.waiting -= 1
-            case.queued = False
+            case.line.waiting, case.queued = case.line.waiting - 1, False
             if not case.line.waiting:
                 del self.busy[case.line]
         if effect:
@@ -492,7 +491,8 @@
         case.connects, case.out, case.last = case.connects + 1, case.out + 1, lane
         call.out += 1
         self.step(now, case, Step.DRAWN)
-        call.connects.append(Connect(case.mail, lane.route, time_out, call))
+        rest = self.rest + (now - self.broke) / 20 if case.single else inf  # others are soon tried anew
+        call.connects.append(Connect(case.mail, lane.route, time_out, call, rest))
         self.effects.append(call.connects[-1])
         return True
 
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -147,6 +147,7 @@
     wait: float = 0.0
     limit: float | None = None  # of the route, in calls a second; 0 where it has none, None where not told
     left: float = 1.0  # of the limit, what is left as a share
+    rested: float = 0.0  # for how long its connection had been unused; 0 where it was new, or is not known
 
 
 @dataclass(eq=False, slots=True)
@@ -155,6 +156,7 @@
     route: Route
     time_out: float
     notes: Any = None
+    rest: float = inf  # a connection unused for longer is not for it
 
 
 @dataclass(eq=False, slots=True)
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import TYPE_CHECKING
 
 from twisted.internet.base import DelayedCall
@@ -73,8 +74,9 @@
             self.dispatcher.ended(connect, letter, end, outcome)
 
         pool = self.pools[connect.route]
-        self.out[connect] = Errand(self, pool, head, letter.body, connect.time_out, may_begin, ended)
-        self.out[connect].start()
+        errand = Errand(self, pool, head, letter.body, connect.time_out, may_begin, ended, connect.rest)
+        self.out[connect] = errand
+        errand.start()
 
     def cancel(self, connect: Connect) -> None:
         if connect in self.out:
@@ -96,15 +98,16 @@
         if route in self.pools:
             self.pools[route].hang_up()
 
-    def take(self, pool: Pool) -> HttpLine | None:
+    def take(self, pool: Pool, rest: float) -> tuple[float, HttpLine] | None:
         """A kept connection, surely not closed yet, with nothing on it to be taken for the next answer."""
         # In the time for which one may take to come up, a call gets there too.
         tariff = self.dispatcher.book.tariff
         pool.hang_up(tariff.idle_time - tariff.connect_time)
         while pool.idle:
-            line = pool.idle.pop()[1]
-            if unread(line.transport) is None:
-                return line
+            since, line = pool.idle.pop()
+            rested = self.dispatcher.now() - since
+            if rested <= rest and unread(line.transport) is None:
+                return rested, line
             line.drop()
         return None
 
@@ -134,9 +137,11 @@
         time_out: float,
         may_begin: Callable[[], bool],
         ended: Callable[[End, Outcome], None],
+        rest: float = inf,
     ) -> None:
         self.receivers, self.pool, self.head, self.body = receivers, pool, head, body
         self.time_out, self.may_begin, self.ended = time_out, may_begin, ended
+        self.rest, self.rested = rest, 0.0
         self.began, self.over = receivers.dispatcher.now(), False
         self.line: HttpLine | None = None
         self.opening: Deferred[HttpLine] | None = None
@@ -145,8 +150,9 @@
     def start(self) -> None:
         dispatcher = self.receivers.dispatcher
         self.timer = dispatcher.later(self.time_out, self.stop, End.SILENT)
-        line = self.receivers.take(self.pool)
-        if line:
+        kept = self.receivers.take(self.pool, self.rest)
+        if kept:
+            self.rested, line = kept
             self.go(line)
             return
         self.receivers.spare()
@@ -217,11 +223,9 @@
         ending, finished = OUTCOMES[end]
         told = report(headers.get(b"x-load-report", b""))
         wait = number(headers.get(b"x-ratelimit-wait-ms", b"")) if ending is Ending.FULL else None
-        took = self.receivers.dispatcher.now() - self.began
-        self.ended(
-            end,
-            Outcome(ending, took, finished, (wait or 0.0) / 1000, told.get("x1"), told.get("x0", 1.0)),
-        )
+        wait, took = (wait or 0.0) / 1000, self.receivers.dispatcher.now() - self.began
+        limit, left = told.get("x1"), told.get("x0", 1.0)
+        self.ended(end, Outcome(ending, took, finished, wait, limit, left, self.rested))
 
 
 def number(text: bytes) -> float | None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -98,6 +98,31 @@
     assert quay.dispatcher.counters["connections opened"] == 2
 
 
+def test_what_may_not_go_twice_keeps_off_connections_like_those_that_broke_at_rest(port: Port) -> None:
+    """Receivers closed what rested, unseen: each such break bounced a once-only mail and shut its route."""
+    quay = port()
+    client = quay.client()
+    for number in range(12):
+        quay.put(client, f"m{number}")
+        quay.answer("1", "200 OK")
+        quay.after(0.4)
+        if number % 3 == 2:
+            quay.put(client, f"cut{number}")
+            quay.cut("1")
+            quay.answer("1", "200 OK")  # at once: the break said nothing of the route
+            quay.after(0.4)
+    opened = quay.dispatcher.counters["connections opened"]
+    quay.put(client, "m12")
+    quay.answer("1", "200 OK")
+    assert quay.dispatcher.counters["connections opened"] == opened
+    quay.after(0.4)
+    quay.put(client, "c1", "charge")
+    quay.answer("1", "200 OK")
+    quay.put(client, "c2", "charge")  # no rest to speak of
+    quay.answer("1", "200 OK")
+    assert quay.dispatcher.counters["connections opened"] == opened + 1
+
+
 def test_a_mail_ended_by_notice_is_not_withdrawn(port: Port) -> None:
     """Its key's turn was never given on: the answer of its notice found no mail."""
     quay = port()
