A crowd of clients is accepted a few at a time; answered ones give way at once

Checked by a log line for each step of each mail: every mail taken on was ended in time, so what was lost are requests on connections closed without an answer. Ruled out: the spool, notices, the restarts. At fault: twisted's Port accepts a hundred and more connections at one look (joined could stop it only afterwards), past half of the sockets and, with those to receivers, past the limit; then it accepts and closes. And make_room took those that were giving way already again, and left answered connections alone for half a second.

Now the door accepts four at a look; who gives way is not counted twice; an answered connection gives way at once when room is short. While stopping, clients are accepted again once there is room.

--- a/laureldock/__main__.py
+++ b/laureldock/__main__.py
@@ -19,6 +19,7 @@
 from twisted.internet.main import installReactor
 
 from laureldock import __version__
+from laureldock.net.clients import Door
 from laureldock.net.dispatcher import Dispatcher, Place
 from laureldock.net.spool import Spool
 
@@ -29,6 +30,11 @@
     def seconds(self) -> float:
         return time.monotonic()
 
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Door:  # noqa: N802
+        door = Door(port, factory, backlog, interface, self)
+        door.startListening()
+        return door
+
     def runUntilCurrent(self) -> None:  # noqa: N802
         """After a stall, what has come in is read before any timer says that it has not come."""
         if self.running:
--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
-from twisted.internet.tcp import Connection
+from twisted.internet.tcp import Connection, Port
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
@@ -53,7 +53,7 @@
     @property
     def idle(self) -> bool:
         """Between requests, as far as has been read."""
-        return not (self.answering or self.pending or self.closing or self.half)
+        return not (self.answering or self.pending or self.closing or self.leaving or self.half)
 
     @property
     def half(self) -> bool:
@@ -199,11 +199,19 @@
 
     def finish(self) -> None:
         """Close between requests; one that has begun to come is answered before."""
-        self.leaving = True
-        if self.idle:
+        idle, self.leaving = self.idle, True
+        if idle:
             self.transport.loseConnection()
 
 
+class Door(Port):
+    """Accepts a few at each look; the reactor's own takes a hundred and more, past any limit of sockets."""
+
+    def doRead(self) -> None:  # noqa: N802
+        self.numberAccepts = 4
+        super().doRead()
+
+
 class Clients(Factory):
     noisy = False
 
@@ -239,7 +247,8 @@
 
     def idle(self, now: float, waited: float) -> list[Client]:
         """Those between requests: the ones that never asked, then the ones that wait for longest."""
-        found = [client for client in self.open if client.idle and client.since <= now - waited]
+        found = [client for client in self.open if client.idle]
+        found = [client for client in found if client.since <= now - (waited if client.asked else QUIET)]
         found = [client for client in found if unread(client.transport) is None]
         return sorted(found, key=lambda client: (client.asked, client.since))
 
@@ -248,7 +257,7 @@
 
         One closed with a request on its way would lose its mail, or ask once more.
         """
-        idle = self.idle(self.dispatcher.now(), QUIET)
+        idle = self.idle(self.dispatcher.now(), 0.0)
         for client in idle[: max(1, self.most // 16)]:
             client.finish()
         if not idle and len(self.open) >= self.most and not self.full:
--- a/laureldock/net/dispatcher.py
+++ b/laureldock/net/dispatcher.py
@@ -146,6 +146,7 @@
     def shut_door(self) -> None:
         if self.port:
             self.port.stopListening()
+            self.port = None
         self.clients.finish()
 
     def wind_up(self, done: Deferred[None]) -> None:
@@ -265,7 +266,7 @@
 
     def full(self, full: bool) -> None:
         self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
-        if self.port and not self.stopped_at:
+        if self.port:
             (self.port.stopReading if full else self.port.startReading)()
 
     def malformed(self, why: str) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -172,6 +172,30 @@
         process.child.kill()
 
 
+def test_a_crowd_of_clients_leaves_sockets_for_all_else(
+    tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    """All that had come were accepted at once, past the limit of sockets, and requests closed unheard."""
+    process = Process(tmp_path, platform)
+    crowd = []
+    try:
+        process.child.send_signal(signal.SIGSTOP)
+        for number in range(240):
+            crowd.append(process.open())
+            crowd[-1].sendall(Quay.command("MSG.PUT", "0", f"m{number}", "c=news,d=9000,dest=7", "quick"))
+        process.child.send_signal(signal.SIGCONT)
+        most = 0
+        for link in crowd:
+            link.settimeout(5)
+            assert link.recv(64)[:4] in (b"+OK\r", b"-BUS")
+            most = max(most, len(os.listdir(f"/proc/{process.child.pid}/fd")))
+        assert most <= 200  # of 256
+    finally:
+        process.child.kill()
+        for link in crowd:
+            link.close()
+
+
 @pytest.mark.parametrize("spoil", ["LB_STATE", "LB_CONFIG", "settings", "known", "seed"])
 def test_bad_start_settings_end_it_with_a_plain_line(
     spoil: str, tmp_path: Path, platform: ThreadingHTTPServer
