Answered client connections beyond a sixth of the sockets give way at once

A log line a second of the states of all client connections: 128 had been answered, a third of the 384 descriptors, which is all that clients hold for requests; 30 new ones had said nothing yet. So clients had none to ask on: each answered one was kept for two seconds, 64 requests a second at best. Ruled out: slots, windows, routes (see the counts), the door (not full), CPU.

Now at every new connection those answered beyond a sixth of the sockets, half of what clients may hold, are closed, the longest idle first; one with bytes unread is left. Clients need not be told: between requests a close is allowed.

--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -5,6 +5,7 @@
 import json
 import re
 import time
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from twisted.internet.interfaces import IAddress
@@ -23,7 +24,7 @@
 MOST_WORDS = 8  # in a command; MSG.PUT has five
 MOST_BEHIND = 16  # commands behind one that waits; clients of the protocol send none
 # By the platform's protocol: who sends nothing whole is told so within 3 s of connecting, 6 s if there is
-# much to read, and a connection with no open request may be closed after 2 s.
+# much to read.
 PATIENCE, DRAINED, LOOK = 2.0, 5.0, 0.25
 # Who has said nothing for two looks gives way when room is short: clients open a connection to send.
 QUIET = 2 * LOOK
@@ -217,6 +218,9 @@
 
     def __init__(self, dispatcher: Dispatcher, most: int) -> None:
         self.dispatcher, self.most = dispatcher, most
+        self.most_idle = (
+            most // 3
+        )  # half of what the protocol's clients hold at most, so that as many find room
         self.open: dict[Client, None] = {}
         self.full = self.looking = False
 
@@ -226,8 +230,7 @@
     def joined(self, client: Client) -> None:
         self.open[client] = None
         self.dispatcher.receivers.spare()
-        if len(self.open) >= self.most:
-            self.make_room()
+        self.make_room()
         if not self.looking:
             self.looking = True
             self.dispatcher.later(LOOK, self.look)
@@ -236,33 +239,31 @@
         now = self.dispatcher.now()
         for client in list(self.open):
             client.look(now)
-        # Before room is short, only those that may be closed by the protocol.
-        for client in self.idle(now, PATIENCE)[: max(0, len(self.open) - self.most // 2)]:
-            client.finish()
+        self.make_room()
         self.looking = bool(self.open)
         if self.looking:
             self.dispatcher.later(LOOK, self.look)
-        if self.full:
-            self.make_room()
-
-    def idle(self, now: float, waited: float) -> list[Client]:
-        """Those between requests: the ones that never asked, then the ones that wait for longest."""
-        found = [client for client in self.open if client.idle]
-        found = [client for client in found if client.since <= now - (waited if client.asked else QUIET)]
-        found = [client for client in found if unread(client.transport) is None]
-        return sorted(found, key=lambda client: (client.asked, client.since))
 
     def make_room(self) -> None:
-        """A sixteenth at a time; where nobody is idle, the next ones wait unaccepted.
+        """Those between requests give way, the longest idle first, so that clients find connections to open.
 
-        One closed with a request on its way would lose its mail, or ask once more.
+        At the limit also those that have said nothing; where there is nobody, the next ones wait unaccepted.
         """
-        idle = self.idle(self.dispatcher.now(), 0.0)
-        for client in idle[: max(1, self.most // 16)]:
-            client.finish()
-        if not idle and len(self.open) >= self.most and not self.full:
-            self.full = True
-            self.dispatcher.full(True)
+        staying = [client for client in self.open if not client.leaving]
+        idle = [client for client in staying if client.idle]
+        answered = [client for client in idle if client.asked]
+        over, quiet = len(answered) - self.most_idle, self.dispatcher.now() - QUIET
+        if len(staying) >= self.most:
+            over = max(over, len(staying) + 1 - self.most)
+            answered += [client for client in idle if not client.asked and client.since <= quiet]
+        if over > 0:
+            answered.sort(key=lambda client: (client.asked, client.since))
+            gone = list(islice((client for client in answered if unread(client.transport) is None), over))
+            for client in gone:
+                client.finish()
+            if not gone and len(self.open) >= self.most and not self.full:
+                self.full = True
+                self.dispatcher.full(True)
 
     def left(self, client: Client) -> None:
         self.open.pop(client, None)
