--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -45,7 +45,7 @@
 
 
 def test_calls_never_answered_give_way_while_all_slots_are_taken() -> None:
-    """They held them for three times what nine in ten take; once-only mails for their lifetime."""
+    """They held them for three times what nine in ten take, and longer."""
     dock = Dock(slots=2)
     dock.listed("north/1", "south/1")
     dock.mail("paid", "once-only")
@@ -68,6 +68,22 @@
     assert dock.same_as("give-way")
 
 
+def test_a_once_only_call_never_answered_gives_way_at_twice_its_limit() -> None:
+    """Where it was the only one overdue it held its slot for its lifetime."""
+    dock = Dock(slots=4)
+    dock.listed("north/1", "south/1", "east/1", "west/1")
+    dock.mail("paid", "once-only")
+    for number in range(80):
+        names = {f"{to}{number}": to for to in ("south", "east", "west")}
+        for name, to in names.items():
+            dock.mail(name, "redeliverable", to)
+        dock.after(0.1)
+        for name in names:
+            dock.end(name, "served")
+    dock.lines = [line for line in dock.lines if "paid" in line]
+    assert dock.same_as("give-way-once")
+
+
 def test_run_of_failures_gives_share_nought_until_a_trial_is_served() -> None:
     dock = Dock()
     dock.listed("north/1")
