One check of an address, one way to give up a connection; no look at clients while they are few

Found on a second reading; behaviour stays. The check of an address stood in __main__ and in net/directory: now http.address.

--- a/laureldock/__main__.py
+++ b/laureldock/__main__.py
@@ -21,6 +21,7 @@
 from laureldock import __version__
 from laureldock.net.clients import Door
 from laureldock.net.dispatcher import Dispatcher, Place
+from laureldock.net.http import address
 from laureldock.net.spool import Spool
 
 
@@ -42,13 +43,6 @@
         super().runUntilCurrent()
 
 
-def address(told: Any) -> str:
-    host, _, port = str(told).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"no address: {told!r}")
-    return str(told)
-
-
 def directory(environ: Mapping[str, str]) -> str:
     """Where the list and the notices are by the file as it is now, newer than the environment."""
     try:
--- a/laureldock/net/clients.py
+++ b/laureldock/net/clients.py
@@ -218,9 +218,8 @@
 
     def __init__(self, dispatcher: Dispatcher, most: int) -> None:
         self.dispatcher, self.most = dispatcher, most
-        self.most_idle = (
-            most // 3
-        )  # half of what the protocol's clients hold at most, so that as many find room
+        # Half of what the protocol's clients hold at most, so that as many find room.
+        self.most_idle = most // 3
         self.open: dict[Client, None] = {}
         self.full = self.looking = False
 
@@ -249,6 +248,8 @@
 
         At the limit also those that have said nothing; where there is nobody, the next ones wait unaccepted.
         """
+        if len(self.open) <= self.most_idle:
+            return  # as on most days: nobody need be looked at
         staying = [client for client in self.open if not client.leaving]
         idle = [client for client in staying if client.idle]
         answered = [client for client in idle if client.asked]
--- a/laureldock/net/directory.py
+++ b/laureldock/net/directory.py
@@ -7,7 +7,7 @@
 
 from laureldock.interface import AskList, Listed
 from laureldock.net.ends import End
-from laureldock.net.http import Asker, Headers, HttpLine
+from laureldock.net.http import Asker, Headers, HttpLine, address
 from laureldock.tariff import Entry
 
 if TYPE_CHECKING:
@@ -23,7 +23,7 @@
         seq, whole, hosts = news["seq"], news["whole"], news["hosts"]
         if not isinstance(seq, int) or not isinstance(whole, bool):
             raise ValueError("its version or kind is missing")
-        return seq, whole, [(entry(host), address(host)) for host in hosts]
+        return seq, whole, [(entry(host), address(host["dial"])) for host in hosts]
     except (KeyError, TypeError, AttributeError, OverflowError) as fault:
         raise ValueError(f"not a list of hosts: {fault!r}") from None
 
@@ -42,14 +42,6 @@
     )
 
 
-def address(host: dict[str, Any]) -> str:
-    dial = str(host["dial"])
-    name, _, port = dial.rpartition(":")
-    if not name or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"no address: {dial!r}")
-    return dial
-
-
 class Directory(Asker):
     def __init__(self, dispatcher: Dispatcher, dial: str) -> None:
         super().__init__(dispatcher, dial, MOST_BODY)
--- a/laureldock/net/http.py
+++ b/laureldock/net/http.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred
@@ -170,9 +170,13 @@
             reader.answered(status, headers, body)
 
     def garble(self) -> None:
+        self.give_up(End.GARBLED)
+
+    def give_up(self, end: End) -> None:
+        """Close it, and tell who waits on it."""
         reader = self.reader
         self.drop()
-        self.spoilt(reader, End.GARBLED)
+        self.spoilt(reader, end)
 
     def spoilt(self, reader: Reader | None, end: End) -> None:
         """It will never be whole. A first line of 200 is true even so; of any other answer nothing holds."""
@@ -194,6 +198,15 @@
         self.gone(self)
 
 
+def address(told: Any) -> str:
+    """What was told as one, if it has a host and a port that can be; else ValueError."""
+    dial = str(told)
+    host, _, port = dial.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {dial!r}")
+    return dial
+
+
 def open_line(reactor: PosixReactorBase, dial: str, most_body: int, time_out: float) -> Deferred[HttpLine]:
     host, _, port = dial.rpartition(":")
     endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=time_out)
--- a/laureldock/net/receivers.py
+++ b/laureldock/net/receivers.py
@@ -192,10 +192,10 @@
             return
         if self.opening:
             self.opening.cancel()
-        status, written = (self.line.status, self.line.written) if self.line else (0, False)
         if self.line:
-            self.line.drop()
-        self.finish(End.DELIVERED if status == 200 else end if written else End.UNREACHED)
+            self.line.give_up(end if self.line.written else End.UNREACHED)
+        else:
+            self.finish(End.UNREACHED)
 
     def head_read(self, status: int, headers: Headers) -> None:
         """A first line of 200 is true whatever follows: the rest is read for the connection's sake alone."""
