--- /dev/null
+++ b/benchmarks/throughput.py
@@ -0,0 +1,192 @@
+"""CPU microseconds a mail: a dispatcher, clients in a closed loop, receivers that answer at once; loopback.
+
+    python -m benchmarks.throughput [--against CHECKOUT] [--seconds 6] [--pairs 5]
+
+With another checkout the two are run in turn, and the ratio of each pair is told: machines are noisy, and
+ratios within a run are not. Every mail is written to the spool, as in service.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import selectors
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+SETTINGS: dict[str, Any] = {
+    "classes": [{"name": "news", "effect": "retryable", "points": 1, "aim_ns": 2e9, "deadline_ns": 9e9}],
+    "kinds": ["any"], "n_instances": 1, "telemetry": {"fields": ["x0", "x1"], "via": "inline"},
+    "family_info": {"call_slots": 64, "batch_by_kind": [1], "routes_apart": [True], "fades": "linear"},
+    "limits": {"most_held": 400, "max_attempts": 4, "may_cancel": True, "connect_timeout_ns": 1e9,
+               "conn_idle_ns": 15e9, "retry_after": True, "max_retry_after_ns": 3e9},
+    "invariants": {"start_capacity": 0.3, "tip_multiple": 2, "fall_ns": 2e9, "warm_after_ns": 9e9,
+                   "key_rest_ns": 3e8},
+}  # fmt: skip
+BODY = b"x" * 200
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class Receivers:
+    """Answers whatever ends a call, at once; no more of HTTP than a benchmark needs."""
+
+    def __init__(self, count: int) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.ports = []
+        for _ in range(count):
+            door = socket.create_server(("127.0.0.1", 0), backlog=256)
+            door.setblocking(False)
+            self.ports.append(door.getsockname()[1])
+            self.selector.register(door, selectors.EVENT_READ, None)
+        self.served = 0
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self) -> None:
+        while True:
+            for key, _ in self.selector.select():
+                sock: Any = key.fileobj
+                if key.data is None:
+                    link, _ = sock.accept()
+                    link.setblocking(False)
+                    self.selector.register(link, selectors.EVENT_READ, bytearray())
+                    continue
+                data = sock.recv(65536)
+                key.data.extend(data)
+                if not data:
+                    self.selector.unregister(sock)
+                    sock.close()
+                elif key.data.startswith(b"GET"):
+                    time.sleep(0)  # the list's watch: no news
+                elif key.data.endswith(BODY):
+                    key.data.clear()
+                    self.served += 1
+                    sock.sendall(ANSWER)
+
+
+def cpu(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory(pid: int) -> float:
+    """Peak resident size in MB."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1000
+
+
+def command(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
+
+class Run:
+    """One dispatcher out of a checkout."""
+
+    def __init__(self, checkout: Path, folder: Path) -> None:
+        self.receivers = Receivers(4)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        entry = {"site": "a", "class": "any", "block": 7, "share": 0.0, "health": "Ready"}
+        hosts = [{"host": f"r{p}", "dial": f"127.0.0.1:{p}", **entry} for p in self.receivers.ports]
+        told = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "7", "settings": SETTINGS}
+        told["discovery"] = f"127.0.0.1:{self.receivers.ports[0]}"
+        told["known"] = {"seq": 1, "whole": True, "hosts": hosts}
+        told["limits"] = {"cores": 1, "memory_mb": 192, "sockets": 1024, "disk_mb": 64}
+        config, state = folder / "config.json", folder / "state"
+        config.write_text(json.dumps(told))
+        state.mkdir()
+        environ = {**os.environ, "LB_CONFIG": str(config), "LB_STATE": str(state)}
+        began = time.monotonic()
+        python = [sys.executable, "-m", "laureldock", "serve"]
+        self.child = subprocess.Popen(python, cwd=checkout, env=environ, stdout=subprocess.DEVNULL)
+        while not self.ready():
+            if self.child.poll() is not None:
+                raise click.ClickException(f"the dispatcher of {checkout} ended")
+            time.sleep(0.005)
+        self.start_time, self.start_memory = time.monotonic() - began, memory(self.child.pid)
+
+    def ready(self) -> bool:
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), 5) as link:
+                link.sendall(b"PING\r\n")
+                return link.recv(16) == b"+PONG\r\n"
+        except OSError:
+            return False
+
+    def load(self, seconds: float, clients: int) -> dict[str, float]:
+        """Clients in a closed loop; figures of the dispatcher's process between two moments of it."""
+        end, counts = time.monotonic() + seconds, [0] * clients
+
+        def client(number: int) -> None:
+            with socket.create_connection(("127.0.0.1", self.port)) as link:
+                while time.monotonic() < end:
+                    name = b"c%d-%d" % (number, counts[number])
+                    link.sendall(command(b"MSG.PUT", b"0", name, b"c=news,d=9000,dest=7", BODY))
+                    if link.recv(64)[:1] == b"+":
+                        counts[number] += 1
+
+        threads = [threading.Thread(target=client, args=(number,)) for number in range(clients)]
+        before, began, served = cpu(self.child.pid), time.monotonic(), self.receivers.served
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(0.2)
+        used, done = cpu(self.child.pid) - before, self.receivers.served - served
+        taken = sum(counts)
+        if done < taken * 0.99:
+            raise click.ClickException(f"{taken} taken on, {done} delivered")
+        return {
+            "us_a_mail": used / done * 1e6,
+            "mails_a_second": done / (time.monotonic() - began),
+            "memory_mb": memory(self.child.pid),
+        }
+
+    def end(self) -> None:
+        self.child.terminate()
+        self.child.wait(10)
+
+
+def measure(checkout: Path, seconds: float, clients: int) -> dict[str, float]:
+    with tempfile.TemporaryDirectory() as folder:
+        run = Run(checkout, Path(folder))
+        try:
+            run.load(1.0, clients)  # warm
+            figures = run.load(seconds, clients)
+        finally:
+            run.end()
+    return {**figures, "start_s": run.start_time, "start_memory_mb": run.start_memory}
+
+
+@click.command()
+@click.option("--against", type=click.Path(exists=True, path_type=Path), help="Another checkout.")
+@click.option("--seconds", default=6.0, show_default=True)
+@click.option("--pairs", default=5, show_default=True)
+@click.option("--clients", default=8, show_default=True)
+def main(against: Path | None, seconds: float, pairs: int, clients: int) -> None:
+    own = Path(__file__).parent.parent
+    figures: dict[str, list[list[float]]] = {}
+    for _ in range(pairs):
+        for place, checkout in enumerate([own, against] if against else [own]):
+            for name, value in measure(checkout, seconds, clients).items():
+                figures.setdefault(name, [[], []])[place].append(value)
+    for name, (here, there) in figures.items():
+        text = f"{name:16} {sorted(here)[len(here) // 2]:10.2f}"
+        if there:
+            ratios = sorted(a / b for a, b in zip(here, there, strict=True))
+            text += f"  against {sorted(there)[len(there) // 2]:10.2f}"
+            text += (
+                f"  ratio {ratios[0]:.3f} {ratios[len(ratios) // 2]:.3f} {ratios[-1]:.3f} (min, median, max)"
+            )
+        click.echo(text)
+
+
+if __name__ == "__main__":
+    main()
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -95,6 +95,7 @@
         self.calls: dict[Call, None] = {}  # all that are out
         self.fresh: dict[Lane, Call] = {}  # those opened in this turn
         self.ends: list[tuple[float, int, Case]] = []
+        self.terms: dict[face.QueueClass, face.Terms] = {}
         self.copies: list[tuple[float, int, Case]] = []  # when a second copy is due
         self.keys: dict[str, Turns] = {}
         self.resting: list[tuple[float, int, Turns]] = []
@@ -132,7 +133,7 @@
         born, once = end - kind.lifetime, kind.rerun is Rerun.ONCE_ONLY
         # Where only one zone drops repeats, a mail that may have run is left at that: rare, and never wrong.
         single, fades = once or kind.one_zone, born + kind.target_delay if kind.halving else end
-        terms = mail.terms or face.Terms(kind.importance, self.most_connects, self.most_retry_after, 1, inf)
+        terms = mail.terms or self.plain(kind)
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, fades, once, single, terms)
         # What an earlier life of this dispatcher tried counts as if this one had.
         case.connects, case.doubt = mail.connects, 0.0 if mail.ran is None else now - mail.ran
@@ -220,6 +221,10 @@
                 self.effects.append(face.HangUp(lane.route))
         while self.resting and self.resting[0][0] <= now:
             self.wake(now, heapq.heappop(self.resting)[2])
+        # Guards memory against mails that are over long before their lifetime: at most as many as are held.
+        if len(self.ends) > 2 * self.held + 64:
+            self.ends = [each for each in self.ends if each[2].stage is not Stage.DONE]
+            heapq.heapify(self.ends)
         while self.ends and (now >= self.close_at or self.ends[0][0] <= now + self.tick):
             case = heapq.heappop(self.ends)[2]
             if case.stage is Stage.LINE:
@@ -508,7 +513,8 @@
         case.connects, case.out, case.last = case.connects + 1, case.out + 1, lane
         call.out += 1
         self.step(now, case, Step.DRAWN)
-        if self.may_copy and case.terms.copies > case.out and not case.single and not case.turns:
+        hedged = self.may_copy and case.terms.copies > case.out and not case.single and not case.turns
+        if hedged and case.terms.copy_after < case.mail.queue_class.memory:
             heapq.heappush(self.copies, (now + case.terms.copy_after, next(self.serial), case))
         rest = self.rest + (now - self.broke) / 20 if case.single else inf  # others are soon tried anew
         call.connects.append(Connect(case.mail, lane.route, time_out, call, rest))
@@ -565,5 +571,11 @@
     def line(self, destination: face.Destination) -> Line:
         return self.lines.setdefault(destination, Line(destination, window=1.0))
 
+    def plain(self, kind: face.QueueClass) -> face.Terms:
+        """What holds for mails of a class where operators set nothing."""
+        if kind not in self.terms:
+            self.terms[kind] = face.Terms(kind.importance, self.most_connects, self.most_retry_after, 1, inf)
+        return self.terms[kind]
+
     def chance(self) -> float:
         return zlib.crc32(f"{self.seed}:{next(self.serial)}".encode()) / 2**32
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -33,6 +33,7 @@
 # commands which this is not a database for goes on; one that repeats what was turned away is closed.
 MOST_ERRORS, FORGIVEN = 16, 2.0
 WORD = re.compile(rb"[!-~]{1,256}")  # what may go on in a header or a notice
+NOT_IN_A_NAME = re.compile(r"[^a-z0-9]+")  # of a figure, as clients read them
 PAIR = re.compile(rb"([a-z]+)=([^,]*)")
 NAME = re.compile(rb"[A-Za-z_][A-Za-z0-9_.-]{0,63}")  # a destination that is not a number
 
@@ -170,7 +171,8 @@
 
     def info(self, *sections: bytes) -> None:
         lines = [f"laureldock_version:{__version__}"]
-        lines += [f"{name}:{value}" for name, value in self.clients.core.figures().items()]
+        figures = self.clients.core.figures().items()
+        lines += [f"{NOT_IN_A_NAME.sub('_', name)}:{value}" for name, value in figures]
         self.answer(resp.bulk("\r\n".join(["# laureldock", *lines, ""]).encode()))
 
     def quit(self, *words: bytes) -> None:
--- /dev/null
+++ b/laureldock/rehearsal/account.py
@@ -0,0 +1,211 @@
+"""The account of a rehearsal, kept by clients and stand-ins, and the six rules held against it. No I/O.
+
+Times are float seconds of one clock. Nothing here comes from the dispatcher but what it told over its fronts,
+carriers and outlet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+TAKEN, BUSY, FAILED, GONE = "taken", "busy", "failed", "gone"
+# What sockets and the machine add to a limit before it counts as passed.
+SLACK = 0.3
+# Calls that cross the answer which tells to wait are let through.
+CROSSING = 0.1
+
+
+@dataclass(eq=False, slots=True)
+class Handed:
+    """A mail as its client saw it."""
+
+    name: str
+    queue_class: str
+    effect: str
+    key: str
+    destination: str
+    at: float
+    end: float  # of its lifetime
+    place: int  # in the order of its key
+    word: str = ""  # what the dispatcher answered
+    answered: float = 0.0
+    notices: list[tuple[float, str]] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """A call as a stand-in saw it."""
+
+    receiver: str
+    mail: str
+    tag: str
+    first: float  # its first byte
+    begun: float  # its last byte
+    ended: float = 0.0  # its answer written, or its connection gone; nought while it is out
+    status: int = 0  # nought: no answer
+    ran: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Told:
+    """What a stand-in or the list told, or was: a wait, a drain, or cold."""
+
+    receiver: str
+    since: float
+    until: float = 0.0
+    # For cold: calls a second that it bears at a time.
+    bears: Callable[[float], float] = lambda at: 0.0
+
+
+@dataclass(slots=True)
+class Account:
+    handed: dict[str, Handed] = field(default_factory=dict)
+    calls: list[Call] = field(default_factory=list)
+    waits: list[Told] = field(default_factory=list)
+    drains: list[Told] = field(default_factory=list)
+    colds: list[Told] = field(default_factory=list)
+    memory: float = 10.0  # for which a tag is known
+    key_rest: float = 0.3
+    grace: float = 0.5  # of a drain
+    tip: float = 1.5  # times what a cold receiver bears ...
+    fall: float = 1.5  # ... for so long
+    strays: list[str] = field(default_factory=list)  # notices of mails that nobody handed in
+
+    def by_mail(self) -> dict[str, list[Call]]:
+        found: dict[str, list[Call]] = {}
+        for call in sorted(self.calls, key=lambda each: each.begun):
+            found.setdefault(call.mail, []).append(call)
+        return found
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    rule: str
+    counted: int  # cases in which it could have been broken
+    broken: tuple[str, ...]
+
+
+def judge(account: Account) -> list[Verdict]:
+    rules: list[tuple[str, Callable[[Account], Iterator[str | None]]]] = [
+        ("one final answer, in time", one_answer),
+        ("no effect twice", no_double),
+        ("drains are kept", drains),
+        ("returning receivers not pushed over", returning),
+        ("order of keys", order),
+        ("waits are heeded", waits),
+    ]
+    verdicts = []
+    for name, rule in rules:
+        found = list(rule(account))
+        verdicts.append(Verdict(name, len(found), tuple(each for each in found if each)))
+    return verdicts
+
+
+def one_answer(account: Account) -> Iterator[str | None]:
+    """None for each case in which the rule held, else what was seen. So do all of these."""
+    calls = account.by_mail()
+    for mail in account.handed.values():
+        served = [call for call in calls.get(mail.name, []) if call.status == 200]
+        yield one_end(mail, served, calls.get(mail.name, []))
+    for name in account.strays:
+        yield f"{name}: a notice, and nobody handed it in"
+    for name in calls:
+        if name not in account.handed:
+            yield f"{name}: a call, and nobody handed it in"
+
+
+def one_end(mail: Handed, served: list[Call], calls: list[Call]) -> str | None:
+    if mail.word == GONE:
+        return None  # its client went; nothing is owed
+    if mail.word != TAKEN:
+        late = [call for call in calls if call.begun > mail.answered + CROSSING]
+        if mail.notices or late:
+            return f"{mail.name}: answered {mail.word}, and more came of it"
+        return None if mail.word else f"{mail.name}: no answer at all"
+    ends = [call.ended for call in served][:1] + [at for at, _ in mail.notices]
+    if not ends:
+        return f"{mail.name}: taken on, and no end"
+    if len(ends) > 1:
+        return f"{mail.name}: {len(ends)} ends"
+    return f"{mail.name}: its end is {ends[0] - mail.end:.2f}s late" if ends[0] > mail.end + SLACK else None
+
+
+def no_double(account: Account) -> Iterator[str | None]:
+    for name, calls in account.by_mail().items():
+        mail = account.handed.get(name)
+        ran = [call for call in calls if call.ran]
+        if mail is None or mail.effect == "redeliverable":
+            continue
+        if mail.effect == "once-only":
+            yield f"{name}: once-only, ran {len(ran)} times" if len(ran) > 1 else None
+        else:
+            apart = ran[-1].begun - ran[0].begun if ran else 0.0
+            yield f"{name}: ran again after {apart:.2f}s" if apart > account.memory else None
+        over = [one.ended or one.begun for one in calls if one.status == 200]
+        if over and any(call.begun > min(over) + CROSSING for call in calls):
+            yield f"{name}: sent again though it was delivered"
+
+
+def drains(account: Account) -> Iterator[str | None]:
+    for told in account.drains:
+        after = [
+            call
+            for call in account.calls
+            if call.receiver == told.receiver and call.first > told.since + account.grace
+        ]
+        late = ", ".join(call.mail for call in after[:3])
+        yield f"{told.receiver}: {len(after)} calls after its drain ({late})" if after else None
+
+
+def returning(account: Account) -> Iterator[str | None]:
+    """In no window of `fall` seconds more than `tip` times what it bears, and two calls for chance."""
+    for told in account.colds:
+        times = sorted(
+            call.begun
+            for call in account.calls
+            if call.receiver == told.receiver and told.since <= call.begun < told.until
+        )
+        worst, text = 0.0, None
+        for start in times:
+            count = sum(start <= at < start + account.fall for at in times)
+            allowed = account.tip * told.bears(start) * account.fall + 2
+            if count - allowed > worst:
+                worst = count - allowed
+                text = f"{told.receiver}: {count} calls in {account.fall}s at {start - told.since:.1f}s cold"
+        yield text
+
+
+def order(account: Account) -> Iterator[str | None]:
+    calls = account.by_mail()
+    keys: dict[str, list[Handed]] = {}
+    for mail in account.handed.values():
+        if mail.key:
+            keys.setdefault(mail.key, []).append(mail)
+    for mails in keys.values():
+        mails.sort(key=lambda each: each.place)
+        for before, after in pairwise(mails):
+            first = min((call.begun for call in calls.get(after.name, [])), default=None)
+            if first is None:
+                continue
+            wrong = [
+                call
+                for call in calls.get(before.name, [])
+                if call.begun > first or call.ended > first or not call.ended
+            ]
+            yield f"{after.name}: sent before {before.name} was over" if wrong else None
+
+
+def waits(account: Account) -> Iterator[str | None]:
+    for told in account.waits:
+        early = [
+            call
+            for call in account.calls
+            if call.receiver == told.receiver and told.since + CROSSING < call.begun < told.until - 0.005
+        ]
+        yield (
+            f"{told.receiver}: {early[0].mail} came {told.until - early[0].begun:.2f}s early"
+            if early
+            else None
+        )
--- a/laureldock/setup/rules.py
+++ b/laureldock/setup/rules.py
@@ -267,6 +267,9 @@
             if after.value >= kind.lifetime:
                 reason = f"a mail of class {name!r} is over by then"
                 yield Fault(after.path, reason, f"less than {encode(kind.lifetime)}")
+            if kind.memory is not None and after.value >= kind.memory:
+                reason, allowed = "its tag is forgotten by then", f"less than {encode(kind.memory)}"
+                yield Fault(after.path, reason, allowed)
         found = self.get("copies", name, where)
         if not found or found.value == 1:
             return
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -73,11 +73,12 @@
         self.control.news(self.now, [self.routes[name] for name in names], False)
 
     def mail(
-        self, name: str, sort: str, to: str = "north", left: float | None = None, key: str | None = None
-    ) -> None:
+        self, name: str, sort: str, to: str = "north", left: float | None = None, key: str | None = None,
+        terms: face.Terms | None = None,
+    ) -> None:  # fmt: skip
         owner = self.destinations.setdefault(to, face.Destination())
         kind = SORTS[sort]
-        mail = face.Mail(kind, owner, kind.lifetime if left is None else left, None, key)
+        mail = face.Mail(kind, owner, kind.lifetime if left is None else left, None, key, terms=terms)
         self.mails[name], self.names[mail] = mail, name
         self.control.taken(self.now, mail)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dock import Dock
+from dock import SORTS, Dock
+
+from laureldock import interface as face
 
 
 def test_draw_spreads_over_live_routes_by_their_rates() -> None:
@@ -317,3 +319,100 @@
     dock.end("m", "served", report=(1.0, 0.0))
     dock.after(0.6)
     assert dock.same_as("hang-up")
+
+
+def test_time_outs_and_windows_that_operators_set_stand_instead_of_what_was_learned() -> None:
+    dock = Dock(slots=20)
+    dock.listed("north/1", "south/1")
+    dock.routes["north/1"].time_outs = {SORTS["once-only"]: 1.5, SORTS["redeliverable"]: 4.5}
+    dock.routes["south/1"].window, dock.destinations["south"].window = 2, 3
+    dock.mail("p1", "once-only")
+    dock.turn()
+    dock.end("p1", "served")
+    dock.mail("n1", "redeliverable")
+    for number in range(8):
+        dock.mail(f"s{number}", "redeliverable", "south")
+        dock.turn()
+        if number < 4:
+            dock.end(f"s{number}", "served")
+    dock.after(4.4)  # n1 is not overdue: its time-out was set
+    assert sum(name.startswith("s") for name in dock.out) == 2 and "n1" in dock.out
+    assert dock.same_as("terms")
+
+
+def test_mails_keep_the_connects_the_wait_and_the_importance_set_for_them() -> None:
+    dock = Dock()
+    dock.listed("north/1", "north/2")
+    few = face.Terms(1.0, 1, 0.5, 1, 1.0)
+    dock.mail("m1", "redeliverable", terms=few)
+    dock.turn()
+    dock.end("m1", "error")
+    dock.turn()
+    dock.mail("plain", "redeliverable")
+    dock.mail("dear", "redeliverable", terms=face.Terms(9.0, 4, 3.0, 1, 1.0), to="south")
+    dock.listed("south/1")
+    dock.turn()
+    assert dock.same_as("terms-of-mails")
+
+
+def test_a_second_copy_goes_over_another_route_and_the_slower_one_is_called_off() -> None:
+    """Only where copies are allowed, never for what may not run twice or keeps an order."""
+    hedge = face.Terms(1.0, 4, 3.0, 2, 0.5)
+    dock = Dock(may_copy=True, slots=20)
+    dock.listed("north/1", "north/2")
+    for name, sort in (("m1", "redeliverable"), ("c1", "once-only"), ("o1", "in-order")):
+        dock.mail(name, sort, key="k" if sort == "in-order" else None, terms=hedge)
+        dock.turn()
+        dock.end(name, "served")  # the window grows
+    for name, sort in (("m2", "redeliverable"), ("c2", "once-only"), ("o2", "in-order")):
+        dock.mail(name, sort, key="k" if sort == "in-order" else None, terms=hedge)
+    dock.turn()
+    first = dock.out["m2"]
+    dock.after(0.6)
+    assert dock.out["m2"] is not first and dock.out["m2"].route is not first.route
+    dock.end("m2", "served")
+    dock.turn()
+    assert dock.same_as("copies")
+
+
+def test_a_copy_that_fails_leaves_the_other_one_out_and_both_failing_tries_anew() -> None:
+    dock = Dock(may_copy=True, slots=20)
+    dock.listed("north/1", "north/2")
+    dock.mail("m1", "redeliverable")
+    dock.turn()
+    dock.end("m1", "served")
+    dock.mail("m2", "redeliverable", terms=face.Terms(1.0, 4, 3.0, 2, 0.5))
+    dock.turn()
+    first = dock.out["m2"]
+    dock.after(0.6)
+    dock.end("m2", "error")
+    dock.turn()
+    assert "m2" not in dock.out
+    dock.out["m2"] = first
+    dock.end("m2", "error")
+    dock.turn()
+    assert "m2" in dock.out and dock.same_as("copies-failing")
+
+
+def test_a_connect_being_opened_may_still_go_to_a_route_that_drains_within_the_grace() -> None:
+    for grace, may in ((0.0, False), (0.5, True)):
+        dock = Dock(drain_grace=grace)
+        dock.listed("north/1")
+        dock.mail("m1", "redeliverable")
+        dock.turn()
+        connect = dock.out["m1"]
+        assert dock.control.may_begin(dock.now, connect)
+        dock.listed("north/1", state="draining")
+        assert dock.control.may_begin(dock.now + 0.4, connect) is may
+        assert not dock.control.may_begin(dock.now + 0.6, connect)
+
+
+def test_mails_that_are_over_leave_the_list_of_lifetimes() -> None:
+    """Each stayed until its lifetime was up, and memory grew with the load."""
+    dock = Dock(slots=20)
+    dock.listed("north/1")
+    for number in range(600):
+        dock.mail(f"m{number}", "redeliverable")
+        dock.turn()
+        dock.end(f"m{number}", "served", report=(1.0, 0.0))
+    assert len(dock.control.ends) <= 64 + 2 and not dock.control.held
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -123,7 +123,7 @@
         with process.open() as link:
             assert process.put("m3", "news", "slow", link) == b"+OK\r\n"
             process.child.send_signal(signal.SIGHUP)
-            until(lambda: b"configurations read:1" in process.ask(b"INFO\r\n"))
+            until(lambda: b"configurations_read:1" in process.ask(b"INFO\r\n"))
             process.child.send_signal(signal.SIGUSR1)
             process.child.send_signal(signal.SIGTERM)
             time.sleep(0.1)
--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,109 @@
+"""The account of a rehearsal finds each broken rule; a whole rehearsal is played by `make rehearse`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from laureldock.rehearsal.account import BUSY, TAKEN, Account, Call, Handed, Told, judge
+
+
+def mail(
+    account: Account, name: str, effect: str = "redeliverable", key: str = "", word: str = TAKEN
+) -> Handed:
+    place = len(account.handed)
+    found = Handed(name, effect, effect, key, "north", 10.0 + place, 18.0 + place, place, word, 10.1 + place)
+    account.handed[name] = found
+    return found
+
+
+def call(
+    account: Account, name: str, at: float, status: int = 200, took: float = 0.1, to: str = "n1"
+) -> None:
+    ran = status in (200, 500, 0)
+    account.calls.append(Call(to, name, "t", at, at, at + took if took else 0.0, status, ran))
+
+
+def no_end(account: Account) -> None:
+    mail(account, "m1")
+
+
+def two_ends(account: Account) -> None:
+    mail(account, "m1").notices.append((11.0, "given_up"))
+    call(account, "m1", 10.5)
+
+
+def late_end(account: Account) -> None:
+    mail(account, "m1").notices.append((18.9, "given_up"))
+
+
+def sent_after_refusal(account: Account) -> None:
+    mail(account, "m1", word=BUSY)
+    call(account, "m1", 10.5)
+
+
+def payment_twice(account: Account) -> None:
+    mail(account, "m1", "once-only")
+    call(account, "m1", 10.5, 0)
+    call(account, "m1", 11.0)
+
+
+def tag_forgotten(account: Account) -> None:
+    mail(account, "m1", "tagged")
+    call(account, "m1", 10.5, 500)
+    account.handed["m1"].end = 30.0
+    call(account, "m1", 21.0)
+
+
+def after_drain(account: Account) -> None:
+    mail(account, "m1")
+    account.drains.append(Told("n1", 10.0))
+    call(account, "m1", 10.6)
+
+
+def pushed_over(account: Account) -> None:
+    account.colds.append(Told("n1", 10.0, 14.0, lambda at: 2.0))
+    for number in range(8):
+        mail(account, f"m{number}")
+        call(account, f"m{number}", 10.0 + number / 10)
+
+
+def overtaken(account: Account) -> None:
+    mail(account, "m1", "tagged", "k")
+    mail(account, "m2", "tagged", "k")
+    call(account, "m1", 10.5, took=2.0)
+    call(account, "m2", 11.0)
+
+
+def within_wait(account: Account) -> None:
+    mail(account, "m1")
+    account.waits.append(Told("n1", 10.0, 11.0))
+    call(account, "m1", 10.5)
+
+
+@pytest.mark.parametrize(
+    ("breaks", "rule"),
+    [
+        (no_end, 0), (two_ends, 0), (late_end, 0), (sent_after_refusal, 0), (payment_twice, 1),
+        (tag_forgotten, 1), (after_drain, 2), (pushed_over, 3), (overtaken, 4), (within_wait, 5),
+    ],
+)  # fmt: skip
+def test_each_rule_is_found_broken(breaks: Callable[[Account], None], rule: int) -> None:
+    account = Account()
+    breaks(account)
+    verdicts = judge(account)
+    assert [place for place, verdict in enumerate(verdicts) if verdict.broken] == [rule]
+    assert verdicts[rule].counted >= len(verdicts[rule].broken)
+
+
+def test_an_account_in_order_breaks_nothing() -> None:
+    account = Account()
+    for number in range(4):
+        mail(account, f"m{number}", "tagged", "k")
+        call(account, f"m{number}", 10.5 + number)
+    account.waits.append(Told("n1", 10.7, 11.2))
+    account.drains.append(Told("n1", 13.4))
+    verdicts = judge(account)
+    assert not any(verdict.broken for verdict in verdicts)
+    assert [verdict.counted for verdict in verdicts] == [4, 4, 1, 0, 3, 1]
