Reload beside the reactor, independent RESP2 clients, whole commands read at once

Need: a reload of a long file held mails up while it was parsed; a client library found every command closed; a route without a known rate was drawn once in forty beside one that had told its own.

Change: SIGHUP's file is read in a thread and taken over in one step; RESP2 commands that came whole are parsed at once; unknown rates count as the mean of the known ones; debug events of each mail's steps.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -58,7 +58,10 @@
                     link.setblocking(False)
                     self.selector.register(link, selectors.EVENT_READ, bytearray())
                     continue
-                data = sock.recv(65536)
+                try:
+                    data = sock.recv(65536)
+                except ConnectionResetError:  # a watch that it gave up
+                    data = b""
                 key.data.extend(data)
                 if not data:
                     self.selector.unregister(sock)
@@ -127,20 +130,26 @@
         def client(number: int) -> None:
             with socket.create_connection(("127.0.0.1", self.port)) as link:
                 while time.monotonic() < end:
+                    # What is taken on faster than it is delivered would be turned away, and cost too.
+                    if sum(counts) - (self.receivers.served - served) > 4 * clients:
+                        time.sleep(0.0005)
+                        continue
                     name = b"c%d-%d" % (number, counts[number])
                     link.sendall(command(b"MSG.PUT", b"0", name, b"c=news,d=9000,dest=7", BODY))
                     if link.recv(64)[:1] == b"+":
                         counts[number] += 1
 
+        served = self.receivers.served
         threads = [threading.Thread(target=client, args=(number,)) for number in range(clients)]
-        before, began, served = cpu(self.child.pid), time.monotonic(), self.receivers.served
+        before, began = cpu(self.child.pid), time.monotonic()
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        time.sleep(0.2)
+        taken, until = sum(counts), time.monotonic() + 2.0
+        while self.receivers.served - served < taken and time.monotonic() < until:
+            time.sleep(0.01)
         used, done = cpu(self.child.pid) - before, self.receivers.served - served
-        taken = sum(counts)
         if done < taken * 0.99:
             raise click.ClickException(f"{taken} taken on, {done} delivered")
         return {
@@ -173,8 +182,9 @@
 def main(against: Path | None, seconds: float, pairs: int, clients: int) -> None:
     own = Path(__file__).parent.parent
     figures: dict[str, list[list[float]]] = {}
-    for _ in range(pairs):
-        for place, checkout in enumerate([own, against] if against else [own]):
+    checkouts = list(enumerate([own, against] if against else [own]))
+    for pair in range(pairs):
+        for place, checkout in checkouts if pair % 2 else checkouts[::-1]:
             for name, value in measure(checkout, seconds, clients).items():
                 figures.setdefault(name, [[], []])[place].append(value)
     for name, (here, there) in figures.items():
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -15,10 +15,11 @@
 from laureldock.cli.config import refuse
 from laureldock.logs import Logs
 from laureldock.setup.faults import RefusedError
+from laureldock.setup.plan import Plan
 from laureldock.setup.platform import moved_to, of_platform
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.rules import check
-from laureldock.sockets.reactor import SteadyReactor
+from laureldock.sockets.reactor import Reread, SteadyReactor
 
 
 @click.command("serve", context_settings={"auto_envvar_prefix": "LAURELDOCK"})
@@ -77,26 +78,35 @@
     try:
         logs = Logs(plan.log, file is None)
         assembly = Assembly(plan, state, reactor, end)
+        assembly.core.verbose = plan.log.level == "debug"
         assembly.start()
     except (ValueError, KeyError, TypeError, AttributeError, OSError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
 
-    def reread() -> None:
-        if file is None:
-            try:
-                assembly.move(moved_to(os.environ))
-            except ValueError as fault:
-                assembly.unread([str(fault)])
-            return
+    def moved() -> None:
+        try:
+            assembly.move(moved_to(os.environ))
+        except ValueError as fault:
+            assembly.unread([str(fault)])
+
+    def fresh() -> Plan | list[str]:
+        """The plan of the file as it is now, or its faults."""
         try:
-            fresh = load(file, overrides).plan
+            return load(str(file), overrides).plan
         except RefusedError as refused:
-            assembly.unread([str(fault) for fault in refused.faults])
-            return
-        if not assembly.reload(fresh):
-            logs.retell(fresh.log)
+            return [str(fault) for fault in refused.faults]
+        except Exception as fault:  # a defect of the reading ends no dispatcher, nor its next reload
+            return [f"a defect: {fault!r}"]
+
+    def take_over(found: Plan | list[str]) -> None:
+        if isinstance(found, list):
+            assembly.unread(found)
+        elif not assembly.reload(found):
+            logs.retell(found.log)
+            assembly.core.verbose = found.log.level == "debug"
 
+    reread = Reread(reactor, fresh, take_over)
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(assembly.core.log_counters))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reread))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reread.ask if file else moved))
     reactor.run()
     sys.exit(f"Error: {ended[0]}" if ended else 0)
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -321,13 +321,13 @@
         parts = 1 if lane.route.kind.apart else len(lane.line.lanes)
         return lane.told_rate or lane.route.rate * self.rate_trust / max(1, parts)
 
-    def share(self, now: float, lane: Lane) -> float:
+    def share(self, now: float, lane: Lane, rate: float) -> float:
         # Guards mails against a route gone silent: while it owes an answer that is due, it hardly gets any.
         silence = 0.1 if self.quiet(now, lane) else 1.0
         # Guards slots, while few are free, against routes that hold them long: half the time, fourfold share.
         scarce = lane.cost and 4 * len(self.calls) > 3 * self.slots
         thrift = (lane.line.cost / lane.cost) ** 2 if scarce else 1.0
-        return (self.rate(lane) or 1.0) * min(1.0, lane.part) * self.warmth(now, lane) * silence * thrift
+        return rate * min(1.0, lane.part) * self.warmth(now, lane) * silence * thrift
 
     def quiet(self, now: float, lane: Lane) -> bool:
         """Whether it owes an answer past what nine in ten take (a third of the limit), with none since."""
@@ -483,7 +483,12 @@
         lanes = [lane for lane in free if len(lane.calls) < lane.route.window or lane in self.fresh]
         if len(lanes) > 1 and case.last in lanes:
             lanes.remove(case.last)  # a further connect goes elsewhere where it can
-        sums = list(accumulate(self.share(now, lane) for lane in lanes))
+        # Guards routes of which no rate is known against one that told its own: they start as its equals.
+        rates = [self.rate(lane) for lane in lanes]
+        known = [rate for rate in rates if rate]
+        equal = sum(known) / len(known) if known else 1.0
+        shares = (self.share(now, lane, rate or equal) for lane, rate in zip(lanes, rates, strict=True))
+        sums = list(accumulate(shares))
         return lanes[bisect_right(sums, self.chance() * sums[-1])] if lanes else None
 
     def dispatch(self, now: float, case: Case, lane: Lane, trial: bool = False) -> bool:
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -47,6 +47,7 @@
         self.by_name: dict[bytes, Letter] = {}
         self.fronts: list[Front] = []
         self.running, self.stopped_at = True, 0.0
+        self.verbose = False  # whether each mail's steps are logged
         self.fresh: list[Letter] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
@@ -157,7 +158,11 @@
         match effect:
             case face.Connect(mail=mail):
                 self.counters["connects"] += 1
-                self.carrier.connect(effect, self.letters[mail])
+                letter = self.letters[mail]
+                letter.connects += 1
+                if self.verbose:
+                    self.step("connect", letter, route=effect.route.name)
+                self.carrier.connect(effect, letter)
             case face.Cancel(connect=connect):
                 self.carrier.cancel(connect)
             case face.Defer(mail=mail, retry_after=retry_after):
@@ -198,6 +203,8 @@
         self.hold(letter)
         self.fresh.append(letter)
         self.counters["taken"] += 1
+        if self.verbose:
+            self.step("mail taken", letter)
         self.tell(self.control.taken, mail)
         return letter
 
@@ -209,6 +216,13 @@
             self.tell(self.control.withdrawn, letter.mail)
             self.forget(letter)
 
+    def step(self, event: str, letter: Letter, **fields: Any) -> None:
+        """Of one mail, by the names that its client and the list gave."""
+        owed = self.store.owed.get(letter.name)
+        names = {"queue_class": owed.queue_class, "destination": owed.destination} if owed else {}
+        mail = letter.name.decode(errors="replace")
+        self.log.debug(event, mail=mail, **names, connects=letter.connects, **fields)
+
     def full(self, full: bool) -> None:
         self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
 
@@ -235,7 +249,12 @@
 
     # Ends
 
+    def over(self, letter: Letter, word: str) -> None:
+        if self.verbose:
+            self.step("mail over", letter, word=word)
+
     def answer(self, letter: Letter, handed_back: bool, retry_after: float) -> None:
+        self.over(letter, "deferred" if handed_back else "bounced")
         self.counters["deferred" if handed_back else "bounced"] += 1
         if letter.waiter:  # it has had no answer yet
             letter.refusal = Answer(Word.BUSY if handed_back else Word.FAILED, retry_after)
@@ -268,8 +287,14 @@
 
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
         self.counters[f"ended: {end.value}"] += 1
+        if self.verbose:
+            self.step(
+                "connect ended", letter, route=connect.route.name, end=end.value, took=round(outcome.took, 4)
+            )
         if outcome.finished:
-            self.counters["relayed"] += end is End.DELIVERED
+            if letter.name in self.by_name:  # a second copy may have been served first
+                self.counters["relayed"] += end is End.DELIVERED
+                self.over(letter, end.value)
             self.forget(letter)
         elif letter.noted is connect and outcome.ending in NOT_RUN:
             self.keep(self.store.back, letter.name)
--- a/laureldock/core/letters.py
+++ b/laureldock/core/letters.py
@@ -63,6 +63,7 @@
     waiter: Waiter | None = None  # has not been told yet that it is taken on
     refusal: Answer | None = None
     noted: face.Connect | None = None  # the last connect that the store says is out
+    connects: int = 0  # in this life of the dispatcher
 
 
 def notice_of(name: bytes, handed_back: bool, retry_after: float) -> bytes:
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -63,7 +63,7 @@
         self.clients, self.number = clients, number
         self.commands = Commands(MOST_BODY)
         self.pending: Letter | None = None  # taken on, and its client has not been told
-        self.answering = False
+        self.answering = self.reading = False
         self.closing = self.leaving = False  # nothing more is read; nothing after this request
         self.asked = False  # something whole
         self.since = clients.core.now()  # what is to come next is awaited
@@ -93,10 +93,26 @@
             return  # read on all the same: a close with bytes unread would take the error line with it
         if self.idle and self.asked:
             self.since = self.clients.core.now()
+        if not self.reading:
+            data = self.read_whole(data)
         super().dataReceived(data)
         if self.paused and len(self._buffer) > MOST_BODY:
             self.transport.pauseProducing()
 
+    def read_whole(self, data: bytes) -> bytes:
+        """Takes commands that have come whole, as nearly all do; what is left is read line by line."""
+        if not self.line_mode or self.paused:
+            return data
+        self.reading = True
+        self._buffer += data
+        while not (self.paused or self.closing) and (found := self.commands.whole(self._buffer)):
+            words, used = found
+            self._buffer = self._buffer[used:]
+            self.command(words)
+        self.reading = False
+        data, self._buffer = self._buffer, b""
+        return data
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         try:
             words = self.commands.line(line)
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import time
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
 
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.tcp import Port
 
+T = TypeVar("T")
+
 
 class Door(Port):
     """Accepts a few at each look; the reactor's own takes a hundred and more, past any limit of sockets."""
@@ -33,3 +36,28 @@
         if self.running:
             self.doIteration(0)
         super().runUntilCurrent()
+
+
+class Reread(Generic[T]):
+    """Reads beside the reactor, lest a long file hold mails up; what is asked meanwhile is read once."""
+
+    def __init__(self, reactor: SteadyReactor, read: Callable[[], T], take_over: Callable[[T], None]) -> None:
+        self.reactor, self.read, self.take_over = reactor, read, take_over
+        self.busy = self.again = False
+
+    def ask(self) -> None:
+        if self.busy:
+            self.again = True
+            return
+        self.busy = True
+        self.reactor.callInThread(self.work)
+
+    def work(self) -> None:
+        self.reactor.callFromThread(self.done, self.read())
+
+    def done(self, found: T) -> None:
+        self.busy = False
+        self.take_over(found)
+        if self.again:
+            self.again = False
+            self.ask()
--- a/laureldock/wire/resp.py
+++ b/laureldock/wire/resp.py
@@ -34,6 +34,29 @@
         self.words, self.due, self.wants_bulk = [], 0, False
         self.bulk.clear()
 
+    def whole(self, data: bytes) -> tuple[list[bytes], int] | None:
+        """The command with which the bytes begin, if all of it is there, and its length; the quick way.
+
+        None for whatever is not plainly one: it is fed by `line` and `raw`, which tell what is wrong.
+        """
+        if self.due or data[:1] != b"*":
+            return None
+        end = data.find(b"\r\n", 1, 12)
+        if end < 0 or not data[1:end].isdigit() or not 0 < (due := int(data[1:end])) <= MOST_WORDS:
+            return None
+        words, place = [], end + 2
+        for _ in range(due):
+            end = data.find(b"\r\n", place, place + 12)
+            if end < 0 or data[place : place + 1] != b"$" or not data[place + 1 : end].isdigit():
+                return None
+            start = end + 2
+            place = start + int(data[place + 1 : end])
+            if place - start > self.most_bulk or data[place : place + 2] != b"\r\n":
+                return None
+            words.append(data[start:place])
+            place += 2
+        return (words, place) if place <= MOST_COMMAND else None
+
     def line(self, line: bytes) -> list[bytes] | None:
         """A line without its end; a whole command, if that was all of it. MalformedError."""
         if self.due:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -416,3 +416,18 @@
         dock.turn()
         dock.end(f"m{number}", "served", report=(1.0, 0.0))
     assert len(dock.control.ends) <= 64 + 2 and not dock.control.held
+
+
+def test_a_route_whose_rate_is_not_known_starts_as_the_equal_of_one_that_told_its_own() -> None:
+    """It was drawn once in forty mails beside a route that had told a limit of forty."""
+    dock = Dock(slots=40)
+    dock.listed("north/1", "north/2", rate=0.0)
+    drawn: list[str] = []
+    for number in range(40):
+        dock.mail(f"m{number}", "redeliverable")
+        dock.turn()
+        drawn.append(dock.out[f"m{number}"].route.name)
+        told = (1.0, 40.0) if drawn[-1] == "north/1" else None
+        dock.end(f"m{number}", "served", report=told)
+        dock.now += 0.1
+    assert 12 <= drawn.count("north/2") <= 28
