A reload tells what differs; an endpoint that moves serves its new destination alone

Need: over a reload of 20,000 endpoints the longest gap between answers was 0.72 to 0.75 s (real, loopback), and a name moved to another destination kept its old route, which would have carried what is for others.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -32,6 +32,7 @@
                    "key_rest_ns": 3e8},
 }  # fmt: skip
 BODY = b"x" * 200
+CORES = sorted(os.sched_getaffinity(0))
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -109,6 +110,10 @@
         began = time.monotonic()
         python = [sys.executable, "-m", "laureldock", "serve"]
         self.child = subprocess.Popen(python, cwd=checkout, env=environ, stdout=subprocess.DEVNULL)
+        cores = CORES
+        if len(cores) > 2:  # one for the dispatcher alone: a process that is moved pays for cold caches
+            os.sched_setaffinity(self.child.pid, {cores[-1]})
+            os.sched_setaffinity(0, set(cores[:-1]))
         while not self.ready():
             if self.child.poll() is not None:
                 raise click.ClickException(f"the dispatcher of {checkout} ended")
--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -16,6 +16,7 @@
 from laureldock.outlets.platform import Notices
 from laureldock.setup.plan import Plan
 from laureldock.setup.reload import changes, refused
+from laureldock.setup.terms import TermBook
 from laureldock.setup.units import Address
 from laureldock.sockets.room import Room
 from laureldock.sources.listed import Listed
@@ -89,15 +90,15 @@
             "configuration not read, the old one stays", faults=faults[:20], count=len(faults)
         )
 
-    def reload(self, plan: Plan) -> list[str]:
-        """Take over what may change, or nothing: the names of what may not."""
+    def reload(self, plan: Plan, terms: TermBook) -> list[str]:
+        """Take over what may change, or nothing: the names of what may not. `terms` are the plan's own."""
         barred = refused(self.plan, plan)
         if barred:
             self.unread([f"{name} cannot change while it runs" for name in barred])
             return barred
         changed = changes(self.plan, plan)
         self.plan = plan
-        self.core.book.retell(plan)
+        self.core.book.retell(plan, terms)
         if isinstance(self.source, Listed):
             self.source.reread(plan)
         self.move_to(plan.source.address, plan.outlet.address)
--- a/laureldock/setup/terms.py
+++ b/laureldock/setup/terms.py
@@ -47,7 +47,7 @@
     """One setting of one entry."""
 
     value: Any
-    path: Path
+    path: Path = field(compare=False)
     classed: bool
     level: Level
 
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -13,6 +13,7 @@
 from laureldock.setup.entries import kind_of, spots, term_book
 from laureldock.setup.plan import Plan
 from laureldock.setup.plan import QueueClass as Sort
+from laureldock.setup.terms import TermBook
 
 # By a class's name for it, whether anything more may be sent once a connect may have run.
 LEFT_AT_THAT = {"any": False, "proven": True, "never": True, None: False}
@@ -89,9 +90,12 @@
         self.term_book = term_book(plan)[0]
         self.terms: dict[tuple[face.QueueClass, Any], face.Terms | None] = {}
 
-    def retell(self, plan: Plan) -> None:
+    def retell(self, plan: Plan, terms: TermBook) -> None:
         """Other terms from now on; what is out and what waits keeps its own."""
-        self.plan, self.term_book = plan, term_book(plan)[0]
+        same = terms.entries == self.term_book.entries and plan.destinations == self.plan.destinations
+        self.plan, self.term_book = plan, terms
+        if same:  # as in most reloads: thousands of routes need no look
+            return
         self.terms.clear()
         for number, destination in self.destinations.items():
             self.tell_destination(number, destination)
--- a/tests/test_served.py
+++ b/tests/test_served.py
@@ -64,6 +64,25 @@
     run(scenario())
 
 
+def test_an_endpoint_that_a_reload_moves_serves_its_new_destination_alone(tmp_path: Path) -> None:
+    """Its route stayed its old destination's, and would have been sent what is for others."""
+
+    async def scenario() -> None:
+        async with daemon(tmp_path, NAMES) as here:
+            here.receivers["n1"].destination = "south"
+            here.write()
+            here.hang_up()
+            await here.until("configurations_read", 1)
+            for number in range(40):
+                assert await here.put(f"m{number}", to=("north", "south")[number % 2]) == b"OK"
+            await here.until("held", 0)
+            seen = {name: Counter(int(c.mail[1:]) % 2 for c in here.account.calls if c.receiver == name)
+                    for name in NAMES}  # fmt: skip
+            assert set(seen["n1"]) == {1} and seen["n2"] == {0: 20} and seen["s1"][0] == 0
+
+    run(scenario())
+
+
 def test_a_file_that_is_no_configuration_is_refused_and_all_stays(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with daemon(tmp_path, NAMES) as here:
