--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from twisted.internet.defer import Deferred
@@ -14,17 +15,32 @@
 from laureldock.fronts.resp import Clients
 from laureldock.outlets.lines import Lines
 from laureldock.outlets.platform import Notices
+from laureldock.setup.entries import term_book
 from laureldock.setup.plan import Plan
 from laureldock.setup.reload import changes, refused
 from laureldock.setup.terms import TermBook
 from laureldock.setup.units import Address
 from laureldock.sockets.room import Room
-from laureldock.sources.listed import Listed
+from laureldock.sources.listed import Listed, Listing, listing
 from laureldock.sources.platform import Directory
 from laureldock.stores.spool import Spool
 from laureldock.tariff import Book
 
 
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """A plan with all that a reload would else work out while mails wait."""
+
+    plan: Plan
+    terms: TermBook
+    listing: Listing
+
+    @classmethod
+    def of(cls, plan: Plan) -> Prepared:
+        """Touches nothing else: it may be called in any thread."""
+        return cls(plan, term_book(plan)[0], listing(plan))
+
+
 class Assembly:
     """`state` is the folder of the store; `ended_for` is called with a fault that ends the process."""
 
@@ -50,7 +66,7 @@
     def source_of(self, plan: Plan) -> Source:
         if plan.source.address:
             return Directory(self.core, self.reactor, plan.source.address, plan.source.known)
-        return Listed(self.core, plan)
+        return Listed(self.core, listing(plan))
 
     def outlet_of(self, plan: Plan, state: Path) -> Outlet:
         if plan.outlet.address:
@@ -90,17 +106,18 @@
             "configuration not read, the old one stays", faults=faults[:20], count=len(faults)
         )
 
-    def reload(self, plan: Plan, terms: TermBook) -> list[str]:
-        """Take over what may change, or nothing: the names of what may not. `terms` are the plan's own."""
+    def reload(self, fresh: Prepared) -> list[str]:
+        """Take over what may change, or nothing: the names of what may not."""
+        plan = fresh.plan
         barred = refused(self.plan, plan)
         if barred:
             self.unread([f"{name} cannot change while it runs" for name in barred])
             return barred
         changed = changes(self.plan, plan)
         self.plan = plan
-        self.core.book.retell(plan, terms)
+        self.core.book.retell(plan, fresh.terms)
         if isinstance(self.source, Listed):
-            self.source.reread(plan)
+            self.source.reread(fresh.listing)
         self.move_to(plan.source.address, plan.outlet.address)
         self.core.counters["configurations read"] += 1
         self.core.log.info("configuration read", changed=changed, routes=len(self.core.book.routes))
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -11,16 +11,13 @@
 import click
 from twisted.internet.main import installReactor
 
-from laureldock.assembly import Assembly
+from laureldock.assembly import Assembly, Prepared
 from laureldock.cli.config import refuse
 from laureldock.logs import Logs
-from laureldock.setup.entries import term_book
 from laureldock.setup.faults import RefusedError
-from laureldock.setup.plan import Plan
 from laureldock.setup.platform import moved_to, of_platform
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.rules import check
-from laureldock.setup.terms import TermBook
 from laureldock.sockets.reactor import Reread, SteadyReactor
 
 
@@ -91,22 +88,21 @@
         except ValueError as fault:
             assembly.unread([str(fault)])
 
-    def fresh() -> tuple[Plan, TermBook] | list[str]:
-        """The plan of the file as it is now and its terms, or its faults."""
+    def fresh() -> Prepared | list[str]:
+        """The plan of the file as it is now, or its faults."""
         try:
-            found = load(str(file), overrides).plan
-            return found, term_book(found)[0]
+            return Prepared.of(load(str(file), overrides).plan)
         except RefusedError as refused:
             return [str(fault) for fault in refused.faults]
         except Exception as fault:  # a defect of the reading ends no dispatcher, nor its next reload
             return [f"a defect: {fault!r}"]
 
-    def take_over(found: tuple[Plan, TermBook] | list[str]) -> None:
+    def take_over(found: Prepared | list[str]) -> None:
         if isinstance(found, list):
             assembly.unread(found)
-        elif not assembly.reload(*found):
-            logs.retell(found[0].log)
-            assembly.core.verbose = found[0].log.level == "debug"
+        elif not assembly.reload(found):
+            logs.retell(found.plan.log)
+            assembly.core.verbose = found.plan.log.level == "debug"
 
     reread = Reread(reactor, fresh, take_over)
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(assembly.core.log_counters))
--- a/laureldock/sources/listed.py
+++ b/laureldock/sources/listed.py
@@ -10,6 +10,8 @@
 from laureldock.setup.plan import Plan
 from laureldock.tariff import Entry
 
+Listing = dict[str, tuple[Entry, str]]  # by name, each with where to dial
+
 
 def number_of(destination: str) -> int | str:
     """As fronts name it."""
@@ -33,28 +35,30 @@
     ]
 
 
+def listing(plan: Plan) -> Listing:
+    return {entry.name: (entry, dial) for entry, dial in entries(plan)}
+
+
 def owner(entry: Entry) -> tuple[int | str, str]:
     return entry.destination, entry.kind
 
 
 class Listed:
-    def __init__(self, core: News, plan: Plan) -> None:
-        self.core, self.plan = core, plan
+    def __init__(self, core: News, held: Listing) -> None:
+        self.core, self.held = core, held
 
     def start(self) -> None:
-        self.core.news(entries(self.plan), True)
+        self.core.news(list(self.held.values()), True)
 
-    def reread(self, plan: Plan) -> None:
+    def reread(self, fresh: Listing) -> None:
         """Tell what differs. What is listed no more drains: what is out there runs on, nothing new goes."""
-        before = {entry.name: (entry, dial) for entry, dial in entries(self.plan)}
-        after = {entry.name: (entry, dial) for entry, dial in entries(plan)}
-        self.plan = plan
+        before, self.held = self.held, fresh
         gone = [
             (replace(entry, listed=face.Listed.REMOVED), dial)
             for name, (entry, dial) in before.items()
-            if name not in after or owner(after[name][0]) != owner(entry)
+            if name not in fresh or owner(fresh[name][0]) != owner(entry)
         ]
-        told = [each for name, each in after.items() if before.get(name) != each]
+        told = [each for name, each in fresh.items() if before.get(name) != each]
         # Guards mails against a name that moved: its route is the old destination's until it is gone.
         for news in (gone, told):
             if news:
