A second copy counts as a connect; a platform's questionable settings are told and hold

Need: read again, control.copy gave a mail on its last connect one more than it may have; and a platform whose settings fail the check (no idle time told) would have kept its dispatchers down.

Change: copies are counted against the connects allowed; such settings are logged as questionable and hold.

--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -14,7 +14,7 @@
 from laureldock.assembly import Assembly, Prepared
 from laureldock.cli.config import refuse
 from laureldock.logs import Logs
-from laureldock.setup.faults import RefusedError
+from laureldock.setup.faults import RefusedError, dotted
 from laureldock.setup.platform import moved_to, of_platform
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.rules import check
@@ -48,11 +48,11 @@
         origin = "environment" if source is click.core.ParameterSource.ENVIRONMENT else "flag"
         named = f"LAURELDOCK_{name.upper()}" if origin == "environment" else f"--{name.replace('_', '-')}"
         overrides += overrides_of({name: value}, f"{origin} {named}")
+    doubts: list[str] = []
     try:
         if file is None:
             plan, bounds = of_platform(os.environ)
-            if faults := check(plan, bounds):
-                raise ValueError("; ".join(fault.reason for fault in faults[:5]))
+            doubts = [f"{dotted(fault.path)}: {fault.reason}" for fault in check(plan, bounds)]
             state = Path(plan.state)
             if not state.is_dir():
                 raise ValueError(f"no folder for the spool: {state}")
@@ -77,6 +77,8 @@
     try:
         logs = Logs(plan.log, file is None)
         assembly = Assembly(plan, state, reactor, end)
+        if doubts:  # a platform's word holds all the same: no dispatcher stays down for it
+            assembly.core.log.warning("settings questionable", faults=doubts[:20], count=len(doubts))
         assembly.core.verbose = plan.log.level == "debug"
         assembly.start()
     except (ValueError, KeyError, TypeError, AttributeError, OSError) as fault:
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -528,8 +528,10 @@
 
     def copy(self, now: float, case: Case) -> None:
         """A second copy, where the first is slow: over another route, while slots are not short."""
+        most = min(self.most_connects, case.terms.most_connects)  # those that are out count too
         spare = 2 * len(self.calls) < self.slots and case.out < case.terms.copies and now < self.close_at
-        if case.stage is Stage.OUT and spare and now >= case.line.until and self.may_go(now, case):
+        may = case.connects < most and now >= case.line.until and self.may_go(now, case)
+        if case.stage is Stage.OUT and spare and may:
             lane = self.draw(now, case)
             if lane and lane is not case.last:
                 self.dispatch(now, case, lane)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -431,3 +431,19 @@
         dock.end(f"m{number}", "served", report=told)
         dock.now += 0.1
     assert 12 <= drawn.count("north/2") <= 28
+
+
+def test_a_second_copy_counts_as_a_connect() -> None:
+    """A mail on its last connect was given one more than it may have."""
+    dock = Dock(may_copy=True, slots=20)
+    dock.listed("north/1", "north/2")
+    dock.mail("m1", "redeliverable")
+    dock.turn()
+    dock.end("m1", "served")
+    dock.mail("m2", "redeliverable", terms=face.Terms(1.0, 2, 3.0, 2, 0.2))
+    dock.turn()
+    dock.end("m2", "error")
+    dock.turn()
+    last = dock.out["m2"]
+    dock.after(0.8)
+    assert dock.out["m2"] is last
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -213,3 +213,27 @@
 
     assert done.returncode > 0
     assert done.stderr.startswith("Error: cannot start: ") and "Traceback" not in done.stderr
+
+
+def test_a_platforms_settings_that_fail_the_check_are_told_and_hold(
+    tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    process = Process(tmp_path, platform)
+    try:
+        process.child.kill()
+        process.child.wait(10)
+        config = Path(process.environ["LB_CONFIG"])
+        told = json.loads(config.read_text())
+        del told["settings"]["limits"]["conn_idle_ns"]
+        config.write_text(json.dumps(told))
+        process.start()
+        assert process.put("m1", "news", "quick") == b"+OK\r\n"
+        until(lambda: Platform.relayed == ["m1"])
+        process.child.terminate()
+        process.child.wait(10)
+        assert process.child.stdout
+        lines = [json.loads(line) for line in process.child.stdout]
+        doubts = [line["faults"] for line in lines if line["event"] == "settings questionable"]
+        assert doubts == [["limits.idle_time: no kept connection could be used"]]
+    finally:
+        process.child.kill()
