Read again: names that nothing used, a table for two words and a double look-up are gone

Need: the groundwork left three unused types and one unused encoder, a table where two words say it, an unknown command looked up twice, and a comment without its setting.

--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -145,12 +145,15 @@
             return
         self.asked = True
         name = words[0].upper()
-        least, most, call = COMMANDS.get(name, (0, inf, Client.unknown))
+        if name not in COMMANDS:
+            self.error(f"unknown command '{shown(words[0])}'")
+            return
+        least, most, call = COMMANDS[name]
         if not least <= len(words) - 1 <= most:
             self.error(f"wrong number of arguments for '{shown(words[0].lower())}'")
             return
         try:
-            call(self, *words[1:]) if name in COMMANDS else self.unknown(words[0])
+            call(self, *words[1:])
         except NotAMailError as fault:
             self.error(str(fault))
 
@@ -248,9 +251,6 @@
                     )
                 )
 
-    def unknown(self, name: bytes) -> None:
-        self.error(f"unknown command '{shown(name)}'")
-
     def error(self, why: str) -> None:
         """What was whole and cannot be done: an error, on a connection that stays unless there are many."""
         now = self.clients.core.now()
--- a/laureldock/setup/plan.py
+++ b/laureldock/setup/plan.py
@@ -13,9 +13,6 @@
 
 from laureldock.setup.units import Address, Seconds, Size
 
-Count = Annotated[int, Meta(ge=1)]
-Share = Annotated[float, Meta(ge=0, le=1)]
-Amount = Annotated[float, Meta(ge=0, lt=1e9)]
 # What may go on in a header, a log line and a store.
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_][A-Za-z0-9_.-]{0,63}$")]
 Destined = Annotated[str, Meta(pattern=r"^(\d{1,9}|[A-Za-z_][A-Za-z0-9_.-]{0,63})$")]
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -15,9 +15,6 @@
 from laureldock.setup.plan import QueueClass as Sort
 from laureldock.setup.terms import TermBook
 
-# By a class's name for it, whether anything more may be sent once a connect may have run.
-LEFT_AT_THAT = {"any": False, "proven": True, "never": True, None: False}
-
 
 def queue_class(sort: Sort, halving: bool) -> face.QueueClass:
     return face.QueueClass(
@@ -29,7 +26,8 @@
         halving=halving,
         in_order=sort.in_order,
         memory=inf if sort.memory is None else float(sort.memory),
-        one_zone=sort.one_zone or LEFT_AT_THAT[sort.resend],
+        # In effect the same: once a connect may have run, it is left at that.
+        one_zone=sort.one_zone or sort.resend in ("proven", "never"),
     )
 
 
--- a/laureldock/wire/resp.py
+++ b/laureldock/wire/resp.py
@@ -99,10 +99,6 @@
     return int(digits)
 
 
-def simple(text: str) -> bytes:
-    return b"+%s\r\n" % text.encode()
-
-
 def error(text: str) -> bytes:
     """One error line, whatever the text holds."""
     return b"-%s\r\n" % text.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
