An operators' address: readiness, figures of each queue class, lameduck

Design: `management` (or $LB_MANAGEMENT) names one more listener, served by twisted.web in the same reactor: GET /_ready (200 while fronts listen, not lameduck, not stopping; else 503), GET /_vars (the figures, computed at each call from the core's counts: relayed, deferred, bounced and sent connects for each queue class; mails held; routes listed and those at share nought, draining or told to wait; reloads taken and refused), PUT /_lameduck/on|off. Lameduck: PING answers -LAMEDUCK, each client connection closes once its answer has left (those between requests at once); new connections are still served, once each, since the front sends them for 0.2 s more. The listener stays open. Way not taken: a second thread with its own HTTP server, which would answer while the reactor is busy but would read the core's counts across threads; one reactor keeps the figures of one moment.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -13,6 +13,7 @@
 from laureldock.core.dispatcher import Dispatcher
 from laureldock.core.seams import Front, Outlet, Source
 from laureldock.fronts.resp import Clients
+from laureldock.operators.door import Door, Operated
 from laureldock.outlets.lines import Lines
 from laureldock.outlets.platform import Notices
 from laureldock.setup.entries import term_book
@@ -61,6 +62,8 @@
         self.source = self.source_of(plan)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
+        operated = Operated(core.takes_clients, core.operators_figures, core.set_lameduck)
+        self.door = Door(reactor, plan.management, operated) if plan.management else None
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
 
     def source_of(self, plan: Plan) -> Source:
@@ -74,6 +77,8 @@
         return Lines(self.core, state / plan.outlet.path if plan.outlet.path else None)
 
     def start(self) -> None:
+        if self.door and (fault := self.door.open()):
+            raise OSError(f"cannot listen for operators: {fault}")
         self.core.start()
 
     def stop(self) -> Deferred[None]:
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -213,6 +213,11 @@
     def closing(self, now: float, left: float) -> None:
         self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
 
+    def excluded(self, now: float) -> int:
+        """Routes listed as up that get no share now: shut, on trial, or told to wait."""
+        lanes = (lane for line in self.lines.values() for lane in line.lanes.values())
+        return sum(lane.state is not State.LIVE or lane.until > now for lane in lanes)
+
     def turn(self, now: float) -> list[face.Effect]:
         self.overdue(now)
         while self.idle and self.idle[0][0] <= now - self.keep:
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -19,6 +19,9 @@
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 DOOR_STAYS, ALL_OVER = 0.6, 3.3
 
+# Of queue classes counted apart: those of the settings and some that clients name wrongly.
+MOST_CLASSES = 256
+
 NOT_RUN = face.Ending.FULL, face.Ending.NO_CONNECTION, face.Ending.MOOT
 
 
@@ -42,11 +45,13 @@
         self.ended_for, self.wall = ended_for, wall
         self.log = structlog.get_logger().bind(dispatcher=name)
         self.counters: Counter[str] = Counter()
+        self.by_class: dict[str, Counter[str]] = {}  # of each queue class: relayed, deferred, bounced, sent
         self.store.open()
         self.letters: dict[face.Mail, Letter] = {}
         self.by_name: dict[bytes, Letter] = {}
         self.fronts: list[Front] = []
         self.running, self.stopped_at = True, 0.0
+        self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
         self.verbose = False  # whether each mail's steps are logged
         self.fresh: list[Letter] = []  # taken since the last turn
         self.turn_due = False
@@ -95,12 +100,14 @@
                 self.log.error("cannot listen", fault=fault)
                 self.ended_for(f"cannot listen: {fault}")
                 return
+        self.ready = True
         self.log.info("ready", routes=len(self.book.routes), owed=len(self.letters))
 
     def stop(self, done: Callable[[], None]) -> None:
         """A planned stop: still serve what comes, finish what is out, keep the rest for the next start."""
         self.log.info("stopping", out=self.carrier.out, held=len(self.letters))
         self.stopped_at = self.now()
+        self.ready = False
         self.tell(self.control.closing, ALL_OVER)
         self.later(DOOR_STAYS, self.shut_door)
         self.later(DOOR_STAYS, self.wind_up, done)
@@ -121,6 +128,17 @@
         self.log.info("stopped", kept=len(self.letters), out=self.carrier.out, **self.counters)
         done()
 
+    def takes_clients(self) -> bool:
+        return self.ready and not self.lameduck
+
+    def set_lameduck(self, on: bool) -> None:
+        """Empty this dispatcher, or take clients again; the process runs on, and what it has is served."""
+        if on != self.lameduck:
+            self.lameduck = on
+            self.log.warning("lameduck" if on else "lameduck over", held=len(self.letters))
+            for front in self.fronts:
+                front.set_lameduck(on)
+
     def later(self, after: float, call: Callable[..., None], *args: Any) -> Timer:
         return self.clock.callLater(max(0.0, after), call, *args)
 
@@ -190,6 +208,7 @@
         """Take a mail on: its waiter is told after the turn, or hears now what is given back."""
         kind = self.book.classes.get(owed.queue_class)
         if kind is None:
+            self.count(owed.queue_class, "bounced")
             raise NotAMailError("unknown class")
         if owed.destination not in self.book.destinations:  # none was ever listed for it
             raise NotAMailError("unknown destination")
@@ -197,6 +216,7 @@
             return TAKEN
         if not self.store.take(owed):
             self.counters["spool full"] += 1
+            self.count(owed.queue_class, "deferred")
             return Answer(Word.BUSY)
         mail = self.book.mail(kind, owed.destination, left, owed.customer, owed.key)
         letter = Letter(owed.name, owed.tag, owed.body, mail, waiter)
@@ -254,8 +274,10 @@
             self.step("mail over", letter, word=word)
 
     def answer(self, letter: Letter, handed_back: bool, retry_after: float) -> None:
-        self.over(letter, "deferred" if handed_back else "bounced")
-        self.counters["deferred" if handed_back else "bounced"] += 1
+        word = "deferred" if handed_back else "bounced"
+        self.over(letter, word)
+        self.counters[word] += 1
+        self.count(self.book.name_of(letter.mail.queue_class), word)
         if letter.waiter:  # it has had no answer yet
             letter.refusal = Answer(Word.BUSY if handed_back else Word.FAILED, retry_after)
             self.forget(letter)
@@ -283,7 +305,10 @@
         if letter.name not in self.by_name or not self.control.may_begin(self.now(), connect):
             return False
         letter.noted = connect
-        return self.keep(self.store.out, letter.name, self.wall())
+        if not self.keep(self.store.out, letter.name, self.wall()):
+            return False
+        self.count(self.book.name_of(letter.mail.queue_class), "sent")
+        return True
 
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
         self.counters[f"ended: {end.value}"] += 1
@@ -294,6 +319,8 @@
         if outcome.finished:
             if letter.name in self.by_name:  # a second copy may have been served first
                 self.counters["relayed"] += end is End.DELIVERED
+                if end is End.DELIVERED:
+                    self.count(self.book.name_of(letter.mail.queue_class), "relayed")
                 self.over(letter, end.value)
             self.forget(letter)
         elif letter.noted is connect and outcome.ending in NOT_RUN:
@@ -323,6 +350,33 @@
 
     # Counters
 
+    def count(self, queue_class: str, word: str) -> None:
+        found = self.by_class.get(queue_class)
+        if found is None:
+            if len(self.by_class) >= MOST_CLASSES and queue_class not in self.book.classes:
+                return  # names that clients make up take no room
+            found = self.by_class[queue_class] = Counter()
+        found[word] += 1
+
+    def operators_figures(self) -> dict[str, Any]:
+        """What `/_vars` shows: counts since the start of the process, and what is held now."""
+        words = {"served": "relayed", "refused": "deferred", "failed": "bounced", "attempts": "sent"}
+        routes = self.book.routes.values()
+        draining = sum(route.listed is not face.Listed.UP for route in routes)
+        return {
+            "requests": {
+                name: {shown: counts[word] for shown, word in words.items()}
+                for name, counts in sorted(self.by_class.items())
+            },
+            "in_flight": len(self.letters),
+            "endpoints_known": len(routes),
+            "endpoints_excluded": draining + self.control.excluded(self.now()),
+            "reloads_ok": self.counters["configurations read"],
+            "reloads_failed": self.counters["configurations refused"],
+            "ready": self.takes_clients(),
+            "lameduck": self.lameduck,
+        }
+
     def log_counters(self) -> None:
         self.log.info("counters", **self.figures())
 
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -48,6 +48,9 @@
     def shut(self) -> None:
         """Listen no more, and close connections once they are answered."""
 
+    def set_lameduck(self, on: bool) -> None:
+        """Tell health checks no, and close connections once they are answered; or take clients again."""
+
 
 class Carrier(Protocol):
     @property
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -183,6 +183,9 @@
             self.told(got)
 
     def ping(self, word: bytes | None = None) -> None:
+        if self.clients.lameduck:  # a front's health check: send no more here
+            self.answer(resp.error("LAMEDUCK this dispatcher is being emptied"))
+            return
         self.answer(b"+PONG\r\n" if word is None else resp.bulk(word))
 
     def echo(self, word: bytes) -> None:
@@ -276,6 +279,7 @@
         self.answering = False
         self.pending = None
         self.since = self.clients.core.now()
+        self.leaving = self.leaving or self.clients.lameduck
         if self.closing:
             self.transport.loseWriteConnection()  # the rest of the close when the other side has closed
         elif self.leaving and not self._buffer:
@@ -336,7 +340,7 @@
         self.most_idle = most // 3
         self.clients: dict[Client, None] = {}
         self.numbers = 0
-        self.full = self.looking = False
+        self.full = self.looking = self.lameduck = False
         self.port: Port | None = None
 
     @property
@@ -358,6 +362,13 @@
         for client in list(self.clients):
             client.finish()
 
+    def set_lameduck(self, on: bool) -> None:
+        """Connections close once answered; those between requests at once. New ones are still served."""
+        self.lameduck = on
+        if on:
+            for client in list(self.clients):
+                client.finish()
+
     def buildProtocol(self, addr: IAddress | None) -> Client:  # noqa: N802
         self.numbers += 1
         return Client(self, self.numbers)
--- a/laureldock/setup/plan.py
+++ b/laureldock/setup/plan.py
@@ -212,6 +212,10 @@
     source: Source = field(default_factory=Source)
     outlet: Outlet = field(default_factory=Outlet)
     log: Log = field(default_factory=Log)
+    management: Annotated[str, Meta(description="operators' HTTP address, host:port; empty: none")] = ""
+    passed: Annotated[
+        int, Meta(ge=-1, description="descriptor of a listening socket handed down; -1: none")
+    ] = -1
     classes: dict[Name, QueueClass] = field(default_factory=dict, name="class")
     kinds: dict[Name, Kind] = field(default_factory=dict, name="kind")
     destinations: dict[Destined, Destination] = field(default_factory=dict, name="destination")
--- a/laureldock/setup/platform.py
+++ b/laureldock/setup/platform.py
@@ -130,6 +130,9 @@
         listen = address(environ.get("LB_LISTEN") or found["listen"])
         directory = address(environ.get("LB_DISCOVERY") or found["discovery"])
         plan.front = [Front(listen=listen, pipeline=PIPELINE)]
+        told_at = environ.get("LB_MANAGEMENT") or found.get("management")
+        plan.management = address(told_at) if told_at else ""
+        plan.passed = int(environ.get("LB_PASSED_SOCKET") or -1)
         plan.source = Source(kind="platform", address=directory, known=found["known"])
         plan.outlet = Outlet(kind="platform", address=directory)
         return plan, bounds(profile)
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -79,6 +79,7 @@
         self.tariff = tariff(plan, sockets)
         halving = plan.limits.fades == "halving"
         self.classes = {name: queue_class(sort, halving) for name, sort in plan.classes.items()}
+        self.names = {kind: name for name, kind in self.classes.items()}  # of earlier settings too
         self.customers = {name: face.Customer(each.quota) for name, each in plan.customers.items()}
         self.kinds = {name: face.Kind(each.batch, each.apart) for name, each in plan.kinds.items()}
         self.reports: list[str] = plan.reports
@@ -101,6 +102,9 @@
         for name, route in self.routes.items():
             self.tell_route(name, numbers[route.destination], route)
 
+    def name_of(self, kind: face.QueueClass) -> str:
+        return self.names.get(kind, "")
+
     def destination(self, number: Any) -> face.Destination:
         found = self.destinations.get(number)
         if found is None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -64,7 +64,9 @@
 
 
 class Process:
-    def __init__(self, folder: Path, platform: ThreadingHTTPServer) -> None:
+    def __init__(
+        self, folder: Path, platform: ThreadingHTTPServer, more: dict[str, str] | None = None
+    ) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         address = f"127.0.0.1:{platform.server_port}"
@@ -75,7 +77,12 @@
         config.write_text(json.dumps({**told, "limits": limits, "known": hosts, "settings": SETTINGS}))
 
         (folder / "state").mkdir()
-        self.environ = {**os.environ, "LB_CONFIG": str(config), "LB_STATE": str(folder / "state")}
+        self.environ = {
+            **os.environ,
+            "LB_CONFIG": str(config),
+            "LB_STATE": str(folder / "state"),
+            **(more or {}),
+        }
         self.start()
 
     def start(self) -> None:
