A new version under load: the passed socket, a spool each, keys owed by the other wait

Adopting descriptor 7 by Twisted's adoptStreamPort: clients came only after 30 s, then 20 connections at once "no whole command in time". The descriptor comes blocking, and Twisted's accept loop takes up to 100 at a look: a second accept() held the whole reactor until the next client. A spool each, by flock: `spool` for the first process, `spool.1` for one beside it; a file whose lock is free belongs to an ended process and is taken over whole (renewed into our own, then removed). A process beside another has half of the sockets and of the disk; the old one halves its own at SIGTERM. Every 0.1 s where the platform hands sockets down, each process reads the keys that the other's file still owes (read as it grows) and tells `Control.elsewhere`; such a key rests 0.3 s past the last look. Placing mails taken over by their birth broke order 85 times (a birth from `d` is no order of handing in); they are now marked `earlier` and go before the key's mails held here.

Way not taken: a socket between the two processes to hand mails over; the platform allows UDP only between dispatchers, and the file is already the truth of what is owed.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -49,14 +49,18 @@
         self, plan: Plan, state: Path, reactor: PosixReactorBase, ended_for: Callable[[str], None]
     ) -> None:
         self.plan, self.reactor = plan, reactor
-        self.room = Room.of(plan.limits.sockets)
         store = Spool(state, plan.limits.disk)
+        # Two processes of one dispatcher, while one hands over to the next, hold half of the sockets each.
+        sockets = plan.limits.sockets // (2 if store.sharing else 1)
+        self.room = Room.of(sockets)
         self.core = core = Dispatcher(plan.name, Book(plan, sockets=True), store, reactor, ended_for)
         # Half of the sockets for clients at most, shared by the fronts.
-        most = plan.limits.sockets // 2 // len(plan.front)
+        most = sockets // 2 // len(plan.front)
         self.clients = [
             Clients(core, reactor, self.room, front.listen, most, front.pipeline) for front in plan.front
         ]
+        self.clients[0].passed = plan.passed
+        core.handed_down = plan.passed >= 0
         fronts: list[Front] = [*self.clients]
         self.receivers = Receivers(core, reactor, self.room)
         self.source = self.source_of(plan)
@@ -83,6 +87,11 @@
 
     def stop(self) -> Deferred[None]:
         done: Deferred[None] = Deferred()
+        if self.core.handed_down:  # the next process serves beside this one until it ends
+            self.room.most //= 2
+            for clients in self.clients:
+                clients.most //= 2
+            self.room.spare()
         self.core.stop(lambda: done.callback(None))
         return done
 
--- a/laureldock/cli/spool.py
+++ b/laureldock/cli/spool.py
@@ -15,7 +15,7 @@
 @click.option("--json", "as_json", is_flag=True, help="A JSON object a line.")
 def command(folder: Path, as_json: bool) -> None:
     """Print what the spool in FOLDER owes; it is only read."""
-    for owed in Spool(folder, 0).owed.values():
+    for owed in Spool(folder, 0, writes=False).owed.values():
         name, size = owed.name.decode(), len(owed.body)
         if as_json:
             told = {"mail": name, "destination": owed.destination, "queue_class": owed.queue_class}
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -98,6 +98,7 @@
         self.terms: dict[face.QueueClass, face.Terms] = {}
         self.copies: list[tuple[float, int, Case]] = []  # when a second copy is due
         self.keys: dict[str, Turns] = {}
+        self.owed_elsewhere: dict[str, float] = {}  # keys of another process of this dispatcher, and until
         self.resting: list[tuple[float, int, Turns]] = []
         # Guards tables of connections at the receivers against many instances that each keep some idle, and
         # mails against a connection dropped unseen. Half a minute for one instance, a call's time for many.
@@ -143,8 +144,15 @@
             lane.credit += self.bears(now, lane) / len(line.lanes)
         heapq.heappush(self.ends, (case.end, next(self.serial), case))
         if kind.in_order and mail.key is not None:
-            case.turns = self.keys.setdefault(mail.key, Turns(mail.key))
-            case.turns.cases.append(case)
+            case.turns = turns = self.keys.setdefault(mail.key, Turns(mail.key))
+            # One taken over from an ended process of this dispatcher was handed in before those held here.
+            place = len(turns.cases)
+            while mail.earlier and place and (before := turns.cases[place - 1]).stage is Stage.LINE:
+                if before.queued or before.mail.earlier:
+                    break
+                place -= 1
+            turns.cases.insert(place, case)
+            turns.rest = max(turns.rest, self.owed_elsewhere.get(mail.key, 0.0))
         if case.connects and not self.may_go(now, case):
             self.step(now, case, Step.SPENT)
         elif case.turns:
@@ -213,6 +221,15 @@
     def closing(self, now: float, left: float) -> None:
         self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
 
+    def elsewhere(self, now: float, keys: list[str]) -> None:
+        """Keys of which another process of this dispatcher, handing over to or from this one, owes a mail."""
+        # Three looks of the door: a key is free soon after its mail is over there, and never before.
+        until = now + 0.3
+        self.owed_elsewhere = dict.fromkeys(keys, until)
+        for key in keys:
+            if (turns := self.keys.get(key)) is not None:
+                turns.rest = max(turns.rest, until)
+
     def excluded(self, now: float) -> int:
         """Routes listed as up that get no share now: shut, on trial, or told to wait."""
         lanes = (lane for line in self.lines.values() for lane in line.lanes.values())
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -19,6 +19,9 @@
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 DOOR_STAYS, ALL_OVER = 0.6, 3.3
 
+# While a process hands over: its end is seen within a tenth of a second, a small part of any lifetime.
+ADOPT_EVERY = 0.1
+
 # Of queue classes counted apart: those of the settings and some that clients name wrongly.
 MOST_CLASSES = 256
 
@@ -52,6 +55,7 @@
         self.fronts: list[Front] = []
         self.running, self.stopped_at = True, 0.0
         self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
+        self.handed_down = False  # the listening socket is the platform's, shared with the next process
         self.verbose = False  # whether each mail's steps are logged
         self.fresh: list[Letter] = []  # taken since the last turn
         self.turn_due = False
@@ -81,8 +85,33 @@
         if self.outlet.waiting:
             self.later(0.01, self.recover)
             return
+        self.revive(list(self.store.owed.values()))
+        self.open_door()
+        self.adopt()
+
+    def adopt(self) -> None:
+        """Where processes hand over, what one leaves is taken over once it has ended, and a key that another
+        still owes waits here."""
+        if not self.running or not (self.handed_down or self.store.sharing):
+            return
+        found: list[Owed] = []
+        try:
+            found = [] if self.stopped_at else self.store.adopt()
+        except OSError as fault:
+            self.log.error("spool cannot be written", fault=str(fault))
+        if found:
+            self.log.info("taken over", owed=len(found))
+            for owed in found:
+                if owed.notice:
+                    self.outlet.put(owed.name, owed.notice)
+            self.revive([owed for owed in found if not owed.notice], earlier=True)
+        if self.handed_down:
+            self.tell(self.control.elsewhere, self.store.keys_elsewhere())
+        self.later(ADOPT_EVERY, self.adopt)
+
+    def revive(self, found: list[Owed], earlier: bool = False) -> None:
         clock = self.wall()
-        for owed in list(self.store.owed.values()):
+        for owed in found:
             kind = self.book.classes.get(owed.queue_class)
             if kind is None:  # the settings have changed since
                 self.end_by_notice(owed.name, handed_back=False)
@@ -90,9 +119,9 @@
             starts = [at for at in (owed.ran, owed.out) if at is not None]
             mail = self.book.mail(kind, owed.destination, owed.end - clock, owed.customer, owed.key)
             mail.connects, mail.ran = owed.connects, max(0.0, clock - min(starts)) if starts else None
+            mail.earlier = earlier
             self.hold(Letter(owed.name, owed.tag, owed.body, mail))
             self.tell(self.control.taken, mail)
-        self.open_door()
 
     def open_door(self) -> None:
         for front in self.fronts:
@@ -109,7 +138,8 @@
         self.stopped_at = self.now()
         self.ready = False
         self.tell(self.control.closing, ALL_OVER)
-        self.later(DOOR_STAYS, self.shut_door)
+        # Where the platform listens, what comes is kept for the next process: no need to stay at the door.
+        self.later(0.0 if self.handed_down else DOOR_STAYS, self.shut_door)
         self.later(DOOR_STAYS, self.wind_up, done)
 
     def shut_door(self) -> None:
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -119,6 +119,16 @@
 
     def over(self, name: bytes) -> None: ...
 
+    @property
+    def sharing(self) -> bool:
+        """Whether another process of this dispatcher writes the folder too, while it hands over."""
+
+    def adopt(self) -> list[Owed]:
+        """What processes that have ended since owe, now owed by this one."""
+
+    def keys_elsewhere(self) -> list[str]:
+        """Keys of mails that other living processes of this dispatcher owe."""
+
 
 # What its peers ask of the core
 
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -342,12 +342,19 @@
         self.numbers = 0
         self.full = self.looking = self.lameduck = False
         self.port: Port | None = None
+        self.passed = -1  # a descriptor that listens already
 
     @property
     def busy(self) -> int:
         return len(self.clients)
 
     def open(self) -> str:
+        if self.passed >= 0:  # the platform listens, and every process of this dispatcher accepts
+            try:
+                self.port = self.reactor.adopt(self.passed, self)  # type: ignore[attr-defined]
+            except OSError as fault:
+                return f"descriptor {self.passed}: {fault}"
+            return ""
         host, _, port = self.listen.rpartition(":")
         try:
             self.port = self.reactor.listenTCP(int(port), self, backlog=512, interface=host)
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -153,6 +153,7 @@
     ran: float | None = None  # seconds since the first of those that may have run was sent; None: none may
     notes: Any = None
     terms: Terms | None = None  # None: nothing was set
+    earlier: bool = False  # taken over from another process of this dispatcher that has ended
 
 
 @dataclass(eq=False, slots=True)
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
@@ -31,6 +32,14 @@
         door.startListening()
         return door
 
+    def adopt(self, descriptor: int, factory: Any) -> Door:
+        """A listening socket that the platform holds: it may come blocking, and a blocking accept would stop
+        the whole process until the next client, since the processes that share it race for each one."""
+        door: Door = Door._fromListeningDescriptor(self, descriptor, socket.AF_INET, factory)
+        door.startListening()
+        door.socket.setblocking(False)
+        return door
+
     def runUntilCurrent(self) -> None:  # noqa: N802
         """After a stall, what has come in is read before any timer says that it has not come."""
         if self.running:
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -2,10 +2,15 @@
 
 One file of records, appended to: a length, a checksum, a line of JSON and, for a mail, its body. Before it is
 full it is written anew with only what is still owed. What was written outlives a kill; no sync is needed.
+
+Two processes of one dispatcher may share the folder while one hands over to the next. Each holds a lock on
+the file it writes (`spool`, else `spool.1`, ...); a file whose lock is free belongs to a process that has
+ended, and what it owes is taken over whole, then the file goes.
 """
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import zlib
@@ -43,12 +48,62 @@
         yield place, json.loads(line), body
 
 
+def locked(path: Path) -> int | None:
+    """The file opened and locked for this process alone; None while another process holds it."""
+    file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(file)
+        return None
+    return file
+
+
+class Watch:
+    """The keys that another process's file owes, read as it grows; a file written anew is read anew."""
+
+    def __init__(self) -> None:
+        self.inode, self.size = -1, 0
+        self.names: dict[str, str] = {}  # of mails with a key, owed
+
+    def keys(self, path: Path) -> list[str]:
+        try:
+            with path.open("rb") as file:
+                inode = os.fstat(file.fileno()).st_ino
+                if inode != self.inode:
+                    self.inode, self.size, self.names = inode, 0, {}
+                file.seek(self.size)
+                data = file.read()
+        except OSError:
+            return []
+        start = self.size
+        for place, fields, _ in records(data):
+            self.size = start + place
+            sort, name, *rest = fields
+            if sort == "mail" and rest[0]:
+                self.names[name] = rest[0]
+            elif sort == "over":
+                self.names.pop(name, None)
+        return list(self.names.values())
+
+
 class Spool:
-    def __init__(self, folder: Path, disk: float) -> None:
-        self.path, self.fresh = folder / "spool", folder / "spool.new"
+    """`writes`: this process is to write the folder, else it only reads what all its files owe."""
+
+    def __init__(self, folder: Path, disk: float, writes: bool = True) -> None:
+        self.folder = folder
+        file: int | None = -1
+        place, self.held = 0, []  # the files that other living processes write
+        while writes and (file := locked(self.named(place))) is None:
+            self.held.append(self.named(place))
+            place += 1
+        self.file = file if file is not None and writes else -1
+        self.path = self.named(place)
+        self.fresh = self.path.with_name(self.path.name + ".new")
         # Two files stand side by side while one is written anew: a third of the room for what is owed, two
-        # for the file that grows; one block of each is lost to the way of counting.
-        self.most_owed = int(disk / 3) - 2 * BLOCK
+        # for the file that grows; one block of each is lost to the way of counting. A process beside another
+        # has half of that.
+        self.most_owed = int(disk / (6 if self.held else 3)) - 2 * BLOCK
         self.most = 2 * self.most_owed
         self.owed: dict[bytes, Owed] = {}
         self.room = 0
@@ -58,14 +113,79 @@
             self.size = place
             self.replay(fields, body)
         self.torn = len(data) - self.size
-        self.file = -1
+        others = sorted(path for path in folder.glob("spool*") if not path.name.endswith(".new"))
+        self.left: list[tuple[Path, int]] = []  # files of ended processes, to be taken over at `open`
+        self.watched: dict[Path, Watch] = {}
+        for path in others:
+            if path == self.path or path in self.held:
+                continue
+            file = locked(path) if writes else -1
+            if file is None:
+                self.held.append(path)
+            else:
+                self.left.append((path, file))
+                for _, fields, body in records(path.read_bytes()):
+                    self.replay(fields, body)
+
+    def keys_elsewhere(self) -> list[str]:
+        """Keys of mails that other living processes owe; a file that has come is watched from now on."""
+        for path in sorted(self.folder.glob("spool*")):
+            if path != self.path and path not in self.held and not path.name.endswith(".new"):
+                self.held.append(path)
+        keys: dict[str, None] = {}
+        for path in self.held:
+            watch = self.watched.get(path) or Watch()
+            self.watched[path] = watch
+            keys.update(dict.fromkeys(watch.keys(path)))
+        for path in list(self.watched):
+            if path not in self.held:
+                del self.watched[path]
+        return list(keys)
+
+    def named(self, place: int) -> Path:
+        return self.folder / ("spool" if place == 0 else f"spool.{place}")
+
+    @property
+    def sharing(self) -> bool:
+        """Whether another process writes the folder too."""
+        return bool(self.held)
 
     def open(self) -> None:
         """From here on the folder is written to; what was torn or half renewed is dropped."""
         self.fresh.unlink(missing_ok=True)
-        self.file = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
         os.ftruncate(self.file, self.size)
         os.lseek(self.file, 0, os.SEEK_END)
+        if self.left:
+            self.renew()
+            self.drop_left()
+
+    def drop_left(self) -> None:
+        for path, file in self.left:
+            path.unlink(missing_ok=True)
+            os.close(file)
+        self.left = []
+
+    def adopt(self) -> list[Owed]:
+        """What processes that have ended since owe, now owed by this one."""
+        found: list[Owed] = []
+        for path in list(self.held):
+            file = locked(path)
+            if file is None:
+                continue
+            self.held.remove(path)
+            self.left.append((path, file))
+            before = set(self.owed)
+            for _, fields, body in records(path.read_bytes()):
+                self.replay(fields, body)
+            found += [mail for name, mail in self.owed.items() if name not in before]
+        if self.left:
+            self.renew()
+            self.drop_left()
+        if not self.held and self.path != self.named(0):  # the file of the dispatcher is this one's now
+            os.rename(self.path, self.named(0))
+            self.path = self.named(0)
+            self.fresh = self.path.with_name(self.path.name + ".new")
+        return found
 
     def replay(self, fields: list[Any], body: bytes) -> None:
         sort, name, *rest = fields
@@ -153,6 +273,7 @@
         data = b"".join(parts)
         file = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)  # before its name is the spool's
             if os.write(file, data) < len(data):
                 raise OSError("the spool's disk is full")
             os.rename(self.fresh, self.path)
@@ -165,3 +286,4 @@
 
     def close(self) -> None:
         os.close(self.file)
+        self.file = -1
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -204,6 +204,8 @@
 
     def start(self) -> None:
         """A new life, with the folder that the one before left."""
+        if (old := getattr(self, "assembly", None)) and old.core.store.file >= 0:
+            old.core.store.close()  # as the end of its process does, with its lock
         self.reactor.tcpClients.clear()
         self.reactor.connectors.clear()
         self.opens: list[tuple[Any, Any]] = []  # connections that are to come up
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -153,6 +153,25 @@
     assert dock.same_as("order")
 
 
+def test_a_key_that_another_process_owes_waits_and_what_it_leaves_goes_first() -> None:
+    """While two processes hand over, a key's next mail here once went out before the one owed there."""
+    dock = Dock()
+    dock.listed("north/1")
+    dock.control.elsewhere(dock.now, ["k"])
+    dock.mail("here", "in-order", key="k")
+    dock.after(0.2)
+    dock.say("the other process has ended; its mail of k is taken over")
+    dock.control.elsewhere(dock.now, [])
+    kind, owner = SORTS["in-order"], dock.destinations["north"]
+    there = face.Mail(kind, owner, kind.lifetime, None, "k", earlier=True)  # as the core marks one taken over
+    dock.mails["there"], dock.names[there] = there, "there"
+    dock.control.taken(dock.now, there)
+    dock.after(0.2)
+    dock.end("there", "served")
+    dock.after(0.1)
+    assert dock.same_as("handover")
+
+
 def test_limit_used_up_is_no_outage_and_mails_share_a_call() -> None:
     """Fulls above a limit once gave a route share nought and a cold budget for a quarter of the day."""
     dock = Dock()
