SIGHUP on the platform reads its settings anew: classes come and go, attempts change

Ruled out: the lameduck path and the endpoints' pools; the calls went where the list, not read, still said up.

Taken: Book.reclass gives new queue classes, customers and the tariff; names of earlier classes stay known, so mails taken on keep their class and are counted under it; Control.retell binds the new limit on connects and waits from now on; the list and notices move. Way not taken: the file path's reload (Assembly.reload), which refuses any change of a class; it is right for a person's file, where a class changed under waiting mails is likelier a slip.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -97,13 +97,6 @@
 
     # Reload
 
-    def move(self, directory: Address) -> None:
-        """The platform's door stands elsewhere: the list and the notices are there from now on."""
-        core = self.core
-        core.counters["configurations read"] += 1
-        core.log.info("configuration read", directory=directory, notices=self.outlet.waiting)
-        self.move_to(directory, directory)
-
     def move_to(self, directory: Address | None, door: Address | None) -> None:
         source, outlet = self.source, self.outlet
         if not self.core.running:
@@ -113,6 +106,20 @@
         if door and isinstance(outlet, Notices) and door != outlet.dial:
             outlet.move(door)
 
+    def retold(self, plan: Plan) -> None:
+        """The platform's settings anew: classes come and go, limits change; mails taken on keep theirs."""
+        core = self.core
+        if not core.running:
+            return
+        plan.state, plan.management, plan.passed = self.plan.state, self.plan.management, self.plan.passed
+        changed = changes(self.plan, plan)
+        self.plan = plan
+        core.book.reclass(plan)
+        core.tell(core.control.retell, core.book.tariff)
+        self.move_to(plan.source.address, plan.outlet.address)
+        core.counters["configurations read"] += 1
+        core.log.info("configuration read", changed=changed, classes=sorted(core.book.classes))
+
     def unread(self, faults: list[str]) -> None:
         """A file that is not taken: nothing of the old settings is lost."""
         self.core.counters["configurations refused"] += 1
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -15,7 +15,7 @@
 from laureldock.cli.config import refuse
 from laureldock.logs import Logs
 from laureldock.setup.faults import RefusedError, dotted
-from laureldock.setup.platform import moved_to, of_platform
+from laureldock.setup.platform import of_platform
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.rules import check
 from laureldock.sockets.reactor import Reread, SteadyReactor
@@ -84,11 +84,16 @@
     except (ValueError, KeyError, TypeError, AttributeError, OSError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
 
-    def moved() -> None:
+    def retold() -> None:
+        """The platform's file anew: the list's address, queue classes, limits; or nothing of it."""
         try:
-            assembly.move(moved_to(os.environ))
+            plan, bounds = of_platform(os.environ, again=True)
+            if faults := [f"{dotted(fault.path)}: {fault.reason}" for fault in check(plan, bounds)]:
+                raise ValueError("; ".join(faults[:20]))
         except ValueError as fault:
             assembly.unread([str(fault)])
+            return
+        assembly.retold(plan)
 
     def fresh() -> Prepared | list[str]:
         """The plan of the file as it is now, or its faults."""
@@ -108,6 +113,6 @@
 
     reread = Reread(reactor, fresh, take_over)
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(assembly.core.log_counters))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reread.ask if file else moved))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reread.ask if file else retold))
     reactor.run()
     sys.exit(f"Error: {ended[0]}" if ended else 0)
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -221,6 +221,11 @@
     def closing(self, now: float, left: float) -> None:
         self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
 
+    def retell(self, now: float, tariff: face.Tariff) -> None:
+        """Other settings from now on: the limits on connects and waits bind every mail from here."""
+        self.most_connects, self.most_retry_after = tariff.most_connects, tariff.most_retry_after
+        self.terms.clear()  # those of classes that are gone go with them; the mails that wait keep theirs
+
     def elsewhere(self, now: float, keys: list[str]) -> None:
         """Keys of which another process of this dispatcher, handing over to or from this one, owes a mail."""
         # Three looks of the door: a key is free soon after its mail is over there, and never before.
--- a/laureldock/setup/platform.py
+++ b/laureldock/setup/platform.py
@@ -19,7 +19,7 @@
     Source,
 )
 from laureldock.setup.rules import Bounds
-from laureldock.setup.units import Address, Seconds, Size, address
+from laureldock.setup.units import Seconds, Size, address
 
 Fields = dict[str, Any]
 NS = 1e9
@@ -109,18 +109,40 @@
     return found
 
 
-def moved_to(environ: Mapping[str, str]) -> Address:
-    """Where the list and the notices are by the file as it is now, newer than the environment. ValueError."""
-    try:
-        return address(told(environ)["discovery"])
-    except (KeyError, TypeError) as fault:
-        raise ValueError(f"no address under 'discovery': {fault!r}") from None
+def positive(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and value > 0
 
 
-def of_platform(environ: Mapping[str, str]) -> tuple[Plan, Bounds]:
-    """The plan of a dispatcher on the platform, and what it is held to. ValueError in plain words."""
+def unsound(found: Fields) -> list[str]:
+    """What makes a file that comes at SIGHUP be turned down whole, beyond what cannot be read."""
+    faults = []
+    try:
+        profile = found["settings"]
+        if not positive(profile["limits"]["max_attempts"]):
+            faults.append(
+                f"settings.limits.max_attempts: no number above 0: {profile['limits']['max_attempts']!r}"
+            )
+        for place, entry in enumerate(profile["classes"]):
+            if not positive(entry["deadline_ns"]):
+                faults.append(
+                    f"settings.classes[{place}].deadline_ns: no number above 0: {entry['deadline_ns']!r}"
+                )
+        if not profile["classes"]:
+            faults.append("settings.classes: none")
+    except (KeyError, TypeError, IndexError) as fault:
+        faults.append(f"{fault!r} is missing or of the wrong kind")
+    return faults
+
+
+def of_platform(environ: Mapping[str, str], again: bool = False) -> tuple[Plan, Bounds]:
+    """The plan of a dispatcher on the platform, and what it is held to. ValueError in plain words.
+
+    `again`: a file read at SIGHUP, held to more, since a dispatcher that runs keeps its settings rather.
+    """
     try:
         found = told(environ)
+        if again and (faults := unsound(found)):
+            raise ValueError("; ".join(faults))
         profile, limits = found["settings"], found["limits"]
         plan = of_profile(int(found["seed"], 16), profile, True)
         plan.name = str(environ.get("LB_NAME") or found["name"])
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -102,6 +102,15 @@
         for name, route in self.routes.items():
             self.tell_route(name, numbers[route.destination], route)
 
+    def reclass(self, plan: Plan) -> None:
+        """Other queue classes and limits from now on; mails taken on keep the class that they had."""
+        halving = plan.limits.fades == "halving"
+        self.plan, self.tariff = plan, tariff(plan, self.tariff.notices)
+        self.classes = {name: queue_class(sort, halving) for name, sort in plan.classes.items()}
+        self.names.update({kind: name for name, kind in self.classes.items()})
+        self.customers = {name: face.Customer(each.quota) for name, each in plan.customers.items()}
+        self.terms.clear()
+
     def name_of(self, kind: face.QueueClass) -> str:
         return self.names.get(kind, "")
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,8 +8,10 @@
 
 import pytest
 from dock import Quay
+from msgspec.structs import replace
 
 from laureldock.core.letters import Owed
+from laureldock.setup.platform import of_platform
 from laureldock.setup.units import Address
 from laureldock.stores.spool import Spool
 
@@ -388,7 +390,9 @@
     quay.assembly.unread(["nothing there"])
     assert old in quay.pipes
     quay.say("moved")
-    quay.assembly.move(Address("127.0.0.8:9"))
+    plan, there = quay.plan, Address("127.0.0.8:9")
+    source, outlet = replace(plan.source, address=there), replace(plan.outlet, address=there)
+    quay.assembly.retold(replace(plan, source=source, outlet=outlet))
     quay.flow()
     assert old not in quay.pipes and old.disconnected
     quay.takes_notices = True
@@ -542,3 +546,45 @@
     assert not quay.dispatcher.store.owed
     quay.put(client, "m3")
     assert quay.same_as("net-disk")
+
+
+def test_settings_told_anew_add_and_drop_classes_and_open_mails_keep_theirs(
+    port: Port, tmp_path: Path
+) -> None:
+    """At SIGHUP the platform's settings once gave only the list's address: a new class was unknown."""
+    quay = port()
+    client = quay.client()
+    quay.put(client, "m1", "charge")
+    config = tmp_path / "config.json"
+    environ = {"LB_CONFIG": str(config), "LB_STATE": str(quay.state)}
+    told = json.loads(config.read_text())
+    classes = [entry for entry in told["settings"]["classes"] if entry["name"] != "charge"]
+    classes.append({**classes[0], "name": "fresh"})
+    told["settings"] = {**told["settings"], "classes": classes}
+    told["settings"]["limits"] = {**told["settings"]["limits"], "max_attempts": 2}
+    config.write_text(json.dumps(told))
+    quay.say("retold")
+    quay.assembly.retold(of_platform(environ, again=True)[0])
+    quay.put(client, "m2", "fresh")
+    quay.put(client, "m3", "charge")
+    quay.answer("1", "500 Internal Server Error")
+    quay.after(0.1)
+    quay.answer("1", "200 OK")
+    quay.after(0.1)
+    figures = quay.dispatcher.operators_figures()
+    assert figures["requests"]["charge"]["failed"] == 2 and figures["requests"]["fresh"]["served"] == 1
+    assert figures["reloads_ok"] == 1
+    assert quay.dispatcher.book.tariff.most_connects == 2
+    assert quay.same_as("net-retold")
+
+    for fault, text in {
+        "empty": "",
+        "cut short": json.dumps(told)[:-9],
+        "no key": json.dumps({**told, "settings": {**told["settings"], "limits": {}}}),
+        "deadline": json.dumps(told).replace('"deadline_ns": 9000000000.0', '"deadline_ns": 0', 1),
+        "attempts": json.dumps(told).replace('"max_attempts": 2', '"max_attempts": "2"'),
+    }.items():
+        config.write_text(text)
+        with pytest.raises(ValueError):
+            of_platform(environ, again=True)
+            pytest.fail(fault)
