--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -13,7 +13,6 @@
 from laureldock.core.dispatcher import Dispatcher
 from laureldock.core.seams import Front, Outlet, Source
 from laureldock.fronts.resp import Clients
-from laureldock.operators.door import Door, Operated
 from laureldock.outlets.lines import Lines
 from laureldock.outlets.platform import Notices
 from laureldock.setup.entries import term_book
@@ -66,8 +65,12 @@
         self.source = self.source_of(plan)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
-        operated = Operated(core.takes_clients, core.operators_figures, core.set_lameduck)
-        self.door = Door(reactor, plan.management, operated) if plan.management else None
+        self.door = None
+        if plan.management:  # twisted.web costs some 4 MB, which a dispatcher without the address keeps
+            from laureldock.operators.door import Door, Operated
+
+            operated = Operated(core.takes_clients, core.operators_figures, core.set_lameduck)
+            self.door = Door(reactor, plan.management, operated)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
 
     def source_of(self, plan: Plan) -> Source:
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -79,6 +79,7 @@
 
         pool = self.pools[connect.route]
         errand = Errand(self, pool, head, letter.body, connect.time_out, may_begin, ended, connect.rest)
+        errand.letter = letter
         self.errands[connect] = errand
         errand.start()
 
@@ -148,6 +149,7 @@
         self.rest, self.rested = rest, 0.0
         self.began, self.over = receivers.core.now(), False
         self.line: HttpLine | None = None
+        self.letter: Letter | None = None  # of a connect
         self.opening: Deferred[HttpLine] | None = None
         self.timer: Timer | None = None
 
@@ -214,6 +216,10 @@
             end = End.NO_SLOT
         self.finish(end, headers)
 
+    def written_out(self) -> None:
+        if self.letter:  # not of a probe
+            self.receivers.core.sent(self.letter)
+
     def unanswered(self, end: End) -> None:
         self.finish(end)
 
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -241,6 +241,7 @@
             self.count(owed.queue_class, "bounced")
             raise NotAMailError("unknown class")
         if owed.destination not in self.book.destinations:  # none was ever listed for it
+            self.count(owed.queue_class, "bounced")
             raise NotAMailError("unknown destination")
         if owed.name in self.by_name:  # sent once more, since a close had crossed it
             return TAKEN
@@ -335,10 +336,10 @@
         if letter.name not in self.by_name or not self.control.may_begin(self.now(), connect):
             return False
         letter.noted = connect
-        if not self.keep(self.store.out, letter.name, self.wall()):
-            return False
+        return self.keep(self.store.out, letter.name, self.wall())
+
+    def sent(self, letter: Letter) -> None:
         self.count(self.book.name_of(letter.mail.queue_class), "sent")
-        return True
 
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
         self.counters[f"ended: {end.value}"] += 1
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -169,6 +169,9 @@
 
     def may_begin(self, connect: face.Connect, letter: Letter) -> bool: ...
 
+    def sent(self, letter: Letter) -> None:
+        """The last byte of a call with it has left."""
+
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None: ...
 
     def probed(self, route: face.Route, outcome: face.Outcome) -> None: ...
--- a/laureldock/outlets/platform.py
+++ b/laureldock/outlets/platform.py
@@ -72,6 +72,9 @@
         super().move(dial)
         self.post()
 
+    def written_out(self) -> None:
+        """Nothing is counted of it."""
+
     def unanswered(self, end: End) -> None:
         self.fail(end.value, again=end is not End.GARBLED)
 
--- a/laureldock/sockets/httpline.py
+++ b/laureldock/sockets/httpline.py
@@ -26,6 +26,9 @@
 
     def unanswered(self, end: End) -> None: ...
 
+    def written_out(self) -> None:
+        """Told when the call's last byte has left."""
+
     def head_read(self, status: int, headers: Headers) -> None:
         """Told besides, of an answer whose body is not whole yet."""
 
@@ -55,6 +58,8 @@
 
     def all_written(self) -> None:
         self.written = True
+        if self.reader:
+            self.reader.written_out()
 
     def drop(self) -> None:
         """Close it, and give up what is out on it; nobody is told."""
--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -95,6 +95,9 @@
             self.ask(asked)  # the watch goes on
         return None
 
+    def written_out(self) -> None:
+        """Nothing is counted of it."""
+
     def unanswered(self, end: End) -> None:
         self.fail(end.value)
 
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import json
 import os
@@ -56,6 +57,8 @@
     except BlockingIOError:
         os.close(file)
         return None
+    except OSError:  # where locks are not to be had, a process is alone with its folder, as before
+        pass
     return file
 
 
@@ -273,7 +276,8 @@
         data = b"".join(parts)
         file = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)  # before its name is the spool's
+            with contextlib.suppress(OSError):  # before its name is the spool's
+                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
             if os.write(file, data) < len(data):
                 raise OSError("the spool's disk is full")
             os.rename(self.fresh, self.path)
