At SIGHUP the list's address comes from the file, not from the environment of the start

Ruled out: the settings checks turned nothing down (no "configuration not read" in any log); the move itself works (Assembly.move_to moved the watch in the test of another address).

At fault: laureldock/setup/platform.py, of_platform: `address(environ.get("LB_DISCOVERY") or found["discovery"])`, which since also serves SIGHUP. The environment is what the platform told at the start; the file is newer. Now the file wins at SIGHUP. The test of settings told anew now sets LB_DISCOVERY to the old address and fails without the change.

--- a/laureldock/setup/platform.py
+++ b/laureldock/setup/platform.py
@@ -150,7 +150,10 @@
         plan.limits.sockets = int(limits["sockets"])
         plan.limits.disk = Size(float(limits["disk_mb"]) * 1e6)
         listen = address(environ.get("LB_LISTEN") or found["listen"])
-        directory = address(environ.get("LB_DISCOVERY") or found["discovery"])
+        # At SIGHUP the file is newer than the environment, which was told at the start.
+        directory = address(
+            found["discovery"] if again else environ.get("LB_DISCOVERY") or found["discovery"]
+        )
         plan.front = [Front(listen=listen, pipeline=PIPELINE)]
         told_at = environ.get("LB_MANAGEMENT") or found.get("management")
         plan.management = address(told_at) if told_at else ""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -556,8 +556,9 @@
     client = quay.client()
     quay.put(client, "m1", "charge")
     config = tmp_path / "config.json"
-    environ = {"LB_CONFIG": str(config), "LB_STATE": str(quay.state)}
+    environ = {"LB_CONFIG": str(config), "LB_STATE": str(quay.state), "LB_DISCOVERY": "127.0.0.9:9"}
     told = json.loads(config.read_text())
+    told["discovery"] = "127.0.0.9:10"  # moved: the file wins over what the environment told at the start
     classes = [entry for entry in told["settings"]["classes"] if entry["name"] != "charge"]
     classes.append({**classes[0], "name": "fresh"})
     told["settings"] = {**told["settings"], "classes": classes}
@@ -575,6 +576,7 @@
     assert figures["requests"]["charge"]["failed"] == 2 and figures["requests"]["fresh"]["served"] == 1
     assert figures["reloads_ok"] == 1
     assert quay.dispatcher.book.tariff.most_connects == 2
+    assert quay.assembly.plan.source.address == "127.0.0.9:10"
     assert quay.same_as("net-retold")
 
     for fault, text in {
