Read again: one way to list and take another process's spool file, the classes built once

`fresh` was state kept beside `path` and set in two places; it is derived from it. - Book: the queue classes and customers were built in __init__ and again in reclass; now `sorts`. - Dispatcher: the count of a mail under its class name was spelt out at three places (`count_of`); "relayed" is counted under one condition instead of two. - serve: the faults of a platform's plan were put in words twice (start, SIGHUP): `faults_of`.

--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -15,12 +15,18 @@
 from laureldock.cli.config import refuse
 from laureldock.logs import Logs
 from laureldock.setup.faults import RefusedError, dotted
+from laureldock.setup.plan import Plan
 from laureldock.setup.platform import of_platform
 from laureldock.setup.reading import Override, load, overrides_of
-from laureldock.setup.rules import check
+from laureldock.setup.rules import Bounds, check
 from laureldock.sockets.reactor import Reread, SteadyReactor
 
 
+def faults_of(plan: Plan, bounds: Bounds) -> list[str]:
+    """Of a platform's plan, where it breaks the rules, in plain words."""
+    return [f"{dotted(fault.path)}: {fault.reason}" for fault in check(plan, bounds)]
+
+
 @click.command("serve", context_settings={"auto_envvar_prefix": "LAURELDOCK"})
 @click.argument("file", required=False)
 @click.option("--name", show_envvar=True, help="Of this dispatcher.")
@@ -52,7 +58,7 @@
     try:
         if file is None:
             plan, bounds = of_platform(os.environ)
-            doubts = [f"{dotted(fault.path)}: {fault.reason}" for fault in check(plan, bounds)]
+            doubts = faults_of(plan, bounds)
             state = Path(plan.state)
             if not state.is_dir():
                 raise ValueError(f"no folder for the spool: {state}")
@@ -88,7 +94,7 @@
         """The platform's file anew: the list's address, queue classes, limits; or nothing of it."""
         try:
             plan, bounds = of_platform(os.environ, again=True)
-            if faults := [f"{dotted(fault.path)}: {fault.reason}" for fault in check(plan, bounds)]:
+            if faults := faults_of(plan, bounds):
                 raise ValueError("; ".join(faults[:20]))
         except ValueError as fault:
             assembly.unread([str(fault)])
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -308,7 +308,7 @@
         word = "deferred" if handed_back else "bounced"
         self.over(letter, word)
         self.counters[word] += 1
-        self.count(self.book.name_of(letter.mail.queue_class), word)
+        self.count_of(letter, word)
         if letter.waiter:  # it has had no answer yet
             letter.refusal = Answer(Word.BUSY if handed_back else Word.FAILED, retry_after)
             self.forget(letter)
@@ -339,7 +339,7 @@
         return self.keep(self.store.out, letter.name, self.wall())
 
     def sent(self, letter: Letter) -> None:
-        self.count(self.book.name_of(letter.mail.queue_class), "sent")
+        self.count_of(letter, "sent")
 
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
         self.counters[f"ended: {end.value}"] += 1
@@ -349,9 +349,9 @@
             )
         if outcome.finished:
             if letter.name in self.by_name:  # a second copy may have been served first
-                self.counters["relayed"] += end is End.DELIVERED
                 if end is End.DELIVERED:
-                    self.count(self.book.name_of(letter.mail.queue_class), "relayed")
+                    self.counters["relayed"] += 1
+                    self.count_of(letter, "relayed")
                 self.over(letter, end.value)
             self.forget(letter)
         elif letter.noted is connect and outcome.ending in NOT_RUN:
@@ -381,6 +381,9 @@
 
     # Counters
 
+    def count_of(self, letter: Letter, word: str) -> None:
+        self.count(self.book.name_of(letter.mail.queue_class), word)
+
     def count(self, queue_class: str, word: str) -> None:
         found = self.by_class.get(queue_class)
         if found is None:
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -102,7 +102,6 @@
             place += 1
         self.file = file if file is not None and writes else -1
         self.path = self.named(place)
-        self.fresh = self.path.with_name(self.path.name + ".new")
         # Two files stand side by side while one is written anew: a third of the room for what is owed, two
         # for the file that grows; one block of each is lost to the way of counting. A process beside another
         # has half of that.
@@ -116,25 +115,34 @@
             self.size = place
             self.replay(fields, body)
         self.torn = len(data) - self.size
-        others = sorted(path for path in folder.glob("spool*") if not path.name.endswith(".new"))
         self.left: list[tuple[Path, int]] = []  # files of ended processes, to be taken over at `open`
         self.watched: dict[Path, Watch] = {}
-        for path in others:
-            if path == self.path or path in self.held:
-                continue
+        for path in self.others():
             file = locked(path) if writes else -1
             if file is None:
                 self.held.append(path)
             else:
-                self.left.append((path, file))
-                for _, fields, body in records(path.read_bytes()):
-                    self.replay(fields, body)
+                self.take_file(path, file)
+
+    @property
+    def fresh(self) -> Path:
+        """Where the file is written anew."""
+        return self.path.with_name(self.path.name + ".new")
+
+    def others(self) -> list[Path]:
+        """Files of other processes in the folder that this one does not know of yet."""
+        found = (path for path in self.folder.glob("spool*") if not path.name.endswith(".new"))
+        return sorted(path for path in found if path != self.path and path not in self.held)
+
+    def take_file(self, path: Path, file: int) -> None:
+        """What an ended process's file owes is owed by this one; the file goes at the next `take_left`."""
+        self.left.append((path, file))
+        for _, fields, body in records(path.read_bytes()):
+            self.replay(fields, body)
 
     def keys_elsewhere(self) -> list[str]:
         """Keys of mails that other living processes owe; a file that has come is watched from now on."""
-        for path in sorted(self.folder.glob("spool*")):
-            if path != self.path and path not in self.held and not path.name.endswith(".new"):
-                self.held.append(path)
+        self.held += self.others()
         keys: dict[str, None] = {}
         for path in self.held:
             watch = self.watched.get(path) or Watch()
@@ -158,11 +166,13 @@
         self.fresh.unlink(missing_ok=True)
         os.ftruncate(self.file, self.size)
         os.lseek(self.file, 0, os.SEEK_END)
-        if self.left:
-            self.renew()
-            self.drop_left()
+        self.take_left()
 
-    def drop_left(self) -> None:
+    def take_left(self) -> None:
+        """Files of ended processes, once what they owe is in this one's, go."""
+        if not self.left:
+            return
+        self.renew()
         for path, file in self.left:
             path.unlink(missing_ok=True)
             os.close(file)
@@ -176,18 +186,13 @@
             if file is None:
                 continue
             self.held.remove(path)
-            self.left.append((path, file))
             before = set(self.owed)
-            for _, fields, body in records(path.read_bytes()):
-                self.replay(fields, body)
+            self.take_file(path, file)
             found += [mail for name, mail in self.owed.items() if name not in before]
-        if self.left:
-            self.renew()
-            self.drop_left()
+        self.take_left()
         if not self.held and self.path != self.named(0):  # the file of the dispatcher is this one's now
             os.rename(self.path, self.named(0))
             self.path = self.named(0)
-            self.fresh = self.path.with_name(self.path.name + ".new")
         return found
 
     def replay(self, fields: list[Any], body: bytes) -> None:
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -77,10 +77,8 @@
     def __init__(self, plan: Plan, sockets: bool = False) -> None:
         self.plan = plan
         self.tariff = tariff(plan, sockets)
-        halving = plan.limits.fades == "halving"
-        self.classes = {name: queue_class(sort, halving) for name, sort in plan.classes.items()}
-        self.names = {kind: name for name, kind in self.classes.items()}  # of earlier settings too
-        self.customers = {name: face.Customer(each.quota) for name, each in plan.customers.items()}
+        self.names: dict[face.QueueClass, str] = {}  # of earlier settings too
+        self.sorts(plan)
         self.kinds = {name: face.Kind(each.batch, each.apart) for name, each in plan.kinds.items()}
         self.reports: list[str] = plan.reports
         self.destinations: dict[Any, face.Destination] = {}
@@ -104,12 +102,16 @@
 
     def reclass(self, plan: Plan) -> None:
         """Other queue classes and limits from now on; mails taken on keep the class that they had."""
-        halving = plan.limits.fades == "halving"
         self.plan, self.tariff = plan, tariff(plan, self.tariff.notices)
+        self.sorts(plan)
+        self.terms.clear()
+
+    def sorts(self, plan: Plan) -> None:
+        """Queue classes and customers by the plan; the names of classes before stay known."""
+        halving = plan.limits.fades == "halving"
         self.classes = {name: queue_class(sort, halving) for name, sort in plan.classes.items()}
         self.names.update({kind: name for name, kind in self.classes.items()})
         self.customers = {name: face.Customer(each.quota) for name, each in plan.customers.items()}
-        self.terms.clear()
 
     def name_of(self, kind: face.QueueClass) -> str:
         return self.names.get(kind, "")
