A mail's lifetime counts from when its client sent it, not from when a busy process read it

In the logs of all 40 dispatchers no mail ended late by its own process's clock; put beside what the same mails told when first handed in (matched by their bodies), those handed in again at the restart were read 0.1 to 0.5 s after they were sent: thirty at once, on a fresh process. At fault: fronts/resp.py, `put`, which takes d= from the reading. Change: the reactor knows when all had been read (a poll that found nothing or slept); what is read now has lain no longer than that, nor than the 0.4 s for which a client waits; at the door's opening, 0.4 s is taken off.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -20,6 +20,7 @@
 from laureldock.setup.reload import changes, refused
 from laureldock.setup.terms import TermBook
 from laureldock.setup.units import Address
+from laureldock.sockets.reactor import SteadyReactor
 from laureldock.sockets.room import Room
 from laureldock.sources.listed import Listed, Listing, listing
 from laureldock.sources.platform import Directory
@@ -59,6 +60,9 @@
             Clients(core, reactor, self.room, front.listen, most, front.pipeline) for front in plan.front
         ]
         self.clients[0].passed = plan.passed
+        if isinstance(reactor, SteadyReactor):
+            for each in self.clients:
+                each.unread = reactor.unread
         core.handed_down = plan.passed >= 0
         fronts: list[Front] = [*self.clients]
         self.receivers = Receivers(core, reactor, self.room)
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -29,6 +29,8 @@
 PATIENCE, DRAINED, LOOK = 2.0, 5.0, 0.25
 # Who has said nothing for two looks gives way when room is short: clients open a connection to send.
 QUIET = 2 * LOOK
+# A client waits so long for its answer, by the platform's protocol: what it sent has lain unread no longer.
+PATIENT = 0.4
 # Errors that a connection may have at once, and how many are forgiven a second: a program that asks a few
 # commands which this is not a database for goes on; one that repeats what was turned away is closed.
 MOST_ERRORS, FORGIVEN = 16, 2.0
@@ -170,7 +172,8 @@
         to = destination(fields.get(b"dest", b""))
         sort, customer = (fields.get(field, b"").decode(errors="replace") for field in (b"c", b"t"))
         order = None if not key.strip(b"0") else key.decode()
-        left = int(told) / 1000
+        # It counts from when the client sent it: read late, by a busy process, mails ended late by as much.
+        left = max(0.0, int(told) / 1000 - min(PATIENT, self.clients.unread()))
         core = self.clients.core
         owed = Owed(name, order, sort, customer, tag, to, core.wall() + left, body)
         if unread(self.transport) == b"":  # as after a stall of this process: it has given up
@@ -342,6 +345,7 @@
         self.numbers = 0
         self.full = self.looking = self.lameduck = False
         self.port: Port | None = None
+        self.unread: Callable[[], float] = lambda: 0.0  # for how long what is read now may have lain
         self.passed = -1  # a descriptor that listens already
 
     @property
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import Callable
+from math import inf
 from typing import Any, Generic, TypeVar
 
 from twisted.internet.epollreactor import EPollReactor
@@ -21,13 +22,45 @@
         super().doRead()
 
 
+# A poll that took longer has slept, so that what it found has just come.
+SLEPT = 0.001
+# After a door has opened, clients come that were refused before, with lifetimes that run already.
+OPENING = 0.8
+
+
 class SteadyReactor(EPollReactor):
     """Timers run by the monotonic clock: a step of the wall clock neither delays nor hurries them."""
 
+    def __init__(self) -> None:
+        self.rested = self.opened = self.polled = -inf  # when all had been read; a door opened; a poll began
+        self.found = False
+        super().__init__()
+
     def seconds(self) -> float:
         return time.monotonic()
 
+    def unread(self) -> float:
+        """For how long at most what is read now has lain unread."""
+        now = self.seconds()
+        return inf if now < self.opened + OPENING else now - self.rested
+
+    def doPoll(self, timeout: float | None) -> None:  # noqa: N802
+        self.polled, self.found = self.seconds(), False
+        super().doPoll(timeout)
+        if not self.found:
+            self.rested = self.seconds()
+
+    doIteration = doPoll  # noqa: N815
+
+    def _doReadOrWrite(self, selectable: Any, descriptor: int, event: int) -> None:  # noqa: N802
+        if not self.found:
+            self.found, now = True, self.seconds()
+            if now > self.polled + SLEPT:
+                self.rested = now
+        super()._doReadOrWrite(selectable, descriptor, event)
+
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Door:  # noqa: N802
+        self.opened = self.seconds()
         door = Door(port, factory, backlog, interface, self)
         door.startListening()
         return door
@@ -35,6 +68,7 @@
     def adopt(self, descriptor: int, factory: Any) -> Door:
         """A listening socket that the platform holds: it may come blocking, and a blocking accept would stop
         the whole process until the next client, since the processes that share it race for each one."""
+        self.opened = self.seconds()
         door: Door = Door._fromListeningDescriptor(self, descriptor, socket.AF_INET, factory)
         door.startListening()
         door.socket.setblocking(False)
