A wait told to one process of a dispatcher binds the other while they hand over

Read line by line: a wait lives in the lanes of the process that heard it (control.reading), and of the other process's file only the keys that it owes were read (core/dispatcher.adopt). Nothing told the new process of it. Ruled out: a trial or a connect being opened (may_begin asks for the wait), a line begun late (100 ms are let through). Change: where the listening socket is handed down, a wait is a record of the spool; the other process reads it with the keys, every 0.05 s, and `Control.told_to_wait` binds the route (or the destination). A file written anew keeps the waits that still bind. Two tests fail without the change.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -237,6 +237,12 @@
             if (turns := self.keys.get(key)) is not None:
                 turns.rest = max(turns.rest, until)
 
+    def told_to_wait(self, now: float, route: Route, wait: float) -> None:
+        """By a call of this process, or of another one of this dispatcher that hands over."""
+        if lane := route.notes:
+            bound = lane if route.kind.apart else lane.line
+            bound.until = max(bound.until, now + wait)
+
     def excluded(self, now: float) -> int:
         """Routes listed as up that get no share now: shut, on trial, or told to wait."""
         lanes = (lane for line in self.lines.values() for lane in line.lanes.values())
@@ -274,8 +280,7 @@
         if outcome.limit is not None:
             lane.told_rate, lane.told_left = outcome.limit, outcome.left
         if outcome.wait:  # binds whatever else the call was: a late answer, or one beside a trial
-            bound = lane if lane.route.kind.apart else lane.line
-            bound.until = max(bound.until, now + outcome.wait)
+            self.told_to_wait(now, lane.route, outcome.wait)
         if outcome.ending in (Ending.MOOT, Ending.CANCELLED):
             return Sign.UNSENT
         # Guards against connections closed at rest, unseen until their next call; sooner it is chance.
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -19,8 +19,9 @@
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 DOOR_STAYS, ALL_OVER = 0.6, 3.3
 
-# While a process hands over: its end is seen within a tenth of a second, a small part of any lifetime.
-ADOPT_EVERY = 0.1
+# While a process hands over: its end, and a wait told to it, are seen within half of the tenth of a second
+# for which calls under way are let through.
+ADOPT_EVERY = 0.05
 
 # Of queue classes counted apart: those of the settings and some that clients name wrongly.
 MOST_CLASSES = 256
@@ -107,6 +108,10 @@
             self.revive([owed for owed in found if not owed.notice], earlier=True)
         if self.handed_down:
             self.tell(self.control.elsewhere, self.store.keys_elsewhere())
+            clock = self.wall()
+            for name, until in self.store.waits_elsewhere().items():
+                if until > clock and (route := self.book.routes.get(name)) is not None:
+                    self.tell(self.control.told_to_wait, route, until - clock)
         self.later(ADOPT_EVERY, self.adopt)
 
     def revive(self, found: list[Owed], earlier: bool = False) -> None:
@@ -356,6 +361,9 @@
             self.forget(letter)
         elif letter.noted is connect and outcome.ending in NOT_RUN:
             self.keep(self.store.back, letter.name)
+        if outcome.wait and self.handed_down:  # binds both processes: to the rules they are one dispatcher
+            clock = self.wall()
+            self.keep(self.store.wait, connect.route.name, clock + outcome.wait, clock)
         self.tell(self.control.ended, connect, outcome)
 
     def probed(self, route: face.Route, outcome: face.Outcome) -> None:
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -129,6 +129,12 @@
     def keys_elsewhere(self) -> list[str]:
         """Keys of mails that other living processes of this dispatcher owe."""
 
+    def wait(self, route: str, until: float, now: float) -> None:
+        """A route told this process to wait: for the others to read."""
+
+    def waits_elsewhere(self) -> Mapping[str, float]:
+        """Routes that told other processes of this dispatcher to wait, and until when."""
+
 
 # What its peers ask of the core
 
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -63,11 +63,13 @@
 
 
 class Watch:
-    """The keys that another process's file owes, read as it grows; a file written anew is read anew."""
+    """What another process's file owes keys of, and the waits told to it, read as it grows; a file written
+    anew is read anew."""
 
     def __init__(self) -> None:
         self.inode, self.size = -1, 0
         self.names: dict[str, str] = {}  # of mails with a key, owed
+        self.waits: dict[str, float] = {}  # of routes, until when by the wall clock
 
     def keys(self, path: Path) -> list[str]:
         try:
@@ -87,6 +89,8 @@
                 self.names[name] = rest[0]
             elif sort == "over":
                 self.names.pop(name, None)
+            elif sort == "wait":
+                self.waits[name] = rest[0]
         return list(self.names.values())
 
 
@@ -109,6 +113,7 @@
         self.most = 2 * self.most_owed
         self.owed: dict[bytes, Owed] = {}
         self.room = 0
+        self.waits: dict[str, float] = {}  # told to this process, or to one whose file it took
         data = self.path.read_bytes() if self.path.exists() else b""
         self.size = 0
         for place, fields, body in records(data):
@@ -153,6 +158,16 @@
                 del self.watched[path]
         return list(keys)
 
+    def waits_elsewhere(self) -> dict[str, float]:
+        """Routes that told another process to wait, by what `keys_elsewhere` has read, and until when."""
+        return {name: until for watch in self.watched.values() for name, until in watch.waits.items()}
+
+    def wait(self, route: str, until: float, now: float) -> None:
+        """Told to this process, for the others to read."""
+        self.waits = {name: end for name, end in self.waits.items() if end > now}
+        self.waits[route] = until
+        self.write(pack(["wait", route, until]))
+
     def named(self, place: int) -> Path:
         return self.folder / ("spool" if place == 0 else f"spool.{place}")
 
@@ -203,6 +218,8 @@
             tag = tag.encode()
             mail = Owed(name, key, queue_class, customer, tag, destination, end, body, connects, ran, out)
             self.add(mail, record(mail))
+        elif sort == "wait":
+            self.waits[name.decode()] = rest[0]
         elif name in self.owed:
             self.apply(sort, self.owed[name], rest)
 
@@ -278,6 +295,7 @@
             parts.append(record(mail))
             if mail.notice:
                 parts.append(pack(["notice", mail.name.decode(), mail.notice.decode()]))
+        parts += [pack(["wait", route, until]) for route, until in self.waits.items()]
         data = b"".join(parts)
         file = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
+
+from dock import Quay
 
 from laureldock.core.letters import Owed
 from laureldock.stores.spool import Spool
@@ -46,3 +49,40 @@
     again.open()
     assert sorted(again.owed) == [b"n", b"o"] and not again.sharing
     assert sorted(path.name for path in tmp_path.iterdir()) == ["spool"]
+
+
+def test_a_wait_told_to_one_process_is_read_by_the_other(tmp_path: Path) -> None:
+    old = Spool(tmp_path, 3e6)
+    old.open()
+    old.wait("r1", 50.0, now=40.0)
+    old.wait("r2", 60.0, now=55.0)
+    old.renew()  # what is over goes, what binds stays
+    new = Spool(tmp_path, 3e6)
+    new.open()
+    new.keys_elsewhere()
+    assert new.waits_elsewhere() == {"r2": 60.0}
+    new.wait("r3", 70.0, now=55.0)
+    old.wait("r2", 65.0, now=55.0)
+    assert (old.keys_elsewhere(), old.waits_elsewhere()) == ([], {"r3": 70.0})
+    assert (new.keys_elsewhere(), new.waits_elsewhere()) == ([], {"r2": 65.0})
+
+
+def test_nothing_goes_to_a_route_that_told_the_other_process_to_wait(
+    tmp_path: Path, monkeypatch: Any
+) -> None:
+    """A new process beside the old one sent what the old one had been told to hold."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.dispatcher.handed_down = True
+    beside = Spool(quay.state, 1e6)
+    beside.open()
+    store: Any = quay.dispatcher.store
+    store.held.append(beside.path)  # as if it had been there at the start
+    quay.dispatcher.adopt()
+    quay.dispatcher.wall = lambda: 1e9 + quay.reactor.seconds()
+    beside.wait("r1", quay.dispatcher.wall() + 0.5, now=0.0)
+    quay.after(0.1)
+    quay.put(quay.client(), "m")
+    quay.after(0.2)
+    assert not [line for line in quay.lines if "POST" in line], quay.lines
+    quay.after(0.4)
+    assert [line for line in quay.lines if "POST" in line], quay.lines
