As the door opens, lifetimes are shortened by the time that clients were refused before, too

Of mails handed in again at a restart, some were 0.5 and 0.6 s older than their reading: 0.4 s unread, and refused at a door that was not open yet before that, with their lifetime running (fronts/resp.py, put). Change: in the first second of an open door 0.8 s are taken off, 0.4 s before; a test that fails without it.

--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -30,7 +30,8 @@
 # Who has said nothing for two looks gives way when room is short: clients open a connection to send.
 QUIET = 2 * LOOK
 # A client waits so long for its answer, by the platform's protocol: what it sent has lain unread no longer.
-PATIENT = 0.4
+# As the door opens, it may have been refused for as long before, with its mail's lifetime running.
+PATIENT, REFUSED = 0.4, 0.8
 # Errors that a connection may have at once, and how many are forgiven a second: a program that asks a few
 # commands which this is not a database for goes on; one that repeats what was turned away is closed.
 MOST_ERRORS, FORGIVEN = 16, 2.0
@@ -173,7 +174,8 @@
         sort, customer = (fields.get(field, b"").decode(errors="replace") for field in (b"c", b"t"))
         order = None if not key.strip(b"0") else key.decode()
         # It counts from when the client sent it: read late, by a busy process, mails ended late by as much.
-        left = max(0.0, int(told) / 1000 - min(PATIENT, self.clients.unread()))
+        lain = self.clients.unread()
+        left = max(0.0, int(told) / 1000 - (REFUSED if lain == inf else min(PATIENT, lain)))
         core = self.clients.core
         owed = Owed(name, order, sort, customer, tag, to, core.wall() + left, body)
         if unread(self.transport) == b"":  # as after a stall of this process: it has given up
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -25,7 +25,7 @@
 # A poll that took longer has slept, so that what it found has just come.
 SLEPT = 0.001
 # After a door has opened, clients come that were refused before, with lifetimes that run already.
-OPENING = 0.8
+OPENING = 1.0
 
 
 class SteadyReactor(EPollReactor):
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -46,7 +47,7 @@
     reactor.opened = reactor.seconds()  # clients refused before come with lifetimes that run already
     reading.far.send(b"x")
     reactor.doIteration(0)
-    assert reading.ages.pop() > OPENING
+    assert reading.ages.pop() > 10 * OPENING
     reactor.removeReader(reading)
 
 
@@ -58,3 +59,12 @@
     quay.put(client, "m", left=1000)
     quay.after(0.85)
     assert quay.assembly.core.counters["deferred"] == 1, quay.lines
+
+
+def test_a_mail_refused_before_the_door_was_open_ends_sooner(tmp_path: Path, monkeypatch: Any) -> None:
+    quay = Quay(tmp_path, monkeypatch)
+    quay.late.add("1")
+    quay.front.unread = lambda: inf
+    quay.put(quay.client(), "m", left=1300)
+    quay.after(0.65)
+    assert quay.assembly.core.counters["deferred"] == 1, quay.lines
