--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -312,7 +312,7 @@
         never = outcome.ending is Ending.NO_CONNECTION and outcome.took > 0.9 * self.connect_time
         silent = self.seldom and (never or outcome.ending is Ending.TIME_OUT)
         if silent:
-            rest = self.apart(now - (lane.since or now), self.rate(lane), True)
+            rest = self.apart(now - (lane.since or now), self.rate(lane), 4.0)
             lane.hush = max(lane.hush, now + rest * (0.5 + self.chance()))
         elif outcome.ending is Ending.NO_CONNECTION and self.many:
             # It used up no limit, and idle connections of the others soon give way: a moment, each its own.
@@ -323,7 +323,7 @@
             bound.refused = bound.refused or now
             rate = self.rate(lane) * (1 if lane.route.kind.apart else len(lane.line.lanes))
             even = 1 / (rate * self.part) if rate else 2.0
-            bound.rest = min(max(2.5, 3 * bound.rest), max(1.0, 2 * even))
+            bound.rest = min(max(4.0, 3 * bound.rest), max(1.0, 2 * even))
             rest = max(bound.rest, self.apart(now - bound.refused, rate)) * (0.5 + self.chance())
             bound.until = max(bound.until, now + rest)
             lane.part = max(0.1, 0.5 * lane.part)
@@ -383,11 +383,11 @@
         # Half a second, growing by half up to two; of many, up to what all may send to a cold route together.
         cold = self.rate(lane) * self.part * self.cold * self.start
         most = 1 / cold if cold and self.many and not self.seldom else 2.0
-        others = self.apart(now - (lane.since or now), self.rate(lane), True) if self.seldom else 0.0
+        others = self.apart(now - (lane.since or now), self.rate(lane), 2.0) if self.seldom else 0.0
         lane.pause, lane.down = max(0.5, min(most, lane.pause * 1.5), others), self.failing(lane)
         lane.hush = max(lane.hush, now + lane.pause * (0.75 + 0.5 * self.chance()))
 
-    def apart(self, since: float, rate: float, silent: bool = False) -> float:
+    def apart(self, since: float, rate: float, clump: float = 0.0) -> float:
         """Seconds between the calls of one that was failed for so long, beside others that were, too.
 
         Those that saw it fail, as many as met it since, must not be the greater part of what it gets when
@@ -396,8 +396,8 @@
         """
         own, cold = rate * self.part, self.cold * self.start
         seen = min(1.0, own * since)
-        # A clump of two seconds' worth may have run into silence at one time, and each sender of it has one.
-        least = max(2 * since / (1 - seen) if seen < 1 else inf, 4.0 / cold if silent else 0.0)
+        # A clump of so many seconds' worth may have run into it, each sender of it at about the same time.
+        least = max(2 * since / (1 - seen) if seen < 1 else inf, clump / cold)
         return min(least, 1 / (own * cold) if own else 0.0)
 
     def reopen(self, now: float, lane: Lane) -> None:
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -200,7 +200,7 @@
 
 
 def test_a_mail_that_no_other_route_of_its_building_may_get_is_waited_for() -> None:
-    """Called off as soon as it was overdue it was bounced when its window ended, though it had only been slow."""
+    """Called off as soon as it was overdue it was bounced later, though its receiver was only slow."""
     dock = seldom(slots=3)
     dock.listed("north/1", zone="here")
     dock.listed("north/2", zone="there")
@@ -210,3 +210,32 @@
     assert not any("a called off" in line for line in dock.lines)
     dock.end("a", "served", took=3.5)
     assert not any("bounced" in line for line in dock.lines)
+
+
+@pytest.mark.parametrize(("ending", "took", "most"), [("no connection", 1.5, 0.45), ("full", 0.1, 0.6)])
+def test_those_that_met_an_outage_one_after_the_other_stay_the_lesser_part(
+    ending: str, took: float, most: float
+) -> None:
+    """With shorter first rests as many came again at any time as met it anew, or twice as many."""
+    fleet, back = Fleet(120), 15.0
+    sent: dict[int, list[float]] = {}
+    while fleet.now < back + 6:
+        if round(fleet.now / 0.05) % 8 == 0:  # 2.5 a second, each its first and only one
+            fleet.docks[round(fleet.now / 0.4)].mail("m", "redeliverable", left=60.0)
+        for place, dock in enumerate(fleet.docks):
+            known = set(dock.calls)
+            dock.after(0.05)
+            for connect in (each for each in dock.out.values() if each not in known):
+                sent.setdefault(place, []).append(fleet.now)
+                dock.calls[connect] = fleet.now
+            for name, connect in sorted(dock.out.items()):
+                if dock.calls[connect] < back and fleet.now - dock.calls[connect] >= took:
+                    dock.end(name, ending, took=took)
+                elif dock.calls[connect] >= back:
+                    dock.end(name, "served", took=0.1)
+        fleet.now += 0.05
+    late = [
+        (at, any(one < back - took for one in times)) for times in sent.values() for at in times if at >= back
+    ]
+    again = sum(saw for _, saw in late)
+    assert len(late) >= 10 and again <= most * len(late), (again, len(late))
