--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
 from twisted.internet.posixbase import PosixReactorBase
 
 from laureldock.carriers.http import Receivers
@@ -27,6 +29,9 @@
 from laureldock.stores.spool import Spool
 from laureldock.tariff import Book
 
+if TYPE_CHECKING:
+    from laureldock.fleet.rim import Rim
+
 
 @dataclass(frozen=True, slots=True)
 class Prepared:
@@ -69,11 +74,18 @@
         self.source = self.source_of(plan)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
+        self.rim = self.rim_of(plan, state) if plan.fleet else None
         self.door = None
         if plan.management:  # twisted.web costs some 4 MB, which a dispatcher without the address keeps
             from laureldock.operators.door import Door, Operated
 
-            operated = Operated(core.takes_clients, core.operators_figures, core.set_lameduck)
+            operated = Operated(
+                core.takes_clients,
+                core.operators_figures,
+                self.lameduck,
+                self.rim.figures if self.rim else None,
+                self.rim.forget if self.rim else None,
+            )
             self.door = Door(reactor, plan.management, operated)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
 
@@ -87,7 +99,32 @@
             return Notices(self.core, self.reactor, plan.outlet.address)
         return Lines(self.core, state / plan.outlet.path if plan.outlet.path else None)
 
+    def rim_of(self, plan: Plan, state: Path) -> Rim:
+        from laureldock.fleet.rim import LOUD, Rim  # a dispatcher without a fleet imports none of it
+
+        core, settings = self.core, plan.fleet
+        assert settings is not None
+
+        def told(name: str, fields: dict[str, Any]) -> None:
+            core.counters[f"fleet {name}"] += 1
+            (core.log.warning if name in LOUD else core.log.info)(f"fleet: {name}", **fields)
+
+        def load() -> float:
+            return len(core.letters) / plan.limits.room
+
+        return Rim(self.reactor, settings, plan.name, plan.seed, state, told, load)
+
+    def lameduck(self, on: bool) -> None:
+        self.core.set_lameduck(on)
+        if self.rim:
+            self.rim.lameduck(on)
+
     def start(self) -> None:
+        if self.rim:
+            try:
+                self.rim.start()
+            except CannotListenError as barred:
+                raise OSError(f"cannot listen for the fleet: {barred}") from None
         if self.door and (fault := self.door.open()):
             raise OSError(f"cannot listen for operators: {fault}")
         self.core.start()
@@ -99,7 +136,15 @@
             for clients in self.clients:
                 clients.most //= 2
             self.room.spare()
-        self.core.stop(lambda: done.callback(None))
+        if self.rim:
+            self.rim.lameduck(True)  # others hear at once, and that it left once it is through
+
+        def over() -> None:
+            if self.rim:
+                self.rim.leave()
+            done.callback(None)
+
+        self.core.stop(over)
         return done
 
     # Reload
@@ -144,6 +189,8 @@
         changed = changes(self.plan, plan)
         self.plan = plan
         self.core.book.retell(plan, fresh.terms)
+        if self.rim and plan.fleet:
+            self.rim.reseed(plan.fleet)
         if isinstance(self.source, Listed):
             self.source.reread(fresh.listing)
         self.move_to(plan.source.address, plan.outlet.address)
--- /dev/null
+++ b/laureldock/fleet/modelled.py
@@ -0,0 +1,235 @@
+"""Many views on one clock set by hand, over a modelled network: one seed gives one trace, to the byte.
+
+Shipped, since operators rehearse with it what no machine holds as processes. The network is a model:
+independent loss, delays drawn evenly, cuts by directed pair of members; a stream is there while both ways
+are.
+"""
+
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from laureldock.fleet.members import HERE
+from laureldock.fleet.view import Charter, Happened, Send, Standing, Stream, View
+from laureldock.fleet.words import BadWord
+
+Pair = tuple[str, str]
+
+
+@dataclass(slots=True)
+class Link:
+    """From one member to another. Times are seconds."""
+
+    cuts: int = 0  # faults that cut it now
+    loss: float = 0.0
+    doubled: float = 0.0
+    delay: float = 0.0  # at most, beside the network's own
+
+
+@dataclass(slots=True)
+class Net:
+    """What becomes of datagrams: of all, and of those on single links."""
+
+    loss: float = 0.0
+    least: float = 0.001
+    most: float = 0.01
+    links: dict[Pair, Link] = field(default_factory=dict)
+
+    def link(self, sender: str, receiver: str) -> Link:
+        return self.links.setdefault((sender, receiver), Link())
+
+    def cut(self, sender: str, receiver: str) -> bool:
+        link = self.links.get((sender, receiver))
+        return link is not None and link.cuts > 0
+
+
+@dataclass(eq=False, slots=True)
+class Host:
+    """A member's process: it may be down, or stand still."""
+
+    key: str  # of its address; a second process of one name has another
+    name: str
+    site: str
+    view: View | None = None
+    starts: int = 0
+    generation: int = 0  # on its disk
+    stalled: float = 0.0  # until when
+    inbox: list[bytes] = field(default_factory=list)  # of one that stands still
+    woken: float = -1.0  # the turn that is already in the heap
+
+
+class World:
+    """`names` of members, each with its site; the address of each is its name and `:1`."""
+
+    def __init__(
+        self, names: dict[str, str], seed: int = 1, period: float = 1.0, seeds: Iterable[str] = ()
+    ) -> None:
+        self.seed, self.period, self.net = seed, period, Net()
+        self.hosts = {name: Host(name, name, site) for name, site in names.items()}
+        self.seeds = tuple(seeds) or tuple(f"{name}:1" for name in names)[:1]
+        self.now, self.serial = 0.0, count(1)
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.happened: list[tuple[float, str, Happened]] = []
+        self.sent = self.bytes = 0
+
+    def chance(self) -> float:
+        return zlib.crc32(f"{self.seed}:{next(self.serial)}".encode()) / 2**32
+
+    def at(self, when: float, action: Callable[..., None], *told: Any) -> None:
+        heapq.heappush(self.heap, (when, next(self.serial), action, told))
+
+    def run(self, until: float) -> None:
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, action, told = heapq.heappop(self.heap)
+            action(*told)
+        self.now = until
+
+    # Members
+
+    def start(self, key: str, clock: float = 0.0) -> View:
+        """`clock`: seconds that its wall clock is off."""
+        host = self.hosts[key]
+        host.starts += 1
+        # A day into the clock, so that one behind has a generation, too.
+        host.generation = max(host.generation + 1, round((86400 + self.now + clock) * 1000))
+        boot = zlib.crc32(f"{key}{host.starts}".encode())
+        told = Charter(
+            "fleet", host.name, host.site, f"{key}:1", host.generation, boot,
+            self.seeds, self.period, self.seed * 100003 + host.starts,
+        )  # fmt: skip
+        host.view, host.woken, host.stalled = View(told, self.now), -1.0, 0.0
+        host.inbox.clear()
+        self.turn(host)
+        return host.view
+
+    def twin(self, name: str) -> View:
+        """Another process of that name, at another address."""
+        self.hosts[f"{name}~"] = Host(f"{name}~", name, self.hosts[name].site)
+        return self.start(f"{name}~")
+
+    def kill(self, key: str, folder: bool = False) -> None:
+        """`folder`: its disk is gone, too."""
+        host = self.hosts[key]
+        host.view = None
+        host.generation = 0 if folder else host.generation
+
+    def leave(self, key: str) -> None:
+        host = self.hosts[key]
+        if host.view:
+            host.view.leave(self.now)
+            self.turn(host)
+            host.view = None
+
+    def stall(self, key: str, seconds: float) -> None:
+        """As SIGSTOP does: it does nothing, and finds all that came meanwhile."""
+        host = self.hosts[key]
+        host.stalled = self.now + seconds
+        self.at(host.stalled, self.wake, host, host.view)
+
+    def wake(self, host: Host, view: View | None) -> None:
+        if host.view is view and view and host.stalled <= self.now:
+            self.turn(host)
+            inbox, host.inbox = host.inbox, []
+            for data in inbox:
+                view.hear(self.now, data)
+            self.turn(host)
+
+    def turn(self, host: Host) -> None:
+        if host.view is None or host.stalled > self.now:
+            return
+        for effect in host.view.turn(self.now):
+            match effect:
+                case Send(address=address, data=data):
+                    self.send(host.key, address, data)
+                case Stream(address=address):
+                    self.at(self.now + self.delay(), self.stream, host, host.view, address)
+                case Happened():
+                    self.happened.append((self.now, host.key, effect))
+        due = host.view.due
+        if due != host.woken and due < float("inf"):
+            host.woken = due
+            self.at(due, self.due, host, host.view)
+
+    def due(self, host: Host, view: View) -> None:
+        if host.view is view:
+            host.woken = -1.0
+            self.turn(host)
+
+    # The network
+
+    def delay(self) -> float:
+        return self.net.least + (self.net.most - self.net.least) * self.chance()
+
+    def send(self, sender: str, address: str, data: bytes) -> None:
+        self.sent += 1
+        self.bytes += len(data)
+        link = self.net.links.get((sender, address.removesuffix(":1"))) or Link()
+        for _ in range(2 if link.doubled and self.chance() < link.doubled else 1):
+            if link.loss and self.chance() < link.loss:
+                continue
+            if not (self.net.loss and self.chance() < self.net.loss):
+                late = self.delay() + (link.delay * self.chance() if link.delay else 0.0)
+                self.at(self.now + late, self.arrive, sender, address, data)
+
+    def arrive(self, sender: str, address: str, data: bytes) -> None:
+        host = self.hosts.get(address.removesuffix(":1"))
+        if host is None or host.view is None or self.net.cut(sender, host.key):
+            return
+        if host.stalled > self.now:
+            host.inbox.append(data)
+            return
+        host.view.hear(self.now, data)
+        self.turn(host)
+
+    def stream(self, host: Host, view: View, address: str) -> None:
+        """Both ends in one go: a stream takes a few round trips, which only delays what it carries."""
+        other = self.hosts.get(address.removesuffix(":1"))
+        if other is None or other.view is None or host.view is not view:
+            return
+        if self.net.cut(host.key, other.key) or self.net.cut(other.key, host.key):
+            return
+        if other.stalled > self.now or host.stalled > self.now:
+            return
+        data: bytes | None = view.begin(self.now)
+        sides = (other, host)
+        try:
+            for turn in range(4):
+                if data is None or (view_there := sides[turn % 2].view) is None:
+                    break
+                self.bytes += len(data)
+                data = view_there.frame(self.now, data)
+        except BadWord:
+            pass
+        self.turn(host)
+        self.turn(other)
+
+    # What is asked of a run
+
+    def living(self) -> list[View]:
+        views = (host.view for host in self.hosts.values())
+        return [view for view in views if view is not None and view.standing is Standing.HERE]
+
+    def agree(self) -> bool:
+        """All that live hold the same members to be here, and these are those that live."""
+        views = self.living()
+        if not views or len({view.digest for view in views}) > 1:
+            return not views
+        here = {each.word.name for each in views[0].roll if each.word.state in HERE}
+        return here == {view.charter.name for view in views}
+
+    def settle(self, most: float) -> float:
+        """Seconds until they agree and go on agreeing for a period; infinity if not within `most`."""
+        began = self.now
+        while self.now < began + most:
+            if self.agree():
+                at = self.now
+                self.run(self.now + self.period)
+                if self.agree():
+                    return at - began
+            self.run(self.now + self.period / 10)
+        return float("inf")
--- /dev/null
+++ b/laureldock/fleet/reach.py
@@ -0,0 +1,55 @@
+"""How much of each site is heard: calls to its members within the last while, and those answered. No I/O."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from laureldock.fleet.words import Reach
+
+# Three sites give each some three calls in ten periods: enough to tell a cut link from a lost datagram.
+PERIODS = 10.0
+MOST_SITES = 8  # told in a datagram
+
+
+@dataclass(eq=False, slots=True)
+class Heard:
+    calls: deque[tuple[float, bool]] = field(default_factory=lambda: deque(maxlen=255))
+
+
+class Sites:
+    def __init__(self, period: float) -> None:
+        self.span = PERIODS * period
+        self.sites: dict[str, Heard] = {}
+        self.told: dict[str, tuple[float, tuple[Reach, ...]]] = {}  # by others, and when
+
+    def tried(self, now: float, site: str, answered: bool) -> None:
+        self.sites.setdefault(site, Heard()).calls.append((now, answered))
+
+    def own(self, now: float) -> tuple[Reach, ...]:
+        """For datagrams: the sites called of late."""
+        found = []
+        for site in sorted(self.sites):
+            calls = self.sites[site].calls
+            while calls and calls[0][0] < now - self.span:
+                calls.popleft()
+            if calls:
+                found.append(Reach(site, len(calls), sum(answered for _, answered in calls)))
+            else:
+                del self.sites[site]
+        return tuple(found[:MOST_SITES])
+
+    def hear(self, now: float, name: str, told: tuple[Reach, ...]) -> None:
+        self.told[name] = (now, told)
+
+    def forget(self, name: str) -> None:
+        self.told.pop(name, None)
+
+    def figures(self, now: float, me: str) -> dict[str, dict[str, float]]:
+        """Of each site: who heard what share of the calls to it, as told within the span."""
+        found: dict[str, dict[str, float]] = {}
+        fresh = {name: told for name, (at, told) in self.told.items() if at >= now - self.span}
+        for name, told in [(me, self.own(now)), *sorted(fresh.items())]:
+            for each in told:
+                found.setdefault(each.site, {})[name] = each.heard / each.tried if each.tried else 0.0
+        return found
--- /dev/null
+++ b/laureldock/fleet/rim.py
@@ -0,0 +1,298 @@
+"""The rim of the view: datagrams and streams at one number, the clock, a small file for the next start.
+
+Everything is sent from the listening address, so that a relay or a packet filter knows the sender by it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.posixbase import PosixReactorBase
+from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory
+from twisted.protocols.basic import Int32StringReceiver
+from twisted.protocols.policies import TimeoutMixin
+
+from laureldock.fleet import words
+from laureldock.fleet.view import Charter, Effect, Happened, Send, Standing, Stream, View
+from laureldock.setup.plan import Fleet
+
+MOST_STREAMS = 16  # that others have open here: each is a few frames, and what speaks no frames must end
+SILENT = 3.0  # seconds; a stream is a few round trips
+SAVED_EVERY = 10.0  # periods; what the next start would miss at most of who was there
+MOST_SAVED = 64  # addresses: enough that one of them lives
+LOUD = ("name taken", "failed", "refused")
+
+
+class Remembered:
+    """What outlives the process: its generation, and whom to ask when all seeds are gone."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.generation, self.addresses = 0, []
+        try:
+            told = json.loads(path.read_bytes())
+            self.generation = int(told["generation"])
+            self.addresses = [str(each) for each in told["addresses"]][:MOST_SAVED]
+        except (OSError, ValueError, KeyError, TypeError):
+            pass  # a new folder, or a spoilt file: the clock and the fleet tell of an earlier start
+
+    addresses: list[str]
+
+    def begin(self, wall: float) -> int:
+        """The generation of this start: above the last one known here, and what the clock says."""
+        self.generation = max(self.generation + 1, int(wall * 1000))
+        return self.generation
+
+    def save(self, generation: int, addresses: list[str]) -> None:
+        """OSError."""
+        self.generation, self.addresses = generation, addresses[:MOST_SAVED]
+        fresh = self.path.with_suffix(".new")
+        with fresh.open("w", encoding="utf-8") as file:
+            json.dump({"generation": generation, "addresses": self.addresses}, file)
+            file.flush()
+            os.fsync(file.fileno())
+        fresh.rename(self.path)
+
+
+class Datagrams(DatagramProtocol):
+    noisy = False
+    transport: Any
+
+    def __init__(self, rim: Rim) -> None:
+        self.rim = rim
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        self.rim.view.hear(self.rim.now(), datagram)
+        self.rim.turn_soon()
+
+
+class Frames(Int32StringReceiver, TimeoutMixin):
+    """Either end of a stream; `first` is what the end that opened it begins with."""
+
+    MAX_LENGTH = words.MOST_FRAME
+    transport: Any
+
+    def __init__(self, rim: Rim, opened: bool) -> None:
+        self.rim, self.opened = rim, opened
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.setTimeout(SILENT)
+        if self.opened:
+            self.sendString(self.rim.view.begin(self.rim.now()))
+        else:
+            self.rim.streams += 1
+            if self.rim.streams > MOST_STREAMS:
+                self.transport.abortConnection()
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        self.resetTimeout()
+        try:
+            answer = self.rim.view.frame(self.rim.now(), string)
+        except words.BadWord:
+            self.transport.abortConnection()
+            return
+        if answer is None:
+            self.transport.loseConnection()
+        else:
+            self.sendString(answer)
+        self.rim.turn_soon()
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        self.rim.view.refuse("a frame too long")
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.setTimeout(None)
+        if not self.opened:
+            self.rim.streams -= 1
+
+
+class Streams(Factory):
+    noisy = False
+
+    def __init__(self, rim: Rim) -> None:
+        self.rim = rim
+
+    def buildProtocol(self, addr: IAddress | None) -> Frames:  # noqa: N802
+        return Frames(self.rim, opened=False)
+
+
+class Opened(ClientFactory):
+    noisy = False
+
+    def __init__(self, rim: Rim) -> None:
+        self.rim = rim
+
+    def buildProtocol(self, addr: IAddress | None) -> Frames:  # noqa: N802
+        return Frames(self.rim, opened=True)
+
+
+class Rim:
+    """`told` hears of events: a name and its fields. `load` gives how full this dispatcher is, 0 to 1."""
+
+    def __init__(
+        self,
+        reactor: PosixReactorBase,
+        settings: Fleet,
+        name: str,
+        seed: int,
+        state: Path,
+        told: Callable[[str, dict[str, Any]], None],
+        load: Callable[[], float],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.reactor, self.settings, self.told, self.load = reactor, settings, told, load
+        self.remembered = Remembered(state / "fleet.json")
+        host, _, port = settings.listen.rpartition(":")
+        self.host, self.port = host, int(port)
+        self.streams, self.due, self.timer = 0, float("inf"), None
+        self.turning = self.dirty = False
+        self.view = View(
+            Charter(
+                fleet=settings.name,
+                name=name,
+                site=settings.site,
+                address=str(settings.advertise or settings.listen),
+                generation=self.remembered.begin(wall()),
+                boot=int.from_bytes(os.urandom(4), "big"),
+                seeds=self.asked(settings.seeds),
+                period=float(settings.period),
+                seed=seed,
+                most=settings.members,
+                forget=float(settings.forget),
+            ),
+            self.now(),
+        )
+        self.datagrams = Datagrams(self)
+        self.door: Any = None
+
+    timer: Any
+
+    def asked(self, seeds: list[Any]) -> tuple[str, ...]:
+        """Configured seeds, and those that the last start knew."""
+        mine = self.settings.advertise or self.settings.listen
+        known = dict.fromkeys([*map(str, seeds), *self.remembered.addresses])
+        return tuple(each for each in known if each != mine)
+
+    def now(self) -> float:
+        return self.reactor.seconds()
+
+    # The life of the process
+
+    def start(self) -> None:
+        """OSError where nothing can listen there."""
+        self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
+        self.door = self.reactor.listenTCP(self.port, Streams(self), interface=self.host)
+        self.save()
+        self.reactor.callLater(SAVED_EVERY * self.settings.period, self.keep)
+        self.turn()
+
+    def keep(self) -> None:
+        if self.view.standing is Standing.HERE:
+            if self.dirty:
+                self.save()
+            self.reactor.callLater(SAVED_EVERY * self.settings.period, self.keep)
+
+    def save(self) -> None:
+        self.dirty = False
+        others = [each.word.address for each in self.view.members() if each is not self.view.me]
+        try:
+            # Who is there now, else who was: a start among strangers must not wipe out whom it knew.
+            addresses = others or self.remembered.addresses
+            self.remembered.save(self.view.me.word.generation, addresses)
+        except OSError as fault:
+            self.told("not kept", {"fault": str(fault)})
+
+    def leave(self) -> None:
+        if self.view.standing is Standing.HERE:
+            self.save()
+            self.view.leave(self.now())
+            self.turn()
+
+    def lameduck(self, on: bool) -> None:
+        self.view.lameduck(self.now(), on)
+        self.turn_soon()
+
+    def reseed(self, settings: Fleet) -> None:
+        self.view.reseed(list(self.asked(settings.seeds)))
+
+    def forget(self, name: str) -> bool:
+        done = self.view.forget(self.now(), name)
+        self.turn_soon()
+        return done
+
+    # Turns
+
+    def turn_soon(self) -> None:
+        """Once all that has come in is read."""
+        if not self.turning:
+            self.turning = True
+            self.reactor.callLater(0, self.turn)
+
+    def turn(self) -> None:
+        self.turning = False
+        self.view.load = round(255 * min(1.0, self.load()))
+        version = self.view.version
+        for effect in self.view.turn(self.now()):
+            self.carry_out(effect)
+        self.dirty = self.dirty or version != self.view.version
+        if self.view.due != self.due or self.timer is None or not self.timer.active():
+            self.due = self.view.due
+            if self.timer is not None and self.timer.active():
+                self.timer.cancel()
+            if self.due < float("inf"):
+                self.timer = self.reactor.callLater(max(0.0, self.due - self.now()), self.turn)
+
+    def carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(address=address, data=data):
+                host, _, port = address.rpartition(":")
+                # What cannot be sent is as a lost one: whoever it was for is asked again.
+                with contextlib.suppress(OSError, ValueError, OverflowError):
+                    self.datagrams.transport.write(data, (host, int(port)))
+            case Stream(address=address):
+                host, _, port = address.rpartition(":")
+                if port.isdigit() and 0 < int(port) < 65536:
+                    self.reactor.connectTCP(
+                        host, int(port), Opened(self), timeout=SILENT, bindAddress=(self.host, 0)
+                    )
+            case Happened(name=name, fields=fields):
+                self.dirty = True
+                self.told(name, fields)
+
+    # What people and programs are shown
+
+    def figures(self) -> dict[str, Any]:
+        view, now = self.view, self.now()
+        return {
+            "fleet": view.charter.fleet,
+            "name": view.charter.name,
+            "standing": view.standing.name.lower().replace("_", " "),
+            "digest": f"{view.digest:016x}",
+            "version": view.version,
+            "still_s": round(view.still(now), 3),
+            "local_health": view.ill,
+            "members": [
+                {
+                    "name": each.word.name,
+                    "site": each.word.site,
+                    "address": each.word.address,
+                    "state": words.STATES[each.word.state],
+                    "generation": each.word.generation,
+                    "incarnation": each.word.incarnation,
+                    "lameduck": each.word.lameduck,
+                    "load": round(each.load / 255, 3),
+                    "since_s": round(now - each.since, 3),
+                }
+                for each in view.members()
+            ],
+            "reach": view.reach(now),
+            "counts": {name: getattr(view.counts, name) for name in view.counts.__slots__},
+        }
--- /dev/null
+++ b/laureldock/fleet/view.py
@@ -0,0 +1,670 @@
+"""The view that one member has of its fleet: SWIM with suspicion, Lifeguard's local health, compared streams.
+
+Bytes in, effects out; no I/O, no clock of its own, and all chance from a seed and a counter, so that
+thousands of them run on one clock set by hand. Why this and not another way: `docs/design/fleet-view.md`.
+Sources: Das, Gupta, Motivala, "SWIM" (DSN 2002); Dadgar, Phillips, Currey, "Lifeguard" (arXiv:1707.00788).
+
+What two members may disagree on, and for how long, is said on the operators' page: nothing here is consensus.
+"""
+
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from itertools import count
+from math import inf, log, log10
+from typing import Any, ClassVar
+
+import msgspec
+
+from laureldock.fleet import words
+from laureldock.fleet.members import EVENTS, HERE, Member, Roll, refuted, wins
+from laureldock.fleet.reach import Sites
+from laureldock.fleet.rumours import Rumours
+from laureldock.fleet.words import ALIVE, FAILED, LEFT, SUSPECT, BadWord, Head, Word
+
+# In periods, but for what has another unit.
+DIRECT = 0.3  # within which an ack must come before others are asked: far more than a network that is well
+HELPERS = 3  # asked to ping in one's place; SWIM's k, at which one in 4 lost datagrams fails no probe in 50
+# Times log10 of the members, at least one: in which a suspect may refute. Word goes round in two periods.
+SUSPICION = 3.0
+PATIENCE = 6.0  # times that while nobody else suspects it (Lifeguard's beta), falling with each that does
+CONFIRMED = 3  # others after whom the shortest wait holds (Lifeguard's K)
+MOST_ILL = 8  # of local health: nine times the waits for one that is itself slow (Lifeguard's S)
+SLEPT = 0.5  # late by so much, this process stood still: what it waited for says nothing of others
+GOSSIP = 0.25  # between datagrams of news alone, while there is any
+FAN = 2  # members that each of these goes to
+STILL = 2.0  # views that differ for so long are compared over a stream: news has gone round by then
+CALL = 2.0  # between calls to those that failed, at least; up to CALL_MOST times that when all is still
+CALL_MOST = 2.0
+SEEDS = 5.0  # between streams to seeds that are not known to be here; a period while alone
+NOBODY = 3.0  # for an answer of another process of one's own name
+# Words this much ahead of what is known come from no member: each refutation raises an incarnation by one.
+AHEAD = 1 << 16
+MOST_RELAYS = 64  # pings in others' place that are out at once
+LEAVERS = 8  # told at once that this one leaves
+
+Standing = Enum("Standing", "HERE STEPPED_DOWN GONE")
+
+
+@dataclass(frozen=True, slots=True)
+class Charter:
+    """What a member is told at its start."""
+
+    fleet: str
+    name: str
+    site: str
+    address: str  # where others reach it
+    generation: int  # greater than that of any start of this name before, as far as is known
+    boot: int  # at random, of this start
+    seeds: tuple[str, ...] = ()
+    period: float = 1.0
+    seed: int = 0
+    most: int = 4096  # members known at once
+    forget: float = 86400.0  # seconds after which one that failed or left is forgotten
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A datagram."""
+
+    address: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Open a stream there, send `begin`, and hand its frames to `frame` until there is no answer to one."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Happened:
+    name: str
+    fields: dict[str, Any]
+
+
+Effect = Send | Stream | Happened
+
+
+@dataclass(eq=False, slots=True)
+class Probe:
+    """A member asked whether it is there."""
+
+    name: str
+    era: tuple[int, int]
+    sent: float
+    answered: bool = False
+    helpers: int = 0  # asked
+    nacks: int = 0
+    again: bool = False  # of one that failed: no answer says nothing new
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """A ping in another's place."""
+
+    address: str
+    number: int
+
+
+@dataclass(eq=False, slots=True)
+class Counts:
+    datagrams: int = 0
+    refused: int = 0
+    sent: int = 0
+    bytes_sent: int = 0
+    streams: int = 0
+    slept: int = 0
+    refuted: int = 0
+
+
+class View:
+    def __init__(self, charter: Charter, now: float) -> None:
+        self.charter = told = charter
+        self.period, self.serial = told.period, count(1)
+        self.roll = Roll(told.most)
+        self.rumours, self.sites, self.counts = Rumours(), Sites(told.period), Counts()
+        self.standing, self.ill, self.load, self.version = Standing.HERE, 0, 0, 0
+        self.changed = now
+        self.effects: list[Effect] = []
+        self.timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.probes: dict[int, Probe] = {}
+        self.relays: dict[int, Relay] = {}
+        self.circle: list[str] = []  # those still to be probed in this round
+        self.calls: list[str] = []  # of those that failed, still to be called in this round
+        self.seeds = list(told.seeds)
+        self.compared = -inf  # when this one last began a stream
+        self.gossiping = False
+        self.twin: tuple[int, int] | None = None  # another start of this name, which may be alive
+        self.me = self.roll.put(
+            now, Word(told.name, told.site, told.address, told.generation, told.boot, 0, ALIVE)
+        )
+        self.tell(now, self.me.word)
+        for action, after in (
+            (self.probe, self.chance()),  # members that start at once don't probe in step
+            (self.call_again, 1.0 + self.chance()),
+            (self.call_seeds, 0.0),
+            (self.sweep, 10.0),
+        ):
+            self.after(now, after * self.period, action)
+
+    # What others use
+
+    def members(self) -> list[Member]:
+        return sorted(self.roll, key=lambda each: each.word.name)
+
+    @property
+    def digest(self) -> int:
+        return self.roll.digest
+
+    def still(self, now: float) -> float:
+        """Seconds since anything here changed."""
+        return now - self.changed
+
+    def reach(self, now: float) -> dict[str, dict[str, float]]:
+        return self.sites.figures(now, self.charter.name)
+
+    @property
+    def due(self) -> float:
+        return self.timers[0][0] if self.timers and self.standing is Standing.HERE else inf
+
+    # What the rim and the operators tell
+
+    def turn(self, now: float) -> list[Effect]:
+        """Do what is due; all effects since the last turn, in their order."""
+        late = now - self.due
+        if late > SLEPT * self.period:
+            self.woke(now, late)
+        while self.due <= now:
+            _, _, action, told = heapq.heappop(self.timers)
+            action(now, *told)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def hear(self, now: float, data: bytes) -> None:
+        """A datagram. What is malformed, or of another fleet, is counted and dropped."""
+        self.counts.datagrams += 1
+        if self.standing is not Standing.HERE:
+            return
+        try:
+            message = words.datagram(data)
+            self.meet(now, message.head)
+            if self.standing is Standing.HERE:
+                self.take(now, message.words, message.head.sender)
+                self.ANSWERS[type(message)](self, now, message)
+        except BadWord as fault:
+            self.refuse(str(fault))
+
+    def begin(self, now: float) -> bytes:
+        """The first frame of a stream that this one opened."""
+        self.counts.streams += 1
+        return words.encode(words.Compare(self.head(now), tuple(self.roll.digests)))
+
+    def frame(self, now: float, data: bytes) -> bytes | None:
+        """The answer to a frame; None where the stream has ended. BadWord: it is to be closed."""
+        if self.standing is not Standing.HERE:
+            return None
+        try:
+            message = words.frame(data)
+            self.meet(now, message.head)
+        except BadWord as fault:
+            self.refuse(str(fault))
+            raise
+        match message:
+            case words.Compare(buckets=told):
+                mine = self.roll.digests
+                differ = tuple(place for place in range(len(mine)) if mine[place] != told[place])
+                return words.encode(words.Differ(self.head(now), differ, self.inside(differ)))
+            case words.Differ(buckets=differ, words=told):
+                own = self.inside(differ)
+                self.merge(now, told, message.head.sender)
+                return words.encode(words.Same(self.head(now), own))
+            case words.Same(words=told):
+                self.merge(now, told, message.head.sender)
+        return None
+
+    def leave(self, now: float) -> None:
+        """The last word of this start. The rim sends what `turn` gives and closes."""
+        self.say(now, LEFT)
+        for member in self.some(LEAVERS, lambda each: True):
+            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
+        self.standing = Standing.GONE
+
+    def lameduck(self, now: float, on: bool) -> None:
+        if self.me.word.lameduck != on:
+            self.say(now, ALIVE, on)
+
+    def reseed(self, seeds: list[str]) -> None:
+        self.seeds = list(seeds)
+
+    def forget(self, now: float, name: str) -> bool:
+        """Operators' word that one that failed will not return; it goes round as if the member had left."""
+        member = self.roll.get(name)
+        if member is None or member.word.state != FAILED:
+            return False
+        self.accept(now, msgspec.structs.replace(member.word, state=LEFT), self.charter.name)
+        return True
+
+    # Chance and time
+
+    def chance(self) -> float:
+        return zlib.crc32(f"{self.charter.seed}:{self.charter.name}:{next(self.serial)}".encode()) / 2**32
+
+    def after(self, now: float, wait: float, action: Callable[..., None], *told: Any) -> None:
+        heapq.heappush(self.timers, (now + wait, next(self.serial), action, told))
+
+    def shuffled(self, names: list[str]) -> list[str]:
+        return sorted(names, key=lambda name: zlib.crc32(f"{next(self.serial)}:{name}".encode()))
+
+    def some(self, most: int, fit: Callable[[Member], bool]) -> list[Member]:
+        """Others that are here, at random."""
+        found: list[Member] = []
+        order = self.roll.order
+        # Several tries for each wanted; where few fit, fewer are found.
+        for _ in range(8 * most if len(order) > 1 else 0):
+            member = order[int(self.chance() * len(order))]
+            if member is not self.me and member.word.state in HERE and member not in found and fit(member):
+                found.append(member)
+                if len(found) == most:
+                    break
+        return found
+
+    def woke(self, now: float, late: float) -> None:
+        """This process stood still: nobody could be heard meanwhile, and nobody had time to refute."""
+        self.counts.slept += 1
+        self.sick(1)
+        self.probes.clear()
+        self.relays.clear()
+        self.timers = [
+            (at + late if action == self.verdict else at, serial, action, told)
+            for at, serial, action, told in self.timers
+        ]
+        heapq.heapify(self.timers)
+
+    def sick(self, change: int) -> None:
+        self.ill = min(MOST_ILL, max(0, self.ill + change))
+
+    # Datagrams out
+
+    def head(self, now: float) -> Head:
+        word, told = self.me.word, self.charter
+        return Head(
+            told.fleet, word.name, word.generation, word.boot, word.address, self.load, self.digest,
+            self.sites.own(now),
+        )  # fmt: skip
+
+    def pick(self, room: int, first: Word | None = None) -> tuple[Word, ...]:
+        return self.rumours.pick(room, self.roll.here, 64, first)
+
+    def send(self, now: float, address: str, make: Callable[[Head, int], words.Datagram]) -> None:
+        head = self.head(now)
+        texts = sum(len(each.site) + 8 for each in head.reach)
+        texts += len(head.fleet) + len(head.sender) + len(head.address)
+        # Numbers, and the name and address of an `Ask`, take under 260 bytes beside the head's texts.
+        room = words.MOST_DATAGRAM - 260 - texts
+        data = words.encode(make(head, room))
+        self.counts.sent += 1
+        self.counts.bytes_sent += len(data)
+        self.effects.append(Send(address, data))
+
+    def ping(self, now: float, member: Member, probe: Probe | None, number: int) -> None:
+        # A suspect, or one that failed, hears of it by the very call that tests it (Lifeguard's buddies).
+        word = member.word
+        first = word if word.state != ALIVE else None
+        if probe:
+            self.probes[number] = probe
+        self.send(
+            now,
+            word.address,
+            lambda head, room: words.Ping(head, number, word.name, self.pick(room, first)),
+        )
+
+    # Detection
+
+    def probe(self, now: float) -> None:
+        """One member each period, all in a round before any twice (SWIM): none waits over two rounds."""
+        member = self.next_probed()
+        # One that is itself slow waits longer, and asks less often.
+        slower = 1 + self.ill
+        self.after(now, slower * self.period, self.probe)
+        if member:
+            number = next(self.serial)
+            probe = Probe(member.word.name, member.word.era, now)
+            self.ping(now, member, probe, number)
+            self.after(now, DIRECT * slower * self.period, self.ask_others, number)
+            self.after(now, 0.95 * slower * self.period, self.unanswered, number)
+
+    def next_probed(self) -> Member | None:
+        for _ in range(2):
+            while self.circle:
+                member = self.roll.get(self.circle.pop())
+                if member and member is not self.me and member.word.state in HERE:
+                    return member
+            self.circle = self.shuffled([each.word.name for each in self.roll if each.word.state in HERE])
+        return None
+
+    def ask_others(self, now: float, number: int) -> None:
+        probe = self.probes.get(number)
+        member = self.roll.get(probe.name) if probe else None
+        if probe is None or probe.answered or member is None:
+            return
+        helpers = self.some(HELPERS, lambda each: each is not member and each.word.state == ALIVE)
+        probe.helpers = len(helpers)
+        name, address = probe.name, member.word.address
+        for helper in helpers:
+            self.send(
+                now,
+                helper.word.address,
+                lambda head, room: words.Ask(head, number, name, address, self.pick(room)),
+            )
+
+    def unanswered(self, now: float, number: int) -> None:
+        """The end of a probe."""
+        probe = self.probes.pop(number, None)
+        member = self.roll.get(probe.name) if probe else None
+        if probe is None or member is None or probe.again:
+            return
+        # Whoever was heard since is alive, also where only its answers are lost.
+        well = probe.answered or member.heard > probe.sent
+        self.sites.tried(now, member.word.site, well)
+        if well:
+            self.sick(-1)
+            return
+        # Helpers that say nothing at all, not even that they got no answer, tell of this one's own link.
+        self.sick(1 if not probe.helpers or probe.nacks < probe.helpers else 0)
+        if member.word.era == probe.era and member.word.state in HERE:
+            self.suspect(now, member, self.charter.name)
+
+    def suspect(self, now: float, member: Member, by: str) -> None:
+        """This member's own suspicion, or another's that confirms it."""
+        if member.word.state == ALIVE:
+            self.accept(now, msgspec.structs.replace(member.word, state=SUSPECT, by=by), by)
+        elif (
+            member.word.state == SUSPECT and by not in member.confirmed and len(member.confirmed) <= CONFIRMED
+        ):
+            member.confirmed.add(by)
+            # What confirms goes on: others wait less, too.
+            self.rumours.add(msgspec.structs.replace(member.word, by=by))
+            self.after(now, 0.0, self.verdict, member.word.name, member.word.era, member.word.incarnation)
+
+    def wait(self, member: Member) -> float:
+        """How long a suspect may refute: the shorter the more suspect it (Lifeguard)."""
+        least = SUSPICION * max(1.0, log10(max(1, self.roll.here))) * self.period
+        needed = min(CONFIRMED, self.roll.here - 2)
+        if needed < 1:
+            return least
+        others = min(needed, max(0, len(member.confirmed) - 1))
+        return max(least, least * (PATIENCE - (PATIENCE - 1) * log(others + 1) / log(needed + 1)))
+
+    def verdict(self, now: float, name: str, era: tuple[int, int], incarnation: int) -> None:
+        member = self.roll.get(name)
+        if member is None or member.word.state != SUSPECT:
+            return
+        if (member.word.era, member.word.incarnation) != (era, incarnation):
+            return
+        left = member.since + self.wait(member) - now
+        if left > 1e-9:
+            self.after(now, left, self.verdict, name, era, incarnation)
+        else:
+            self.accept(now, msgspec.structs.replace(member.word, state=FAILED), self.charter.name)
+
+    # Datagrams in
+
+    def refuse(self, why: str) -> None:
+        self.counts.refused += 1
+        if self.counts.refused in (1, 10, 100, 1000) or self.counts.refused % 10000 == 0:
+            self.effects.append(Happened("refused", {"why": why, "so_far": self.counts.refused}))
+
+    def meet(self, now: float, head: Head) -> None:
+        """The sender itself: it lives, and what it says of itself."""
+        if head.fleet != self.charter.fleet:
+            raise BadWord("another fleet")
+        if head.sender == self.charter.name:
+            self.meet_twin(now, head)
+            return
+        member = self.roll.get(head.sender)
+        if member is None or member.word.era < (head.generation, head.boot):
+            self.compare(now, head.address)
+        elif member.word.era == (head.generation, head.boot):
+            member.heard, member.load = now, head.load
+            self.sites.hear(now, head.sender, head.reach)
+            if member.word.state in (FAILED, LEFT) and now - member.called >= self.period:
+                self.call(now, member)  # it may not know that it is held to have failed
+            elif head.digest != self.digest and self.still(now) >= STILL * self.period:
+                self.compare(now, head.address)
+
+    def take(self, now: float, told: tuple[words.Word, ...], sender: str) -> None:
+        for word in told:
+            self.accept(now, word, sender)
+
+    def on_ping(self, now: float, message: words.Ping) -> None:
+        if message.target == self.charter.name:  # else its address has another owner now
+            number = message.number
+            self.send(now, message.head.address, lambda head, room: words.Ack(head, number, self.pick(room)))
+
+    def on_ack(self, now: float, message: words.Ack) -> None:
+        number = message.number
+        relay = self.relays.pop(number, None)
+        if relay:
+            self.send(now, relay.address, lambda head, room: words.Ack(head, relay.number, self.pick(room)))
+        probe = self.probes.get(number)
+        if probe and not probe.answered:
+            probe.answered = True
+            member = self.roll.get(probe.name)
+            if probe.again and member and member.word.state in HERE:
+                self.compare(now, member.word.address)  # it is back: what else does it know?
+
+    def on_ask(self, now: float, message: words.Ask) -> None:
+        if len(self.relays) >= MOST_RELAYS or message.target == self.charter.name:
+            return
+        number, target = next(self.serial), message.target
+        self.relays[number] = Relay(message.head.address, message.number)
+        self.send(now, message.address, lambda head, room: words.Ping(head, number, target, self.pick(room)))
+        self.after(now, DIRECT * self.period, self.no_answer, number)
+
+    def no_answer(self, now: float, number: int) -> None:
+        if relay := self.relays.pop(number, None):
+            self.send(now, relay.address, lambda head, room: words.Nack(head, relay.number, self.pick(room)))
+
+    def on_nack(self, now: float, message: words.Nack) -> None:
+        if probe := self.probes.get(message.number):
+            probe.nacks += 1
+
+    def on_gossip(self, now: float, message: words.Gossip) -> None:
+        """Its words were taken."""
+
+    ANSWERS: ClassVar[dict[type[words.Datagram], Callable[..., None]]] = {
+        words.Ping: on_ping,
+        words.Ack: on_ack,
+        words.Ask: on_ask,
+        words.Nack: on_nack,
+        words.Gossip: on_gossip,
+    }
+
+    # Words
+
+    def accept(self, now: float, word: Word, by: str, streamed: bool = False) -> None:
+        """A word about a member, from whomever: it wins over what is known, or is nothing new."""
+        if word.name == self.charter.name:
+            self.of_me(now, word)
+            return
+        member = self.roll.get(word.name)
+        known = member.word if member else None
+        if known is None and (word.state not in HERE or self.roll.full()):
+            return  # those that are gone are no news to one that never knew them
+        if known and known.era == word.era and word.incarnation > known.incarnation + AHEAD:
+            raise BadWord("an incarnation far ahead")
+        if streamed and word.state == FAILED and (known is None or known.state != FAILED):
+            # What failed beyond a cut may be well: it is suspect here, and has its time to refute.
+            word = msgspec.structs.replace(word, state=SUSPECT, by=by)
+        if not wins(word, known):
+            same = known and (known.era, known.incarnation) == (word.era, word.incarnation)
+            if member and same and word.state == SUSPECT:
+                self.suspect(now, member, word.by)
+            return
+        member = self.roll.put(now, word)
+        self.tell(now, word)
+        self.news(now)
+        if word.state == SUSPECT:
+            member.confirmed = {word.by}
+            self.after(now, self.wait(member), self.verdict, word.name, word.era, word.incarnation)
+        if known and known.era != word.era:
+            name = "generation changed"
+        else:
+            name = EVENTS.get((known.state if known else None, word.state), "")
+            if known and not name and known.lameduck != word.lameduck:
+                name = "lameduck"
+        if name:
+            told = {"member": word.name, "site": word.site, "generation": word.generation, "by": by}
+            self.effects.append(Happened(name, told))
+
+    def merge(self, now: float, told: tuple[Word, ...], sender: str) -> None:
+        for word in told:
+            try:
+                self.accept(now, word, sender, streamed=True)
+            except BadWord as fault:
+                self.refuse(str(fault))
+
+    def inside(self, buckets: tuple[int, ...]) -> tuple[Word, ...]:
+        wanted = set(buckets)
+        return tuple(each.word for each in self.roll if each.place in wanted)[:8192] if wanted else ()
+
+    def tell(self, now: float, word: Word) -> None:
+        self.rumours.add(word)
+        if not self.gossiping:
+            self.gossiping = True
+            self.after(now, 0.0, self.gossip)
+
+    def gossip(self, now: float) -> None:
+        self.gossiping = bool(len(self.rumours))
+        if not self.gossiping:
+            return
+        for member in self.some(FAN, lambda each: True):
+            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
+        self.after(now, GOSSIP * self.period, self.gossip)
+
+    def news(self, now: float) -> None:
+        self.version += 1
+        self.changed = now
+
+    # This member itself
+
+    def say(self, now: float, state: int, lameduck: bool | None = None) -> None:
+        """A new word of this member about itself."""
+        duck = self.me.word.lameduck if lameduck is None else lameduck
+        word = msgspec.structs.replace(
+            self.me.word, state=state, lameduck=duck, incarnation=self.me.word.incarnation + 1
+        )
+        self.roll.put(now, word)
+        self.news(now)
+        self.tell(now, word)
+
+    def of_me(self, now: float, word: Word) -> None:
+        mine = self.me.word
+        if word.era > mine.era:
+            self.claimed(now, word)
+        elif word.era == mine.era and word.incarnation > mine.incarnation + AHEAD:
+            raise BadWord("an incarnation of mine far ahead")
+        elif own := refuted(word, mine):
+            self.counts.refuted += 1
+            self.sick(1)
+            self.roll.put(now, own)
+            self.news(now)
+            self.tell(now, own)
+
+    def claimed(self, now: float, word: Word) -> None:
+        """A later start of this name is known: its own forgotten past, or another process that lives."""
+        if word.address == self.me.word.address:
+            self.overtake(now, word.era)  # one address has one process, and that is this one
+        elif self.twin is None or self.twin < word.era:
+            self.twin = word.era
+            number = next(self.serial)
+            name = self.charter.name
+            self.send(now, word.address, lambda head, room: words.Ping(head, number, name, ()))
+            self.after(now, NOBODY * self.period, self.nobody, word.era)
+
+    def nobody(self, now: float, era: tuple[int, int]) -> None:
+        if self.twin == era and self.standing is Standing.HERE:
+            self.overtake(now, era)
+
+    def overtake(self, now: float, era: tuple[int, int]) -> None:
+        """What was known of this name is gone with its disk: this start is made the later one."""
+        self.twin = None
+        self.roll.put(now, msgspec.structs.replace(self.me.word, generation=era[0] + 1))
+        self.effects.append(Happened("generation raised", {"generation": era[0] + 1}))
+        self.say(now, ALIVE)
+
+    def meet_twin(self, now: float, head: Head) -> None:
+        """Another living process of this name. The later start stays."""
+        mine, theirs = self.me.word, (head.generation, head.boot)
+        if theirs == mine.era or head.boot == mine.boot:
+            return  # its own datagram, come back to it
+        told = {"address": head.address, "generation": head.generation, "stays": mine.era > theirs}
+        if theirs > mine.era:
+            self.standing = Standing.STEPPED_DOWN
+            self.news(now)
+            self.effects.append(Happened("name taken", told))
+        elif self.twin != theirs:  # told once, and heard by it: it steps down
+            self.twin = theirs
+            self.effects.append(Happened("name taken", told))
+            number, name = next(self.serial), self.charter.name
+            self.send(now, head.address, lambda head, room: words.Ping(head, number, name, ()))
+            self.after(now, self.period, self.look_again)
+
+    def look_again(self, now: float) -> None:
+        self.twin = None
+
+    # Streams, seeds and those that failed
+
+    def compare(self, now: float, address: str) -> None:
+        if now - self.compared >= self.period and address != self.me.word.address:
+            self.compared = now
+            self.effects.append(Stream(address))
+
+    def call_again(self, now: float) -> None:
+        """Calls of all members together: about one a period to each that failed, however many there are.
+
+        Without them two sides that failed each other would never meet again.
+        """
+        gone = [each.word.name for each in self.roll.gone.values() if each.word.state == FAILED]
+        slower = min(CALL_MOST, 1.0 + self.still(now) / (60.0 * self.period))
+        wait = max(CALL, self.roll.here / max(1, len(gone))) * slower
+        self.after(now, wait * (0.75 + 0.5 * self.chance()) * self.period, self.call_again)
+        while gone:
+            if not self.calls:
+                self.calls = self.shuffled(gone)
+            member = self.roll.get(self.calls.pop())
+            if member and member.word.state == FAILED:
+                self.call(now, member)
+                return
+
+    def call(self, now: float, member: Member) -> None:
+        member.called = now
+        number = next(self.serial)
+        self.ping(now, member, Probe(member.word.name, member.word.era, now, again=True), number)
+        self.after(now, self.period, self.unanswered, number)
+
+    def call_seeds(self, now: float) -> None:
+        """Those that started beyond a cut are known to nobody here; the seeds may know them."""
+        here = {each.word.address for each in self.roll if each.word.state in HERE}
+        away = [seed for seed in self.seeds if seed not in here]
+        alone = self.roll.here <= 1
+        self.after(
+            now, (1.0 if alone else SEEDS) * (0.75 + 0.5 * self.chance()) * self.period, self.call_seeds
+        )
+        if away:
+            self.effects.append(Stream(away[int(self.chance() * len(away))]))
+
+    def sweep(self, now: float) -> None:
+        """Forgets those that have been gone for long."""
+        self.after(now, 10 * self.period, self.sweep)
+        for member in list(self.roll.gone.values()):
+            if now - member.since >= self.charter.forget:
+                self.roll.drop(member.word.name)
+                self.rumours.drop(member.word.name)
+                self.sites.forget(member.word.name)
--- a/laureldock/operators/door.py
+++ b/laureldock/operators/door.py
@@ -4,6 +4,8 @@
 GET /_vars            the figures, as JSON
 PUT /_lameduck/on     empty the dispatcher: clients are told no and their connections close once answered
 PUT /_lameduck/off    take clients again
+GET /_fleet           the view of the fleet, as JSON; 404 where the configuration has no [fleet]
+PUT /_fleet/forget/NAME  the failed member of that name will not return
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import unquote
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.posixbase import PosixReactorBase
@@ -20,6 +23,7 @@
 
 # Callers that connect and say nothing hold a socket; a caller waits 1 s, so 3 s of silence is no call.
 SILENT = 3.0
+FORGET = b"/_fleet/forget/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +33,8 @@
     ready: Callable[[], bool]
     figures: Callable[[], dict[str, Any]]
     lameduck: Callable[[bool], None]
+    fleet: Callable[[], dict[str, Any]] | None = None
+    forget: Callable[[str], bool] | None = None
 
 
 class Calls(resource.Resource):
@@ -50,6 +56,8 @@
                 return self.answer(request, 200 if ready else 503, {"ready": ready})
             case b"/_vars":
                 return self.answer(request, 200, self.operated.figures())
+            case b"/_fleet" if self.operated.fleet:
+                return self.answer(request, 200, self.operated.fleet())
         return self.answer(request, 404, {"error": "no such call"})
 
     def render_PUT(self, request: server.Request) -> bytes:  # noqa: N802
@@ -58,6 +66,11 @@
                 on = path.endswith(b"/on")
                 self.operated.lameduck(on)
                 return self.answer(request, 200, {"lameduck": on})
+            case path if path.startswith(FORGET) and self.operated.forget:
+                name = unquote(path.removeprefix(FORGET).decode("latin-1"))
+                if self.operated.forget(name):
+                    return self.answer(request, 200, {"left": name})
+                return self.answer(request, 409, {"error": f"no member {name!r} that failed"})
         return self.answer(request, 404, {"error": "no such call"})
 
     render_POST = render_PUT  # noqa: N815  what some tools send for a PUT
--- /dev/null
+++ b/laureldock/rehearsal/fleet/inmodel.py
@@ -0,0 +1,76 @@
+"""Plays a script in the model: the same views on one clock set by hand."""
+
+from __future__ import annotations
+
+from laureldock.fleet.modelled import World
+from laureldock.rehearsal.fleet.script import Script, Step
+from laureldock.rehearsal.fleet.verdict import Told, Verdict, judge
+
+
+class InModel:
+    def __init__(self, script: Script, seed: int, period: float = 1.0) -> None:
+        self.script, self.seed, self.period = script, seed, period
+        names = script.names()
+        self.world = World(
+            {name: script.site(name) for name in names}, seed, period, [f"{name}:1" for name in script.seeds]
+        )
+        self.deeds: list[tuple[float, str]] = []
+
+    def play(self) -> Verdict:
+        world, script = self.world, self.script
+        for name in script.names():
+            world.start(name)
+        joined = world.settle(60 * self.period)
+        began, events, sent = world.now, len(world.happened), world.bytes
+        for at, step, who, to in script.timeline(self.seed):
+            world.at(began + at * self.period, self.do, step, who, to, began)
+        end = began + script.end() * self.period
+        world.run(end)
+        settled = joined if not script.step else world.settle(10 * script.within * self.period)
+        told = [
+            Told((at - began) / self.period, by, event.name, str(event.fields.get("member", "")))
+            for at, by, event in world.happened[events:]
+        ]
+        length = (world.now - began) / self.period
+        verdict = Verdict(script.name, self.seed, settled / self.period, told, self.deeds)
+        verdict.bytes_each = (world.bytes - sent) / max(1.0, length) / script.members
+        return judge(script, verdict, length)
+
+    def do(self, step: Step, who: list[str], to: list[str], began: float) -> None:
+        world = self.world
+        self.deeds.append(
+            ((world.now - began) / self.period, f"{step.do} {' '.join(who)} {' '.join(to)}".rstrip())
+        )
+        match step.do:
+            case "kill":
+                for name in who:
+                    world.kill(name, step.folder)
+            case "term":
+                for name in who:
+                    world.leave(name)
+            case "start":
+                for name in who:
+                    world.start(name, step.clock)
+            case "stop":
+                for name in who:
+                    world.stall(name, step.lasts * self.period)
+            case "twin":
+                for name in who:
+                    world.twin(name)
+            case "cut" | "spoil":
+                pairs = [(one, other) for one in who for other in to if one != other]
+                if not step.one_way:
+                    pairs = list(dict.fromkeys(pairs + [(other, one) for one, other in pairs]))
+                self.spoil(step, pairs, 1)
+                world.at(world.now + step.lasts * self.period, self.spoil, step, pairs, -1)
+            case "receivers":
+                pass  # the model has none
+
+    def spoil(self, step: Step, pairs: list[tuple[str, str]], sign: int) -> None:
+        for pair in pairs:
+            link = self.world.net.link(*pair)
+            if step.do == "cut":
+                link.cuts += sign
+            else:
+                link.loss, link.doubled = max(0, sign) * step.loss, max(0, sign) * step.doubled
+                link.delay = max(0, sign) * step.delay
--- /dev/null
+++ b/laureldock/rehearsal/fleet/processes.py
@@ -0,0 +1,472 @@
+"""Plays a script with real processes of the program on loopback, and holds the six rules over the fleet.
+
+Member k listens at 127.b.0.k, is reached by others at 127.b.1.k, where the relay before it stands, and
+reaches receivers by 127.b.2.k. What members tell of one another is evidence of the view alone; of mails only
+what clients and stand-in receivers saw counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import redis.asyncio as redis
+from redis.asyncio.retry import Retry
+from redis.backoff import NoBackoff
+
+from laureldock.rehearsal.account import BUSY, FAILED, GONE, TAKEN, Account, Handed
+from laureldock.rehearsal.account import judge as judge_rules
+from laureldock.rehearsal.fleet.relay import Network, Relay
+from laureldock.rehearsal.fleet.script import Script, Step
+from laureldock.rehearsal.fleet.verdict import Told, Verdict, judge
+from laureldock.rehearsal.standins import Receiver
+
+READY = 30.0  # seconds in which all processes must be up: forty of them start on one core or two
+CLASSES = {"notice": "redeliverable", "order": "tagged", "payment": "once-only"}
+LIFETIME = 8.0
+FLEET, FRONT, DOOR = 7946, 6390, 9100
+TEXT = """\
+name = "{name}"
+seed = {seed}
+state = "state"
+management = "{host}:{door}"
+[limits]
+sockets = 256
+slots = 32
+[[front]]
+listen = "{host}:{front}"
+[outlet]
+kind = "lines"
+path = "undelivered.jsonl"
+[class.notice]
+effect = "redeliverable"
+target_delay = "1s"
+lifetime = "8s"
+[class.order]
+effect = "tagged"
+memory = "10s"
+in_order = true
+target_delay = "1s"
+lifetime = "8s"
+[class.payment]
+effect = "once-only"
+target_delay = "1s"
+lifetime = "8s"
+"""
+VIEW = """\
+[fleet]
+name = "rehearsal"
+listen = "{host}:{fleet}"
+advertise = "{relay}:{fleet}"
+seeds = [{seeds}]
+site = "{site}"
+period = "{period}ms"
+"""
+
+
+@dataclass(eq=False, slots=True)
+class Member:
+    key: str  # of its folder and addresses
+    name: str
+    site: str
+    host: str
+    relay: str
+    way: str  # to receivers
+    folder: Path
+    process: asyncio.subprocess.Process | None = None
+    stopped: bool = False  # by SIGSTOP
+    read: int = 0  # of its file of notices
+    twin: bool = False
+
+    @property
+    def lives(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+
+class Processes:
+    def __init__(
+        self,
+        script: Script,
+        seed: int,
+        folder: Path,
+        period: float = 0.2,
+        rate: float = 10.0,
+        view: bool = True,
+        say: Callable[[str], None] = lambda text: None,
+        net: int = 0,
+    ) -> None:
+        """`rate`: mails a second over all; `net`: the second octet, so that two may run at once."""
+        self.script, self.seed, self.folder, self.period = script, seed, folder, period
+        self.rate, self.view, self.say = rate, view, say
+        self.net = net or 16 + os.getpid() % 200
+        self.network = Network(seed)
+        self.account = Account()
+        self.receivers = {
+            name: Receiver(name, owner, self.account, seed + place)
+            for place, (name, owner) in enumerate(
+                {"bank-1": "bank", "bank-2": "bank", "bakery-1": "bakery"}.items()
+            )
+        }
+        self.members = {
+            name: self.member(name, name, place) for place, name in enumerate(script.names(), start=1)
+        }
+        self.relays: list[Relay] = []
+        self.began = 0.0
+        self.deeds: list[tuple[float, str]] = []
+        self.events: list[Told] = []
+        self.takers: dict[str, str] = {}  # which member took a mail on
+        self.dead: set[str] = set()  # mails that a killed member held and that never came back with it
+        self.clients: dict[str, redis.Redis] = {}
+        self.faults: list[asyncio.Task[None]] = []
+
+    def member(self, key: str, name: str, place: int) -> Member:
+        host, relay, way = (f"127.{self.net}.{part}.{place}" for part in range(3))
+        self.network.by_host[host] = key
+        return Member(key, name, self.script.site(name), host, relay, way, self.folder / key)
+
+    # Processes
+
+    def configure(self, member: Member) -> None:
+        member.folder.mkdir(parents=True, exist_ok=True)
+        text = TEXT.format(name=member.name, seed=self.seed, host=member.host, door=DOOR, front=FRONT)
+        if self.view:
+            seeds = ", ".join(f'"{self.members[name].relay}:{FLEET}"' for name in self.script.seeds)
+            text += VIEW.format(
+                host=member.host, relay=member.relay, fleet=FLEET, seeds=seeds, site=member.site,
+                period=round(self.period * 1000),
+            )  # fmt: skip
+        for name, receiver in self.receivers.items():
+            text += f'[[endpoint]]\nname = "{name}"\ndestination = "{receiver.destination}"\n'
+            text += f'rate = {receiver.rate}\naddress = "{member.way}:{receiver.port}"\n'
+        (member.folder / "laureldock.toml").write_text(text)
+
+    async def launch(self, member: Member, clock: float = 0.0) -> None:
+        log = (member.folder / "log").open("ab")
+        command = [sys.executable, "-m", "laureldock.rehearsal.fleet.member", str(clock)]
+        command += ["serve", str(member.folder / "laureldock.toml")]
+        member.process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
+        member.stopped = False
+        log.close()
+
+    async def up(self, member: Member) -> None:
+        until = time.monotonic() + READY
+        while time.monotonic() < until:
+            if not member.lives:
+                raise RuntimeError(f"{member.key} ended; see {member.folder / 'log'}")
+            if await self.ask(member, "/_ready") == {"ready": True}:
+                return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{member.key} not ready; see {member.folder / 'log'}")
+
+    async def ask(self, member: Member, path: str) -> dict[str, Any] | None:
+        """What its operators' address answers; None where it does not."""
+        with contextlib.suppress(OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(member.host, DOOR)
+                try:
+                    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+                    body = (await reader.read(-1)).partition(b"\r\n\r\n")[2]
+                    told: dict[str, Any] = json.loads(body)
+                    return told
+                finally:
+                    writer.transport.abort()
+        return None
+
+    async def kill(self, member: Member, sign: signal.Signals) -> None:
+        if member.process and member.lives:
+            if member.stopped:
+                member.process.send_signal(signal.SIGCONT)
+            member.process.send_signal(sign)
+            await member.process.wait()
+
+    # The run
+
+    async def play(self) -> Verdict:
+        for receiver in self.receivers.values():
+            await receiver.start(time.time())
+        try:
+            return await self.played()
+        finally:
+            for task in self.faults:
+                task.cancel()
+            for client in self.clients.values():
+                await client.aclose()
+            for member in self.members.values():
+                await self.kill(member, signal.SIGKILL)
+            for relay in self.relays:
+                await relay.close()
+            for receiver in self.receivers.values():
+                await receiver.stop()
+
+    async def played(self) -> Verdict:
+        script = self.script
+        for member in self.members.values():
+            await self.place(member)
+        self.say(f"{script.name}: {script.members} members, seed {self.seed}, period {self.period:g} s")
+        for member in self.members.values():
+            await self.launch(member)
+        for member in self.members.values():
+            await self.up(member)
+        self.began = time.monotonic()
+        joined = await self.settle(100.0) if self.view else 0.0
+        self.began = time.monotonic()
+        sent, load = self.network.passed, asyncio.create_task(self.load())
+        self.faults.append(asyncio.create_task(self.watch()))
+        for at, step, who, to in script.timeline(self.seed):
+            await self.until(at)
+            await self.do(step, who, to)
+        await self.until(script.end())
+        settled = joined if not script.step else await self.settle(6 * script.within) if self.view else 0.0
+        length = self.at()
+        load.cancel()
+        await asyncio.gather(load, return_exceptions=True)
+        told = Verdict(script.name, self.seed, settled, [], self.deeds)
+        told.bytes_each = (self.network.passed - sent) / max(1.0, length) / script.members
+        await self.wind_up()
+        told.events = sorted(self.events, key=lambda event: event.at)
+        told.rules = [(each.rule, each.counted, len(each.broken)) for each in judge_rules(self.account)]
+        self.broken = [text for each in judge_rules(self.account) for text in each.broken]
+        return judge(script, told, length)
+
+    async def place(self, member: Member) -> None:
+        """The relays around a member, and its configuration."""
+        network = self.network
+        relays = [(Relay(network, member.key, (member.relay, FLEET), (member.host, FLEET)), True)]
+        for name, receiver in self.receivers.items():
+            to = ("127.0.0.1", receiver.port)
+            relays.append((Relay(network, name, (member.way, receiver.port), to, member.key), False))
+        for relay, datagrams in relays if self.view else relays[1:]:
+            await relay.open(datagrams)
+            self.relays.append(relay)
+        self.configure(member)
+
+    def at(self) -> float:
+        """Periods since all were up."""
+        return (time.monotonic() - self.began) / self.period
+
+    async def until(self, periods: float) -> None:
+        await asyncio.sleep(max(0.0, self.began + periods * self.period - time.monotonic()))
+
+    async def settle(self, most: float) -> float:
+        """Periods until all living members hold equal views of all that live, and go on for one more."""
+        began = time.monotonic()
+        while (passed := (time.monotonic() - began) / self.period) < most:
+            if await self.agree():
+                await asyncio.sleep(self.period)
+                if await self.agree():
+                    return passed
+            await asyncio.sleep(self.period / 10)
+        return float("inf")
+
+    async def agree(self) -> bool:
+        living = [member for member in self.members.values() if member.lives and not member.stopped]
+        views = await asyncio.gather(*(self.ask(member, "/_fleet") for member in living))
+        here = [view for view in views if view and view["standing"] == "here"]
+        if len(views) - len(here) > sum(member.twin for member in self.members.values()):
+            return False
+        wanted = {view["name"] for view in here}
+        held = (
+            {each["name"] for each in view["members"] if each["state"] in ("alive", "suspect")}
+            for view in here
+        )
+        return len({view["digest"] for view in here}) == 1 and all(each == wanted for each in held)
+
+    # Faults
+
+    async def do(self, step: Step, who: list[str], to: list[str]) -> None:
+        self.deeds.append((self.at(), f"{step.do} {' '.join(who)} {' '.join(to)}".rstrip()))
+        self.say(f"  {self.at():6.1f} {self.deeds[-1][1]}")
+        members = [self.members[name] for name in who]
+        match step.do:
+            case "kill":
+                await asyncio.gather(*(self.kill(each, signal.SIGKILL) for each in members))
+                for each in members:
+                    self.read_notices(each)
+                    self.lost(each)
+                    if step.folder:
+                        shutil.rmtree(each.folder / "state", ignore_errors=True)
+                        each.read = 0
+            case "term":
+                self.faults += [asyncio.create_task(self.kill(each, signal.SIGTERM)) for each in members]
+            case "start":
+                for each in members:
+                    if each.process:
+                        await each.process.wait()
+                    await self.launch(each, step.clock)
+                for each in members:
+                    await self.up(each)
+            case "stop":
+                for each in members:
+                    if each.process and each.lives:
+                        each.process.send_signal(signal.SIGSTOP)
+                        each.stopped = True
+                        self.later(step.lasts, self.go_on, each, each.process)
+            case "twin":
+                for name in who:
+                    twin = self.member(f"{name}~", name, len(self.members) + 1)
+                    twin.twin = True
+                    self.members[twin.key] = twin
+                    await self.place(twin)
+                    await self.launch(twin)
+                    await self.up(twin)
+            case "cut" | "spoil" | "receivers":
+                others = list(self.receivers) if step.do == "receivers" else to
+                pairs = [(one, other) for one in who for other in others if one != other]
+                if not step.one_way:
+                    pairs = list(dict.fromkeys(pairs + [(other, one) for one, other in pairs]))
+                self.spoil(step, pairs, 1)
+                self.later(step.lasts, self.spoil, step, pairs, -1)
+
+    def later(self, periods: float, call: Callable[..., None], *told: Any) -> None:
+        asyncio.get_running_loop().call_later(periods * self.period, call, *told)
+
+    def go_on(self, member: Member, process: asyncio.subprocess.Process) -> None:
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+        if member.process is process:
+            member.stopped = False
+
+    def spoil(self, step: Step, pairs: list[tuple[str, str]], sign: int) -> None:
+        for pair in pairs:
+            link = self.network.link(*pair)
+            if step.do == "spoil":
+                on = max(0, sign)
+                link.loss, link.doubled = on * step.loss, on * step.doubled
+                link.delay, link.rate = on * step.delay, on * step.rate
+            else:
+                link.cuts += sign
+
+    # Mails
+
+    async def load(self) -> None:
+        """Open-loop, each mail to a member that lives, as a plain front layer spreads them."""
+        chance, place, out = random.Random(self.seed), 0, set()
+        at = time.monotonic()
+        while self.rate:
+            at += chance.expovariate(self.rate)
+            await asyncio.sleep(max(0.0, at - time.monotonic()))
+            living = [
+                each for each in self.members.values() if each.lives and not each.stopped and not each.twin
+            ]
+            if living:
+                queue_class = chance.choices(list(CLASSES), [6, 2, 2])[0]
+                key = f"k{chance.randrange(6)}" if queue_class == "order" else ""
+                # A key's mails come to one member while it runs: their order is that member's.
+                member = living[hash_of(key) % len(living)] if key else chance.choice(living)
+                destination = "bank" if queue_class == "payment" else chance.choice(["bank", "bakery"])
+                task = asyncio.create_task(self.hand_in(member, place, queue_class, destination, key))
+                out.add(task)
+                task.add_done_callback(out.discard)
+                place += 1
+
+    async def hand_in(self, member: Member, place: int, queue_class: str, to: str, key: str) -> None:
+        now, name = time.time(), f"m{place:05d}"
+        mail = Handed(name, queue_class, CLASSES[queue_class], key, to, now, now + LIFETIME, place)
+        self.account.handed[name] = mail
+        self.takers[name] = member.key
+        fields = f"c={queue_class},d={round(LIFETIME * 1000)},dest={to},k=t{name}"
+        client = self.clients.get(member.key)
+        if client is None:
+            client = self.clients[member.key] = redis.Redis(
+                host=member.host, port=FRONT, protocol=2, retry=Retry(NoBackoff(), 0), socket_timeout=5
+            )
+        try:
+            answer = await client.execute_command("MSG.PUT", key or "0", name, fields, b"hello")  # type: ignore[no-untyped-call]
+            mail.word = TAKEN if answer in (b"OK", "OK") else FAILED
+        except redis.ResponseError as told:
+            mail.word = BUSY if str(told).startswith("BUSY") else FAILED
+        except (OSError, redis.RedisError, asyncio.CancelledError):
+            mail.word = GONE
+        mail.answered = time.time()
+
+    def lost(self, member: Member) -> None:
+        """What a member held when it was killed is no longer its duty."""
+        served = {call.mail for call in self.account.calls if call.status == 200}
+        mine = {name for name, taker in self.takers.items() if taker == member.key}
+        self.dead |= mine - served
+
+    async def watch(self) -> None:
+        while True:
+            for member in self.members.values():
+                self.read_notices(member)
+            await asyncio.sleep(0.05)
+
+    async def wind_up(self) -> None:
+        """All lifetimes over, then SIGTERM to all; what was told in their logs and lines is read."""
+        until = time.monotonic() + LIFETIME + 4
+        while time.monotonic() < until and self.open_mails():
+            await asyncio.sleep(0.1)
+        for member in self.members.values():
+            if member.stopped and member.process:
+                self.go_on(member, member.process)
+        await asyncio.gather(*(self.kill(member, signal.SIGTERM) for member in self.members.values()))
+        for member in self.members.values():
+            self.read_log(member)
+            self.read_notices(member)
+        for name in self.dead:
+            if (mail := self.account.handed[name]).word == TAKEN:
+                mail.word = GONE  # until copies are kept
+
+    def open_mails(self) -> int:
+        """Mails taken on of which no receiver has answered, and whose lifetime is not over."""
+        now = time.time()
+        served = {call.mail for call in self.account.calls if call.status == 200}
+        return sum(
+            mail.word == TAKEN and name not in served and now < mail.end
+            for name, mail in self.account.handed.items()
+        )
+
+    def read_log(self, member: Member) -> None:
+        start = time.time() - (time.monotonic() - self.began)
+        for line in (member.folder / "log").read_text(errors="replace").splitlines():
+            with contextlib.suppress(ValueError, KeyError):
+                told = json.loads(line)
+                name = told["event"].removeprefix("fleet: ")
+                if name == told["event"]:
+                    continue
+                at = (stamp(told["timestamp"]) - start) / self.period
+                if at >= 0:
+                    self.events.append(Told(at, member.key, name, str(told.get("member", ""))))
+
+    def read_notices(self, member: Member) -> None:
+        """New whole lines of its outlet's file."""
+        with contextlib.suppress(OSError), (member.folder / "state" / "undelivered.jsonl").open("rb") as file:
+            file.seek(member.read)
+            whole, newline, _ = file.read().rpartition(b"\n")
+            member.read += len(whole) + len(newline)
+            for line in whole.splitlines():
+                told = json.loads(line)
+                mail = self.account.handed.get(told["message"])
+                if mail is None:
+                    self.account.strays.append(told["message"])
+                elif told["message"] not in self.dead or not mail.notices:
+                    mail.notices.append((time.time(), told["outcome"]))
+
+
+def stamp(text: str) -> float:
+    from datetime import datetime
+
+    return datetime.fromisoformat(text).timestamp()
+
+
+def hash_of(key: str) -> int:
+    import zlib
+
+    return zlib.crc32(key.encode())
+
+
+def play(
+    script: Script, seed: int, folder: Path, say: Callable[[str], None] = lambda text: None, **told: Any
+) -> Verdict:
+    return asyncio.run(Processes(script, seed, folder, say=say, **told).play())
--- a/laureldock/setup/plan.py
+++ b/laureldock/setup/plan.py
@@ -193,6 +193,27 @@
     path: Annotated[str, Meta(description="of the lines; relative to the state folder")] | None = None
 
 
+class Fleet(Table, kw_only=True):
+    """The view of the fleet, kept by its dispatchers among themselves; without this table there is none."""
+
+    name: Annotated[Name, Meta(description="of the fleet; what another fleet says is dropped")]
+    listen: Annotated[Address, Meta(description="datagrams and streams of members, at one number")]
+    advertise: Annotated[Address | None, Meta(description="where others reach it; `listen` if left out")] = (
+        None
+    )
+    seeds: Annotated[list[Address], Meta(description="members that are asked at the start who is there")] = (
+        field(default_factory=list)
+    )
+    site: Annotated[str, Meta(pattern=r"^[!-~]{0,32}$", description="building or zone that can be lost")] = ""
+    period: Annotated[Seconds, Meta(description="between probes; all waits of the view scale with it")] = (
+        seconds(1.0)
+    )
+    members: Annotated[int, Meta(ge=2, le=65536, description="known at once; no more are taken on")] = 4096
+    forget: Annotated[Seconds, Meta(description="after which one that failed or left is forgotten")] = (
+        seconds(86400.0)
+    )
+
+
 class Log(Table, kw_only=True):
     level: Literal["debug", "info", "warning", "error"] = "info"
     format: Annotated[
@@ -218,6 +239,7 @@
     source: Source = field(default_factory=Source)
     outlet: Outlet = field(default_factory=Outlet)
     log: Log = field(default_factory=Log)
+    fleet: Fleet | None = None
     management: Annotated[str, Meta(description="operators' HTTP address, host:port; empty: none")] = ""
     passed: Annotated[
         int, Meta(ge=-1, description="descriptor of a listening socket handed down; -1: none")
--- a/laureldock/setup/reload.py
+++ b/laureldock/setup/reload.py
@@ -8,6 +8,7 @@
 # that wait were taken on under them, and the store knows them by its name.
 FREE = {"endpoints", "terms", "log", "destinations"}
 ADDRESSES = ("source", "outlet")
+FREE_PARTS = {"fleet.seeds"}
 NAMES = {"classes": "class", "kinds": "kind", "destinations": "destination", "endpoints": "endpoint"}
 
 
@@ -35,6 +36,7 @@
             found |= {f"{name}.{part}": getattr(value, part) for part in value.__struct_fields__}
         else:
             found[name] = value
+    found = {name: value for name, value in found.items() if name not in FREE_PARTS}
     found |= {f"destination.{key}.kind": table.kind for key, table in plan.destinations.items() if table.kind}
     return found
 
--- a/laureldock/setup/rules.py
+++ b/laureldock/setup/rules.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from difflib import get_close_matches
+from ipaddress import ip_address
 
 from laureldock.setup.entries import kind_of, name_of, several, spots, term_book
 from laureldock.setup.faults import Fault, Path
@@ -37,7 +38,7 @@
 def check(plan: Plan, bounds: Bounds) -> list[Fault]:
     """Every fault of a plan that is whole in form."""
     book, faults = term_book(plan)
-    for part in (machine, peers, limits, classes, names, endpoints):
+    for part in (machine, peers, limits, classes, names, endpoints, fleet):
         faults += part(plan, bounds)
     cells = Cells(plan, bounds, book)
     faults += cells.check()
@@ -107,6 +108,38 @@
         )
 
 
+def is_ip(host: str) -> bool:
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def fleet(plan: Plan, bounds: Bounds) -> Iterator[Fault]:
+    here = plan.fleet
+    if here is None:
+        return
+    for name, told in (("listen", here.listen), ("advertise", here.advertise)):
+        if told is not None and not is_ip(told.rpartition(":")[0]):
+            reason = f"{told} is no IP address and port: names are looked up for seeds alone"
+            yield Fault(("fleet", name), reason, "as '10.0.0.1:7946'")
+    host = here.listen.rpartition(":")[0]
+    if host in ("0.0.0.0", "[::]", "::") and here.advertise is None:
+        yield Fault(("fleet", "advertise"), f"nobody reaches {here.listen}", "an address others reach it at")
+    if not 0.05 <= here.period <= 60:
+        allowed = "50ms to 1min: shorter than a busy process can keep, or too long to be of use"
+        yield Fault(("fleet", "period"), f"{encode(here.period)} between probes", allowed)
+    if here.forget < 100 * here.period:
+        reason = "one that failed would be forgotten before a cut is over"
+        yield Fault(("fleet", "forget"), reason, "100 periods or more")
+    for place, front in enumerate(plan.front):
+        if front.listen == here.listen:
+            yield Fault(
+                ("fleet", "listen"), "a front listens there", "another number", ("front", place, "listen")
+            )
+
+
 def classes(plan: Plan, bounds: Bounds) -> Iterator[Fault]:
     if not plan.classes:
         yield Fault(("class",), "no queue class: no mail could be taken", "one [class.NAME] or more")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -169,6 +169,13 @@
 state = "laureldock.toml/state"
 reports = "x0"
 instances = 0
+[fleet]; name = "f"
+[fleet]; name = "f"; listen = "0.0.0.0:7946"
+[fleet]; name = "f"; listen = "here:7946"
+[fleet]; name = "f"; listen = "127.0.0.1:6379"
+[fleet]; name = "f"; listen = "127.0.0.1:7946"; period = "1ms"
+[fleet]; name = "f"; listen = "127.0.0.1:7946"; period = "30s"; forget = "1min"
+[fleet]; name = "f f"; listen = "127.0.0.1:7946"; seeds = "127.0.0.1:7947"
 """
 WHOLE: dict[str, str | bytes] = {
     "no endpoint": BASE[: BASE.index("[[endpoint]]")],
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,262 @@
+"""The view of the fleet in the model: scripts, detection, bad input; and as processes with faults between."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from laureldock.fleet import words
+from laureldock.fleet.modelled import World
+from laureldock.fleet.view import Charter, Happened, Send, Standing, View
+from laureldock.fleet.words import ALIVE, FAILED, Head, Word
+from laureldock.rehearsal.fleet.inmodel import InModel
+from laureldock.rehearsal.fleet.processes import Processes
+from laureldock.rehearsal.fleet.script import load, shipped
+from laureldock.rehearsal.fleet.verdict import Verdict, side_by_side
+
+
+def world(members: int, seed: int = 1) -> World:
+    found = World({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
+    for name in found.hosts:
+        found.start(name)
+    assert found.settle(20.0) < 20.0
+    return found
+
+
+def events(found: World, name: str, member: str = "") -> list[tuple[float, str]]:
+    told = [(at, by, event) for at, by, event in found.happened if event.name == name]
+    return [(at, by) for at, by, event in told if member in ("", event.fields.get("member"))]
+
+
+@pytest.mark.parametrize("name", shipped())
+def test_each_script_holds_in_the_model(name: str) -> None:
+    script = load(name)
+    for seed in (1, 2, 3):
+        verdict = InModel(script, seed).play()
+        assert verdict.held, "\n".join([*verdict.broken, *side_by_side(script, verdict)])
+
+
+def test_one_seed_gives_one_trace() -> None:
+    told = []
+    for seed in (5, 5, 6):
+        run = InModel(load("worse"), seed)
+        run.play()
+        told.append(repr(run.world.happened))
+    assert told[0] == told[1] != told[2]
+
+
+def test_a_crash_is_found_by_all_within_ten_periods_and_by_none_before_it() -> None:
+    for members in (3, 20, 40):
+        found = world(members)
+        found.run(20.0)
+        assert not events(found, "suspected")
+        found.kill("d1")
+        at = found.now
+        found.run(at + 12)
+        failed = events(found, "failed", "d1")
+        assert len({by for _, by in failed}) == members - 1 == len(failed)
+        assert at + 3 <= failed[0][0] and failed[-1][0] <= at + 10
+
+
+def test_at_a_fifth_of_losses_no_living_member_is_failed() -> None:
+    found = world(5)
+    found.net.loss = 0.2
+    found.run(600.0)
+    assert not events(found, "failed")
+    assert found.agree()
+
+
+@pytest.mark.parametrize("seconds", [2.0, 5.0, 20.0])
+def test_one_that_stood_still_fails_nobody_on_waking(seconds: float) -> None:
+    found = world(9)
+    for turn in range(3):
+        found.stall("d4", seconds)
+        found.run(found.now + seconds + 10)
+        mine = [at for name in ("suspected", "failed") for at, by in events(found, name) if by == "d4"]
+        others = [event.fields["member"] for _, by, event in found.happened if by == "d4"]
+        assert "d4" not in others and not mine, turn
+    assert found.settle(10.0) <= 10.0
+
+
+def test_a_view_with_an_empty_folder_is_never_taken_for_its_old_self() -> None:
+    found = world(4)
+    before = found.hosts["d2"].view
+    assert before
+    found.kill("d2", folder=True)
+    after = found.start("d2", clock=-7200.0)
+    assert after.me.word.era < before.me.word.era
+    found.run(found.now + 8)
+    assert after.me.word.generation == before.me.word.generation + 1 and found.agree()
+    assert events(found, "generation raised") and len(events(found, "generation changed", "d2")) == 3
+
+
+def test_of_two_processes_of_one_name_the_later_stays_and_both_say_so() -> None:
+    found = world(4)
+    later = found.twin("d2")
+    found.run(found.now + 10)
+    first = found.hosts["d2"].view
+    assert first and first.standing is Standing.STEPPED_DOWN and later.standing is Standing.HERE
+    assert {by for _, by in events(found, "name taken")} >= {"d2"}
+    assert found.agree()
+
+
+def test_a_planned_leave_is_no_failure_and_a_forgotten_one_is_called_no_more() -> None:
+    found = world(5)
+    found.leave("d1")
+    found.kill("d2")
+    found.run(found.now + 12)
+    assert len(events(found, "left", "d1")) == 3 and not events(found, "failed", "d1")
+    view = found.hosts["d3"].view
+    assert view and view.forget(found.now, "d2") and not view.forget(found.now, "d4")
+    found.turn(found.hosts["d3"])
+    found.run(found.now + 5)
+    assert all(
+        not [each for each in one.roll.gone.values() if each.word.state == FAILED] for one in found.living()
+    )
+
+
+def test_lameduck_and_load_are_told() -> None:
+    found = world(3)
+    view, other = found.hosts["d1"].view, found.hosts["d0"].view
+    assert view and other
+    view.load = 200
+    view.lameduck(found.now, True)
+    found.turn(found.hosts["d1"])
+    found.run(found.now + 5)
+    member = other.roll["d1"]
+    assert member.word.lameduck and member.load == 200 and member.word.state == ALIVE
+    assert {by for _, by in events(found, "lameduck", "d1")} == {"d0", "d2"}
+
+
+def test_reach_tells_which_site_is_heard_by_whom() -> None:
+    found = world(6)
+    for one in ("d1", "d4"):  # site s1
+        for other in ("d0", "d2", "d3", "d5"):
+            found.net.link(one, other).cuts = found.net.link(other, one).cuts = 1
+    found.run(found.now + 12)
+    view, cut = found.hosts["d0"].view, found.hosts["d1"].view
+    assert view and cut
+    reach = view.reach(found.now)
+    assert reach["s2"]["d0"] == 1.0 and all(share <= 0.2 for share in reach.get("s1", {}).values())
+    assert all(share == 0.0 for share in cut.reach(found.now).get("s0", {}).values())
+
+
+# Bad input
+
+
+def lone() -> View:
+    return View(Charter("fleet", "me", "s", "127.0.0.1:1", 1000, 7, most=100), 0.0)
+
+
+def head(**changes: object) -> Head:
+    return msgspec.structs.replace(Head("fleet", "other", 2000, 9, "127.0.0.1:2", 0, 0), **changes)
+
+
+def gossip(*told: Word, **changes: object) -> bytes:
+    return words.encode(words.Gossip(head(**changes), told))
+
+
+ME = Word("me", "s", "127.0.0.1:1", 1000, 7, 0, ALIVE)
+GOOD = Word("other", "s", "127.0.0.1:2", 2000, 9, 0, ALIVE)
+
+
+def test_what_is_no_word_of_this_fleet_is_counted_and_changes_nothing() -> None:
+    view = lone()
+    good = gossip(GOOD)
+    ahead = msgspec.structs.replace(ME, incarnation=1 << 20, state=FAILED)
+    bad = [
+        b"", b"x", good[:-3], good + b"\0" * 2000, good.replace(b"ld\x01", b"ld\x02", 1),
+        b"ld\x01" + b"\x99" * 50,
+        gossip(GOOD, fleet="another"), gossip(ahead),
+    ]  # fmt: skip
+    for data in bad:
+        view.hear(1.0, data)
+    assert view.counts.refused == len(bad) and set(view.roll.members) == {"me"} and view.me.word == ME
+    assert sum(isinstance(effect, Happened) and effect.name == "refused" for effect in view.turn(1.0)) == 1
+
+
+def test_a_word_that_declares_this_one_dead_is_refuted() -> None:
+    view = lone()
+    view.hear(1.0, gossip(GOOD, msgspec.structs.replace(ME, incarnation=3, state=FAILED)))
+    assert (view.me.word.state, view.me.word.incarnation) == (ALIVE, 4)
+    sent = [words.datagram(effect.data) for effect in view.turn(1.0) if isinstance(effect, Send)]
+    assert any(view.me.word in message.words for message in sent)
+
+
+def test_ten_thousand_made_up_members_take_no_more_than_their_bound() -> None:
+    view = lone()
+    for number in range(0, 10000, 8):
+        made = [
+            Word(f"m{each}", "s", f"127.0.0.1:{each}", 1, 1, 0, ALIVE) for each in range(number, number + 8)
+        ]
+        view.hear(1.0 + number / 1000, gossip(*made))
+        view.turn(1.0 + number / 1000)
+    assert len(view.roll.members) == 100 and len(view.rumours) <= 100 and len(view.timers) < 300
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.data())
+def test_spoilt_datagrams_and_frames_end_in_a_count(data: st.DataObject) -> None:
+    view = lone()
+    view.hear(0.5, gossip(GOOD))
+    frames = [
+        gossip(GOOD, ME),
+        words.encode(words.Ping(head(), 1, "me", (GOOD,))),
+        words.encode(words.Ask(head(), 2, "other", "127.0.0.1:2", ())),
+        view.begin(0.5),
+        words.encode(words.Differ(head(), (1, 2), (GOOD,))),
+    ]
+    raw = bytearray(data.draw(st.sampled_from(frames)))
+    for _ in range(data.draw(st.integers(1, 4))):
+        raw[data.draw(st.integers(0, len(raw) - 1))] = data.draw(st.integers(0, 255))
+    view.hear(1.0, bytes(raw))
+    try:
+        view.frame(1.0, bytes(raw))
+    except words.BadWord:
+        assert view.counts.refused
+    view.turn(1.0)
+    assert len(view.roll.members) <= 4 and view.me.word.state == ALIVE
+
+
+# Processes
+
+
+AMONG_PROCESSES = (
+    "start", "crash", "blink", "seven", "halves", "thirds", "oneway", "pair", "lossy", "stalls", "site",
+    "seedless", "disk", "twins", "midst",
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("part", range(3))
+def test_scripts_hold_among_processes(part: int, tmp_path: Path) -> None:
+    """Five at a time, each with a network of its own: most of their time is waiting."""
+
+    async def together() -> list[Verdict]:
+        runs = [
+            Processes(load(name), seed, tmp_path / name, net=20 + seed).play()
+            for seed, name in enumerate(AMONG_PROCESSES)
+            if seed % 3 == part
+        ]
+        return await asyncio.gather(*runs)
+
+    for verdict in asyncio.run(together()):
+        script = load(verdict.script)
+        print("\n".join(side_by_side(script, verdict)))
+        assert verdict.held, (verdict.script, verdict.broken)
+        rules = {rule: cases for rule, cases, _ in verdict.rules}
+        assert rules["one final answer, in time"] > 3 or not script.step
+
+
+def test_without_the_table_nothing_of_it_is_imported() -> None:
+    program = (
+        "import sys, laureldock.cli.serve; print([n for n in sys.modules if 'fleet' in n or n == 'xxhash'])"
+    )
+    done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
