--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -9,19 +9,24 @@
 import click
 
 
-@click.command("rehearse")
+@click.group("rehearse", invoke_without_command=True)
 @click.option("--seed", default=1, show_default=True, help="Of the load and of the stand-ins' pace.")
 @click.option("--rate", default=30.0, show_default=True, help="Mails a second.")
 @click.option("--kill", type=float, help="Second at which the dispatcher is killed and started again.")
 @click.option("--folder", type=click.Path(path_type=Path), help="Kept afterwards; else a temporary one.")
 @click.option("--json", "as_json", is_flag=True, help="The verdicts as JSON.")
-def command(seed: int, rate: float, kill: float | None, folder: Path | None, as_json: bool) -> None:
+@click.pass_context
+def command(
+    ctx: click.Context, /, seed: int, rate: float, kill: float | None, folder: Path | None, as_json: bool
+) -> None:
     """Rehearse half a minute of trouble on loopback, and judge it.
 
     A dispatcher by the example configuration serves some hundred mails of all three effects. One stand-in
     receiver refuses for a while, one goes silent, one comes back cold, one fails, one is drained. The six
     rules are judged by an account that stand-ins and clients keep. Exit 1 if one was broken or not tried.
     """
+    if ctx.invoked_subcommand:
+        return
     try:
         from laureldock.rehearsal.play import Script, play, table
     except ImportError as fault:
@@ -39,3 +44,67 @@
     else:
         click.echo("\n".join(table(outcome)))
     raise SystemExit(0 if outcome.held else 1)
+
+
+@command.command()
+@click.argument("script", required=False)
+@click.option("--seed", default=1, show_default=True, help="Of what is drawn, spoilt and handed in.")
+@click.option("--dispatchers", type=int, help="Other than the script's number of members.")
+@click.option("--period", default=0.2, show_default=True, help="Seconds between probes.")
+@click.option("--rate", default=10.0, show_default=True, help="Mails a second, over all dispatchers.")
+@click.option("--model", is_flag=True, help="On one clock set by hand, with no processes and no mails.")
+@click.option("--folder", type=click.Path(path_type=Path), help="Kept afterwards; else a temporary one.")
+@click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
+def fleet(
+    script: str | None, seed: int, dispatchers: int | None, period: float, rate: float, model: bool,
+    folder: Path | None, as_json: bool,
+) -> None:  # fmt: skip
+    """Rehearse faults among a fleet of real processes on loopback, by SCRIPT; without it, list those shipped.
+
+    Each dispatcher has an address of its own, and a relay before it that cuts and spoils what passes. Exit 1
+    if views were not equal in time after the last fault, or a rule was broken for any mail.
+    """
+    try:
+        from laureldock.rehearsal.fleet.inmodel import InModel
+        from laureldock.rehearsal.fleet.processes import play
+        from laureldock.rehearsal.fleet.script import load, shipped
+        from laureldock.rehearsal.fleet.verdict import side_by_side
+    except ImportError as fault:
+        hint = "pip install 'laureldock[rehearse]'"
+        raise click.ClickException(f"{fault}; the rehearsal needs its extra: {hint}") from None
+    if script is None:
+        for name in shipped():
+            click.echo(f"{name:10} {load(name).about}")
+        return
+    try:
+        found = load(script)
+        found.members = dispatchers or found.members
+        found.timeline(seed)
+    except (OSError, ValueError) as fault:
+        raise click.BadParameter(str(fault), param_hint="SCRIPT") from None
+    with tempfile.TemporaryDirectory() as temporary:
+        try:
+            if model:
+                verdict = InModel(found, seed).play()
+            else:
+                verdict = play(
+                    found, seed, folder or Path(temporary), lambda line: click.echo(line, err=as_json),
+                    period=period, rate=rate,
+                )  # fmt: skip
+        except (TimeoutError, RuntimeError) as fault:
+            raise click.ClickException(str(fault)) from None
+    if as_json:
+        click.echo(json.dumps(verdict.fields()))
+    else:
+        if not verdict.held:
+            click.echo("\n".join(side_by_side(found, verdict)))
+        click.echo(
+            f"{found.name}, seed {seed}: {'held' if verdict.held else 'BROKEN'}; views equal"
+            f" {verdict.settled:.1f} periods after the last fault, {len(verdict.events)} events,"
+            f" {verdict.bytes_each:.0f} bytes a member and period"
+        )
+        for rule, cases, broken in verdict.rules:
+            click.echo(f"  {rule:36} {f'BROKEN {broken} times' if broken else 'held'} in {cases} cases")
+        for each in verdict.broken:
+            click.echo(f"  {each}")
+    raise SystemExit(0 if verdict.held else 1)
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -439,7 +439,7 @@
         """One budget of calls keeps this instance to its part of a limit, and of what a cold route bears."""
         if lane.part < 1:  # ten seconds undo any shrinking; a hundred of many, where no room was told
             slow = self.many and not (lane.told_rate and lane.told_left > 0.5)
-            grow = 0.1 if not slow else 0.05 if self.seldom else 0.01
+            grow = 0.1 if not slow else 0.035 if self.seldom else 0.01
             lane.part = min(1.0, lane.part + grow * (now - lane.filled))
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
