--- /dev/null
+++ b/benchmarks/fleet_processes.py
@@ -0,0 +1,224 @@
+"""The view of the fleet among real processes on loopback: idle cost, delivery, settling after faults.
+
+python -m benchmarks.fleet_processes idle [--sizes 5,12,40]
+python -m benchmarks.fleet_processes beside [--pairs 5] [--seconds 4]
+python -m benchmarks.fleet_processes scripts [--sizes 5,12,40] [--names crash,halves] [--seed 1]
+python -m benchmarks.fleet_processes loss [--minutes 10]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import statistics
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import click
+
+from benchmarks.throughput import BODY, Receivers, command, cpu, memory
+from laureldock.rehearsal.fleet.processes import FRONT, Member, Processes
+from laureldock.rehearsal.fleet.script import Script, Step, load, shipped
+
+
+@click.group()
+def main() -> None:
+    """Times are ratios within one run, or periods of the view."""
+
+
+def sizes_of(text: str) -> list[int]:
+    return [int(each) for each in text.split(",")]
+
+
+async def started(fleet: Processes) -> None:
+    for receiver in fleet.receivers.values():
+        await receiver.start(time.time())
+    for member in fleet.members.values():
+        await fleet.place(member)
+        await fleet.launch(member)
+    for member in fleet.members.values():
+        await fleet.up(member)
+    fleet.began = time.monotonic()
+
+
+async def ended(fleet: Processes) -> None:
+    await asyncio.gather(*(fleet.kill(member, signal.SIGKILL) for member in fleet.members.values()))
+    for relay in fleet.relays:
+        await relay.close()
+    for receiver in fleet.receivers.values():
+        await receiver.stop()
+
+
+def pid(member: Member) -> int:
+    assert member.process
+    return member.process.pid
+
+
+@main.command()
+@click.option("--sizes", default="5,12,40", show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--period", default=1.0, show_default=True)
+def idle(sizes: str, seconds: float, period: float) -> None:
+    """Processor time and memory of a member that has nothing to deliver, with the view and without."""
+
+    async def measure(size: int, view: bool, folder: str) -> tuple[float, float, float]:
+        fleet = Processes(
+            Script(name="idle", members=size), 1, Path(folder), period=period, view=view, net=90
+        )
+        try:
+            await started(fleet)
+            joined = await fleet.settle(100.0) if view else 0.0
+            await asyncio.sleep(3 * period)
+            before = {name: cpu(pid(member)) for name, member in fleet.members.items()}
+            await asyncio.sleep(seconds)
+            used = [cpu(pid(member)) - before[name] for name, member in fleet.members.items()]
+            return (
+                statistics.mean(used) / seconds,
+                statistics.mean(map(memory, map(pid, fleet.members.values()))),
+                joined,
+            )
+        finally:
+            await ended(fleet)
+
+    print("members  with: ms of processor a second, MB, joined in periods  without: ms, MB")
+    for size in sizes_of(sizes):
+        rows = []
+        for view in (True, False):
+            with tempfile.TemporaryDirectory() as folder:
+                rows.append(asyncio.run(measure(size, view, folder)))
+        (used, held, joined), (bare, plain, _) = rows
+        print(
+            f"{size:7}  {used * 1000:.2f}  {held:.1f}  {joined:.1f}   {bare * 1000:.2f}  {plain:.1f}",
+            flush=True,
+        )
+
+
+def closed_loop(host: str, receivers: Receivers, seconds: float, clients: int) -> tuple[float, list[float]]:
+    """Mails a second, and how long each `+OK` took."""
+    end, took, counts = time.monotonic() + seconds, [], [0] * clients
+    served = receivers.served
+
+    def client(number: int) -> None:
+        with socket.create_connection((host, FRONT)) as link:
+            while (now := time.monotonic()) < end:
+                if sum(counts) - (receivers.served - served) > 4 * clients:
+                    time.sleep(0.0005)
+                    continue
+                name = b"c%d-%d-%d" % (number, counts[number], time.monotonic_ns())
+                link.sendall(command(b"MSG.PUT", b"0", name, b"c=notice,d=8000,dest=north", BODY))
+                if link.recv(64)[:1] == b"+":
+                    counts[number] += 1
+                    took.append(time.monotonic() - now)
+
+    began = time.monotonic()
+    threads = [threading.Thread(target=client, args=(number,)) for number in range(clients)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(counts) / (time.monotonic() - began), took
+
+
+@main.command()
+@click.option("--pairs", default=5, show_default=True)
+@click.option("--seconds", default=4.0, show_default=True)
+@click.option("--clients", default=4, show_default=True)
+@click.option("--members", default=5, show_default=True)
+def beside(pairs: int, seconds: float, clients: int, members: int) -> None:
+    """Mails a second and p99 of +OK: a dispatcher with the view beside one without, in turn."""
+
+    async def run(folder: str) -> None:
+        fleets = {}
+        receivers = Receivers(4)
+        for view in (True, False):
+            size = members if view else 1
+            fleet = Processes(
+                Script(name="beside", members=size),
+                1,
+                Path(folder) / str(view),
+                period=1.0,
+                view=view,
+                net=91 + view,
+            )
+            fleet.receivers = {}
+            fleets[view] = fleet
+            for member in fleet.members.values():
+                await fleet.place(member)
+                told = "".join(
+                    f'[[endpoint]]\nname = "r{port}"\ndestination = "north"\naddress = "127.0.0.1:{port}"\n'
+                    for port in receivers.ports
+                )
+                path = member.folder / "laureldock.toml"
+                path.write_text(path.read_text() + told)
+                await fleet.launch(member)
+            for member in fleet.members.values():
+                await fleet.up(member)
+        try:
+            await fleets[True].settle(100.0)
+            rates: list[float] = []
+            tails: list[float] = []
+            for pair in range(pairs + 1):
+                found = {}
+                for view in (True, False) if pair % 2 else (False, True):
+                    host = fleets[view].members["d1"].host
+                    rate, took = await asyncio.to_thread(closed_loop, host, receivers, seconds, clients)
+                    found[view] = rate, statistics.quantiles(took, n=100)[98]
+                if pair:  # the first warms
+                    rates.append(found[True][0] / found[False][0])
+                    tails.append(found[True][1] / found[False][1])
+                    print(f"with {found[True][0]:.0f} mails/s, without {found[False][0]:.0f}", flush=True)
+            for name, ratios in (("mails a second", rates), ("p99 of +OK", tails)):
+                middle, least, most = statistics.median(ratios), min(ratios), max(ratios)
+                print(f"{name}, with the view over without: {middle:.3f} ({least:.3f} to {most:.3f})")
+        finally:
+            for fleet in fleets.values():
+                await ended(fleet)
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(run(folder))
+
+
+@main.command()
+@click.option("--sizes", default="5,12,40", show_default=True)
+@click.option("--names", default=",".join(shipped()))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--period", default=0.2, show_default=True)
+def scripts(sizes: str, names: str, seed: int, period: float) -> None:
+    """Each script at each size: periods until all views were equal after the last fault."""
+    for size in sizes_of(sizes):
+        for name in names.split(","):
+            script = load(name)
+            script.members = max(size, script.members)
+            with tempfile.TemporaryDirectory() as folder:
+                verdict = asyncio.run(Processes(script, seed, Path(folder), period=period, net=93).play())
+            word = "held" if verdict.held else f"BROKEN {verdict.broken}"
+            mails = next((cases for rule, cases, _ in verdict.rules), 0)
+            cost = f"{len(verdict.events):5} events, {verdict.bytes_each:5.0f} bytes, {mails} mails"
+            print(f"{script.members:4} {name:10} {verdict.settled:5.1f} periods, {cost}: {word}", flush=True)
+
+
+@main.command()
+@click.option("--minutes", default=10.0, show_default=True)
+@click.option("--members", default=12, show_default=True)
+@click.option("--share", default=0.2, show_default=True)
+@click.option("--period", default=0.2, show_default=True)
+def loss(minutes: float, members: int, share: float, period: float) -> None:
+    """A share of all datagrams is lost for so long: is any living member held to have failed?"""
+    length = minutes * 60 / period
+    step = Step(at=1, do="spoil", who=["all"], to=["all"], loss=share, lasts=length)
+    script = Script(name="loss", members=members, spared=True, step=[step])
+    with tempfile.TemporaryDirectory() as folder:
+        verdict = asyncio.run(Processes(script, 1, Path(folder), period=period, rate=5.0, net=94).play())
+    failed = sum(event.name == "failed" for event in verdict.events)
+    suspected = sum(event.name == "suspected" for event in verdict.events)
+    print(
+        f"{members} members, {share:.0%} lost for {minutes:g} minutes: {failed} failed, {suspected} suspected"
+    )
+    print("held" if verdict.held else verdict.broken)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -477,6 +477,28 @@
     assert "m2" in dock.out and dock.same_as("copies-failing")
 
 
+def test_a_copy_that_is_out_while_the_window_ends_is_waited_for_and_nothing_more_goes() -> None:
+    """The window counts from the first connect; a third one after it would be a second effect."""
+    dock = Dock(may_copy=True, slots=20)
+    dock.listed("north/1", "north/2", "north/3")
+    dock.mail("m1", "tagged")
+    dock.turn()
+    dock.end("m1", "served")
+    dock.mail("m2", "tagged", terms=face.Terms(1.0, 4, 3.0, 2, 5.5))
+    dock.turn()
+    first = dock.out["m2"]
+    dock.after(5.6)
+    copy = dock.out["m2"]
+    assert copy is not first
+    dock.out["m2"] = first
+    dock.end("m2", "error")  # known not to be repeated, and the copy may still run
+    dock.out["m2"] = copy
+    dock.after(1.0)
+    dock.end("m2", "error")  # the window of six seconds is over
+    dock.after(3.0)
+    assert dock.same_as("copies-window")
+
+
 def test_a_connect_being_opened_may_still_go_to_a_route_that_drains_within_the_grace() -> None:
     for grace, may in ((0.0, False), (0.5, True)):
         dock = Dock(drain_grace=grace)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from laureldock.fleet import words
 from laureldock.fleet.modelled import World
@@ -225,6 +226,55 @@
     assert len(view.roll.members) <= 4 and view.me.word.state == ALIVE
 
 
+class Faults(RuleBasedStateMachine):
+    """Any faults in any order; once all are over, all views are equal within ten periods."""
+
+    names = st.sampled_from([f"d{place}" for place in range(6)])
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = world(6, 3)
+
+    @rule(name=names, folder=st.booleans())
+    def kill(self, name: str, folder: bool) -> None:
+        if len(self.world.living()) > 2:
+            self.world.kill(name, folder)
+
+    @rule(name=names, clock=st.sampled_from([0.0, -3600.0, 5.0]))
+    def start(self, name: str, clock: float) -> None:
+        if self.world.hosts[name].view is None:
+            self.world.start(name, clock)
+
+    @rule(name=names, seconds=st.floats(0.5, 12.0))
+    def stall(self, name: str, seconds: float) -> None:
+        self.world.stall(name, seconds)
+
+    @rule(one=names, other=names, on=st.booleans())
+    def cut(self, one: str, other: str, on: bool) -> None:
+        self.world.net.link(one, other).cuts = int(on)
+
+    @rule(loss=st.sampled_from([0.0, 0.2, 0.4]))
+    def lose(self, loss: float) -> None:
+        self.world.net.loss = loss
+
+    @rule(seconds=st.floats(0.1, 15.0))
+    def wait(self, seconds: float) -> None:
+        self.world.run(self.world.now + seconds)
+
+    def teardown(self) -> None:
+        world = self.world
+        world.net.links.clear()
+        world.net.loss = 0.0
+        world.run(max([world.now, *(host.stalled for host in world.hosts.values())]))
+        assert world.settle(10.0) <= 10.0, [
+            (view.charter.name, len(view.roll.gone)) for view in world.living()
+        ]
+
+
+TestFaults = Faults.TestCase
+TestFaults.settings = settings(max_examples=60, stateful_step_count=15, deadline=None)
+
+
 # Processes
 
 
