A claim to a member's name is asked for an answer before it is believed; a million spoilt datagrams

Found while the spoilt datagrams were made: one made-up datagram with a living member's name and a later generation made it step down for good. Now it calls the address with a number of that moment and steps down only if that is answered by the other start; the test fails without.

--- /dev/null
+++ b/benchmarks/fleet_spoilt.py
@@ -0,0 +1,90 @@
+"""A million spoilt datagrams and frames against one view: nothing raised, memory bounded, itself not misled.
+
+python -m benchmarks.fleet_spoilt [--count 1000000] [--seed 1]
+"""
+
+from __future__ import annotations
+
+import random
+import resource
+import time
+
+import click
+
+from laureldock.fleet import words
+from laureldock.fleet.view import Charter, Happened, Send, Standing, View
+from laureldock.fleet.words import ALIVE, FAILED, SUSPECT, BadWord, Head, Word
+
+
+def samples() -> list[bytes]:
+    head = Head("fleet", "other", 2000, 9, "127.0.0.1:2", 3, 12345, (words.Reach("s", 3, 2),))
+    told = tuple(
+        Word(name, "s", f"127.0.0.1:{place}", 1000 + place, 7, place, state)
+        for place, (name, state) in enumerate(
+            (("me", FAILED), ("other", ALIVE), ("third", SUSPECT), ("me", SUSPECT)), start=1
+        )
+    )
+    return [
+        words.encode(each)
+        for each in (
+            words.Ping(head, 5, "me", told), words.Ack(head, 6, told),
+            words.Ask(head, 7, "third", "127.0.0.1:3", told),
+            words.Nack(head, 8), words.Gossip(head, told), words.Compare(head, tuple(range(64))),
+            words.Differ(head, (1, 5), told), words.Same(head, told),
+        )
+    ]  # fmt: skip
+
+
+def spoilt(raw: bytes, chance: random.Random) -> bytes:
+    data = bytearray(raw)
+    for _ in range(chance.randrange(1, 6)):
+        match chance.randrange(4):
+            case 0:
+                data[chance.randrange(len(data))] = chance.randrange(256)
+            case 1:
+                del data[chance.randrange(3, len(data)) :]
+            case 2:
+                data[chance.randrange(len(data)) : 0] = chance.randbytes(chance.randrange(1, 9))
+            case _:
+                data[chance.randrange(len(data))] ^= 1 << chance.randrange(8)
+        if len(data) < 5:
+            break
+    return bytes(data)
+
+
+@click.command()
+@click.option("--count", default=1_000_000, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def main(count: int, seed: int) -> None:
+    chance, raw, began = random.Random(seed), samples(), time.monotonic()
+    view = View(Charter("fleet", "me", "s", "127.0.0.1:1", 1_000_000, 7, most=256), 0.0)
+    now, sent, events, frames_refused, least = 0.0, 0, 0, 0, 0
+    for number in range(count):
+        data = spoilt(chance.choice(raw), chance)
+        now += 0.001
+        if number % 2:
+            view.hear(now, data)
+        else:
+            try:
+                view.frame(now, data)
+            except BadWord:
+                frames_refused += 1
+        for effect in view.turn(now):
+            sent += isinstance(effect, Send)
+            events += isinstance(effect, Happened)
+        if number == count // 10:
+            least = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    most = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    assert view.me.word.state == ALIVE and len(view.roll.members) <= 256, view.me.word
+    assert len(view.timers) < 5000 and len(view.probes) < 100 and len(view.relays) <= 64
+    assert view.standing is Standing.HERE
+    cost = (time.monotonic() - began) / count * 1e6
+    print(
+        f"{count} spoilt: {view.counts.refused} refused, {frames_refused} of them frames; {cost:.0f} us each"
+    )
+    print(f"{len(view.roll.members)} members known, {sent} datagrams sent, {events} events")
+    print(f"memory {least / 1000:.1f} MB after a tenth, {most / 1000:.1f} MB at the end")
+
+
+if __name__ == "__main__":
+    main()
--- a/laureldock/fleet/view.py
+++ b/laureldock/fleet/view.py
@@ -141,6 +141,7 @@
         self.compared = -inf  # when this one last began a stream
         self.gossiping = False
         self.twin: tuple[int, int] | None = None  # another start of this name, which may be alive
+        self.challenges: dict[int, tuple[int, int]] = {}  # numbers that it has to answer
         self.me = self.roll.put(
             now, Word(told.name, told.site, told.address, told.generation, told.boot, 0, ALIVE)
         )
@@ -449,6 +450,9 @@
 
     def on_ack(self, now: float, message: words.Ack) -> None:
         number = message.number
+        if era := self.challenges.pop(number, None):
+            self.answered(now, message.head, era)
+            return
         relay = self.relays.pop(number, None)
         if relay:
             self.send(now, relay.address, lambda head, room: words.Ack(head, relay.number, self.pick(room)))
@@ -582,12 +586,16 @@
         if word.address == self.me.word.address:
             self.overtake(now, word.era)  # one address has one process, and that is this one
         elif self.twin is None or self.twin < word.era:
-            self.twin = word.era
-            number = next(self.serial)
-            name = self.charter.name
-            self.send(now, word.address, lambda head, room: words.Ping(head, number, name, ()))
+            self.challenge(now, word.address, word.era)
             self.after(now, NOBODY * self.period, self.nobody, word.era)
 
+    def challenge(self, now: float, address: str, era: tuple[int, int]) -> None:
+        """Only what answers from there with a number of this moment lives; a word alone could be made up."""
+        self.twin = era
+        number, name = next(self.serial), self.charter.name
+        self.challenges = {number: era}
+        self.send(now, address, lambda head, room: words.Ping(head, number, name, ()))
+
     def nobody(self, now: float, era: tuple[int, int]) -> None:
         if self.twin == era and self.standing is Standing.HERE:
             self.overtake(now, era)
@@ -604,17 +612,28 @@
         mine, theirs = self.me.word, (head.generation, head.boot)
         if theirs == mine.era or head.boot == mine.boot:
             return  # its own datagram, come back to it
-        told = {"address": head.address, "generation": head.generation, "stays": mine.era > theirs}
+        if self.twin == theirs:
+            return  # challenged already, or told of
         if theirs > mine.era:
-            self.standing = Standing.STEPPED_DOWN
-            self.news(now)
-            self.effects.append(Happened("name taken", told))
-        elif self.twin != theirs:  # told once, and heard by it: it steps down
+            self.challenge(now, head.address, theirs)
+        else:  # told once, and heard by it: it steps down
             self.twin = theirs
-            self.effects.append(Happened("name taken", told))
+            self.name_taken(head, stays=True)
             number, name = next(self.serial), self.charter.name
             self.send(now, head.address, lambda head, room: words.Ping(head, number, name, ()))
-            self.after(now, self.period, self.look_again)
+        self.after(now, self.period, self.look_again)
+
+    def name_taken(self, head: Head, stays: bool) -> None:
+        told = {"address": head.address, "generation": head.generation, "stays": stays}
+        self.effects.append(Happened("name taken", told))
+
+    def answered(self, now: float, head: Head, era: tuple[int, int]) -> None:
+        """By another process of this name: it lives, and if it is the later start this one gives way."""
+        theirs = head.generation, head.boot
+        if head.sender == self.charter.name and theirs == era > self.me.word.era:
+            self.standing = Standing.STEPPED_DOWN
+            self.news(now)
+            self.name_taken(head, stays=False)
 
     def look_again(self, now: float) -> None:
         self.twin = None
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -191,6 +191,22 @@
     assert any(view.me.word in message.words for message in sent)
 
 
+def test_a_datagram_that_claims_this_ones_name_is_asked_before_it_is_believed() -> None:
+    """One made-up datagram of a later start made a living member step down."""
+    view = lone()
+    claim = {"sender": "me", "generation": 5000, "boot": 3}
+    for at in (1.0, 1.1, 5.0):
+        view.hear(at, gossip(**claim))
+        view.hear(at, words.encode(words.Ack(head(**claim), 99)))
+        view.turn(at)
+    assert view.standing.name == "HERE"
+    view.hear(9.0, gossip(**claim))
+    pings = [words.datagram(effect.data) for effect in view.turn(9.0) if isinstance(effect, Send)]
+    number = next(ping.number for ping in pings if isinstance(ping, words.Ping) and ping.target == "me")
+    view.hear(9.1, words.encode(words.Ack(head(**claim), number)))
+    assert view.standing.name == "STEPPED_DOWN"
+
+
 def test_ten_thousand_made_up_members_take_no_more_than_their_bound() -> None:
     view = lone()
     for number in range(0, 10000, 8):
