--- a/benchmarks/fleet_processes.py
+++ b/benchmarks/fleet_processes.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import socket
 import statistics
 import tempfile
@@ -33,25 +32,6 @@
     return [int(each) for each in text.split(",")]
 
 
-async def started(fleet: Processes) -> None:
-    for receiver in fleet.receivers.values():
-        await receiver.start(time.time())
-    for member in fleet.members.values():
-        await fleet.place(member)
-        await fleet.launch(member)
-    for member in fleet.members.values():
-        await fleet.up(member)
-    fleet.began = time.monotonic()
-
-
-async def ended(fleet: Processes) -> None:
-    await asyncio.gather(*(fleet.kill(member, signal.SIGKILL) for member in fleet.members.values()))
-    for relay in fleet.relays:
-        await relay.close()
-    for receiver in fleet.receivers.values():
-        await receiver.stop()
-
-
 def pid(member: Member) -> int:
     assert member.process
     return member.process.pid
@@ -69,7 +49,7 @@
             Script(name="idle", members=size), 1, Path(folder), period=period, view=view, net=90
         )
         try:
-            await started(fleet)
+            await fleet.begin()
             joined = await fleet.settle(100.0) if view else 0.0
             await asyncio.sleep(3 * period)
             before = {name: cpu(pid(member)) for name, member in fleet.members.items()}
@@ -81,7 +61,7 @@
                 joined,
             )
         finally:
-            await ended(fleet)
+            await fleet.end()
 
     print("members  with: ms of processor a second, MB, joined in periods  without: ms, MB")
     for size in sizes_of(sizes):
@@ -175,7 +155,7 @@
                 print(f"{name}, with the view over without: {middle:.3f} ({least:.3f} to {most:.3f})")
         finally:
             for fleet in fleets.values():
-                await ended(fleet)
+                await fleet.end()
 
     with tempfile.TemporaryDirectory() as folder:
         asyncio.run(run(folder))
--- a/laureldock/fleet/modelled.py
+++ b/laureldock/fleet/modelled.py
@@ -91,8 +91,8 @@
 
     # Members
 
-    def start(self, key: str, clock: float = 0.0) -> View:
-        """`clock`: seconds that its wall clock is off."""
+    def start(self, key: str, clock: float = 0.0, seeds: Iterable[str] = ()) -> View:
+        """`clock`: seconds that its wall clock is off; `seeds`: others than the world's."""
         host = self.hosts[key]
         host.starts += 1
         # A day into the clock, so that one behind has a generation, too.
@@ -100,7 +100,7 @@
         boot = zlib.crc32(f"{key}{host.starts}".encode())
         told = Charter(
             "fleet", host.name, host.site, f"{key}:1", host.generation, boot,
-            self.seeds, self.period, self.seed * 100003 + host.starts,
+            tuple(seeds) or self.seeds, self.period, self.seed * 100003 + host.starts,
         )  # fmt: skip
         host.view, host.woken, host.stalled = View(told, self.now), -1.0, 0.0
         host.inbox.clear()
--- a/laureldock/rehearsal/fleet/inmodel.py
+++ b/laureldock/rehearsal/fleet/inmodel.py
@@ -50,7 +50,7 @@
                     world.leave(name)
             case "start":
                 for name in who:
-                    world.start(name, step.clock)
+                    world.start(name, step.clock, [f"{seed}:1" for seed in step.seeds])
             case "stop":
                 for name in who:
                     world.stall(name, step.lasts * self.period)
--- a/laureldock/rehearsal/fleet/processes.py
+++ b/laureldock/rehearsal/fleet/processes.py
@@ -137,13 +137,13 @@
 
     # Processes
 
-    def configure(self, member: Member) -> None:
+    def configure(self, member: Member, seeds: list[str] | None = None) -> None:
         member.folder.mkdir(parents=True, exist_ok=True)
         text = TEXT.format(name=member.name, seed=self.seed, host=member.host, door=DOOR, front=FRONT)
         if self.view:
-            seeds = ", ".join(f'"{self.members[name].relay}:{FLEET}"' for name in self.script.seeds)
+            asked = ", ".join(f'"{self.members[name].relay}:{FLEET}"' for name in seeds or self.script.seeds)
             text += VIEW.format(
-                host=member.host, relay=member.relay, fleet=FLEET, seeds=seeds, site=member.site,
+                host=member.host, relay=member.relay, fleet=FLEET, seeds=asked, site=member.site,
                 period=round(self.period * 1000),
             )  # fmt: skip
         for name, receiver in self.receivers.items():
@@ -193,32 +193,37 @@
     # The run
 
     async def play(self) -> Verdict:
-        for receiver in self.receivers.values():
-            await receiver.start(time.time())
         try:
             return await self.played()
         finally:
-            for task in self.faults:
-                task.cancel()
-            for client in self.clients.values():
-                await client.aclose()
-            for member in self.members.values():
-                await self.kill(member, signal.SIGKILL)
-            for relay in self.relays:
-                await relay.close()
-            for receiver in self.receivers.values():
-                await receiver.stop()
+            await self.end()
 
-    async def played(self) -> Verdict:
-        script = self.script
+    async def begin(self) -> None:
+        """All up, each behind its relays."""
+        for receiver in self.receivers.values():
+            await receiver.start(time.time())
         for member in self.members.values():
             await self.place(member)
-        self.say(f"{script.name}: {script.members} members, seed {self.seed}, period {self.period:g} s")
-        for member in self.members.values():
             await self.launch(member)
         for member in self.members.values():
             await self.up(member)
         self.began = time.monotonic()
+
+    async def end(self) -> None:
+        for task in self.faults:
+            task.cancel()
+        for client in self.clients.values():
+            await client.aclose()
+        await asyncio.gather(*(self.kill(member, signal.SIGKILL) for member in self.members.values()))
+        for relay in self.relays:
+            await relay.close()
+        for receiver in self.receivers.values():
+            await receiver.stop()
+
+    async def played(self) -> Verdict:
+        script = self.script
+        self.say(f"{script.name}: {script.members} members, seed {self.seed}, period {self.period:g} s")
+        await self.begin()
         joined = await self.settle(100.0) if self.view else 0.0
         self.began = time.monotonic()
         sent, load = self.network.passed, asyncio.create_task(self.load())
@@ -303,6 +308,7 @@
                 for each in members:
                     if each.process:
                         await each.process.wait()
+                    self.configure(each, step.seeds)
                     await self.launch(each, step.clock)
                 for each in members:
                     await self.up(each)
--- a/laureldock/rehearsal/fleet/script.py
+++ b/laureldock/rehearsal/fleet/script.py
@@ -22,10 +22,11 @@
 class Step(Struct, kw_only=True, forbid_unknown_fields=True):
     """One thing done.
 
-    kill: SIGKILL (with `folder`, its disk goes with it); start: again, by its own configuration (`clock`: its
-    wall clock is so many seconds off); term: SIGTERM; stop: SIGSTOP for `lasts` periods; cut: nothing goes
-    from `who` to `to` for `lasts` (both ways unless `one_way`); spoil: what passes there is lost, delayed or
-    doubled; twin: another process of the name of `who` elsewhere; receivers: `who` reach no receiver.
+    kill: SIGKILL (with `folder`, its disk goes with it); start: again, by its own configuration or an older
+    one's `seeds` (`clock`: its wall clock is so many seconds off); term: SIGTERM; stop: SIGSTOP for `lasts`
+    periods; cut: nothing goes from `who` to `to` for `lasts` (both ways unless `one_way`); spoil: what passes
+    there is lost, delayed or doubled; twin: another process of the name of `who` elsewhere; receivers: `who`
+    reach no receiver.
     """
 
     at: Annotated[float, Meta(ge=0)]
@@ -38,6 +39,7 @@
     one_way: bool = False
     folder: bool = False
     clock: float = 0.0  # seconds
+    seeds: list[str] = msgspec.field(default_factory=list)  # of an older configuration; else the script's
     loss: Share = 0.0
     doubled: Share = 0.0
     delay: Annotated[float, Meta(ge=0)] = 0.0  # seconds, at most; drawn evenly, so that they pass one another
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -384,6 +384,15 @@
     assert refused(plan, load(str(path)).plan) == [
         "class.charge.lifetime", "class.news.lifetime", "class.order.lifetime", "limits.slots"
     ]  # fmt: skip
+    table = '[fleet]\nname = "f"\nlisten = "127.0.0.1:7946"\nseeds = ["127.0.0.2:7946"]\n'
+    path.write_text(BASE + table)
+    plan = load(str(path)).plan
+    path.write_text(BASE + table.replace("0.2", "0.3"))
+    assert refused(plan, load(str(path)).plan) == []
+    path.write_text(BASE + table + 'period = "2s"\n')
+    assert refused(plan, load(str(path)).plan) == ["fleet.period"]
+    path.write_text(BASE)
+    assert "fleet.name" in refused(plan, load(str(path)).plan)
 
 
 def test_the_example_file_is_the_documented_default() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from laureldock.cli import main
 from laureldock.fleet import words
 from laureldock.fleet.modelled import World
 from laureldock.fleet.view import Charter, Happened, Send, Standing, View
@@ -296,7 +300,7 @@
 
 AMONG_PROCESSES = (
     "start", "crash", "blink", "seven", "halves", "thirds", "oneway", "pair", "lossy", "stalls", "site",
-    "seedless", "disk", "twins", "midst",
+    "seedless", "disk", "twins", "midst", "old", "receivers",
 )  # fmt: skip
 
 
@@ -320,6 +324,42 @@
         assert rules["one final answer, in time"] > 3 or not script.step
 
 
+def test_operators_see_watch_and_forget(tmp_path: Path) -> None:
+    script = load("start")
+    script.members = 3
+    fleet = Processes(script, 1, tmp_path, net=19)
+
+    def told(*arguments: str) -> str:
+        done = CliRunner().invoke(main, ["fleet", *arguments])
+        assert done.exit_code == 0, done.output
+        return done.output
+
+    async def run() -> None:
+        try:
+            await fleet.begin()
+            assert await fleet.settle(50.0) < 50.0
+            door = f"{fleet.members['d1'].host}:9100"
+            shown = await asyncio.to_thread(told, "view", door)
+            assert "d1 in rehearsal (here)" in shown and shown.count(" alive ") == 3
+            watching = asyncio.create_task(
+                asyncio.to_thread(told, "watch", door, "--json", "--every", "0.5", "--count", "12")
+            )
+            await asyncio.sleep(0.6)
+            await fleet.kill(fleet.members["d2"], signal.SIGKILL)
+            lines = [json.loads(line) for line in (await watching).splitlines()]
+            states = [line["state"] for line in lines if line["member"] == "d2" and "state" in line]
+            assert states[0] == "alive" and states[-1] == "failed"
+            assert "held to have left" in await asyncio.to_thread(told, "forget", "d2", door)
+            done = CliRunner().invoke(main, ["fleet", "forget", "d3", door])
+            assert done.exit_code == 1 and "no member 'd3' that failed" in done.output
+            view = json.loads(await asyncio.to_thread(told, "view", door, "--json"))
+            assert {each["name"]: each["state"] for each in view["members"]}["d2"] == "left"
+        finally:
+            await fleet.end()
+
+    asyncio.run(run())
+
+
 def test_without_the_table_nothing_of_it_is_imported() -> None:
     program = (
         "import sys, laureldock.cli.serve; print([n for n in sys.modules if 'fleet' in n or n == 'xxhash'])"
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -122,9 +122,10 @@
     return len(known), ""
 
 
-def test_no_older_word_wins_and_every_way_leads_back_to_agreement() -> None:
+def test_no_older_word_wins_and_every_way_leads_back_to_agreement(capsys: pytest.CaptureFixture[str]) -> None:
     states, fault = walk(Rules(), DEPTH)
-    print(f"{states} states to a depth of {DEPTH}")
+    with capsys.disabled():
+        print(f"\nwords of members: {states} states to a depth of {DEPTH}")
     assert not fault, fault
     assert states > 10000
 
