--- a/laureldock/rehearsal/fleet/member.py
+++ b/laureldock/rehearsal/fleet/member.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import runpy
 import sys
 import time
 
@@ -14,9 +15,7 @@
     if off:
         real = time.time
         time.time = lambda: real() + off
-    from laureldock.cli import main as program  # only now: what it imports takes the clock as it finds it
-
-    program()
+    runpy.run_module("laureldock", run_name="__main__")  # what it imports takes the clock as it finds it
 
 
 if __name__ == "__main__":
