--- a/laureldock/fleet/view.py
+++ b/laureldock/fleet/view.py
@@ -379,6 +379,8 @@
         self.sick(1 if self.heard < probe.sent else 0)
         if member.word.era == probe.era and member.word.state in HERE:
             self.suspect(now, member, self.charter.name)
+            # It hears of it at once, where only datagrams were lost, and its answer refutes.
+            self.ping(now, member, None, next(self.serial))
 
     def suspect(self, now: float, member: Member, by: str) -> None:
         """This member's own suspicion, or another's that confirms it."""
