Read again: one way to become, to spread, to list links and to read new lines; rules judged once

What the view says of itself is put down, told and counted in one place (become); news goes out by spread; a process of one's own name is called by ping_twin; a stream has one factory for both its ends.

--- a/laureldock/fleet/reach.py
+++ b/laureldock/fleet/reach.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 
 from laureldock.fleet.words import Reach
 
@@ -12,25 +11,20 @@
 MOST_SITES = 8  # told in a datagram
 
 
-@dataclass(eq=False, slots=True)
-class Heard:
-    calls: deque[tuple[float, bool]] = field(default_factory=lambda: deque(maxlen=255))
-
-
 class Sites:
     def __init__(self, period: float) -> None:
         self.span = PERIODS * period
-        self.sites: dict[str, Heard] = {}
+        self.sites: dict[str, deque[tuple[float, bool]]] = {}  # when a call went, and whether it was answered
         self.told: dict[str, tuple[float, tuple[Reach, ...]]] = {}  # by others, and when
 
     def tried(self, now: float, site: str, answered: bool) -> None:
-        self.sites.setdefault(site, Heard()).calls.append((now, answered))
+        self.sites.setdefault(site, deque(maxlen=255)).append((now, answered))
 
     def own(self, now: float) -> tuple[Reach, ...]:
         """For datagrams: the sites called of late."""
         found = []
         for site in sorted(self.sites):
-            calls = self.sites[site].calls
+            calls = self.sites[site]
             while calls and calls[0][0] < now - self.span:
                 calls.popleft()
             if calls:
--- a/laureldock/fleet/rim.py
+++ b/laureldock/fleet/rim.py
@@ -15,7 +15,7 @@
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.posixbase import PosixReactorBase
-from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory
+from twisted.internet.protocol import ClientFactory, DatagramProtocol
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.protocols.policies import TimeoutMixin
 
@@ -35,7 +35,8 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        self.generation, self.addresses = 0, []
+        self.generation = 0
+        self.addresses: list[str] = []
         try:
             told = json.loads(path.read_bytes())
             self.generation = int(told["generation"])
@@ -43,8 +44,6 @@
         except (OSError, ValueError, KeyError, TypeError):
             pass  # a new folder, or a spoilt file: the clock and the fleet tell of an earlier start
 
-    addresses: list[str]
-
     def begin(self, wall: float) -> int:
         """The generation of this start: above the last one known here, and what the clock says."""
         self.generation = max(self.generation + 1, int(wall * 1000))
@@ -74,7 +73,7 @@
 
 
 class Frames(Int32StringReceiver, TimeoutMixin):
-    """Either end of a stream; `first` is what the end that opened it begins with."""
+    """Either end of a stream; `opened`: this is the end that begins."""
 
     MAX_LENGTH = words.MOST_FRAME
     transport: Any
@@ -114,24 +113,16 @@
             self.rim.streams -= 1
 
 
-class Streams(Factory):
-    noisy = False
-
-    def __init__(self, rim: Rim) -> None:
-        self.rim = rim
-
-    def buildProtocol(self, addr: IAddress | None) -> Frames:  # noqa: N802
-        return Frames(self.rim, opened=False)
+class Streams(ClientFactory):
+    """Of those that others open here, or of one that this member opens."""
 
-
-class Opened(ClientFactory):
     noisy = False
 
-    def __init__(self, rim: Rim) -> None:
-        self.rim = rim
+    def __init__(self, rim: Rim, opened: bool) -> None:
+        self.rim, self.opened = rim, opened
 
     def buildProtocol(self, addr: IAddress | None) -> Frames:  # noqa: N802
-        return Frames(self.rim, opened=True)
+        return Frames(self.rim, self.opened)
 
 
 class Rim:
@@ -152,7 +143,8 @@
         self.remembered = Remembered(state / "fleet.json")
         host, _, port = settings.listen.rpartition(":")
         self.host, self.port = host, int(port)
-        self.streams, self.due, self.timer = 0, float("inf"), None
+        self.streams, self.due = 0, float("inf")
+        self.timer: Any = None
         self.turning = self.dirty = False
         self.view = View(
             Charter(
@@ -171,9 +163,6 @@
             self.now(),
         )
         self.datagrams = Datagrams(self)
-        self.door: Any = None
-
-    timer: Any
 
     def asked(self, seeds: list[Any]) -> tuple[str, ...]:
         """Configured seeds, and those that the last start knew."""
@@ -189,7 +178,7 @@
     def start(self) -> None:
         """OSError where nothing can listen there."""
         self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
-        self.door = self.reactor.listenTCP(self.port, Streams(self), interface=self.host)
+        self.reactor.listenTCP(self.port, Streams(self, opened=False), interface=self.host)
         self.save()
         self.reactor.callLater(SAVED_EVERY * self.settings.period, self.keep)
         self.turn()
@@ -260,8 +249,9 @@
             case Stream(address=address):
                 host, _, port = address.rpartition(":")
                 if port.isdigit() and 0 < int(port) < 65536:
+                    opened = Streams(self, opened=True)
                     self.reactor.connectTCP(
-                        host, int(port), Opened(self), timeout=SILENT, bindAddress=(self.host, 0)
+                        host, int(port), opened, timeout=SILENT, bindAddress=(self.host, 0)
                     )
             case Happened(name=name, fields=fields):
                 self.dirty = True
--- a/laureldock/fleet/view.py
+++ b/laureldock/fleet/view.py
@@ -231,8 +231,7 @@
     def leave(self, now: float) -> None:
         """The last word of this start. The rim sends what `turn` gives and closes."""
         self.say(now, LEFT)
-        for member in self.some(LEAVERS, lambda each: True):
-            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
+        self.spread(now, LEAVERS)
         self.standing = Standing.GONE
 
     def lameduck(self, now: float, on: bool) -> None:
@@ -261,7 +260,7 @@
     def shuffled(self, names: list[str]) -> list[str]:
         return sorted(names, key=lambda name: zlib.crc32(f"{next(self.serial)}:{name}".encode()))
 
-    def some(self, most: int, fit: Callable[[Member], bool]) -> list[Member]:
+    def some(self, most: int, fit: Callable[[Member], bool] = lambda each: True) -> list[Member]:
         """Others that are here, at random."""
         found: list[Member] = []
         order = self.roll.order
@@ -550,10 +549,13 @@
         self.gossiping = bool(len(self.rumours))
         if not self.gossiping:
             return
-        for member in self.some(FAN, lambda each: True):
-            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
+        self.spread(now, FAN)
         self.after(now, GOSSIP * self.period, self.gossip)
 
+    def spread(self, now: float, most: int) -> None:
+        for member in self.some(most):
+            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
+
     def news(self, now: float) -> None:
         self.version += 1
         self.changed = now
@@ -566,6 +568,9 @@
         word = msgspec.structs.replace(
             self.me.word, state=state, lameduck=duck, incarnation=self.me.word.incarnation + 1
         )
+        self.become(now, word)
+
+    def become(self, now: float, word: Word) -> None:
         self.roll.put(now, word)
         self.news(now)
         self.tell(now, word)
@@ -579,9 +584,7 @@
         elif own := refuted(word, mine):
             self.counts.refuted += 1
             self.sick(1)
-            self.roll.put(now, own)
-            self.news(now)
-            self.tell(now, own)
+            self.become(now, own)
 
     def claimed(self, now: float, word: Word) -> None:
         """A later start of this name is known: its own forgotten past, or another process that lives."""
@@ -594,9 +597,13 @@
     def challenge(self, now: float, address: str, era: tuple[int, int]) -> None:
         """Only what answers from there with a number of this moment lives; a word alone could be made up."""
         self.twin = era
+        self.challenges = {self.ping_twin(now, address): era}
+
+    def ping_twin(self, now: float, address: str) -> int:
+        """The number that an answer from there has to bear."""
         number, name = next(self.serial), self.charter.name
-        self.challenges = {number: era}
         self.send(now, address, lambda head, room: words.Ping(head, number, name, ()))
+        return number
 
     def nobody(self, now: float, era: tuple[int, int]) -> None:
         if self.twin == era and self.standing is Standing.HERE:
@@ -621,8 +628,7 @@
         else:  # told once, and heard by it: it steps down
             self.twin = theirs
             self.name_taken(head, stays=True)
-            number, name = next(self.serial), self.charter.name
-            self.send(now, head.address, lambda head, room: words.Ping(head, number, name, ()))
+            self.ping_twin(now, head.address)
         self.after(now, self.period, self.look_again)
 
     def name_taken(self, head: Head, stays: bool) -> None:
--- a/laureldock/rehearsal/fleet/inmodel.py
+++ b/laureldock/rehearsal/fleet/inmodel.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from laureldock.fleet.modelled import World
-from laureldock.rehearsal.fleet.script import Script, Step
+from laureldock.rehearsal.fleet.script import Pair, Script, Step, pairs
 from laureldock.rehearsal.fleet.verdict import Told, Verdict, judge
 
 
@@ -58,16 +58,14 @@
                 for name in who:
                     world.twin(name)
             case "cut" | "spoil":
-                pairs = [(one, other) for one in who for other in to if one != other]
-                if not step.one_way:
-                    pairs = list(dict.fromkeys(pairs + [(other, one) for one, other in pairs]))
-                self.spoil(step, pairs, 1)
-                world.at(world.now + step.lasts * self.period, self.spoil, step, pairs, -1)
+                between = pairs(step, who, to)
+                self.spoil(step, between, 1)
+                world.at(world.now + step.lasts * self.period, self.spoil, step, between, -1)
             case "receivers":
                 pass  # the model has none
 
-    def spoil(self, step: Step, pairs: list[tuple[str, str]], sign: int) -> None:
-        for pair in pairs:
+    def spoil(self, step: Step, between: list[Pair], sign: int) -> None:
+        for pair in between:
             link = self.world.net.link(*pair)
             if step.do == "cut":
                 link.cuts += sign
--- a/laureldock/rehearsal/fleet/processes.py
+++ b/laureldock/rehearsal/fleet/processes.py
@@ -16,8 +16,10 @@
 import signal
 import sys
 import time
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -28,12 +30,12 @@
 from laureldock.rehearsal.account import BUSY, FAILED, GONE, TAKEN, Account, Handed
 from laureldock.rehearsal.account import judge as judge_rules
 from laureldock.rehearsal.fleet.relay import Network, Relay
-from laureldock.rehearsal.fleet.script import Script, Step
+from laureldock.rehearsal.fleet.script import Pair, Script, Step, pairs
 from laureldock.rehearsal.fleet.verdict import Told, Verdict, judge
+from laureldock.rehearsal.play import CLASSES, new_lines
 from laureldock.rehearsal.standins import Receiver
 
 READY = 30.0  # seconds in which all processes must be up: forty of them start on one core or two
-CLASSES = {"notice": "redeliverable", "order": "tagged", "payment": "once-only"}
 LIFETIME = 8.0
 FLEET, FRONT, DOOR = 7946, 6390, 9100
 TEXT = """\
@@ -245,7 +247,6 @@
         # Processes that start starve one another for as long: their answers lie unread, or on their way here.
         self.account.unread += 3 * self.lag
         told.rules = [(each.rule, each.counted, len(each.broken)) for each in judge_rules(self.account)]
-        self.broken = [text for each in judge_rules(self.account) for text in each.broken]
         return judge(script, told, length)
 
     async def place(self, member: Member) -> None:
@@ -332,11 +333,9 @@
                     await self.up(twin)
             case "cut" | "spoil" | "receivers":
                 others = list(self.receivers) if step.do == "receivers" else to
-                pairs = [(one, other) for one in who for other in others if one != other]
-                if not step.one_way:
-                    pairs = list(dict.fromkeys(pairs + [(other, one) for one, other in pairs]))
-                self.spoil(step, pairs, 1)
-                self.later(step.lasts, self.spoil, step, pairs, -1)
+                between = pairs(step, who, others)
+                self.spoil(step, between, 1)
+                self.later(step.lasts, self.spoil, step, between, -1)
 
     def later(self, periods: float, call: Callable[..., None], *told: Any) -> None:
         asyncio.get_running_loop().call_later(periods * self.period, call, *told)
@@ -347,8 +346,8 @@
         if member.process is process:
             member.stopped = False
 
-    def spoil(self, step: Step, pairs: list[tuple[str, str]], sign: int) -> None:
-        for pair in pairs:
+    def spoil(self, step: Step, between: list[Pair], sign: int) -> None:
+        for pair in between:
             link = self.network.link(*pair)
             if step.do == "spoil":
                 on = max(0, sign)
@@ -373,7 +372,7 @@
                 queue_class = chance.choices(list(CLASSES), [6, 2, 2])[0]
                 key = f"k{chance.randrange(6)}" if queue_class == "order" else ""
                 # A key's mails come to one member while it runs: their order is that member's.
-                member = living[hash_of(key) % len(living)] if key else chance.choice(living)
+                member = living[zlib.crc32(key.encode()) % len(living)] if key else chance.choice(living)
                 destination = "bank" if queue_class == "payment" else chance.choice(["bank", "bakery"])
                 task = asyncio.create_task(self.hand_in(member, place, queue_class, destination, key))
                 out.add(task)
@@ -459,35 +458,20 @@
                 name = told["event"].removeprefix("fleet: ")
                 if name == told["event"]:
                     continue
-                at = (stamp(told["timestamp"]) - start) / self.period
+                at = (datetime.fromisoformat(told["timestamp"]).timestamp() - start) / self.period
                 if at >= 0:
                     self.events.append(Told(at, member.key, name, str(told.get("member", ""))))
 
     def read_notices(self, member: Member) -> None:
         """New whole lines of its outlet's file."""
-        with contextlib.suppress(OSError), (member.folder / "state" / "undelivered.jsonl").open("rb") as file:
-            file.seek(member.read)
-            whole, newline, _ = file.read().rpartition(b"\n")
-            member.read += len(whole) + len(newline)
-            for line in whole.splitlines():
-                told = json.loads(line)
-                mail = self.account.handed.get(told["message"])
-                if mail is None:
-                    self.account.strays.append(told["message"])
-                elif told["message"] not in self.dead or not mail.notices:
-                    mail.notices.append((time.time(), told["outcome"]))
-
-
-def stamp(text: str) -> float:
-    from datetime import datetime
-
-    return datetime.fromisoformat(text).timestamp()
-
-
-def hash_of(key: str) -> int:
-    import zlib
-
-    return zlib.crc32(key.encode())
+        lines, member.read = new_lines(member.folder / "state" / "undelivered.jsonl", member.read)
+        for line in lines:
+            told = json.loads(line)
+            mail = self.account.handed.get(told["message"])
+            if mail is None:
+                self.account.strays.append(told["message"])
+            elif told["message"] not in self.dead or not mail.notices:
+                mail.notices.append((time.time(), told["outcome"]))
 
 
 def play(
--- a/laureldock/rehearsal/fleet/script.py
+++ b/laureldock/rehearsal/fleet/script.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+Pair = tuple[str, str]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Do = Literal["kill", "start", "term", "stop", "cut", "spoil", "twin", "receivers"]
 
@@ -103,6 +104,13 @@
         return {name for _, _, who, to in self.timeline(seed) for name in [*who, *to]}
 
 
+def pairs(step: Step, who: list[str], others: list[str]) -> list[Pair]:
+    """The directed pairs that a cut or spoilt link lies between."""
+    there = [(one, other) for one in who for other in others if one != other]
+    back = [] if step.one_way else [(other, one) for one, other in there]
+    return list(dict.fromkeys(there + back))
+
+
 def shipped() -> list[str]:
     folder = files("laureldock.rehearsal.fleet") / "scenarios"
     return sorted(each.name.removesuffix(".toml") for each in folder.iterdir() if each.name.endswith(".toml"))
--- a/laureldock/rehearsal/play.py
+++ b/laureldock/rehearsal/play.py
@@ -189,13 +189,8 @@
 
     def notices(self) -> None:
         """New whole lines of the outlet's file."""
-        if not self.lines.exists():
-            return
-        with self.lines.open("rb") as file:
-            file.seek(self.read)
-            whole, newline, _ = file.read().rpartition(b"\n")
-        self.read += len(whole) + len(newline)
-        for line in whole.splitlines():
+        lines, self.read = new_lines(self.lines, self.read)
+        for line in lines:
             told = json.loads(line)
             mail = self.account.handed.get(told["message"])
             if mail is None:
@@ -266,6 +261,17 @@
         return code
 
 
+def new_lines(path: Path, read: int) -> tuple[list[bytes], int]:
+    """Whole lines of a file not read yet, and how far it is read now; none where there is no file."""
+    try:
+        with path.open("rb") as file:
+            file.seek(read)
+            whole, newline, _ = file.read().rpartition(b"\n")
+    except FileNotFoundError:
+        return [], read
+    return whole.splitlines(), read + len(whole) + len(newline)
+
+
 def free_port() -> int:
     import socket
 
