--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -365,6 +365,39 @@
     asyncio.run(run())
 
 
+def test_other_seeds_are_taken_at_sighup_and_join_two_fleets(tmp_path: Path) -> None:
+    script = load("start")
+    script.members, script.seeds = 2, ["d1"]
+    fleet = Processes(script, 1, tmp_path, net=18)
+
+    async def members(name: str) -> int:
+        view = await fleet.ask(fleet.members[name], "/_fleet")
+        return len(view["members"]) if view else 0
+
+    async def run() -> None:
+        first, second = fleet.members.values()
+        for receiver in fleet.receivers.values():
+            await receiver.start(0.0)
+        try:
+            for member, seed in ((first, "d1"), (second, "d2")):  # each knows itself alone
+                await fleet.place(member)
+                fleet.configure(member, [seed])
+                await fleet.launch(member)
+            for member in (first, second):
+                await fleet.up(member)
+            await asyncio.sleep(2.0)
+            assert [await members("d1"), await members("d2")] == [1, 1]
+            fleet.configure(second, ["d1"])
+            assert second.process
+            second.process.send_signal(signal.SIGHUP)
+            assert await fleet.settle(50.0) < 50.0
+            assert [await members("d1"), await members("d2")] == [2, 2]
+        finally:
+            await fleet.end()
+
+    asyncio.run(run())
+
+
 def test_without_the_table_nothing_of_it_is_imported() -> None:
     program = (
         "import sys, laureldock.cli.serve; print([n for n in sys.modules if 'fleet' in n or n == 'xxhash'])"
