Clients' connections end by a half-close, and what lies unread is answered before

Lines at fault: Client.finish and the close in Client.answered decided by what had been read, not by what lay in the kernel, so that a request on a resting connection, one behind the last answer, and half of one were reset unanswered; Clients.shut closed the door over its backlog; who had connected a moment before was sent away unasked. Ruled out: no-delay (set before the first write), errors before much unread (the error line reached its client).

Change: a decision to close looks into the kernel first; it ends writing in that call, reads on for half a second and closes then (at once for room, after a quarter). What comes after the shutdown is read and never sent on. The door accepts who waits before it closes.

--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -19,7 +19,8 @@
 from laureldock.core import MOST_BODY
 from laureldock.core.letters import Answer, Letter, Owed, Word
 from laureldock.core.seams import Intake, NotAMailError
-from laureldock.sockets.flush import Flush, unread
+from laureldock.sockets.flush import Flush, end_writing, unread
+from laureldock.sockets.reactor import Door
 from laureldock.sockets.room import Room
 from laureldock.wire import resp
 from laureldock.wire.resp import Commands, MalformedError
@@ -27,6 +28,8 @@
 # By the platform's protocol: who sends nothing whole is told so within 3 s of connecting, 6 s if there is
 # much to read.
 PATIENCE, DRAINED, LOOK = 2.0, 5.0, 0.25
+# After the half-close of a connection at rest a client that hears it closes within a few round trips.
+LINGER = 0.5
 # Who has said nothing for two looks gives way when room is short: clients open a connection to send.
 QUIET = 2 * LOOK
 # A client waits so long for its answer, by the platform's protocol: what it sent has lain unread no longer.
@@ -68,15 +71,16 @@
         self.pending: Letter | None = None  # taken on, and its client has not been told
         self.answering = self.reading = False
         self.closing = self.leaving = False  # nothing more is read; nothing after this request
+        self.parted = False  # closing with nothing owed: its client was answered, or has asked nothing
         self.asked = False  # something whole
         self.since = clients.core.now()  # what is to come next is awaited
         self.errors, self.erred = 0.0, self.since
         self.title = b""
 
     @property
-    def idle(self) -> bool:
+    def resting(self) -> bool:
         """Between requests, as far as has been read."""
-        return not (self.answering or self.pending or self.closing or self.leaving or self.half)
+        return not (self.answering or self.pending or self.closing or self.half)
 
     @property
     def half(self) -> bool:
@@ -94,7 +98,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
             return  # read on all the same: a close with bytes unread would take the error line with it
-        if self.idle and self.asked:
+        if self.resting and self.asked:
             self.since = self.clients.core.now()
         if not self.reading:
             data = self.read_whole(data)
@@ -179,7 +183,7 @@
         core = self.clients.core
         owed = Owed(name, order, sort, customer, tag, to, core.wall() + left, body)
         if unread(self.transport) == b"":  # as after a stall of this process: it has given up
-            self.finish()
+            self.leaving = True  # the reactor reads the close
             return
         got = core.put(self, owed, left)
         if isinstance(got, Letter):
@@ -286,12 +290,20 @@
         self.since = self.clients.core.now()
         self.leaving = self.leaving or self.clients.lameduck
         if self.closing:
-            self.transport.loseWriteConnection()  # the rest of the close when the other side has closed
-        elif self.leaving and not self._buffer:
-            self.transport.loseConnection()
-        else:
+            self.part()
+        elif self.leaving and not self._buffer and unread(self.transport) is None:
+            self.parted = True
+            self.part()
+        else:  # what has come, read or not, is answered before
             self.resumeProducing()
 
+    def part(self) -> None:
+        """End writing and read on for a while: a close over unread bytes would reset the connection and take
+        the last answer with it. What comes from here on is read, and never sent on."""
+        self.closing = True
+        end_writing(self.transport)
+        self.transport.resumeProducing()  # much that came behind an error may have stopped it
+
     def refuse(self, why: str) -> None:
         """One error, and the close."""
         if not self.closing:
@@ -305,16 +317,23 @@
         """What has not come in time is not waited for."""
         waited = now - self.since
         if self.closing:
-            if waited >= (PATIENCE if self.answering else DRAINED):
+            if self.parted and waited >= LINGER:
+                self.transport.loseConnection()
+            elif waited >= (PATIENCE if self.answering else DRAINED):
                 self.transport.abortConnection()
         elif waited >= PATIENCE and not self.answering and not self.pending and (self.half or not self.asked):
             self.refuse("no whole command in time")
+        elif self.leaving and self.resting:
+            self.finish()
 
     def finish(self) -> None:
-        """Close between requests; one that has begun to come is answered before."""
-        idle, self.leaving = self.idle, True
-        if idle:
-            self.transport.loseConnection()
+        """Close between requests; one that has begun to come, read or not, is answered before."""
+        self.leaving = True
+        now = self.clients.core.now()
+        fresh = not self.asked and now - self.since < QUIET  # clients open a connection to send
+        if self.resting and not fresh and unread(self.transport) is None:
+            self.parted, self.since = True, now
+            self.part()
 
 
 def shown(word: bytes) -> str:
@@ -370,6 +389,9 @@
 
     def shut(self) -> None:
         if self.port:
+            # Closing the door would reset those that wait at it, their requests unread.
+            while isinstance(self.port, Door) and len(self.clients) < self.most and self.port.accept_some():
+                pass
             self.port.stopListening()
             self.port = None
         for client in list(self.clients):
@@ -411,19 +433,23 @@
         """
         if len(self.clients) <= self.most_idle:
             return  # as on most days: nobody need be looked at
+        now, full = self.core.now(), len(self.clients) >= self.most
         staying = [client for client in self.clients if not client.leaving]
-        idle = [client for client in staying if client.idle]
+        idle = [client for client in staying if client.resting]
         answered = [client for client in idle if client.asked]
-        over, quiet = len(answered) - self.most_idle, self.core.now() - QUIET
-        if len(staying) >= self.most:
+        over = len(answered) - self.most_idle
+        if full:
             over = max(over, len(staying) + 1 - self.most)
-            answered += [client for client in idle if not client.asked and client.since <= quiet]
-        if over > 0:
-            answered.sort(key=lambda client: (client.asked, client.since))
-            gone = list(islice((client for client in answered if unread(client.transport) is None), over))
-            for client in gone:
-                client.finish()
-            if not gone and len(self.clients) >= self.most and not self.full:
+            answered += [client for client in idle if not client.asked and client.since <= now - QUIET]
+        answered.sort(key=lambda client: (client.asked, client.since))
+        quiet = (client for client in answered if unread(client.transport) is None)
+        for client in islice(quiet, max(0, over)):
+            client.finish()
+        if full:  # those that linger need not, once they have had a moment; the next ones wait until then
+            for client in self.clients:
+                if client.parted and client.since <= now - LOOK:
+                    client.transport.loseConnection()
+            if not self.full:
                 self.turn_away(True)
 
     def left(self, client: Client) -> None:
--- a/laureldock/sockets/flush.py
+++ b/laureldock/sockets/flush.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -20,6 +21,13 @@
         return b""
 
 
+def end_writing(transport: Connection) -> None:
+    """Half-close at once, with nothing left to write. The transport's own waits for its next look, and a
+    request read between the decision and that look would be dropped with no answer."""
+    with contextlib.suppress(OSError):  # the other side has reset it: the reactor hears of that
+        transport.socket.shutdown(socket.SHUT_WR)
+
+
 @implementer(IPullProducer)
 class Flush:
     """A pull producer of one write: asked a second time, the transport's buffer is empty."""
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -21,6 +21,12 @@
         self.numberAccepts = 4
         super().doRead()
 
+    def accept_some(self) -> bool:
+        """A few of those that wait; whether there was one."""
+        before = self.sessionno
+        self.doRead()
+        return bool(self.sessionno > before)
+
 
 # A poll that took longer has slept, so that what it found has just come.
 SLEPT = 0.001
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -179,6 +179,13 @@
         if not self.deaf:
             self.loseConnection()
 
+    def shutdown(self, how: int) -> None:
+        self.loseWriteConnection()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if not self.disconnecting:  # as a real connection, which lets it pass
+            super().resumeProducing()
+
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         """Bytes leave at once in any case."""
 
