A silent watch of the list shows within 2.2 s, and owed notices keep no client out

Change: waits of 2 s, a fifth of a second for an answer (within the grace of drains, as discovery comes back), the first ask of a process or after a failure waits for nothing; an answer that goes on coming has a second. Asks begin a quarter of a second apart, spread by a draw. The list comes first at a start, since what it had counts as told; whether it answers or not, the door opens within moments. Notices of the life before are sent beside all else; their mails are held as ended, so that their keys' next mails wait for them.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -78,7 +78,7 @@
         self.may_probe, self.may_cancel, self.notices = tariff.may_probe, tariff.may_cancel, tariff.notices
         self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
         self.connect_time = tariff.connect_time or inf
-        self.fees, self.handshake = tariff.fees, tariff.handshake
+        self.fees, self.handshake, self.near_list = tariff.fees, tariff.handshake, tariff.near_list
         self.may_copy, self.drain_grace = tariff.may_copy, tariff.drain_grace
         self.part, self.instances, self.seldom = 1.0 / tariff.instances, tariff.instances, False
         # Even parts of many say little, since most send nothing just now: calls go freely then until one is
@@ -109,9 +109,8 @@
         self.idle = deque[tuple[float, Lane]]()
         self.tally = Tally()  # of all calls, for routes of which too few are known
         self.rest, self.broke = inf, now  # for how long a connection may have rested when one last broke
-        self.held, self.ask_pause, self.ticking, self.close_at = 0, 0.0, False, inf
+        self.held, self.ask_pause, self.asked, self.ticking, self.close_at = 0, 0.0, now, False, inf
         self.effects: list[face.Effect] = []
-        self.most_ask_pause = 0.5 if tariff.near_list else 8.0  # one near by costs nothing to ask
         if tariff.must_ask:
             self.timer(now, "ask")
 
@@ -138,8 +137,10 @@
 
     def list_failed(self, now: float) -> None:
         # Doubled from half a second, since a list that turns calls away is short of room; spread by a draw.
-        self.ask_pause = min(self.most_ask_pause, max(0.5, self.ask_pause * 2))
-        self.effects.append(face.Timer(self.ask_pause * (0.75 + 0.5 * self.chance()), "ask"))
+        # One near by costs nothing to ask: asks begin a quarter apart, and at once after a longer silence.
+        self.ask_pause = 0.25 if self.near_list else min(8.0, max(0.5, self.ask_pause * 2))
+        passed = now - self.asked if self.near_list else 0.0
+        self.effects.append(face.Timer(self.ask_pause * (0.75 + 0.5 * self.chance()) - passed, "ask"))
 
     def taken(self, now: float, mail: Mail) -> None:
         kind, line, end = mail.queue_class, self.line(mail.destination), now + mail.left
@@ -151,7 +152,7 @@
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, fades, once, single, terms)
         # What an earlier life of this dispatcher tried counts as if this one had.
         case.connects, case.doubt = mail.connects, 0.0 if mail.ran is None else now - mail.ran
-        self.held += 1
+        self.held += not mail.ended
         for lane in line.lanes.values() if self.many else ():  # what is not free is earned by what comes in
             self.refill(now, lane)
             lane.credit += self.bears(now, lane) / len(line.lanes)
@@ -166,7 +167,9 @@
                 place -= 1
             turns.cases.insert(place, case)
             turns.rest = max(turns.rest, self.owed_elsewhere.get(mail.key, 0.0))
-        if case.connects and not self.may_go(now, case):
+        if mail.ended:  # its key's next waits for its notice
+            case.stage, case.out = Stage.DONE, 1
+        elif case.connects and not self.may_go(now, case):
             self.step(now, case, Step.SPENT)
         elif case.turns:
             self.wake(now, case.turns)
@@ -216,8 +219,9 @@
     def timer(self, now: float, name: str) -> None:
         self.ticking = self.ticking and name != "sweep"
         if name == "ask":
-            # A watch that has gone silent is begun anew within six seconds: a list is seconds old at best.
-            self.effects.append(face.AskList(watch=True, wait=4.0, time_out=6.0))
+            # 6 s after it fell silent, what a watch misses counts as told; a fifth is within a drain's grace.
+            self.asked = now
+            self.effects.append(face.AskList(watch=True, wait=2.0, time_out=0.2))
 
     def withdrawn(self, now: float, mail: Mail) -> None:
         if mail.notes.stage is not Stage.DONE:
@@ -482,9 +486,8 @@
             getattr(self, effect)(now, case)
 
     def queue(self, now: float, case: Case) -> None:
-        case.line.waiting += 1
+        case.line.waiting, case.queued = case.line.waiting + 1, True
         self.busy[case.line] = None
-        case.queued = True
         due = case.doubt + case.mail.queue_class.memory - 0.02
         if case.doubt and due < case.end:  # nobody waits for what may not be sent again
             heapq.heappush(self.ends, (due, next(self.serial), case))
@@ -515,9 +518,8 @@
         # Tagged mails, as long as they are remembered, less the rounding of clocks; once-only, never.
         memory = -inf if case.single else case.mail.queue_class.memory - 0.02
         outside = case.doubt and now > case.doubt + memory
-        spent = case.stage is Stage.DONE or case.connects - case.out >= min(
-            self.most_connects, case.terms.most_connects
-        )
+        most = min(self.most_connects, case.terms.most_connects)
+        spent = case.stage is Stage.DONE or case.connects - case.out >= most
         return not outside and not spent and case.end > now + self.tick
 
     def send(self, now: float) -> None:
@@ -603,9 +605,8 @@
 
     def alone(self, case: Case, lane: Lane) -> bool:
         """Whether a mail that may have run there could go again over no other route."""
-        live = (
-            other for other in case.line.lanes.values() if other.state is State.LIVE and other is not lane
-        )
+        lanes = case.line.lanes.values()
+        live = (other for other in lanes if other.state is State.LIVE and other is not lane)
         return case.mail.queue_class.one_zone and all(other.route.zone != lane.route.zone for other in live)
 
     def dispatch(self, now: float, case: Case, lane: Lane, trial: bool = False) -> bool:
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -55,6 +55,7 @@
         self.by_name: dict[bytes, Letter] = {}
         self.fronts: list[Front] = []
         self.running, self.stopped_at = True, 0.0
+        self.recovered = False  # what the life before owed is held
         self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
         self.handed_down = False  # the listening socket is the platform's, shared with the next process
         self.verbose = False  # whether each mail's steps are logged
@@ -73,19 +74,20 @@
 
     def start(self) -> None:
         self.log.info("starting", owed=len(self.store.owed), torn_bytes=self.store.torn)
-        self.source.start()
         for owed in list(self.store.owed.values()):
             if owed.notice:
                 self.outlet.put(owed.name, owed.notice)
+        self.source.start()
         self.recover()
 
     def recover(self) -> None:
-        """First the notices that are owed: a key's next mail waits for the one before. Then the mails."""
-        if self.stopped_at:
-            return
-        if self.outlet.waiting:
-            self.later(0.01, self.recover)
+        """First the list, since what it had before this start counts as told; then what is owed, and clients.
+
+        Neither a list nor a door for notices that is down keeps clients out: the one is asked for again, the
+        other is sent to again, beside all else."""
+        if self.recovered or self.stopped_at or not self.source.settled:
             return
+        self.recovered = True
         self.revive(list(self.store.owed.values()))
         self.open_door()
         self.adopt()
@@ -105,7 +107,7 @@
             for owed in found:
                 if owed.notice:
                     self.outlet.put(owed.name, owed.notice)
-            self.revive([owed for owed in found if not owed.notice], earlier=True)
+            self.revive(found, earlier=True)
         if self.handed_down:
             self.tell(self.control.elsewhere, self.store.keys_elsewhere())
             clock = self.wall()
@@ -119,12 +121,13 @@
         for owed in found:
             kind = self.book.classes.get(owed.queue_class)
             if kind is None:  # the settings have changed since
-                self.end_by_notice(owed.name, handed_back=False)
+                if not owed.notice:
+                    self.end_by_notice(owed.name, handed_back=False)
                 continue
             starts = [at for at in (owed.ran, owed.out) if at is not None]
             mail = self.book.mail(kind, owed.destination, owed.end - clock, owed.customer, owed.key)
             mail.connects, mail.ran = owed.connects, max(0.0, clock - min(starts)) if starts else None
-            mail.earlier = earlier
+            mail.earlier, mail.ended = earlier, bool(owed.notice)
             self.hold(Letter(owed.name, owed.tag, owed.body, mail))
             self.tell(self.control.taken, mail)
 
@@ -381,11 +384,13 @@
             self.log.info("drained or gone", routes=drained)
         self.carrier.forget()
         self.tell(self.control.news, routes, whole)
+        self.recover()
 
     def list_failed(self, why: str) -> None:
         self.counters["list failures"] += 1
         self.log.warning("list failed", why=why)
         self.tell(self.control.list_failed)
+        self.recover()
 
     # Counters
 
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -79,6 +79,10 @@
 
     def ask(self, asked: face.AskList) -> None: ...
 
+    @property
+    def settled(self) -> bool:
+        """Whether what has been listed up to this start is known, or cannot be had now."""
+
     def close(self) -> None: ...
 
 
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -157,6 +157,7 @@
     notes: Any = None
     terms: Terms | None = None  # None: nothing was set
     earlier: bool = False  # taken over from another process of this dispatcher that has ended
+    ended: bool = False  # in an earlier life; its notice is not answered yet
 
 
 @dataclass(eq=False, slots=True)
@@ -218,7 +219,7 @@
 class AskList:
     watch: bool
     wait: float  # how long the list may hold its answer back until there is news
-    time_out: float  # after which no answer is a failure
+    time_out: float  # after which, past that, no answer is a failure
 
 
 @dataclass(eq=False, slots=True)
--- a/laureldock/sockets/httpline.py
+++ b/laureldock/sockets/httpline.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -45,7 +46,7 @@
         self.reader: Reader | None = None
         self.answers = Answers(most_body)
         self.written = self.closed = False
-        self.used = 0  # calls that it carried
+        self.used = self.came = 0  # calls that it carried, bytes that have come
         self.free: Callable[[HttpLine], None] = lambda line: None
         self.gone: Callable[[HttpLine], None] = lambda line: None
 
@@ -73,6 +74,7 @@
         if self.reader is None:  # nothing was asked: it is for nobody, and would stand before the next answer
             self.drop()
             return
+        self.came += len(data)
         super().dataReceived(data)
         if self.answers.headed and self.reader:
             self.reader.head_read(self.answers.status, self.answers.headers)
@@ -164,6 +166,7 @@
     def __init__(self, reactor: PosixReactorBase, dial: str, most_body: int) -> None:
         self.reactor, self.dial, self.most_body = reactor, dial, most_body
         self.busy = False
+        self.ends, self.came = 0.0, 0  # when an answer that goes on coming is given up; bytes seen of it
         self.line: HttpLine | None = None
         self.opening: Deferred[HttpLine] | None = None
         self.timer: Timer | None = None
@@ -177,9 +180,12 @@
     def head_read(self, status: int, headers: Headers) -> None:
         """The body matters, and is waited for."""
 
-    def begin(self, time_out: float) -> None:
-        self.busy = True
-        self.timer = self.reactor.callLater(time_out, self.fail, End.SILENT.value)
+    def begin(self, time_out: float, silence: float = inf, most: float = 0.0) -> None:
+        """`silence`: after `time_out`, an answer that goes on coming is waited for as long again, each time;
+        `most`: in all."""
+        self.busy, self.ends = True, self.reactor.seconds() + most
+        self.came = self.line.came if self.line else 0
+        self.timer = self.reactor.callLater(time_out, self.waited, silence)
         if self.line and not self.line.closed:
             self.send(self.line)
         else:
@@ -187,6 +193,14 @@
             self.opening = open_line(self.reactor, self.dial, self.most_body, time_out)
             self.opening.addCallbacks(self.opened, self.failed)
 
+    def waited(self, silence: float) -> None:
+        came = self.line.came if self.line else 0
+        if came > self.came and self.reactor.seconds() + silence <= self.ends:
+            self.came = came
+            self.timer = self.reactor.callLater(silence, self.waited, silence)
+        else:
+            self.fail(End.SILENT.value)
+
     def opened(self, line: HttpLine) -> None:
         self.opening, self.line = None, line
         self.send(line)
--- a/laureldock/sources/listed.py
+++ b/laureldock/sources/listed.py
@@ -64,6 +64,8 @@
             if news:
                 self.core.guard(self.core.news, news, False)
 
+    settled = True
+
     def ask(self, asked: face.AskList) -> None:
         """There is nobody to ask."""
 
