--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -1,6 +1,6 @@
 """The list of receivers, crossed by silence, spoilt answers, refused and hanging connections, and moves.
 
-What discovery has counts as told six seconds after a watch fell silent: shown on a clock set by hand, for each
+What discovery has counts as told six seconds after a watch fell silent: on a clock set by hand, for each
 trouble and for all in turn, and over loopback.
 """
 
