What comes before a call is written answers nothing; an answer that has come beats a calling off

Seen: with bytes put into the kernel between the look at a resting connection and the call, a 200 ended the mail as delivered although nothing of it had left, and a 503 or 410 was believed while loseConnection flushed the call behind it: once-only mails could run although they were taken for not run, and went again. With a 200 in the kernel as a call was called off, the mail was bounced or sent again. Forced over loopback by the stand-in peer, the same each time.

Lines at fault: HttpLine.finish read an answer whose call was not written whole and closed by loseConnection, which writes the rest first; dataReceived passed its first line on as true; Errand.stop gave a call up over what lay unread.

Checked and ruled out: half a status line, half a header, a body that never ends, a close or a reset behind each, a reset long after an answer, a connection closed or reset as a call is written, one that comes up after its mail has ended, an answer in the turn of the time-out: each ended as the protocol has it before this.

--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -193,9 +193,13 @@
         line.ask([*self.head, b"Host: " + self.pool.dial.encode()], self.body, self)
 
     def stop(self, end: End) -> None:
-        """Not waited for any more; what was not written whole has not run."""
+        """Not waited for any more; what was not written whole has not run. What has come is read before."""
         if self.over:
             return
+        if self.line and self.line.written and unread(self.line.transport):
+            self.hush()
+            self.timer = self.receivers.core.later(0, self.stop, end)
+            return
         if self.opening:
             self.opening.cancel()
         if self.line:
@@ -223,9 +227,12 @@
     def unanswered(self, end: End) -> None:
         self.finish(end)
 
-    def finish(self, end: End, headers: Headers | None = None) -> None:
+    def hush(self) -> None:
         if self.timer and self.timer.active():
             self.timer.cancel()
+
+    def finish(self, end: End, headers: Headers | None = None) -> None:
+        self.hush()
         if self.over:
             return
         self.over = True
--- a/laureldock/sockets/httpline.py
+++ b/laureldock/sockets/httpline.py
@@ -71,8 +71,10 @@
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.reader is None:  # nothing was asked: it is for nobody, and would stand before the next answer
-            self.drop()
+        if self.reader is None or not self.written:
+            # Nothing was asked, or not whole yet: it is for nobody, and would stand before the next answer.
+            # What was not written whole has not run, and now never will.
+            self.give_up(End.UNREACHED)
             return
         self.came += len(data)
         super().dataReceived(data)
@@ -112,8 +114,8 @@
         reader, self.reader = self.reader, None
         got = self.answers
         status, headers, body = got.status, got.headers, bytes(got.body)
-        # Bytes past the answer, or before the call was written, are not for the next call to read.
-        strays = self._buffer or not self.written or got.closing
+        # Bytes past the answer are not for the next call to read.
+        strays = self._buffer or got.closing
         got.reset()
         if strays:
             self.closed = True
--- /dev/null
+++ b/tests/test_crossing_calls.py
@@ -0,0 +1,199 @@
+"""Calls to receivers, each crossed by an end of its connection: what has not run, and what may have."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from shore import Peer, Shore
+
+from laureldock.core.ends import End
+from laureldock.interface import Connect
+from laureldock.sockets import httpline
+
+OK = b"+OK\r\n"
+SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+FULL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def shore(tmp_path: Path) -> Iterator[Shore]:
+    here = Shore(tmp_path)
+    yield here.ready()
+    here.end()
+
+
+def taken(shore: Shore, name: str, sort: str = "charge", left: int = 9000) -> Peer:
+    peer = shore.client()
+    peer.send(shore.put(name, sort, left=left))
+    shore.until(lambda: peer.pull() == OK)
+    return peer
+
+
+def warm(shore: Shore) -> Peer:
+    """A connection at rest, that has carried a call."""
+    taken(shore, "first", "news")
+    link = shore.serve("first")
+    shore.until(lambda: not shore.core.store.owed and shore.assembly.receivers.pools)
+    return link
+
+
+def ends(shore: Shore) -> dict[str, int]:
+    return {name[7:]: count for name, count in shore.core.counters.items() if name.startswith("ended: ")}
+
+
+def as_it_is_written(monkeypatch: pytest.MonkeyPatch, act: Callable[[], None]) -> None:
+    """Acts once, as the next call is given to its connection: kept ones have been looked at by then."""
+    ask = httpline.HttpLine.ask
+
+    def asking(self: httpline.HttpLine, *args: Any) -> None:
+        monkeypatch.setattr(httpline.HttpLine, "ask", ask)
+        act()
+        ask(self, *args)
+
+    monkeypatch.setattr(httpline.HttpLine, "ask", asking)
+
+
+def sent_whole(monkeypatch: pytest.MonkeyPatch, act: Callable[[], None]) -> None:
+    """Acts once, as the next call's last byte is in the kernel."""
+    written = httpline.HttpLine.all_written
+
+    def writing(self: httpline.HttpLine) -> None:
+        monkeypatch.setattr(httpline.HttpLine, "all_written", written)
+        act()
+        written(self)
+
+    monkeypatch.setattr(httpline.HttpLine, "all_written", writing)
+
+
+@pytest.mark.parametrize(
+    ("begun", "served"),
+    [
+        (b"HTTP/1.1 20", False),
+        (b"HTTP/1.1 200 OK\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf", True),
+        (b"HTTP/1.1 500 No\r\nContent-Le", False),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 500\r\n\r\nhalf", False),
+    ],
+)
+@pytest.mark.parametrize("end", ["close", "reset", "silence"])
+def test_a_begun_answer_and_then_its_end(shore: Shore, begun: bytes, served: bool, end: str) -> None:
+    """A first line of 200 holds, whatever follows it. All else may have run: once-only goes not twice."""
+    taken(shore, "a", left=1200)
+    link = shore.serve("a", begun)
+    if end == "close":
+        link.close()
+    elif end == "reset":
+        shore.spend(0.05)
+        link.reset()
+    shore.until(lambda: not shore.core.store.owed)
+    assert shore.core.counters["relayed"] == served
+    told = [] if served else ['{"message":"a","outcome":"given_up"}']
+    assert shore.platform.notices == told
+    assert len(shore.receiver.peers) == 1
+
+
+def test_a_reset_long_after_its_answer_says_nothing_of_the_mail(shore: Shore) -> None:
+    link = warm(shore)
+    shore.spend(0.3)
+    link.reset()
+    shore.spend(0.1)
+    taken(shore, "a")
+    shore.serve("a")
+    shore.until(lambda: not shore.core.store.owed)
+    assert ends(shore) == {"200": 2} and not shore.platform.notices
+
+
+@pytest.mark.parametrize("stray", [SERVED, FULL, b"HTTP/1.1 410 Gone\r\n\r\n", b"\r\n"])
+def test_bytes_that_come_before_the_call_is_written_answer_nothing(
+    shore: Shore, monkeypatch: pytest.MonkeyPatch, stray: bytes
+) -> None:
+    """They come between the look at the resting connection and the call. A 200 ended the mail unsent, and a
+    503 had it sent a second time, while the first call went out with the close."""
+    link = warm(shore)
+    as_it_is_written(monkeypatch, lambda: link.send(stray))
+    taken(shore, "a")
+    shore.until(lambda: len(shore.receiver.peers) == 2)
+    shore.serve("a")
+    shore.until(lambda: not shore.core.store.owed)
+    assert shore.calls().count("a") == 1  # nothing of it went out on the first
+    assert ends(shore) == {"200": 2, End.UNREACHED.value: 1}
+
+
+@pytest.mark.parametrize("how", [Peer.close, Peer.reset])
+def test_a_resting_connection_closed_as_a_call_is_written(
+    shore: Shore, monkeypatch: pytest.MonkeyPatch, how: Callable[[Peer], None]
+) -> None:
+    """Before its first byte is in the kernel it has not run, and goes again at once."""
+    link = warm(shore)
+    as_it_is_written(monkeypatch, lambda: how(link))
+    taken(shore, "a")
+    shore.until(lambda: len(shore.receiver.peers) == 2)
+    shore.serve("a")
+    shore.until(lambda: not shore.core.store.owed)
+    assert ends(shore) == {"200": 2, End.UNREACHED.value: 1} and not shore.platform.notices
+
+
+def test_a_connection_reset_as_the_last_byte_has_left_may_have_run(
+    shore: Shore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    link = warm(shore)
+    sent_whole(monkeypatch, link.reset)
+    taken(shore, "a")
+    shore.until(lambda: shore.platform.notices)
+    assert shore.platform.notices == ['{"message":"a","outcome":"given_up"}']
+    assert ends(shore) == {"200": 1, End.BROKEN.value: 1} and len(shore.receiver.peers) == 1
+
+
+def test_a_connection_that_comes_up_after_its_mail_has_ended_carries_nothing(
+    shore: Shore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Up and not yet spoken on, as its mail's time is over."""
+    errands: list[Any] = []
+    monkeypatch.setattr(
+        "laureldock.carriers.http.Errand.go", lambda errand, line: errands.append((errand, line))
+    )
+    taken(shore, "a", left=1600)
+    shore.until(lambda: errands)
+    monkeypatch.undo()
+    shore.until(lambda: shore.platform.notices)
+    errand, line = errands[0]
+    errand.go(line)
+    shore.spend(0.2)
+    assert shore.calls() == [] and shore.platform.notices[0].endswith('"handed_back"}')
+    assert shore.assembly.receivers.out == 0
+
+
+def test_an_answer_that_lies_in_the_kernel_in_the_turn_of_the_time_out(shore: Shore) -> None:
+    taken(shore, "a", "stamp", left=900)
+    link = shore.call("a")
+    link.send(SERVED)
+    time.sleep(1.2)  # a stall of the process, past the time-out and the mail's lifetime
+    shore.until(lambda: not shore.core.store.owed)
+    assert ends(shore) == {"200": 1} and not shore.platform.notices
+
+
+def test_an_answer_that_comes_as_its_call_is_called_off(shore: Shore) -> None:
+    """Read before the decision was carried out, it is the end of the mail."""
+    taken(shore, "a", "charge")
+    link = shore.call("a")
+    connect: Connect = next(iter(shore.assembly.receivers.errands))
+    link.send(SERVED)
+    shore.assembly.receivers.cancel(connect)
+    shore.until(lambda: not shore.core.store.owed)
+    assert ends(shore) == {"200": 1} and not shore.platform.notices
+
+
+def test_a_call_called_off_with_half_an_answer_come_is_not_waited_for_without_end(shore: Shore) -> None:
+    taken(shore, "a", "charge")
+    link = shore.call("a")
+    connect: Connect = next(iter(shore.assembly.receivers.errands))
+    link.send(b"HTTP/1.1 20")
+    shore.assembly.receivers.cancel(connect)
+    shore.until(lambda: not shore.core.store.owed, most=1.0)
+    assert ends(shore) == {End.CALLED_OFF.value: 1}
+    assert shore.platform.notices == ['{"message":"a","outcome":"given_up"}']
