Signals in the first moments of a process end it no more; kills between all steps of a mail tested

Seen: a process that got SIGHUP or SIGUSR1 before its handlers stood, up to half a second after its start, was ended by it; one that got SIGHUP while it read its configuration kept the older text. A platform that tells a new configuration while it restarts dispatchers meets both.

Lines at fault: serve set its handlers last, after imports, reading and the store's recovery; run in deploy/balancer.toml left what comes before the interpreter's first line to the defaults.

Checked and ruled out, over loopback, with kills forced between each pair of: store written, attempt noted, last byte out, answer read, +OK written, end noted, notice noted, notice sent, notice answered, for mails of each effect: one end each, once-only goes once, keys are free after. A notice unanswered at the kill, one whose answer is cut, a stop before the list has answered, a second SIGTERM, twenty untried mails found after a kill, 800 owed mails with nobody at the list or for notices.

--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -54,6 +54,10 @@
         origin = "environment" if source is click.core.ParameterSource.ENVIRONMENT else "flag"
         named = f"LAURELDOCK_{name.upper()}" if origin == "environment" else f"--{name.replace('_', '-')}"
         overrides += overrides_of({name: value}, f"{origin} {named}")
+    # Until the handlers stand, SIGHUP would end the process; what it tells meanwhile is read once it runs.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     doubts: list[str] = []
     try:
         if file is None:
@@ -119,6 +123,9 @@
 
     reread = Reread(reactor, fresh, take_over)
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(assembly.core.log_counters))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reread.ask if file else retold))
+    read_again = reread.ask if file else retold
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(read_again))
+    if early:
+        reactor.callWhenRunning(read_again)
     reactor.run()
     sys.exit(f"Error: {ended[0]}" if ended else 0)
--- a/tests/shore.py
+++ b/tests/shore.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -30,8 +31,9 @@
         link.setblocking(False)
 
     def send(self, data: bytes) -> None:
-        self.link.setblocking(True)
-        self.link.sendall(data)
+        with contextlib.suppress(ConnectionError):  # the other side is gone, and the next `pull` says so
+            self.link.setblocking(True)
+            self.link.sendall(data)
         self.link.setblocking(False)
 
     def pull(self) -> bytes:
@@ -68,7 +70,7 @@
         while True:
             try:
                 self.peers.append(Peer(self.door.accept()[0]))
-            except BlockingIOError:
+            except OSError:  # nobody there, or no door
                 return
 
     def close(self) -> None:
@@ -178,6 +180,10 @@
         self.until(lambda: self.core.ready)
         return self
 
+    def settle(self) -> None:
+        """As if the door had opened long ago: what is read from here on has not been refused before."""
+        self.reactor.opened -= 10
+
     def kill(self) -> None:
         """The process is gone: its sockets are reset and closed, its folder is unlocked, nothing is told."""
         for selectable in self.reactor.removeAll():
@@ -200,7 +206,11 @@
     def step(self, wait: float = 0.0) -> None:
         self.platform.work()
         self.receiver.accept()
-        self.reactor.iterate(wait)
+        try:
+            self.reactor.iterate(wait)
+        except ValueError:  # killed in that very step
+            if self.begun:
+                raise
         self.platform.work()
         self.receiver.accept()
 
--- /dev/null
+++ b/tests/test_crossing_exit.py
@@ -0,0 +1,340 @@
+"""Ends and starts of the process, each crossed by something that is still owed.
+
+A kill falls between each pair of a mail's steps; the next life has the folder that the one before left.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+from collections.abc import Callable, Iterator
+from http.server import ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+from shore import Peer, Shore
+from test_process import Process
+from test_process import platform as platform  # a fixture
+
+from laureldock.carriers.http import Errand
+from laureldock.fronts.resp import Client
+from laureldock.outlets.platform import Notices
+from laureldock.sockets.httpline import HttpLine
+from laureldock.stores.spool import Spool
+
+OK = b"+OK\r\n"
+SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+ERROR = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def shore(tmp_path: Path) -> Iterator[Shore]:
+    here = Shore(tmp_path)
+    yield here
+    here.end()
+
+
+# Each step of a mail by the call that takes it, and when a call is that step.
+STEPS: dict[str, tuple[type, str, Callable[..., bool]]] = {
+    "store written": (Spool, "take", lambda *_: True),
+    "attempt noted": (Spool, "out", lambda *_: True),
+    "last byte out": (HttpLine, "all_written", lambda line: isinstance(line.reader, Errand)),
+    "answer read": (Errand, "finish", lambda *_: False),
+    "+OK written": (Client, "answered", lambda client: client.pending is not None),
+    "end noted": (Spool, "over", lambda *_: True),
+    "notice noted": (Spool, "notice", lambda *_: True),
+    "notice sent": (Notices, "written_out", lambda *_: True),
+    "notice answered": (Notices, "answered", lambda *_: False),
+}
+
+
+class Death:
+    """Kills the dispatcher once, right after a step: of what was read, before what that leads to."""
+
+    def __init__(self, shore: Shore, monkeypatch: pytest.MonkeyPatch, step: str) -> None:
+        self.came = False
+        owner, name, due = STEPS[step]
+        call = getattr(owner, name)
+
+        def stepped(this: Any, *args: Any, **kwargs: Any) -> Any:
+            if self.came:  # the process is gone: whatever was still to be done is not
+                return None
+            before = step in ("answer read", "notice answered")
+            came = before or due(this, *args)
+            done = None if before else call(this, *args, **kwargs)
+            if came:
+                self.came = True
+                shore.kill()
+            return done
+
+        monkeypatch.setattr(owner, name, stepped)
+        self.restore = monkeypatch.undo
+
+
+def play(shore: Shore, death: Death, peer: Peer, name: str, answer: bytes) -> bool:
+    """The receiver answers each call that comes to it, until the kill; whether the client was told `+OK`."""
+    answered: set[Peer] = set()
+    end = time.monotonic() + 8
+    while not death.came:
+        assert time.monotonic() < end, shore.core.counters
+        shore.step(0.002)
+        answer_calls(shore, answered, answer)
+    death.restore()
+    shore.platform.work()
+    return peer.pull() == OK
+
+
+def answer_calls(shore: Shore, answered: set[Peer], answer: bytes) -> None:
+    for link in shore.receiver.peers:
+        if link not in answered and link.link.fileno() >= 0 and b"\r\n\r\nhello" in link.pull():
+            answered.add(link)
+            if not link.ended:
+                link.send(answer)
+
+
+@pytest.mark.parametrize("sort", ["news", "order", "charge"])
+@pytest.mark.parametrize("step", STEPS)
+def test_a_kill_right_after_a_step_of_a_mail(
+    shore: Shore, monkeypatch: pytest.MonkeyPatch, step: str, sort: str
+) -> None:
+    """What was answered +OK has one end; once-only goes out once, whatever its answer was."""
+    answer = ERROR if "notice" in step else SERVED
+    shore.ready()
+    shore.settle()
+    peer = shore.client()
+    death = Death(shore, monkeypatch, step)
+    peer.send(shore.put("a", sort, key="k", left=1500))
+    told = play(shore, death, peer, "a", answer)
+    before = shore.calls().count("a")
+    shore.ready()
+    answered: set[Peer] = set()
+    end = time.monotonic() + 6
+    while shore.core.store.owed or shore.core.outlet.waiting:
+        assert time.monotonic() < end, (shore.core.counters, shore.core.store.owed)
+        answer_calls(shore, answered, answer)
+        shore.step(0.002)
+    calls, notices = shore.calls().count("a"), [json.loads(line) for line in shore.platform.notices]
+    assert {notice["message"] for notice in notices} <= {"a"}
+    if sort == "charge":
+        assert calls <= 1
+        if step in ("attempt noted", "last byte out", "answer read"):  # it may have run: no second time
+            assert calls == before and [each["outcome"] for each in notices] == ["given_up"]
+    if told:
+        assert notices or (answer == SERVED and calls)
+    if answer == SERVED and sort != "charge":
+        assert calls and not notices
+    if step in ("store written", "+OK written"):  # untried then, and tried
+        assert calls
+    assert not shore.core.control.keys  # the key is free for the next
+
+
+def test_a_notice_unanswered_at_the_kill_is_sent_again_and_clients_come_meanwhile(shore: Shore) -> None:
+    shore.ready()
+    shore.settle()
+    shore.platform.takes_notices = False
+    shore.receiver.door.close()
+    peer = shore.client()
+    peer.send(shore.put("a", left=300))
+    shore.until(lambda: peer.pull() == OK and shore.core.outlet.waiting)
+    shore.kill()
+    shore.ready()  # nobody answers notices
+    other = shore.client()
+    other.send(b"PING\r\n")
+    shore.until(lambda: other.pull() == b"+PONG\r\n")
+    shore.platform.takes_notices = True
+    shore.until(lambda: not shore.core.store.owed)
+    assert [json.loads(line)["message"] for line in shore.platform.notices] == ["a"]
+
+
+def test_a_notice_whose_answer_is_cut_is_sent_again_and_ends_once(shore: Shore) -> None:
+    shore.ready()
+    shore.settle()
+    shore.platform.takes_notices = False
+    shore.receiver.door.close()
+    peer = shore.client()
+    peer.send(shore.put("a", left=300))
+    posts: list[Peer] = []
+
+    def posted() -> bool:
+        posts[:] = [each for each in shore.platform.peers if b"POST /v1/notices" in each.got]
+        return bool(posts)
+
+    shore.until(posted)
+    posts[0].send(b"HTTP/1.1 204 No Con")
+    posts[0].reset()
+    shore.platform.takes_notices = True
+    shore.until(lambda: not shore.core.store.owed and not shore.core.outlet.waiting)
+    assert [json.loads(line)["message"] for line in shore.platform.notices] == ["a"]
+
+
+def test_a_stop_before_the_list_has_answered_opens_no_door_and_keeps_what_is_owed(shore: Shore) -> None:
+    shore.ready()
+    peer = shore.client()
+    peer.send(shore.put("a", "charge", left=9000))
+    shore.until(lambda: peer.pull() == OK)
+    shore.call("a")
+    shore.kill()
+    shore.platform.lists = False
+    shore.begin()
+    over: list[bool] = []
+    shore.core.stop(lambda: over.append(True))
+    shore.until(lambda: over, most=4.0)
+    assert not shore.core.ready and list(shore.core.store.owed) == [b"a"]
+    shore.kill()
+    shore.platform.lists = True
+    shore.ready()
+    shore.until(lambda: not shore.core.store.owed)
+    assert [json.loads(line)["outcome"] for line in shore.platform.notices] == ["given_up"]
+
+
+def test_untried_mails_of_the_life_before_are_tried_at_once(shore: Shore) -> None:
+    shore.ready()
+    shore.settle()
+    shore.receiver.door.listen(0)
+    peer = shore.client()
+    names = [f"m{number}" for number in range(20)]
+    for name in names:
+        peer.got = b""
+        peer.send(shore.put(name, "charge", left=6000))
+        shore.until(lambda: peer.pull() == OK)
+    untried = [mail.name.decode() for mail in shore.core.store.owed.values() if mail.out is None]
+    assert len(untried) > 8
+    shore.kill()
+    began, answered = time.monotonic(), set[Peer]()
+    for link in shore.receiver.peers:
+        link.close()
+    shore.ready()
+    while shore.core.store.owed:
+        assert time.monotonic() - began < 3.0, shore.core.counters  # half of their time
+        answer_calls(shore, answered, SERVED)
+        for link in list(answered):  # further calls on kept connections
+            link.pull()
+            if link.got.count(b"\r\n\r\nhello") > 1:
+                link.got = link.got.replace(b"\r\n\r\nhello", b"", 1)
+                answered.discard(link)
+        shore.step(0.002)
+    ended = {json.loads(line)["message"] for line in shore.platform.notices}
+    assert not ended & set(untried)
+
+
+def test_a_full_store_with_nobody_at_the_list_nor_for_notices_takes_clients_soon(shore: Shore) -> None:
+    shore.ready()
+    for number in range(2000):
+        name = b"n%d" % number
+        took = shore.core.store.take(owed(name))
+        shore.core.store.notice(name, b'{"message":"x"}\n') if took and number % 2 else None
+    many = len(shore.core.store.owed)
+    assert many > 700
+    shore.kill()
+    shore.platform.lists = shore.platform.takes_notices = False
+    began = time.monotonic()
+    shore.begin()
+    shore.until(lambda: shore.core.ready, most=10.0)
+    assert time.monotonic() - began < 5.0
+    assert len(shore.core.letters) == many
+    peer = shore.client()
+    peer.send(b"PING\r\n")
+    shore.until(lambda: peer.pull() == b"+PONG\r\n")
+
+
+def owed(name: bytes) -> Any:
+    from laureldock.core.letters import Owed
+
+    return Owed(name, "k" + name.decode()[-2:], "order", "", b"t" + name, 7, time.time() + 60, b"x" * 40)
+
+
+def launched(process: Process, run: str) -> subprocess.Popen[bytes]:
+    process.child.kill()
+    process.child.wait(10)
+    process.child = subprocess.Popen(["/bin/sh", "-c", run], env=process.environ, stdout=subprocess.PIPE)
+    return process.child
+
+
+@pytest.mark.parametrize("first", [signal.SIGHUP, signal.SIGUSR1])
+def test_a_signal_in_the_first_moments_of_a_process_does_not_end_it(
+    tmp_path: Path, platform: ThreadingHTTPServer, first: signal.Signals
+) -> None:
+    """As the platform runs it. Until its handlers stood, SIGHUP ended a process that was starting."""
+    deployed = tomllib.loads((Path(__file__).parents[1] / "deploy" / "balancer.toml").read_text())["run"]
+    process = Process(tmp_path, platform)
+    try:
+        child = launched(process, deployed.replace(".venv/bin/python", sys.executable))
+        time.sleep(0.02)  # the shell has begun
+        for _ in range(40):
+            time.sleep(0.01)
+            child.send_signal(first)
+        end = time.monotonic() + 10
+        while process.ask(b"PING\r\n") != b"+PONG\r\n":
+            assert child.poll() is None and time.monotonic() < end
+            time.sleep(0.02)
+    finally:
+        process.child.kill()
+        process.child.wait(10)
+
+
+def test_sighup_while_the_configuration_is_first_read_has_it_read_again(
+    tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    """The file is a pipe, which is read just when the test writes it."""
+    process = Process(tmp_path, platform)
+    config = tmp_path / "config.json"
+    text = config.read_text()
+    config.unlink()
+    os.mkfifo(config)
+    try:
+        child = launched(process, f"exec {sys.executable} -m laureldock serve")
+        with config.open("w") as file:  # opens once the process has opened it
+            child.send_signal(signal.SIGHUP)
+            time.sleep(0.1)
+            file.write(text)
+        time.sleep(0.2)
+        with Timed(10), config.open("w") as file:
+            file.write(text)
+        end = time.monotonic() + 10
+        while b"configurations_read:1" not in process.ask(b"INFO\r\n"):
+            assert child.poll() is None and time.monotonic() < end
+            time.sleep(0.02)
+    finally:
+        process.child.kill()
+        process.child.wait(10)
+
+
+class Timed:
+    """Ends what blocks for too long, in the main thread."""
+
+    def __init__(self, seconds: int) -> None:
+        self.seconds = seconds
+
+    def __enter__(self) -> None:
+        signal.signal(signal.SIGALRM, self.over)
+        signal.alarm(self.seconds)
+
+    def __exit__(self, *_: object) -> None:
+        signal.alarm(0)
+
+    @staticmethod
+    def over(*_: object) -> None:
+        raise TimeoutError("nobody reads it")
+
+
+def test_a_second_sigterm_during_a_stop_changes_nothing(
+    tmp_path: Path, platform: ThreadingHTTPServer
+) -> None:
+    process = Process(tmp_path, platform)
+    try:
+        with process.open() as link:
+            assert process.put("m1", "news", "quick", link) == OK
+            process.child.send_signal(signal.SIGTERM)
+            time.sleep(0.2)
+            process.child.send_signal(signal.SIGTERM)
+            assert process.put("m2", "news", "quick", link) == OK
+        assert process.child.wait(10) == 0
+    finally:
+        process.child.kill()
+        process.child.wait(10)
