A 200 that comes as its mail's lifetime ends is no delivery; one whose head stops short is at once

Ruled out: withdrawals, clients gone with their answers unsent, a name handed in once more, late notices (all 1 to 3 ms after the lifetime), 410, answers cut in their first line, notices not taken.

Lines at fault: Dispatcher.ended ended a mail by any 200, whenever it came.

Change: a 200 within ten milliseconds of the lifetime's end, or later, is End.TOO_LATE: it speaks for its route, and the mail ends by a notice, as its effect allows.

--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -207,7 +207,7 @@
         else:
             self.finish(End.UNREACHED)
 
-    def head_read(self, status: int, headers: Headers) -> None:
+    def begun(self, status: int, headers: Headers) -> None:
         """A first line of 200 is true whatever follows: the rest is read for the connection's sake alone."""
         if status == 200 and not self.over and self.line:
             self.finish(End.DELIVERED, headers)
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -5,13 +5,14 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import structlog
 
 from laureldock import interface as face
 from laureldock.control import Control
-from laureldock.core.ends import End
+from laureldock.core.ends import OUTCOMES, End
 from laureldock.core.letters import TAKEN, Answer, Letter, Owed, Waiter, Word, notice_of
 from laureldock.core.seams import Carrier, Clock, Front, NotAMailError, Outlet, Source, Store, Timer
 from laureldock.tariff import Book, Entry
@@ -23,6 +24,9 @@
 # for which calls under way are let through.
 ADOPT_EVERY = 0.05
 
+# A mail's lifetime ends sooner by its client's clock than by ours: by the way here, and what timers round.
+ROUNDING = 0.01
+
 # Of queue classes counted apart: those of the settings and some that clients name wrongly.
 MOST_CLASSES = 256
 
@@ -128,7 +132,7 @@
             mail = self.book.mail(kind, owed.destination, owed.end - clock, owed.customer, owed.key)
             mail.connects, mail.ran = owed.connects, max(0.0, clock - min(starts)) if starts else None
             mail.earlier, mail.ended = earlier, bool(owed.notice)
-            self.hold(Letter(owed.name, owed.tag, owed.body, mail))
+            self.hold(Letter(owed.name, owed.tag, owed.body, mail, self.now() + mail.left))
             self.tell(self.control.taken, mail)
 
     def open_door(self) -> None:
@@ -258,7 +262,7 @@
             self.count(owed.queue_class, "deferred")
             return Answer(Word.BUSY)
         mail = self.book.mail(kind, owed.destination, left, owed.customer, owed.key)
-        letter = Letter(owed.name, owed.tag, owed.body, mail, waiter)
+        letter = Letter(owed.name, owed.tag, owed.body, mail, self.now() + left, waiter)
         self.hold(letter)
         self.fresh.append(letter)
         self.counters["taken"] += 1
@@ -350,6 +354,10 @@
         self.count_of(letter, "sent")
 
     def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
+        if end is End.DELIVERED and self.now() > letter.end - ROUNDING:
+            end = End.TOO_LATE
+            ending, finished = OUTCOMES[end]
+            outcome = replace(outcome, ending=ending, finished=finished)
         self.counters[f"ended: {end.value}"] += 1
         if self.verbose:
             self.step(
--- a/laureldock/core/ends.py
+++ b/laureldock/core/ends.py
@@ -9,6 +9,7 @@
 
 class End(Enum):
     DELIVERED = "200"
+    TOO_LATE = "200, after the mail's lifetime"
     FAULT = "500"
     TOLD_TO_WAIT = "429"
     TURNED_AWAY = "503"
@@ -27,6 +28,7 @@
 # What each means to the decisions, and whether the mail is over by it.
 OUTCOMES: dict[End, tuple[Ending, bool]] = {
     End.DELIVERED: (Ending.SERVED, True),
+    End.TOO_LATE: (Ending.SERVED, False),  # it ran, and its client no longer counts it: an end is still owed
     End.FAULT: (Ending.ERROR, False),
     End.TOLD_TO_WAIT: (Ending.FULL, False),
     End.TURNED_AWAY: (Ending.FULL, False),
--- a/laureldock/core/letters.py
+++ b/laureldock/core/letters.py
@@ -60,6 +60,7 @@
     tag: bytes
     body: bytes
     mail: face.Mail
+    end: float  # of its lifetime, by the clock of the process
     waiter: Waiter | None = None  # has not been told yet that it is taken on
     refusal: Answer | None = None
     noted: face.Connect | None = None  # the last connect that the store says is out
--- a/laureldock/sockets/httpline.py
+++ b/laureldock/sockets/httpline.py
@@ -30,8 +30,8 @@
     def written_out(self) -> None:
         """Told when the call's last byte has left."""
 
-    def head_read(self, status: int, headers: Headers) -> None:
-        """Told besides, of an answer whose body is not whole yet."""
+    def begun(self, status: int, headers: Headers) -> None:
+        """Told besides, of an answer that is not whole yet, with such headers as have come."""
 
 
 class HttpLine(LineReceiver):
@@ -78,8 +78,8 @@
             return
         self.came += len(data)
         super().dataReceived(data)
-        if self.answers.headed and self.reader:
-            self.reader.head_read(self.answers.status, self.answers.headers)
+        if self.reader and self.answers.status >= 200:
+            self.reader.begun(self.answers.status, self.answers.headers)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if self.reader is None or self.closed:
@@ -179,7 +179,7 @@
     def fail(self, why: str) -> None:
         raise NotImplementedError
 
-    def head_read(self, status: int, headers: Headers) -> None:
+    def begun(self, status: int, headers: Headers) -> None:
         """The body matters, and is waited for."""
 
     def begin(self, time_out: float, silence: float = inf, most: float = 0.0) -> None:
