--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -289,6 +289,10 @@
     def full(self, full: bool) -> None:
         self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
 
+    def short(self) -> None:
+        self.counters["out of descriptors"] += 1
+        self.log.warning("out of descriptors", so_far=self.counters["out of descriptors"])
+
     def malformed(self, why: str) -> None:
         self.counters["malformed requests"] += 1
         self.log.warning("malformed request", why=why, so_far=self.counters["malformed requests"])
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -168,6 +168,9 @@
     def full(self, full: bool) -> None:
         """Clients wait to be accepted, or no longer."""
 
+    def short(self) -> None:
+        """The process is out of descriptors before the limit on clients is reached."""
+
     def figures(self) -> dict[str, int]: ...
 
 
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -426,18 +426,23 @@
         if self.looking:
             self.core.later(LOOK, self.look)
 
-    def make_room(self) -> None:
+    def crowded(self, most: int) -> None:
+        """The process is out of descriptors, whatever its limit says: so many give way."""
+        self.core.short()
+        self.make_room(most)
+
+    def make_room(self, short: int = 0) -> None:
         """Those between requests give way, the longest idle first, so that clients find connections to open.
 
         At the limit also those that have said nothing; where there is nobody, the next ones wait unaccepted.
         """
-        if len(self.clients) <= self.most_idle:
+        if len(self.clients) <= self.most_idle and not short:
             return  # as on most days: nobody need be looked at
         now, full = self.core.now(), len(self.clients) >= self.most
         staying = [client for client in self.clients if not client.leaving]
         idle = [client for client in staying if client.resting]
         answered = [client for client in idle if client.asked]
-        over = len(answered) - self.most_idle
+        over = max(short, len(answered) - self.most_idle)
         if full:
             over = max(over, len(staying) + 1 - self.most)
             answered += [client for client in idle if not client.asked and client.since <= now - QUIET]
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import time
 from collections.abc import Callable
@@ -14,12 +15,44 @@
 T = TypeVar("T")
 
 
+# Accepted at a look; descriptors that clients cannot take: for the list, notices, the store, receivers.
+ACCEPTS, KEPT = 4, 8
+
+
+def spare(descriptors: int) -> bool:
+    """Whether the process may hold so many more."""
+    held: list[int] = []
+    try:
+        for _ in range(descriptors):
+            held.append(os.dup(2))
+    except OSError:
+        return False
+    finally:
+        for each in held:
+            os.close(each)
+    return True
+
+
 class Door(Port):
-    """Accepts a few at each look; the reactor's own takes a hundred and more, past any limit of sockets."""
+    """Accepts a few at each look; the reactor's own takes a hundred and more, past any limit of sockets.
+
+    Out of descriptors, the reactor's own closes who comes, whatever they have asked. Here they wait, those
+    who rest give way, and the next look is a moment later.
+    """
 
     def doRead(self) -> None:  # noqa: N802
-        self.numberAccepts = 4
-        super().doRead()
+        if spare(ACCEPTS + KEPT):
+            self.numberAccepts = ACCEPTS
+            super().doRead()
+            return
+        self.stopReading()
+        self.reactor.callLater(0.1, self.look_again)
+        if crowded := getattr(self.factory, "crowded", None):
+            crowded(ACCEPTS)
+
+    def look_again(self) -> None:
+        if self.connected and not getattr(self.factory, "full", False):
+            self.startReading()
 
     def accept_some(self) -> bool:
         """A few of those that wait; whether there was one."""
