A wall clock set back between two lives makes no old attempt fresh; asks of a fleet spread; restarts tested

Seen: with the wall clock five seconds back at the next start, a tagged mail whose attempt was 0.3 s old counted as sent just now, and would have gone again for a whole window, whatever its age. All asks after silent watches went out at once.

Lines at fault: Dispatcher.revive took a negative age for nought; Control.list_failed asked without a draw once the pause had passed. The dispatcher bound time.time when it was imported, so that the tests' clock never reached it.

Change: a negative age counts as long ago. A silent watch is followed by an ask within a tenth of a second, drawn; the time for a slow answer is 0.7 s, so that the sum stays under six.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -136,11 +136,11 @@
             self.keep = 0.1
 
     def list_failed(self, now: float) -> None:
-        # Doubled from half a second, since a list that turns calls away is short of room; spread by a draw.
-        # One near by costs nothing to ask: asks begin a quarter apart, and at once after a longer silence.
+        # Doubled from half a second; one near by costs nothing: a quarter apart, soon after a longer silence.
         self.ask_pause = 0.25 if self.near_list else min(8.0, max(0.5, self.ask_pause * 2))
-        passed = now - self.asked if self.near_list else 0.0
-        self.effects.append(face.Timer(self.ask_pause * (0.75 + 0.5 * self.chance()) - passed, "ask"))
+        draw, passed = self.chance(), now - self.asked if self.near_list else 0.0
+        pause = max(0.1 * draw, self.ask_pause * (0.75 + 0.5 * draw) - passed)  # a fleet does not ask as one
+        self.effects.append(face.Timer(pause, "ask"))
 
     def taken(self, now: float, mail: Mail) -> None:
         kind, line, end = mail.queue_class, self.line(mail.destination), now + mail.left
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -24,6 +24,8 @@
 # for which calls under way are let through.
 ADOPT_EVERY = 0.05
 
+LONG_AGO = 1e9  # seconds
+
 # A mail's lifetime ends sooner by its client's clock than by ours: by the way here, and what timers round.
 ROUNDING = 0.01
 
@@ -47,10 +49,10 @@
         store: Store,
         clock: Clock,
         ended_for: Callable[[str], None],
-        wall: Callable[[], float] = time.time,
+        wall: Callable[[], float] | None = None,
     ) -> None:
         self.name, self.book, self.store, self.clock = name, book, store, clock
-        self.ended_for, self.wall = ended_for, wall
+        self.ended_for, self.wall = ended_for, wall or time.time
         self.log = structlog.get_logger().bind(dispatcher=name)
         self.counters: Counter[str] = Counter()
         self.by_class: dict[str, Counter[str]] = {}  # of each queue class: relayed, deferred, bounced, sent
@@ -130,7 +132,9 @@
                 continue
             starts = [at for at in (owed.ran, owed.out) if at is not None]
             mail = self.book.mail(kind, owed.destination, owed.end - clock, owed.customer, owed.key)
-            mail.connects, mail.ran = owed.connects, max(0.0, clock - min(starts)) if starts else None
+            ran = clock - min(starts) if starts else None
+            # A wall clock that was set back meanwhile tells nothing of how long ago it was: no tag is known.
+            mail.connects, mail.ran = owed.connects, LONG_AGO if ran is not None and ran < 0 else ran
             mail.earlier, mail.ended = earlier, bool(owed.notice)
             self.hold(Letter(owed.name, owed.tag, owed.body, mail, self.now() + mail.left))
             self.tell(self.control.taken, mail)
--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -17,10 +17,10 @@
 
 LISTED = {"Ready": Listed.UP, "Terminating": Listed.DRAINING, "Gone": Listed.REMOVED}
 MOST_BODY = 1 << 22  # some ten thousand entries, and far from the memory allowed
-# How long an answer may come in pieces. Of the six seconds after which a change counts as told, 2.2 show
-# a silent watch, and 1.5 go for an ask each that is refused, hangs, is silent, cut short, spoilt or an
+# How long an answer may come in pieces. Of the six seconds after which a change counts as told, 2.3 show
+# a silent watch, and 1.9 go for an ask each that is refused, hangs, is silent, cut short, spoilt or an
 # error; the rest must do for an answer that is spoilt without end and a slow one behind it.
-SLOW = 1.0
+SLOW = 0.7
 
 
 def read(news: Any) -> tuple[int, bool, list[tuple[Entry, str]]]:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -66,6 +66,12 @@
 class Process:
     def __init__(
         self, folder: Path, platform: ThreadingHTTPServer, more: dict[str, str] | None = None
+    ) -> None:
+        self.prepare(folder, platform, more)
+        self.start()
+
+    def prepare(
+        self, folder: Path, platform: ThreadingHTTPServer, more: dict[str, str] | None = None
     ) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
@@ -83,11 +89,13 @@
             "LB_STATE": str(folder / "state"),
             **(more or {}),
         }
-        self.start()
 
-    def start(self) -> None:
+    def launch(self) -> None:
         command = [sys.executable, "-m", "laureldock", "serve"]
         self.child = subprocess.Popen(command, env=self.environ, stdout=subprocess.PIPE)
+
+    def start(self) -> None:
+        self.launch()
         until(lambda: self.ask(b"PING\r\n") == b"+PONG\r\n")
 
     def open(self) -> socket.socket:
