--- a/tests/test_crossing_exit.py
+++ b/tests/test_crossing_exit.py
@@ -441,3 +441,24 @@
             if child := getattr(process, "child", None):
                 child.kill()
                 child.wait(10)
+
+
+def test_a_notice_unanswered_at_a_planned_stop_is_kept_for_the_next_life(shore: Shore) -> None:
+    shore.ready()
+    shore.settle()
+    shore.platform.takes_notices = False
+    shore.receiver.door.close()
+    peer = shore.client()
+    peer.send(shore.put("a", "order", key="k", left=300))
+    shore.until(lambda: peer.pull() == OK and shore.core.outlet.waiting)
+    over: list[float] = []
+    began = time.monotonic()
+    shore.core.stop(lambda: over.append(time.monotonic() - began))
+    shore.until(lambda: over, most=4.0)
+    assert over[0] < 3.7 and list(shore.core.store.owed) == [b"a"]
+    shore.kill()
+    shore.platform.takes_notices = True
+    shore.ready()
+    shore.until(lambda: not shore.core.store.owed)
+    assert [json.loads(line)["message"] for line in shore.platform.notices] == ["a"]
+    assert not shore.core.control.keys
