Names: what is sent once for a mail is an attempt; a connect is a TCP connect

Attempt, attempts, most_attempts in place of Connect, connects, most_connects where no TCP connect is meant. What users type and read stays: the keys 'connects', the counters, log events and the lines of 'laureldock spool'.

--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -32,11 +32,11 @@
 
 @dataclass(eq=False, slots=True)
 class Held:
-    """A mail at the door: its id, its connects by number, which of them are out, if an answer is owed."""
+    """A mail at the door: its id, its attempts by number, which of them are out, if an answer is owed."""
 
     op_id: str
     mail: face.Mail
-    connects: list[face.Connect] = field(default_factory=list)
+    attempts: list[face.Attempt] = field(default_factory=list)
     out: set[int] = field(default_factory=set)
     owed: bool = True
 
@@ -117,7 +117,7 @@
             return
         outcome = self.outcome(fields)
         held.out.discard(fields["shot"])
-        self.tell("ended", now, held.connects[fields["shot"]], outcome)
+        self.tell("ended", now, held.attempts[fields["shot"]], outcome)
         held.owed = held.owed and not outcome.finished
         self.leaving.append(held)
 
@@ -150,7 +150,7 @@
         return held.op_id
 
     def forget(self) -> None:
-        """Free the mails that are answered and have no connect out."""
+        """Free the mails that are answered and have no attempt out."""
         for held in self.leaving:
             if not held.owed and not held.out:
                 self.by_id.pop(held.op_id, None)
@@ -171,18 +171,18 @@
 
     def encode(self, effect: face.Effect) -> tuple[str, Fields]:
         match effect:
-            case face.Connect(mail=mail, route=route, time_out=time_out):
+            case face.Attempt(mail=mail, route=route, time_out=time_out):
                 held = self.by_mail[mail]
-                held.out.add(len(held.connects))
-                held.connects.append(effect)
+                held.out.add(len(held.attempts))
+                held.attempts.append(effect)
                 return "dispatch", {
                     "op_id": held.op_id,
                     "endpoint": route.name,
                     "try_for_ns": round(time_out * NS),
                 }
-            case face.Cancel(connect=connect):
-                held = self.by_mail[connect.mail]
-                return "cancel", {"op_id": held.op_id, "shot": held.connects.index(connect)}
+            case face.Cancel(attempt=attempt):
+                held = self.by_mail[attempt.mail]
+                return "cancel", {"op_id": held.op_id, "shot": held.attempts.index(attempt)}
             case face.Defer(mail=mail, retry_after=retry_after):
                 return "deny", {"op_id": self.answered(mail), "retry_after_ns": round(retry_after * NS)}
             case face.Bounce(mail=mail):
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -1,4 +1,4 @@
-"""Receivers: connects and probes over kept connections, a pool for each route."""
+"""Receivers: attempts and probes over kept connections, a pool for each route."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from laureldock.core.ends import OUTCOMES, STATUSES, End
 from laureldock.core.letters import Letter
 from laureldock.core.seams import Outcomes, Timer
-from laureldock.interface import Connect, Ending, Listed, Outcome, Probe, Route
+from laureldock.interface import Attempt, Ending, Listed, Outcome, Probe, Route
 from laureldock.sockets.flush import unread
 from laureldock.sockets.httpline import HttpLine, open_line
 from laureldock.sockets.room import Room
@@ -46,7 +46,7 @@
     def __init__(self, core: Outcomes, reactor: PosixReactorBase, room: Room) -> None:
         self.core, self.reactor, self.room = core, reactor, room
         self.pools: dict[Route, Pool] = {}
-        self.errands: dict[Connect, Errand] = {}
+        self.errands: dict[Attempt, Errand] = {}
         room.spare = self.spare
 
     @property
@@ -65,27 +65,27 @@
                 pool.hang_up()
                 del self.pools[route]
 
-    def connect(self, connect: Connect, letter: Letter) -> None:
+    def attempt(self, attempt: Attempt, letter: Letter) -> None:
         head = [b"POST /hook HTTP/1.1", b"X-Call-Id: " + letter.name]
         head += [b"Idempotency-Key: " + letter.tag] if letter.tag else []
-        head += [b"X-Budget: %dm" % max(1, connect.time_out * 1000), b"Content-Length: %d" % len(letter.body)]
+        head += [b"X-Budget: %dm" % max(1, attempt.time_out * 1000), b"Content-Length: %d" % len(letter.body)]
 
         def may_begin() -> bool:
-            return self.core.may_begin(connect, letter)
+            return self.core.may_begin(attempt, letter)
 
         def ended(end: End, outcome: Outcome) -> None:
-            del self.errands[connect]
-            self.core.ended(connect, letter, end, outcome)
+            del self.errands[attempt]
+            self.core.ended(attempt, letter, end, outcome)
 
-        pool = self.pools[connect.route]
-        errand = Errand(self, pool, head, letter.body, connect.time_out, may_begin, ended, connect.rest)
+        pool = self.pools[attempt.route]
+        errand = Errand(self, pool, head, letter.body, attempt.time_out, may_begin, ended, attempt.rest)
         errand.letter = letter
-        self.errands[connect] = errand
+        self.errands[attempt] = errand
         errand.start()
 
-    def cancel(self, connect: Connect) -> None:
-        if connect in self.errands:
-            self.errands[connect].stop(End.CALLED_OFF)
+    def cancel(self, attempt: Attempt) -> None:
+        if attempt in self.errands:
+            self.errands[attempt].stop(End.CALLED_OFF)
 
     def probe(self, probe: Probe) -> None:
         head, route = [b"GET /alive HTTP/1.1"], probe.route
@@ -131,7 +131,7 @@
 
 
 class Errand:
-    """One connect or probe on the wire, from its start to its one end."""
+    """One attempt or probe on the wire, from its start to its one end."""
 
     def __init__(
         self,
@@ -149,7 +149,7 @@
         self.rest, self.rested = rest, 0.0
         self.began, self.over = receivers.core.now(), False
         self.line: HttpLine | None = None
-        self.letter: Letter | None = None  # of a connect
+        self.letter: Letter | None = None  # of a attempt
         self.opening: Deferred[HttpLine] | None = None
         self.timer: Timer | None = None
 
--- a/laureldock/cli/spool.py
+++ b/laureldock/cli/spool.py
@@ -19,6 +19,6 @@
         name, size = owed.name.decode(), len(owed.body)
         if as_json:
             told = {"mail": name, "destination": owed.destination, "queue_class": owed.queue_class}
-            click.echo(json.dumps({**told, "connects": owed.connects, "bytes": size, "end": owed.end}))
+            click.echo(json.dumps({**told, "connects": owed.attempts, "bytes": size, "end": owed.end}))
         else:
-            click.echo(f"{name} to {owed.destination}: {owed.connects} connects, {size} bytes")
+            click.echo(f"{name} to {owed.destination}: {owed.attempts} connects, {size} bytes")
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -17,12 +17,12 @@
 from math import exp, inf
 
 from laureldock import interface as face
-from laureldock.interface import Connect, Ending, Mail, Outcome, Rerun, Route
+from laureldock.interface import Attempt, Ending, Mail, Outcome, Rerun, Route
 from laureldock.records import Call, Case, Lane, Line, Turns
 
 # A route has its share (live), or share nought: until its pause and any told wait are over, or on trial.
 State = Enum("State", "LIVE NOUGHT TRIAL")
-# RUN: the latest of a run of failures; WAIT: told to wait; UNSENT: the connect says nothing of the route.
+# RUN: the latest of a run of failures; WAIT: told to wait; UNSENT: the attempt says nothing of the route.
 Sign = Enum("Sign", "SERVED FAILED RUN WAIT TRIED UNSENT")
 ROUTE_TABLE = {
     (State.LIVE, Sign.RUN): (State.NOUGHT, "shut"),
@@ -35,9 +35,9 @@
     (State.TRIAL, Sign.UNSENT): (State.NOUGHT, ""),
 }
 
-# A mail waits for its first or a further connect, has one out, or is done with.
+# A mail waits for its first or a further attempt, has one out, or is done with.
 Stage = Enum("Stage", "LINE OUT DONE")
-# AGAIN: another connect is allowed; SPENT: nothing more may or can be tried; OVER: relayed, or not wanted.
+# AGAIN: another attempt is allowed; SPENT: nothing more may or can be tried; OVER: relayed, or not wanted.
 Step = Enum("Step", "DRAWN AGAIN SPENT OVER")
 MAIL_TABLE = {
     (Stage.LINE, Step.DRAWN): (Stage.OUT, ""),
@@ -74,7 +74,7 @@
 class Control:
     def __init__(self, tariff: face.Tariff, now: float) -> None:
         self.seed, self.serial = tariff.seed, count(1)
-        self.slots, self.room, self.most_connects = tariff.slots, tariff.room, tariff.most_connects
+        self.slots, self.room, self.most_attempts = tariff.slots, tariff.room, tariff.most_attempts
         self.may_probe, self.may_cancel, self.notices = tariff.may_probe, tariff.may_cancel, tariff.notices
         self.most_retry_after, self.key_rest = tariff.most_retry_after, tariff.key_rest
         self.connect_time = tariff.connect_time or inf
@@ -102,7 +102,7 @@
         self.keys: dict[str, Turns] = {}
         self.owed_elsewhere: dict[str, float] = {}  # keys of another process of this dispatcher, and until
         self.resting: list[tuple[float, int, Turns]] = []
-        # Connections are kept as long as receivers keep them, and by many shorter where connects find none:
+        # Connections are kept as long as receivers keep them, and by many shorter where attempts find none:
         # idle ones fill tables that nobody tells of.
         self.idle_time = min(tariff.idle_time or inf, 30.0)
         self.keep = self.idle_time if self.many else 30.0 / tariff.instances
@@ -129,7 +129,7 @@
                 route.notes = line.lanes[route] = Lane(route, line, State.LIVE, Tally())
 
         # Where instances outnumber routes, places at receivers are scarce: idle connections close at once, a
-        # connect that never comes up has met a full table, and what was refused is earned.
+        # attempt that never comes up has met a full table, and what was refused is earned.
         known = sum(len(line.lanes) for line in self.lines.values())
         self.seldom = self.many and self.instances <= 1.5 * known
         if self.many and not self.seldom:
@@ -151,7 +151,7 @@
         terms = mail.terms or self.plain(kind)
         case = mail.notes = Case(mail, line, Stage.LINE, born, end, fades, once, single, terms)
         # What an earlier life of this dispatcher tried counts as if this one had.
-        case.connects, case.doubt = mail.connects, 0.0 if mail.ran is None else now - mail.ran
+        case.attempts, case.doubt = mail.attempts, 0.0 if mail.ran is None else now - mail.ran
         self.held += not mail.ended
         for lane in line.lanes.values() if self.many else ():  # what is not free is earned by what comes in
             self.refill(now, lane)
@@ -169,16 +169,16 @@
             turns.rest = max(turns.rest, self.owed_elsewhere.get(mail.key, 0.0))
         if mail.ended:  # its key's next waits for its notice
             case.stage, case.out = Stage.DONE, 1
-        elif case.connects and not self.may_go(now, case):
+        elif case.attempts and not self.may_go(now, case):
             self.step(now, case, Step.SPENT)
         elif case.turns:
             self.wake(now, case.turns)
         else:
             self.queue(now, case)
 
-    def ended(self, now: float, connect: Connect, outcome: Outcome) -> None:
-        call: Call = connect.notes
-        case: Case = connect.mail.notes
+    def ended(self, now: float, attempt: Attempt, outcome: Outcome) -> None:
+        call: Call = attempt.notes
+        case: Case = attempt.mail.notes
         call.out -= 1
         if outcome.ending in (Ending.SERVED, Ending.ERROR, Ending.FULL):
             call.lane.heard = now
@@ -189,7 +189,7 @@
             self.effects.append(face.Timer(self.keep, "idle"))
             line.out, line.stuck = line.out - 1, line.stuck - call.overdue
             # What a mail costs here in time of a slot; a tenth at a time, so that one heavy mail says little.
-            took = (now - call.sent) / len(call.connects)
+            took = (now - call.sent) / len(call.attempts)
             for each in (line, call.lane):
                 if outcome.ending is Ending.SERVED or took > each.cost:  # a quick failure is not cheap
                     each.cost += (0.1 if each.cost else 1.0) * (took - each.cost)
@@ -231,18 +231,18 @@
         mail.notes.out -= 1
         self.pass_turn(now, mail.notes)
 
-    def may_begin(self, now: float, connect: Connect) -> bool:
+    def may_begin(self, now: float, attempt: Attempt) -> bool:
         """Guards waits, drains and what may run once against a connection that came up only after them."""
-        lane = connect.notes.lane
-        listed = connect.route.listed is face.Listed.UP or now <= lane.drained + self.drain_grace
-        return listed and max(lane.opens, lane.line.until) <= now and self.may_go(now, connect.mail.notes)
+        lane = attempt.notes.lane
+        listed = attempt.route.listed is face.Listed.UP or now <= lane.drained + self.drain_grace
+        return listed and max(lane.opens, lane.line.until) <= now and self.may_go(now, attempt.mail.notes)
 
     def closing(self, now: float, left: float) -> None:
         self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
 
     def retell(self, now: float, tariff: face.Tariff) -> None:
-        """Other settings from now on: the limits on connects and waits bind every mail from here."""
-        self.most_connects, self.most_retry_after = tariff.most_connects, tariff.most_retry_after
+        """Other settings from now on: the limits on attempts and waits bind every mail from here."""
+        self.most_attempts, self.most_retry_after = tariff.most_attempts, tariff.most_retry_after
         self.terms.clear()  # those of classes that are gone go with them; the mails that wait keep theirs
 
     def elsewhere(self, now: float, keys: list[str]) -> None:
@@ -308,7 +308,7 @@
         if self.seldom and outcome.ending is Ending.NO_CONNECTION and lane.state is State.LIVE:
             self.keep = max(0.1, 0.25 * self.keep)
         elif good:
-            if self.seldom:  # a table that is short of room costs one connect in a hundred
+            if self.seldom:  # a table that is short of room costs one attempt in a hundred
                 self.keep = min(self.idle_time, 1.01 * self.keep)
             lane.refused = lane.line.refused = 0.0
             lane.rest, lane.line.rest = 0.8 * lane.rest, 0.8 * lane.line.rest
@@ -460,7 +460,7 @@
         full = len(self.calls) >= self.slots
         for call in self.calls:
             # With all slots taken, twice what nine in ten stay under must do for a call of one mail.
-            soon = full and len(call.connects) == 1 and not call.once
+            soon = full and len(call.attempts) == 1 and not call.once
             if not call.judged and now - call.sent > call.limit * (0.6 if soon else 1):
                 self.judge(now, call, Outcome(Ending.TIME_OUT, now - call.sent))
                 call.overdue, call.lane.line.stuck = True, call.lane.line.stuck + 1
@@ -472,7 +472,7 @@
             far = not call.once or now - call.sent > 2 * call.limit
             if lost or (full and far) or call.lane.line.stuck > max(1, self.sick_cap // 2):
                 call.overdue, call.lane.line.stuck = False, call.lane.line.stuck - 1
-                self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail.notes.out]
+                self.effects += [face.Cancel(attempt) for attempt in call.attempts if attempt.mail.notes.out]
                 break
 
     def step(self, now: float, case: Case, step: Step) -> None:
@@ -514,12 +514,12 @@
             self.queue(now, turns.cases[0])
 
     def may_go(self, now: float, case: Case) -> bool:
-        """Whether a further connect is allowed, and can still be of use."""
+        """Whether a further attempt is allowed, and can still be of use."""
         # Tagged mails, as long as they are remembered, less the rounding of clocks; once-only, never.
         memory = -inf if case.single else case.mail.queue_class.memory - 0.02
         outside = case.doubt and now > case.doubt + memory
-        most = min(self.most_connects, case.terms.most_connects)
-        spent = case.stage is Stage.DONE or case.connects - case.out >= most
+        most = min(self.most_attempts, case.terms.most_attempts)
+        spent = case.stage is Stage.DONE or case.attempts - case.out >= most
         return not outside and not spent and case.end > now + self.tick
 
     def send(self, now: float) -> None:
@@ -549,7 +549,7 @@
             self.waiters(case).appendleft(case)
 
     def best(self, now: float, line: Line) -> Case | None:
-        """Takes the next mail off a line: first connects, then further ones, then what came too late."""
+        """Takes the next mail off a line: first attempts, then further ones, then what came too late."""
         best: deque[Case] | None = None
         steady = any(lane.ill <= 0.2 for lane in line.lanes.values())
         for cases in line.first.values():
@@ -573,9 +573,9 @@
         return None
 
     def waiters(self, case: Case) -> deque[Case]:
-        """Further connects wait in a line of their own, first connects in one for each sort of mail."""
+        """Further attempts wait in a line of their own, first attempts in one for each sort of mail."""
         sort = case.mail.queue_class
-        return case.line.further if case.connects else case.line.first.setdefault(sort, deque())
+        return case.line.further if case.attempts else case.line.first.setdefault(sort, deque())
 
     def urgency(self, now: float, case: Case) -> float:
         # Importance, growing with age so that no queue class starves; half at birth keeps classes apart. For
@@ -591,7 +591,7 @@
         free = (lane for lane in live if lane.credit >= 1 or lane in self.fresh)
         lanes = [lane for lane in free if len(lane.calls) < lane.route.window or lane in self.fresh]
         if len(lanes) > 1 and case.last in lanes:
-            lanes.remove(case.last)  # a further connect goes elsewhere where it can
+            lanes.remove(case.last)  # a further attempt goes elsewhere where it can
         # Guards routes of which no rate is known against one that told its own: they start as its equals.
         rates = [self.rate(lane) for lane in lanes]
         known = [rate for rate in rates if rate]
@@ -631,10 +631,10 @@
         else:
             # A further mail is more work, though no further call. Weighed a little, and fully when cold.
             lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
-        patience = told or min(case.mail.queue_class.memory / 2, call.limit * 2 ** (1 + case.connects))
+        patience = told or min(case.mail.queue_class.memory / 2, call.limit * 2 ** (1 + case.attempts))
         patience = inf if call.once and not told else call.limit if trial and not told else patience
         time_out = min(case.end - now, patience)
-        case.connects, case.out, case.last = case.connects + 1, case.out + 1, lane
+        case.attempts, case.out, case.last = case.attempts + 1, case.out + 1, lane
         case.zone = lane.route.zone if case.mail.queue_class.one_zone else None
         call.out += 1
         self.step(now, case, Step.DRAWN)
@@ -642,15 +642,15 @@
         if hedged and case.terms.copy_after < case.mail.queue_class.memory:
             heapq.heappush(self.copies, (now + case.terms.copy_after, next(self.serial), case))
         rest = self.rest + (now - self.broke) / 20 if case.single else inf  # others are soon tried anew
-        call.connects.append(Connect(case.mail, lane.route, time_out, call, rest))
-        self.effects.append(call.connects[-1])
+        call.attempts.append(Attempt(case.mail, lane.route, time_out, call, rest))
+        self.effects.append(call.attempts[-1])
         return True
 
     def copy(self, now: float, case: Case) -> None:
         """A second copy, where the first is slow: over another route, while slots are not short."""
-        most = min(self.most_connects, case.terms.most_connects)  # those that are out count too
+        most = min(self.most_attempts, case.terms.most_attempts)  # those that are out count too
         spare = 2 * len(self.calls) < self.slots and case.out < case.terms.copies and now < self.close_at
-        may = case.connects < most and now >= case.line.until and self.may_go(now, case)
+        may = case.attempts < most and now >= case.line.until and self.may_go(now, case)
         if case.stage is Stage.OUT and spare and may:
             lane = self.draw(now, case)
             if lane and lane is not case.last:
@@ -659,7 +659,7 @@
     def call_off(self, case: Case) -> None:
         """Copies of a mail that is over."""
         for call in self.calls if case.out and self.may_cancel else ():
-            self.effects += [face.Cancel(connect) for connect in call.connects if connect.mail is case.mail]
+            self.effects += [face.Cancel(attempt) for attempt in call.attempts if attempt.mail is case.mail]
 
     def try_routes(self, now: float, line: Line) -> None:
         """One trial for each route at nought, of a mail that can bear failing where there is one."""
@@ -702,7 +702,7 @@
     def plain(self, kind: face.QueueClass) -> face.Terms:
         """What holds for mails of a class where operators set nothing."""
         if kind not in self.terms:
-            self.terms[kind] = face.Terms(kind.importance, self.most_connects, self.most_retry_after, 1, inf)
+            self.terms[kind] = face.Terms(kind.importance, self.most_attempts, self.most_retry_after, 1, inf)
         return self.terms[kind]
 
     def chance(self) -> float:
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -134,7 +134,7 @@
             mail = self.book.mail(kind, owed.destination, owed.end - clock, owed.customer, owed.key)
             ran = clock - min(starts) if starts else None
             # A wall clock that was set back meanwhile tells nothing of how long ago it was: no tag is known.
-            mail.connects, mail.ran = owed.connects, LONG_AGO if ran is not None and ran < 0 else ran
+            mail.attempts, mail.ran = owed.attempts, LONG_AGO if ran is not None and ran < 0 else ran
             mail.earlier, mail.ended = earlier, bool(owed.notice)
             self.hold(Letter(owed.name, owed.tag, owed.body, mail, self.now() + mail.left))
             self.tell(self.control.taken, mail)
@@ -220,15 +220,15 @@
 
     def carry_out(self, effect: face.Effect) -> None:
         match effect:
-            case face.Connect(mail=mail):
+            case face.Attempt(mail=mail):
                 self.counters["connects"] += 1
                 letter = self.letters[mail]
-                letter.connects += 1
+                letter.attempts += 1
                 if self.verbose:
                     self.step("connect", letter, route=effect.route.name)
-                self.carrier.connect(effect, letter)
-            case face.Cancel(connect=connect):
-                self.carrier.cancel(connect)
+                self.carrier.attempt(effect, letter)
+            case face.Cancel(attempt=attempt):
+                self.carrier.cancel(attempt)
             case face.Defer(mail=mail, retry_after=retry_after):
                 self.answer(self.letters[mail], True, retry_after)
             case face.Bounce(mail=mail):
@@ -288,7 +288,7 @@
         owed = self.store.owed.get(letter.name)
         names = {"queue_class": owed.queue_class, "destination": owed.destination} if owed else {}
         mail = letter.name.decode(errors="replace")
-        self.log.debug(event, mail=mail, **names, connects=letter.connects, **fields)
+        self.log.debug(event, mail=mail, **names, connects=letter.attempts, **fields)
 
     def full(self, full: bool) -> None:
         self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
@@ -351,17 +351,17 @@
 
     # Carriers
 
-    def may_begin(self, connect: face.Connect, letter: Letter) -> bool:
+    def may_begin(self, attempt: face.Attempt, letter: Letter) -> bool:
         """Asked when the connection is up: what was told meanwhile may forbid it; and the spool must know."""
-        if letter.name not in self.by_name or not self.control.may_begin(self.now(), connect):
+        if letter.name not in self.by_name or not self.control.may_begin(self.now(), attempt):
             return False
-        letter.noted = connect
+        letter.noted = attempt
         return self.keep(self.store.out, letter.name, self.wall())
 
     def sent(self, letter: Letter) -> None:
         self.count_of(letter, "sent")
 
-    def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None:
+    def ended(self, attempt: face.Attempt, letter: Letter, end: End, outcome: face.Outcome) -> None:
         if end is End.DELIVERED and self.now() > letter.end - ROUNDING:
             end = End.TOO_LATE
             ending, finished = OUTCOMES[end]
@@ -369,7 +369,7 @@
         self.counters[f"ended: {end.value}"] += 1
         if self.verbose:
             self.step(
-                "connect ended", letter, route=connect.route.name, end=end.value, took=round(outcome.took, 4)
+                "connect ended", letter, route=attempt.route.name, end=end.value, took=round(outcome.took, 4)
             )
         if outcome.finished:
             if letter.name in self.by_name:  # a second copy may have been served first
@@ -378,12 +378,12 @@
                     self.count_of(letter, "relayed")
                 self.over(letter, end.value)
             self.forget(letter)
-        elif letter.noted is connect and outcome.ending in NOT_RUN:
+        elif letter.noted is attempt and outcome.ending in NOT_RUN:
             self.keep(self.store.back, letter.name)
         if outcome.wait and self.handed_down:  # binds both processes: to the rules they are one dispatcher
             clock = self.wall()
-            self.keep(self.store.wait, connect.route.name, clock + outcome.wait, clock)
-        self.tell(self.control.ended, connect, outcome)
+            self.keep(self.store.wait, attempt.route.name, clock + outcome.wait, clock)
+        self.tell(self.control.ended, attempt, outcome)
 
     def probed(self, route: face.Route, outcome: face.Outcome) -> None:
         self.tell(self.control.probed, route, outcome)
--- a/laureldock/core/letters.py
+++ b/laureldock/core/letters.py
@@ -22,8 +22,8 @@
     destination: Any  # a number or a name, as the list has it
     end: float
     body: bytes
-    connects: int = 0
-    ran: float | None = None  # when the first connect that may have run was sent
+    attempts: int = 0
+    ran: float | None = None  # when the first attempt that may have run was sent
     out: float | None = None  # when the last one was sent, unless it is known not to have run
     notice: bytes = b""  # its end, not answered yet
     room: int = 0  # bytes set apart for it
@@ -63,8 +63,8 @@
     end: float  # of its lifetime, by the clock of the process
     waiter: Waiter | None = None  # has not been told yet that it is taken on
     refusal: Answer | None = None
-    noted: face.Connect | None = None  # the last connect that the store says is out
-    connects: int = 0  # in this life of the dispatcher
+    noted: face.Attempt | None = None  # the last attempt that the store says is out
+    attempts: int = 0  # in this life of the dispatcher
 
 
 def notice_of(name: bytes, handed_back: bool, retry_after: float) -> bytes:
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -1,6 +1,6 @@
 """The seams of the core: what it asks of each peer, and what each peer may ask of it.
 
-A front hands mails in and hears answers, a carrier makes connects and tells their outcomes, a source tells
+A front hands mails in and hears answers, a carrier makes attempts and tells their outcomes, a source tells
 the list, an outlet takes notices, a store keeps what is owed. The core imports none of them.
 """
 
@@ -62,9 +62,9 @@
     def forget(self) -> None:
         """Close what leads to routes that are gone from the list."""
 
-    def connect(self, connect: face.Connect, letter: Letter) -> None: ...
+    def attempt(self, attempt: face.Attempt, letter: Letter) -> None: ...
 
-    def cancel(self, connect: face.Connect) -> None: ...
+    def cancel(self, attempt: face.Attempt) -> None: ...
 
     def probe(self, probe: face.Probe) -> None: ...
 
@@ -117,7 +117,7 @@
     def out(self, name: bytes, at: float) -> None: ...
 
     def back(self, name: bytes) -> None:
-        """Its last connect has not run."""
+        """Its last attempt has not run."""
 
     def notice(self, name: bytes, line: bytes) -> None: ...
 
@@ -180,12 +180,12 @@
     @property
     def tariff(self) -> face.Tariff: ...
 
-    def may_begin(self, connect: face.Connect, letter: Letter) -> bool: ...
+    def may_begin(self, attempt: face.Attempt, letter: Letter) -> bool: ...
 
     def sent(self, letter: Letter) -> None:
         """The last byte of a call with it has left."""
 
-    def ended(self, connect: face.Connect, letter: Letter, end: End, outcome: face.Outcome) -> None: ...
+    def ended(self, attempt: face.Attempt, letter: Letter, end: End, outcome: face.Outcome) -> None: ...
 
     def probed(self, route: face.Route, outcome: face.Outcome) -> None: ...
 
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -11,13 +11,13 @@
     news(now, routes, whole)                   list news; `whole` replaces the list held
     list_failed(now)                           an ask for the list failed, or the watch broke
     taken(now, mail)                           a mail was handed in; one final answer is now owed
-    ended(now, connect, outcome)               a connect ended
+    ended(now, attempt, outcome)               a attempt ended
     probed(now, route, outcome)                a probe ended
     heard(now, peer, data)                     a note of a peer
     timer(now, name)                           a timer set earlier is due
     withdrawn(now, mail)                       nobody wants this mail any more
     noticed(now, mail)                         its notice was answered (where the tariff has notices)
-    may_begin(now, connect) -> bool            whether a connect, put off by its door, may still be sent
+    may_begin(now, attempt) -> bool            whether a attempt, put off by its door, may still be sent
     closing(now, left)                         the process ends in so many seconds; what waits is kept
     turn(now) -> list[Effect]                  all effects of the turn, in the order to be carried out
 """
@@ -39,7 +39,7 @@
 
 
 class Ending(Enum):
-    """How a connect or a probe ended. The door maps its own protocol's endings onto these."""
+    """How a attempt or a probe ended. The door maps its own protocol's endings onto these."""
 
     SERVED = "served"
     ERROR = "error"
@@ -67,7 +67,7 @@
     halving: bool
     in_order: bool = False
     memory: float = inf  # for tagged mails: how long a repeat is known
-    one_zone: bool = False  # for tagged mails: a repeat is known only in the zone of its first connect
+    one_zone: bool = False  # for tagged mails: a repeat is known only in the zone of its first attempt
     proven: bool = False  # nothing more is sent once it may have run
 
 
@@ -91,7 +91,7 @@
     instances: int
     slots: int
     room: int
-    most_connects: int
+    most_attempts: int
     may_cancel: bool
     may_probe: bool
     may_copy: bool
@@ -108,7 +108,7 @@
     rates: str
     connect_time: float = 0.0  # a connection not up within it counts as none
     idle_time: float = inf  # for which a receiver keeps an unused connection
-    drain_grace: float = 0.0  # for which a connect being opened may still go to a route that drains since
+    drain_grace: float = 0.0  # for which a attempt being opened may still go to a route that drains since
     handshake: float = 0.0  # price of a new connection, in mails of importance 1
     fees: dict[str, float] = field(default_factory=dict)  # for each mail, by the zone of its route; the same
 
@@ -118,9 +118,9 @@
     """What operators set for mails of a queue class at a destination, instead of what holds for all."""
 
     importance: float
-    most_connects: int
+    most_attempts: int
     most_retry_after: float
-    copies: int  # connects that may be out at once
+    copies: int  # attempts that may be out at once
     copy_after: float  # when a second copy goes, counted from the first
 
 
@@ -152,7 +152,7 @@
     left: float
     customer: Customer | None = None
     key: str | None = None
-    connects: int = 0  # that an earlier life of this dispatcher had
+    attempts: int = 0  # that an earlier life of this dispatcher had
     ran: float | None = None  # seconds since the first of those that may have run was sent; None: none may
     notes: Any = None
     terms: Terms | None = None  # None: nothing was set
@@ -172,7 +172,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Connect:
+class Attempt:
     mail: Mail
     route: Route
     time_out: float
@@ -182,7 +182,7 @@
 
 @dataclass(eq=False, slots=True)
 class Cancel:
-    connect: Connect
+    attempt: Attempt
 
 
 @dataclass(eq=False, slots=True)
@@ -233,4 +233,4 @@
     text: str
 
 
-Effect = Connect | Cancel | Defer | Bounce | Probe | HangUp | Note | AskList | Timer | Log
+Effect = Attempt | Cancel | Defer | Bounce | Probe | HangUp | Note | AskList | Timer | Log
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -10,7 +10,7 @@
 from math import inf
 from typing import Any
 
-from laureldock.interface import Connect, Destination, Mail, QueueClass, Route, Terms
+from laureldock.interface import Attempt, Destination, Mail, QueueClass, Route, Terms
 
 
 @dataclass(eq=False, slots=True)
@@ -81,11 +81,11 @@
     single: bool  # nothing more may be sent for it once it may have run
     terms: Terms
     queued: bool = False  # in a line; not while an earlier mail of its key has the turn
-    connects: int = 0
-    out: int = 0  # connects without an outcome
-    doubt: float = 0.0  # when the first connect that may have run was sent
+    attempts: int = 0
+    out: int = 0  # attempts without an outcome
+    doubt: float = 0.0  # when the first attempt that may have run was sent
     zone: str | None = None  # the only one that may get it now, since it may have run or runs there
-    last: Lane | None = None  # the route of its last connect
+    last: Lane | None = None  # the route of its last attempt
     turns: Turns | None = None
 
 
@@ -100,14 +100,14 @@
 
 @dataclass(eq=False, slots=True)
 class Call:
-    """What one turn sends over one route: a connect, or several that share its fate."""
+    """What one turn sends over one route: a attempt, or several that share its fate."""
 
     lane: Lane
     sent: float
     limit: float  # overdue after so long
     trial: bool
     once: bool  # its first mail is once-only
-    connects: list[Connect] = field(default_factory=list)
-    out: int = 0  # connects without an outcome
+    attempts: list[Attempt] = field(default_factory=list)
+    out: int = 0  # attempts without an outcome
     judged: bool = False  # it has spoken for its route
     overdue: bool = False  # it spoke before its outcome, by taking too long
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -28,7 +28,7 @@
 
 def record(mail: Owed) -> bytes:
     fields = [mail.key, mail.queue_class, mail.customer, mail.tag.decode(), mail.destination, mail.end]
-    return pack(["mail", mail.name.decode(), *fields, mail.connects, mail.ran, mail.out], mail.body)
+    return pack(["mail", mail.name.decode(), *fields, mail.attempts, mail.ran, mail.out], mail.body)
 
 
 def pack(fields: list[Any], body: bytes = b"") -> bytes:
@@ -214,9 +214,9 @@
         sort, name, *rest = fields
         name = name.encode()
         if sort == "mail":
-            key, queue_class, customer, tag, destination, end, connects, ran, out = rest
+            key, queue_class, customer, tag, destination, end, attempts, ran, out = rest
             tag = tag.encode()
-            mail = Owed(name, key, queue_class, customer, tag, destination, end, body, connects, ran, out)
+            mail = Owed(name, key, queue_class, customer, tag, destination, end, body, attempts, ran, out)
             self.add(mail, record(mail))
         elif sort == "wait":
             self.waits[name.decode()] = rest[0]
@@ -238,7 +238,7 @@
             case "out":
                 if mail.ran is None:
                     mail.ran = mail.out
-                mail.connects, mail.out = mail.connects + 1, rest[0]
+                mail.attempts, mail.out = mail.attempts + 1, rest[0]
             case "back":
                 mail.out = None
             case "notice":
@@ -263,7 +263,7 @@
         self.tell("out", name, at)
 
     def back(self, name: bytes) -> None:
-        """Its last connect has not run."""
+        """Its last attempt has not run."""
         self.tell("back", name)
 
     def notice(self, name: bytes, line: bytes) -> None:
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -38,7 +38,7 @@
         instances=plan.instances,
         slots=limits.slots,
         room=limits.room,
-        most_connects=limits.connects,
+        most_attempts=limits.connects,
         may_cancel=limits.cancel,
         may_probe=limits.probes,
         may_copy=limits.copies,
@@ -158,12 +158,12 @@
         most = self.tariff
         terms = face.Terms(
             float(book.value("importance", name, where, kind.importance)),
-            1 if never else book.value("connects", name, where, most.most_connects),
+            1 if never else book.value("connects", name, where, most.most_attempts),
             float(book.value("retry_after", name, where, most.most_retry_after)),
             book.value("copies", name, where, 1),
             float(book.value("copy_after", name, where, kind.target_delay / 2)),
         )
-        plain = face.Terms(kind.importance, most.most_connects, most.most_retry_after, 1, terms.copy_after)
+        plain = face.Terms(kind.importance, most.most_attempts, most.most_retry_after, 1, terms.copy_after)
         return None if terms == plain else terms
 
     def listed(self, entries: list[Entry], whole: bool) -> list[face.Route]:
--- a/tests/dock.py
+++ b/tests/dock.py
@@ -21,7 +21,7 @@
 from laureldock.setup.platform import of_platform
 
 TARIFF = face.Tariff(
-    seed=7, instances=2, slots=8, room=40, most_connects=4, may_cancel=True, may_probe=False, may_copy=False,
+    seed=7, instances=2, slots=8, room=40, most_attempts=4, may_cancel=True, may_probe=False, may_copy=False,
     must_ask=False, over_quota=0.2, most_retry_after=3.0, key_rest=0.3, start_capacity=0.2, tip_multiple=2.0,
     fall_time=3.0, warm_time=10.0, rates="nominal", near_list=False, notices=False,
 )  # fmt: skip
@@ -60,8 +60,8 @@
         self.control = Control(dataclasses.replace(TARIFF, **changes), self.now)
         self.mails: dict[str, face.Mail] = {}
         self.names: dict[face.Mail, str] = {}
-        self.out: dict[str, face.Connect] = {}
-        self.calls: dict[face.Connect, float] = {}
+        self.out: dict[str, face.Attempt] = {}
+        self.calls: dict[face.Attempt, float] = {}
         self.destinations: dict[str, face.Destination] = {}
         self.routes: dict[str, face.Route] = {}
 
@@ -90,12 +90,12 @@
         self, name: str, ending: str, wait: float = 0.0, report: tuple[float, float] | None = None,
         took: float = 0.1,
     ) -> None:  # fmt: skip
-        """The connect of a mail that is out ends; `report` is what is left of the limit, and the limit."""
-        kind, connect = Ending(ending), self.out.pop(name)
+        """The attempt of a mail that is out ends; `report` is what is left of the limit, and the limit."""
+        kind, attempt = Ending(ending), self.out.pop(name)
         left, limit = report or (1.0, None)
         outcome = face.Outcome(kind, took, kind is Ending.SERVED, wait, limit, left)
         self.say(f"{name}: {ending}" + (f", wait {wait:g}" if wait else ""))
-        self.control.ended(self.now, connect, outcome)
+        self.control.ended(self.now, attempt, outcome)
 
     def withdraw(self, name: str) -> None:
         self.say(f"{name}: withdrawn")
@@ -104,15 +104,15 @@
     def turn(self) -> None:
         for effect in self.control.turn(self.now):
             match effect:
-                case face.Connect(mail=mail, route=route, time_out=time_out):
+                case face.Attempt(mail=mail, route=route, time_out=time_out):
                     self.out[self.names[mail]] = effect
                     self.say(f"-> {self.names[mail]} to {route.name}, {time_out:.2f} s")
                 case face.Defer(mail=mail, retry_after=retry_after):
                     self.say(f"-> {self.names[mail]} deferred, back in {retry_after:.2f} s")
                 case face.Bounce(mail=mail):
                     self.say(f"-> {self.names[mail]} bounced")
-                case face.Cancel(connect=connect):
-                    self.say(f"-> {self.names[connect.mail]} called off")
+                case face.Cancel(attempt=attempt):
+                    self.say(f"-> {self.names[attempt.mail]} called off")
                 case face.Probe(route=route):
                     self.say(f"-> probe of {route.name}")
                 case face.AskList(watch=watch):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -368,7 +368,7 @@
     }
     assert (routes["n1"].destination.window, routes["s1"].destination.window) == (4, float("inf"))
     mail = terms.mail(terms.classes["charge"], "north", 10.0)
-    assert mail.terms and (mail.terms.importance, mail.terms.most_connects) == (9.0, 2)
+    assert mail.terms and (mail.terms.importance, mail.terms.most_attempts) == (9.0, 2)
     assert mail.terms.most_retry_after == 0.5
     assert terms.mail(terms.classes["charge"], "south", 10.0).terms is None
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -137,7 +137,7 @@
 
 
 def test_mails_of_a_key_go_in_turn_and_rest_after_a_time_out() -> None:
-    """A mail that was answered out of turn, and one whose connect timed out, both leave the key at rest."""
+    """A mail that was answered out of turn, and one whose attempt timed out, both leave the key at rest."""
     dock = Dock()
     dock.listed("north/1", "north/2")
     for name in ("first", "second", "third"):
@@ -351,7 +351,7 @@
     dock.listed("north/2", "north/3", zone="b")
     dock.end("m", "reset")
     dock.after(0.5)
-    dock.end("m", "full")  # it may still run from its first connect
+    dock.end("m", "full")  # it may still run from its first attempt
     dock.after(0.5)
     dock.end("m", "reset")
     dock.listed("north/1", state="removed")  # the only live routes left stand in another building
@@ -478,7 +478,7 @@
 
 
 def test_a_copy_that_is_out_while_the_window_ends_is_waited_for_and_nothing_more_goes() -> None:
-    """The window counts from the first connect; a third one after it would be a second effect."""
+    """The window counts from the first attempt; a third one after it would be a second effect."""
     dock = Dock(may_copy=True, slots=20)
     dock.listed("north/1", "north/2", "north/3")
     dock.mail("m1", "tagged")
@@ -505,11 +505,11 @@
         dock.listed("north/1")
         dock.mail("m1", "redeliverable")
         dock.turn()
-        connect = dock.out["m1"]
-        assert dock.control.may_begin(dock.now, connect)
+        attempt = dock.out["m1"]
+        assert dock.control.may_begin(dock.now, attempt)
         dock.listed("north/1", state="draining")
-        assert dock.control.may_begin(dock.now + 0.4, connect) is may
-        assert not dock.control.may_begin(dock.now + 0.6, connect)
+        assert dock.control.may_begin(dock.now + 0.4, attempt) is may
+        assert not dock.control.may_begin(dock.now + 0.6, attempt)
 
 
 def test_mails_that_are_over_leave_the_list_of_lifetimes() -> None:
@@ -539,7 +539,7 @@
 
 
 def test_a_second_copy_counts_as_a_connect() -> None:
-    """A mail on its last connect was given one more than it may have."""
+    """A mail on its last attempt was given one more than it may have."""
     dock = Dock(may_copy=True, slots=20)
     dock.listed("north/1", "north/2")
     for number in range(6):  # the window grows, and is halved by the error below
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -12,7 +12,7 @@
 from shore import Peer, Shore
 
 from laureldock.core.ends import End
-from laureldock.interface import Connect
+from laureldock.interface import Attempt
 from laureldock.sockets import httpline
 
 OK = b"+OK\r\n"
@@ -201,9 +201,9 @@
     """Read before the decision was carried out, it is the end of the mail."""
     taken(shore, "a", "charge")
     link = shore.call("a")
-    connect: Connect = next(iter(shore.assembly.receivers.errands))
+    attempt: Attempt = next(iter(shore.assembly.receivers.errands))
     link.send(SERVED)
-    shore.assembly.receivers.cancel(connect)
+    shore.assembly.receivers.cancel(attempt)
     shore.until(lambda: not shore.core.store.owed)
     assert ends(shore) == {"200": 1} and not shore.platform.notices
 
@@ -211,9 +211,9 @@
 def test_a_call_called_off_with_half_an_answer_come_is_not_waited_for_without_end(shore: Shore) -> None:
     taken(shore, "a", "charge")
     link = shore.call("a")
-    connect: Connect = next(iter(shore.assembly.receivers.errands))
+    attempt: Attempt = next(iter(shore.assembly.receivers.errands))
     link.send(b"HTTP/1.1 20")
-    shore.assembly.receivers.cancel(connect)
+    shore.assembly.receivers.cancel(attempt)
     shore.until(lambda: not shore.core.store.owed, most=1.0)
     assert ends(shore) == {End.CALLED_OFF.value: 1}
     assert shore.platform.notices == ['{"message":"a","outcome":"given_up"}']
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -523,10 +523,10 @@
             spool.over(b"m%d" % (number - 5))
         most = max(most, sum(-(-file.stat().st_size // 512) * 512 for file in tmp_path.iterdir()))
     assert 0 < refused < 400 and most <= disk
-    left = {name: (owed.connects, owed.ran, owed.out, len(owed.body)) for name, owed in spool.owed.items()}
+    left = {name: (owed.attempts, owed.ran, owed.out, len(owed.body)) for name, owed in spool.owed.items()}
     spool.close()
     again = Spool(tmp_path, disk)
-    assert left == {n: (o.connects, o.ran, o.out, len(o.body)) for n, o in again.owed.items()} and left
+    assert left == {n: (o.attempts, o.ran, o.out, len(o.body)) for n, o in again.owed.items()} and left
 
 
 def test_a_full_spool_turns_mails_away(port: Port) -> None:
@@ -586,7 +586,7 @@
     figures = quay.dispatcher.operators_figures()
     assert figures["requests"]["charge"]["failed"] == 2 and figures["requests"]["fresh"]["served"] == 1
     assert figures["reloads_ok"] == 1
-    assert quay.dispatcher.book.tariff.most_connects == 2
+    assert quay.dispatcher.book.tariff.most_attempts == 2
     assert quay.assembly.plan.source.address == "127.0.0.9:10"
     assert quay.same_as("net-retold")
 
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -15,7 +15,7 @@
 class Fleet:
     def __init__(self, size: int) -> None:
         self.docks = [
-            Dock(instances=size, seed=number, connect_time=1.5, most_connects=9) for number in range(size)
+            Dock(instances=size, seed=number, connect_time=1.5, most_attempts=9) for number in range(size)
         ]
         for dock in self.docks:
             dock.listed("north/1", rate=LIMIT)
@@ -29,8 +29,8 @@
         self.now += 0.05
         for dock in self.docks:
             dock.after(0.05)
-            for name, connect in sorted(dock.out.items()):
-                due = dock.calls.setdefault(connect, self.now)
+            for name, attempt in sorted(dock.out.items()):
+                due = dock.calls.setdefault(attempt, self.now)
                 if due == self.now:
                     self.sent.append(self.now)
                 if silent and self.now - due < 1.5:
@@ -225,13 +225,13 @@
         for place, dock in enumerate(fleet.docks):
             known = set(dock.calls)
             dock.after(0.05)
-            for connect in (each for each in dock.out.values() if each not in known):
+            for attempt in (each for each in dock.out.values() if each not in known):
                 sent.setdefault(place, []).append(fleet.now)
-                dock.calls[connect] = fleet.now
-            for name, connect in sorted(dock.out.items()):
-                if dock.calls[connect] < back and fleet.now - dock.calls[connect] >= took:
+                dock.calls[attempt] = fleet.now
+            for name, attempt in sorted(dock.out.items()):
+                if dock.calls[attempt] < back and fleet.now - dock.calls[attempt] >= took:
                     dock.end(name, ending, took=took)
-                elif dock.calls[connect] >= back:
+                elif dock.calls[attempt] >= back:
                     dock.end(name, "served", took=0.1)
         fleet.now += 0.05
     late = [
