--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -20,7 +20,7 @@
 from laureldock.interface import Attempt, Ending, Mail, Outcome, Rerun, Route
 from laureldock.records import Call, Case, Lane, Line, Turns
 
-# A route has its share (live), or share nought: until its pause and any told wait are over, or on trial.
+# A route's circuit breaker: closed (live), open (share nought, for its backoff or a told wait), or on trial.
 State = Enum("State", "LIVE NOUGHT TRIAL")
 # RUN: the latest of a run of failures; WAIT: told to wait; UNSENT: the attempt says nothing of the route.
 Sign = Enum("Sign", "SERVED FAILED RUN WAIT TRIED UNSENT")
@@ -109,13 +109,13 @@
         self.idle = deque[tuple[float, Lane]]()
         self.tally = Tally()  # of all calls, for routes of which too few are known
         self.rest, self.broke = inf, now  # for how long a connection may have rested when one last broke
-        self.held, self.ask_pause, self.asked, self.ticking, self.close_at = 0, 0.0, now, False, inf
+        self.held, self.ask_backoff, self.asked, self.ticking, self.close_at = 0, 0.0, now, False, inf
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
             self.timer(now, "ask")
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
-        self.ask_pause = 0.0
+        self.ask_backoff = 0.0
         for line in self.lines.values() if whole else [self.line(route.destination) for route in routes]:
             # Nothing new to the others; what is out runs on.
             for lane in line.lanes.values():
@@ -137,9 +137,9 @@
 
     def list_failed(self, now: float) -> None:
         # Doubled from half a second; one near by costs nothing: a quarter apart, soon after a longer silence.
-        self.ask_pause = 0.25 if self.near_list else min(8.0, max(0.5, self.ask_pause * 2))
+        self.ask_backoff = 0.25 if self.near_list else min(8.0, max(0.5, self.ask_backoff * 2))
         draw, passed = self.chance(), now - self.asked if self.near_list else 0.0
-        pause = max(0.1 * draw, self.ask_pause * (0.75 + 0.5 * draw) - passed)  # a fleet does not ask as one
+        pause = max(0.1 * draw, self.ask_backoff * (0.75 + 0.5 * draw) - passed)  # a fleet must spread
         self.effects.append(face.Timer(pause, "ask"))
 
     def taken(self, now: float, mail: Mail) -> None:
@@ -388,8 +388,8 @@
         cold = self.rate(lane) * self.part * self.cold * self.start
         most = 1 / cold if cold and self.many and not self.seldom else 2.0
         others = self.apart(now - (lane.since or now), self.rate(lane), 2.0) if self.seldom else 0.0
-        lane.pause, lane.down = max(0.5, min(most, lane.pause * 1.5), others), self.failing(lane)
-        lane.hush = max(lane.hush, now + lane.pause * (0.75 + 0.5 * self.chance()))
+        lane.backoff, lane.down = max(0.5, min(most, lane.backoff * 1.5), others), self.failing(lane)
+        lane.hush = max(lane.hush, now + lane.backoff * (0.75 + 0.5 * self.chance()))
 
     def apart(self, since: float, rate: float, clump: float = 0.0) -> float:
         """Seconds between the calls of one that was failed for so long, beside others that were, too.
@@ -407,17 +407,17 @@
     def reopen(self, now: float, lane: Lane) -> None:
         if lane.down if self.seldom else self.failing(lane):  # an outage, not a mere wait: it is cold
             lane.back = now
-        lane.since = lane.pause = lane.credit = 0.0
+        lane.since = lane.backoff = lane.credit = 0.0
         lane.ill = min(0.4, lane.ill)
 
-    def warmth(self, now: float, lane: Lane) -> float:
+    def slow_start(self, now: float, lane: Lane) -> float:
         """The part of its capacity that a route has at least."""
         return min(1.0, self.start + (1 - self.start) * (now - lane.back) / self.warm_time)
 
     def bears(self, now: float, lane: Lane) -> float:
         """The part of what comes in for a route that may go to it."""
-        warmth = self.warmth(now, lane)
-        return lane.part if warmth == 1 else min(lane.part, self.cold * warmth)
+        slow_start = self.slow_start(now, lane)
+        return lane.part if slow_start == 1 else min(lane.part, self.cold * slow_start)
 
     def rate(self, lane: Lane) -> float:
         """Calls a second that the route takes from all instances, as far as known; nought if unknown."""
@@ -433,7 +433,7 @@
         # What costs a twentieth of a mail more, in fees or for a handshake, gets two fifths of the share.
         new = lane.calls or now - lane.used > self.keep
         cost = self.fees.get(lane.route.zone, 0.0) + (self.handshake if new and self.seldom else 0.0)
-        return rate * min(1.0, lane.part) * self.warmth(now, lane) * silence * thrift * exp(-20 * cost)
+        return rate * min(1.0, lane.part) * self.slow_start(now, lane) * silence * thrift * exp(-20 * cost)
 
     def quiet(self, now: float, lane: Lane) -> bool:
         """Whether it owes an answer past what nine in ten take (a third of the limit), with none since."""
@@ -448,7 +448,7 @@
         if lane.state is State.LIVE:
             lane.ill *= 0.8 ** (now - lane.filled)
         fill = self.rate(lane) * self.part * self.bears(now, lane)
-        free = self.warmth(now, lane) == 1 and (lane.part >= 1 if self.many else lane.told_rate == 0)
+        free = self.slow_start(now, lane) == 1 and (lane.part >= 1 if self.many else lane.told_rate == 0)
         if free or not fill:
             lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
         else:
@@ -630,7 +630,7 @@
             lane.credit -= 1
         else:
             # A further mail is more work, though no further call. Weighed a little, and fully when cold.
-            lane.credit -= 0.08 if self.warmth(now, lane) == 1 else 0.25
+            lane.credit -= 0.08 if self.slow_start(now, lane) == 1 else 0.25
         patience = told or min(case.mail.queue_class.memory / 2, call.limit * 2 ** (1 + case.attempts))
         patience = inf if call.once and not told else call.limit if trial and not told else patience
         time_out = min(case.end - now, patience)
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -19,7 +19,7 @@
 from laureldock.core import MOST_BODY
 from laureldock.core.letters import Answer, Letter, Owed, Word
 from laureldock.core.seams import Intake, NotAMailError
-from laureldock.sockets.flush import Flush, end_writing, unread
+from laureldock.sockets.flush import Flush, half_close, unread
 from laureldock.sockets.reactor import Door
 from laureldock.sockets.room import Room
 from laureldock.wire import resp
@@ -71,7 +71,7 @@
         self.pending: Letter | None = None  # taken on, and its client has not been told
         self.answering = self.reading = False
         self.closing = self.leaving = False  # nothing more is read; nothing after this request
-        self.parted = False  # closing with nothing owed: its client was answered, or has asked nothing
+        self.released = False  # closing with nothing owed: its client was answered, or has asked nothing
         self.asked = False  # something whole
         self.since = clients.core.now()  # what is to come next is awaited
         self.errors, self.erred = 0.0, self.since
@@ -290,18 +290,18 @@
         self.since = self.clients.core.now()
         self.leaving = self.leaving or self.clients.lameduck
         if self.closing:
-            self.part()
+            self.half_close()
         elif self.leaving and not self._buffer and unread(self.transport) is None:
-            self.parted = True
-            self.part()
+            self.released = True
+            self.half_close()
         else:  # what has come, read or not, is answered before
             self.resumeProducing()
 
-    def part(self) -> None:
+    def half_close(self) -> None:
         """End writing and read on for a while: a close over unread bytes would reset the connection and take
         the last answer with it. What comes from here on is read, and never sent on."""
         self.closing = True
-        end_writing(self.transport)
+        half_close(self.transport)
         self.transport.resumeProducing()  # much that came behind an error may have stopped it
 
     def refuse(self, why: str) -> None:
@@ -317,7 +317,7 @@
         """What has not come in time is not waited for."""
         waited = now - self.since
         if self.closing:
-            if self.parted and waited >= LINGER:
+            if self.released and waited >= LINGER:
                 self.transport.loseConnection()
             elif waited >= (PATIENCE if self.answering else DRAINED):
                 self.transport.abortConnection()
@@ -332,8 +332,8 @@
         now = self.clients.core.now()
         fresh = not self.asked and now - self.since < QUIET  # clients open a connection to send
         if self.resting and not fresh and unread(self.transport) is None:
-            self.parted, self.since = True, now
-            self.part()
+            self.released, self.since = True, now
+            self.half_close()
 
 
 def shown(word: bytes) -> str:
@@ -452,7 +452,7 @@
             client.finish()
         if full:  # those that linger need not, once they have had a moment; the next ones wait until then
             for client in self.clients:
-                if client.parted and client.since <= now - LOOK:
+                if client.released and client.since <= now - LOOK:
                     client.transport.loseConnection()
             if not self.full:
                 self.turn_away(True)
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -29,7 +29,7 @@
     told_left: float = 1.0  # of its limit, what is left
     until: float = 0.0  # nothing is sent before: told, or refused
     hush: float = 0.0  # nothing is sent before, since it was silent or failed
-    pause: float = 0.0  # between its trials
+    backoff: float = 0.0  # between its trials
     down: bool = False  # it went to nought by a run of failures
     since: float = 0.0  # when it first failed, of what failed since it was last served
     refused: float = 0.0  # when it was first refused, of the refusals since it was last served
--- a/laureldock/sockets/flush.py
+++ b/laureldock/sockets/flush.py
@@ -21,7 +21,7 @@
         return b""
 
 
-def end_writing(transport: Connection) -> None:
+def half_close(transport: Connection) -> None:
     """Half-close at once, with nothing left to write. The transport's own waits for its next look, and a
     request read between the decision and that look would be dropped with no answer."""
     with contextlib.suppress(OSError):  # the other side has reset it: the reactor hears of that
