Of many, a route that failed for a second counts as cold once it is served, shut or not

In the first three seconds 2.63 N; nine in ten calls came from instances whose first call had just been served (counted by the state of the route at each dispatch); hardly any were trials.

Lines at fault: reopen alone made a route cold, and shut needs three failures in a row; of many, most that see an outage meet the route once or twice, so that what waited went at once after the first served call.

Change: where instances outnumber routes by half, a live route that is ill and failed first over a second ago is cold from the call that is served.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -132,8 +132,7 @@
         # attempt that never comes up has met a full table, and what was refused is earned.
         known = sum(len(line.lanes) for line in self.lines.values())
         self.seldom = self.many and self.instances <= 1.5 * known
-        if self.many and not self.seldom:
-            self.keep = 0.1
+        self.keep = 0.1 if self.many and not self.seldom else self.keep
 
     def list_failed(self, now: float) -> None:
         # Doubled from half a second; one near by costs nothing: a quarter apart, soon after a longer silence.
@@ -343,13 +342,14 @@
             lane.part = min(1 / self.part, lane.part * (1.25 if lane.part < 1 else 1.05))
         table = outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took
         if not used_up and not table:  # a limit used up, or connections beside answered calls, is no outage
-            weight = 0.5 if outcome.ending is Ending.TIME_OUT and self.quiet(now, lane) else 0.3
-            if self.seldom and not good:  # two silent calls must do where the next is half a minute away
-                weight = 0.5 if silent else 0.3
-            lane.ill += weight * ((0.0 if good else 1.0) - lane.ill)
+            # Two silent calls must do where the next is half a minute away.
+            quiet = silent if self.seldom else outcome.ending is Ending.TIME_OUT and self.quiet(now, lane)
+            lane.ill += (0.5 if quiet else 0.3) * ((0.0 if good else 1.0) - lane.ill)
         if not good:
             lane.since = lane.since or now
         elif lane.state is State.LIVE:
+            if self.many and not self.seldom and 0 < lane.since < now - 1 and lane.ill > 0.2:  # it is cold
+                lane.back, lane.credit = now, 0.0
             lane.since = 0.0
         bad = Sign.WAIT if outcome.wait else Sign.RUN if self.failing(lane) else Sign.FAILED
         return Sign.SERVED if good else bad
