A process without standard error keeps its door open; grammar of the new names

The look for spare descriptors took any failure for a full table: with standard error closed no client would have been accepted. Only EMFILE and ENFILE say so; found by reading, tested.

--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -149,7 +149,7 @@
         self.rest, self.rested = rest, 0.0
         self.began, self.over = receivers.core.now(), False
         self.line: HttpLine | None = None
-        self.letter: Letter | None = None  # of a attempt
+        self.letter: Letter | None = None  # of an attempt
         self.opening: Deferred[HttpLine] | None = None
         self.timer: Timer | None = None
 
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -11,13 +11,13 @@
     news(now, routes, whole)                   list news; `whole` replaces the list held
     list_failed(now)                           an ask for the list failed, or the watch broke
     taken(now, mail)                           a mail was handed in; one final answer is now owed
-    ended(now, attempt, outcome)               a attempt ended
+    ended(now, attempt, outcome)               an attempt ended
     probed(now, route, outcome)                a probe ended
     heard(now, peer, data)                     a note of a peer
     timer(now, name)                           a timer set earlier is due
     withdrawn(now, mail)                       nobody wants this mail any more
     noticed(now, mail)                         its notice was answered (where the tariff has notices)
-    may_begin(now, attempt) -> bool            whether a attempt, put off by its door, may still be sent
+    may_begin(now, attempt) -> bool            whether an attempt, put off by its door, may still be sent
     closing(now, left)                         the process ends in so many seconds; what waits is kept
     turn(now) -> list[Effect]                  all effects of the turn, in the order to be carried out
 """
@@ -39,7 +39,7 @@
 
 
 class Ending(Enum):
-    """How a attempt or a probe ended. The door maps its own protocol's endings onto these."""
+    """How an attempt or a probe ended. The door maps its own protocol's endings onto these."""
 
     SERVED = "served"
     ERROR = "error"
@@ -108,7 +108,7 @@
     rates: str
     connect_time: float = 0.0  # a connection not up within it counts as none
     idle_time: float = inf  # for which a receiver keeps an unused connection
-    drain_grace: float = 0.0  # for which a attempt being opened may still go to a route that drains since
+    drain_grace: float = 0.0  # for which an attempt being opened may still go to a route that drains since
     handshake: float = 0.0  # price of a new connection, in mails of importance 1
     fees: dict[str, float] = field(default_factory=dict)  # for each mail, by the zone of its route; the same
 
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -100,7 +100,7 @@
 
 @dataclass(eq=False, slots=True)
 class Call:
-    """What one turn sends over one route: a attempt, or several that share its fate."""
+    """What one turn sends over one route: an attempt, or several that share its fate."""
 
     lane: Lane
     sent: float
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import socket
 import time
@@ -25,8 +26,8 @@
     try:
         for _ in range(descriptors):
             held.append(os.dup(2))
-    except OSError:
-        return False
+    except OSError as fault:  # a process may run without standard error
+        return fault.errno not in (errno.EMFILE, errno.ENFILE)
     finally:
         for each in held:
             os.close(each)
