Refusals make no route cold: only what failed otherwise for a second does

Lines at fault: reading took the first failure of any kind for the begin of an outage. Change: refusals and tables without room do not begin one.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -342,15 +342,15 @@
             lane.part = min(1 / self.part, lane.part * (1.25 if lane.part < 1 else 1.05))
         table = outcome.ending is Ending.NO_CONNECTION and lane.heard > now - outcome.took
         if not used_up and not table:  # a limit used up, or connections beside answered calls, is no outage
-            # Two silent calls must do where the next is half a minute away.
             quiet = silent if self.seldom else outcome.ending is Ending.TIME_OUT and self.quiet(now, lane)
-            lane.ill += (0.5 if quiet else 0.3) * ((0.0 if good else 1.0) - lane.ill)
+            lane.ill += (0.5 if quiet else 0.3) * ((0.0 if good else 1.0) - lane.ill)  # two silent must do
         if not good:
             lane.since = lane.since or now
+            lane.gone = lane.gone or (0.0 if table or outcome.ending is Ending.FULL else now)
         elif lane.state is State.LIVE:
-            if self.many and not self.seldom and 0 < lane.since < now - 1 and lane.ill > 0.2:  # it is cold
+            if self.many and not self.seldom and 0 < lane.gone < now - 1 and lane.ill > 0.2:  # it is cold
                 lane.back, lane.credit = now, 0.0
-            lane.since = 0.0
+            lane.since = lane.gone = 0.0
         bad = Sign.WAIT if outcome.wait else Sign.RUN if self.failing(lane) else Sign.FAILED
         return Sign.SERVED if good else bad
 
@@ -366,7 +366,7 @@
         if call.judged and not outcome.wait:
             # Slow is not silent: an answer takes back what its own lateness said, if that failed first.
             if call.overdue and outcome.ending is Ending.SERVED and lane.since >= call.sent:
-                lane.hush, lane.since, lane.ill = 0.0, 0.0, min(0.3, lane.ill)
+                lane.hush, lane.since, lane.gone, lane.ill = 0.0, 0.0, 0.0, min(0.3, lane.ill)
             return
         call.judged = True
         sign = self.reading(now, lane, outcome)
@@ -407,7 +407,7 @@
     def reopen(self, now: float, lane: Lane) -> None:
         if lane.down if self.seldom else self.failing(lane):  # an outage, not a mere wait: it is cold
             lane.back = now
-        lane.since = lane.backoff = lane.credit = 0.0
+        lane.since = lane.gone = lane.backoff = lane.credit = 0.0
         lane.ill = min(0.4, lane.ill)
 
     def slow_start(self, now: float, lane: Lane) -> float:
--- a/laureldock/records.py
+++ b/laureldock/records.py
@@ -32,6 +32,7 @@
     backoff: float = 0.0  # between its trials
     down: bool = False  # it went to nought by a run of failures
     since: float = 0.0  # when it first failed, of what failed since it was last served
+    gone: float = 0.0  # of these, the first that was no refusal and no want of a connection
     refused: float = 0.0  # when it was first refused, of the refusals since it was last served
     rest: float = 0.0  # after its latest refusal
     filled: float = 0.0  # when its credit was last filled
