A route that only refused is not cold: tested

Two refusals 0.8 s apart and a served call leave a route warm, two errors make it cold; with refusals counted again the first of them fails.

--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from dock import Dock
 
 from benchmarks import ramp
 
@@ -30,3 +31,23 @@
     """Since the return, and with what had waited; the receiver bears no more than that sooner."""
     served = [ramp.play(200, "all", seed)[4] for seed in range(SEEDS)]
     assert min(served) > 1.3
+
+
+@pytest.mark.parametrize(("ending", "cold"), [("full", False), ("error", True)])
+def test_a_route_that_refused_for_a_second_is_not_cold(ending: str, cold: bool) -> None:
+    """Of many that meet it often: refused on a busy calm day, it held up the mails worth least."""
+    dock = Dock(instances=200, connect_time=1.5, most_attempts=9)
+    dock.listed("north/1")
+    ended, due = 0, dock.now
+    for step in range(200):  # ten seconds, ten mails a second; two fail 0.8 s apart, the next is served
+        if step % 2 == 0:
+            dock.mail(f"m{step}", "redeliverable", left=30.0)
+        dock.after(0.05)
+        for name in sorted(dock.out)[:1] if ended < 3 and dock.now >= due else ():
+            ended, due = ended + 1, dock.now + 0.8
+            dock.end(name, ending if ended < 3 else "served")
+        if ended == 3:
+            break
+    lane = dock.routes["north/1"].notes
+    assert any("served" in line for line in dock.lines)
+    assert (dock.control.slow_start(dock.now, lane) < 1) == cold
