--- /dev/null
+++ b/benchmarks/capacity_slopes.py
@@ -0,0 +1,64 @@
+"""Measure the slopes that docs/CAPACITY.md is worked out from; each experiment writes a JSON file.
+
+    python -m benchmarks.capacity_slopes [--only NAME] [--quick] [--to benchmarks/slopes]
+
+Processor time is read from the kernel's clock of each process, so that a busy machine spoils it less than
+wall time. `--quick` measures each size once and leaves the largest out; its figures belong on no page.
+"""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import click
+
+from benchmarks.slopes import configuration, owed
+from benchmarks.slopes.model import FOLDER, Experiment, Readings, Slope, fit, point, readings, save
+
+EXPERIMENTS = [*configuration.EXPERIMENTS, *owed.EXPERIMENTS]
+
+
+def run(experiment: Experiment, quick: bool) -> Readings:
+    """Every size, as often as the experiment says."""
+    sizes = experiment.sizes[:-1] if quick else experiment.sizes
+    values: dict[str, dict[int, list[float]]] = {each.name: {} for each in experiment.slopes}
+    for size, runs in zip(sizes, experiment.runs, strict=False):
+        began = time.monotonic()
+        for _ in range(1 if quick else runs):
+            for name, found in experiment.measure(size).items():
+                values[name].setdefault(size, []).extend(found)
+        click.echo(f"  {experiment.name} {size}: {time.monotonic() - began:.0f} s", err=True)
+    slopes = []
+    for measured in experiment.slopes:
+        points = [point(size, found) for size, found in values[measured.name].items()]
+        slopes.append(Slope(measured.name, measured.unit, measured.varied, points, fit(points)))
+    return readings(slopes)
+
+
+def show(slope: Slope) -> str:
+    lines = [f"{slope.name} ({slope.unit}) against {slope.varied}"]
+    lines += [f"  {each.size:>9g}  {each.median:.6g}  spread {each.spread:.3g}" for each in slope.points]
+    low, high = slope.fit.interval or (slope.fit.slope, slope.fit.slope)
+    lines.append(
+        f"  {slope.fit.intercept:.4g} + {slope.fit.slope:.4g} each ({low:.4g} to {high:.4g}),"
+        f" residual {slope.fit.residual:.1%}"
+    )
+    return "\n".join(lines)
+
+
+@click.command()
+@click.option("--only", multiple=True, type=click.Choice([each.name for each in EXPERIMENTS]))
+@click.option("--quick", is_flag=True, help="Each size once, without the largest: a trial.")
+@click.option("--to", default=FOLDER, type=click.Path(file_okay=False, path_type=Path), show_default=True)
+def main(only: tuple[str, ...], quick: bool, to: Path) -> None:
+    for experiment in EXPERIMENTS:
+        if not only or experiment.name in only:
+            found = run(experiment, quick)
+            save(to / f"{experiment.name}.json", found)
+            for slope in found.slopes:
+                click.echo(show(slope))
+
+
+if __name__ == "__main__":
+    main()
