--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -13,10 +13,16 @@
 
 import click
 
-from benchmarks.slopes import configuration, owed
+from benchmarks.slopes import configuration, fleet, mails, owed, thin_load
 from benchmarks.slopes.model import FOLDER, Experiment, Readings, Slope, fit, point, readings, save
 
-EXPERIMENTS = [*configuration.EXPERIMENTS, *owed.EXPERIMENTS]
+EXPERIMENTS = [
+    *configuration.EXPERIMENTS,
+    *owed.EXPERIMENTS,
+    *fleet.EXPERIMENTS,
+    *mails.EXPERIMENTS,
+    *thin_load.EXPERIMENTS,
+]
 
 
 def run(experiment: Experiment, quick: bool) -> Readings:
--- a/benchmarks/slopes/process.py
+++ b/benchmarks/slopes/process.py
@@ -18,6 +18,7 @@
 SETTLED = 0.25  # seconds without processor time after which nothing more is being done
 
 HEAD = """\
+name = "{name}"
 instances = 1500
 [limits]
 sockets = 1024
@@ -43,6 +44,12 @@
         return port
 
 
+def resident(pid: int | None = None) -> float:
+    """Bytes of memory that a process, or this one, holds now."""
+    lines = Path(f"/proc/{pid or 'self'}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) * 1024.0
+
+
 def endpoint(name: str, destination: str, address: str, rate: float = 20.0) -> str:
     owner = f'[[endpoint]]\nname = "{name}"\ndestination = "{destination}"\n'
     return f'{owner}address = "{address}"\nrate = {rate}\n'
@@ -60,6 +67,7 @@
         self,
         folder: Path,
         *,
+        name: str = "laureldock",
         slots: int = 64,
         room: int = 2000,
         disk_mb: int = 64,
@@ -69,6 +77,7 @@
     ) -> None:
         self.port, self.file = free_port(), folder / "laureldock.toml"
         self.head = HEAD.format(
+            name=name,
             slots=slots,
             room=room,
             disk=disk_mb,
@@ -115,8 +124,7 @@
 
     def memory(self) -> float:
         """Bytes resident now."""
-        lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
-        return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) * 1024.0
+        return resident(self.pid)
 
     def counter(self, name: str) -> int:
         return int(figures(f"127.0.0.1:{self.port}").get(name, 0))
