--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import click
 
 from benchmarks.slopes import configuration, fleet, mails, owed, thin_load
-from benchmarks.slopes.model import FOLDER, Experiment, Readings, Slope, fit, point, readings, save
+from benchmarks.slopes.model import FOLDER, Experiment, Readings, Slope, fit, load, point, readings, save
 
 EXPERIMENTS = [
     *configuration.EXPERIMENTS,
@@ -25,11 +26,13 @@
 ]
 
 
-def run(experiment: Experiment, quick: bool) -> Readings:
-    """Every size, as often as the experiment says."""
+def run(experiment: Experiment, quick: bool, only: Sequence[int] = ()) -> Readings:
+    """Every size, or only some, as often as the experiment says."""
     sizes = experiment.sizes[:-1] if quick else experiment.sizes
     values: dict[str, dict[int, list[float]]] = {each.name: {} for each in experiment.slopes}
     for size, runs in zip(sizes, experiment.runs, strict=False):
+        if only and size not in only:
+            continue
         began = time.monotonic()
         for _ in range(1 if quick else runs):
             for name, found in experiment.measure(size).items():
@@ -42,6 +45,20 @@
     return readings(slopes)
 
 
+def merged(path: Path, found: Readings) -> Readings:
+    """With the sizes that were measured before of the same program."""
+    if not path.exists() or (before := load(path)).commit != found.commit:
+        return found
+    kept = {slope.name: slope.points for slope in before.slopes}
+    slopes = []
+    for slope in found.slopes:
+        fresh = {each.size for each in slope.points}
+        points = slope.points + [each for each in kept.get(slope.name, []) if each.size not in fresh]
+        points.sort(key=lambda each: each.size)
+        slopes.append(Slope(slope.name, slope.unit, slope.varied, points, fit(points)))
+    return readings(slopes)
+
+
 def show(slope: Slope) -> str:
     lines = [f"{slope.name} ({slope.unit}) against {slope.varied}"]
     lines += [f"  {each.size:>9g}  {each.median:.6g}  spread {each.spread:.3g}" for each in slope.points]
@@ -55,13 +72,15 @@
 
 @click.command()
 @click.option("--only", multiple=True, type=click.Choice([each.name for each in EXPERIMENTS]))
+@click.option("--size", multiple=True, type=int, help="Only these; other sizes that are kept stay.")
 @click.option("--quick", is_flag=True, help="Each size once, without the largest: a trial.")
 @click.option("--to", default=FOLDER, type=click.Path(file_okay=False, path_type=Path), show_default=True)
-def main(only: tuple[str, ...], quick: bool, to: Path) -> None:
+def main(only: tuple[str, ...], size: tuple[int, ...], quick: bool, to: Path) -> None:
     for experiment in EXPERIMENTS:
         if not only or experiment.name in only:
-            found = run(experiment, quick)
-            save(to / f"{experiment.name}.json", found)
+            path = to / f"{experiment.name}.json"
+            found = merged(path, run(experiment, quick, size))
+            save(path, found)
             for slope in found.slopes:
                 click.echo(show(slope))
 
--- a/benchmarks/slopes/model.py
+++ b/benchmarks/slopes/model.py
@@ -94,6 +94,8 @@
 
 def fit(points: Sequence[Point]) -> Fit:
     sizes, medians = [each.size for each in points], [each.median for each in points]
+    if len(points) < 2:
+        return Fit(medians[0], 0.0, 0.0)
     slope, intercept = statistics.linear_regression(sizes, medians)
     distances = [abs(y - intercept - slope * x) for x, y in zip(sizes, medians, strict=True)]
     largest = max(map(abs, medians)) or 1.0
