--- a/benchmarks/fleet_processes.py
+++ b/benchmarks/fleet_processes.py
@@ -19,7 +19,7 @@
 import click
 
 from benchmarks.throughput import BODY, Receivers, command, cpu, memory
-from laureldock.rehearsal.fleet.processes import FRONT, Member, Processes
+from laureldock.rehearsal.fleet.processes import FRONT, Member, ProcessFleet
 from laureldock.rehearsal.fleet.script import Script, Step, load, shipped
 
 
@@ -45,7 +45,7 @@
     """Processor time and memory of a member that has nothing to deliver, with the view and without."""
 
     async def measure(size: int, view: bool, folder: str) -> tuple[float, float, float]:
-        fleet = Processes(
+        fleet = ProcessFleet(
             Script(name="idle", members=size), 1, Path(folder), period=period, view=view, net=90
         )
         try:
@@ -115,7 +115,7 @@
         receivers = Receivers(4)
         for view in (True, False):
             size = members if view else 1
-            fleet = Processes(
+            fleet = ProcessFleet(
                 Script(name="beside", members=size),
                 1,
                 Path(folder) / str(view),
@@ -173,7 +173,7 @@
             script = load(name)
             script.members = max(size, script.members)
             with tempfile.TemporaryDirectory() as folder:
-                verdict = asyncio.run(Processes(script, seed, Path(folder), period=period).play())
+                verdict = asyncio.run(ProcessFleet(script, seed, Path(folder), period=period).play())
             word = "held" if verdict.held else f"BROKEN {verdict.broken}"
             mails = next((cases for rule, cases, _ in verdict.rules), 0)
             cost = f"{len(verdict.events):5} events, {verdict.bytes_each:5.0f} bytes, {mails} mails"
@@ -191,7 +191,7 @@
     step = Step(at=1, do="spoil", who=["all"], to=["all"], loss=share, lasts=length)
     script = Script(name="loss", members=members, spared=True, step=[step])
     with tempfile.TemporaryDirectory() as folder:
-        verdict = asyncio.run(Processes(script, 1, Path(folder), period=period, rate=5.0, net=94).play())
+        verdict = asyncio.run(ProcessFleet(script, 1, Path(folder), period=period, rate=5.0, net=94).play())
     failed = sum(event.name == "failed" for event in verdict.events)
     suspected = sum(event.name == "suspected" for event in verdict.events)
     print(
--- a/benchmarks/fleet_spoilt.py
+++ b/benchmarks/fleet_spoilt.py
@@ -11,26 +11,35 @@
 
 import click
 
-from laureldock.fleet import words
-from laureldock.fleet.view import Charter, Happened, Send, Standing, View
-from laureldock.fleet.words import ALIVE, FAILED, SUSPECT, BadWord, Head, Word
+from laureldock.fleet import messages
+from laureldock.fleet.messages import (
+    ALIVE,
+    FAILED,
+    SUSPECT,
+    MalformedMessageError,
+    MemberRecord,
+    MessageHeader,
+)
+from laureldock.fleet.view import MembershipView, SendDatagram, ViewEvent, ViewSettings, ViewStatus
 
 
 def samples() -> list[bytes]:
-    head = Head("fleet", "other", 2000, 9, "127.0.0.1:2", 3, 12345, (words.Reach("s", 3, 2),))
+    head = MessageHeader(
+        "fleet", "other", 2000, 9, "127.0.0.1:2", 3, 12345, (messages.SiteReachability("s", 3, 2),)
+    )
     told = tuple(
-        Word(name, "s", f"127.0.0.1:{place}", 1000 + place, 7, place, state)
+        MemberRecord(name, "s", f"127.0.0.1:{place}", 1000 + place, 7, place, state)
         for place, (name, state) in enumerate(
             (("me", FAILED), ("other", ALIVE), ("third", SUSPECT), ("me", SUSPECT)), start=1
         )
     )
     return [
-        words.encode(each)
+        messages.encode(each)
         for each in (
-            words.Ping(head, 5, "me", told), words.Ack(head, 6, told),
-            words.Ask(head, 7, "third", "127.0.0.1:3", told),
-            words.Nack(head, 8), words.Gossip(head, told), words.Compare(head, tuple(range(64))),
-            words.Differ(head, (1, 5), told), words.Same(head, told),
+            messages.Ping(head, 5, "me", told), messages.Ack(head, 6, told),
+            messages.PingRequest(head, 7, "third", "127.0.0.1:3", told),
+            messages.Nack(head, 8), messages.Gossip(head, told), messages.SyncDigests(head, tuple(range(64))),
+            messages.SyncDifference(head, (1, 5), told), messages.SyncCompletion(head, told),
         )
     ]  # fmt: skip
 
@@ -57,7 +66,7 @@
 @click.option("--seed", default=1, show_default=True)
 def main(count: int, seed: int) -> None:
     chance, raw, began = random.Random(seed), samples(), time.monotonic()
-    view = View(Charter("fleet", "me", "s", "127.0.0.1:1", 1_000_000, 7, most=256), 0.0)
+    view = MembershipView(ViewSettings("fleet", "me", "s", "127.0.0.1:1", 1_000_000, 7, most=256), 0.0)
     now, sent, events, frames_refused, least = 0.0, 0, 0, 0, 0
     for number in range(count):
         data = spoilt(chance.choice(raw), chance)
@@ -67,17 +76,17 @@
         else:
             try:
                 view.frame(now, data)
-            except BadWord:
+            except MalformedMessageError:
                 frames_refused += 1
         for effect in view.turn(now):
-            sent += isinstance(effect, Send)
-            events += isinstance(effect, Happened)
+            sent += isinstance(effect, SendDatagram)
+            events += isinstance(effect, ViewEvent)
         if number == count // 10:
             least = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     most = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     assert view.me.word.state == ALIVE and len(view.roll.members) <= 256, view.me.word
     assert len(view.timers) < 5000 and len(view.probes) < 100 and len(view.relays) <= 64
-    assert view.standing is Standing.HERE
+    assert view.standing is ViewStatus.ACTIVE
     cost = (time.monotonic() - began) / count * 1e6
     print(
         f"{count} spoilt: {view.counts.refused} refused, {frames_refused} of them frames; {cost:.0f} us each"
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -14,11 +14,11 @@
 
 import click
 
-from laureldock.fleet.modelled import World
+from laureldock.fleet.simulation import Simulation
 
 
-def world(members: int, seed: int) -> World:
-    found = World({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
+def world(members: int, seed: int) -> Simulation:
+    found = Simulation({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
     for name in found.hosts:
         found.start(name)
     return found
--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -30,7 +30,7 @@
 from laureldock.tariff import Book
 
 if TYPE_CHECKING:
-    from laureldock.fleet.rim import Rim
+    from laureldock.fleet.transport import FleetTransport
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,20 +99,23 @@
             return Notices(self.core, self.reactor, plan.outlet.address)
         return Lines(self.core, state / plan.outlet.path if plan.outlet.path else None)
 
-    def rim_of(self, plan: Plan, state: Path) -> Rim:
-        from laureldock.fleet.rim import LOUD, Rim  # a dispatcher without a fleet imports none of it
+    def rim_of(self, plan: Plan, state: Path) -> FleetTransport:
+        from laureldock.fleet.transport import (  # a dispatcher without a fleet imports none of it
+            WARNING_EVENTS,
+            FleetTransport,
+        )
 
         core, settings = self.core, plan.fleet
         assert settings is not None
 
         def told(name: str, fields: dict[str, Any]) -> None:
             core.counters[f"fleet {name}"] += 1
-            (core.log.warning if name in LOUD else core.log.info)(f"fleet: {name}", **fields)
+            (core.log.warning if name in WARNING_EVENTS else core.log.info)(f"fleet: {name}", **fields)
 
         def load() -> float:
             return len(core.letters) / plan.limits.room
 
-        return Rim(self.reactor, settings, plan.name, plan.seed, state, told, load)
+        return FleetTransport(self.reactor, settings, plan.name, plan.seed, state, told, load)
 
     def lameduck(self, on: bool) -> None:
         self.core.set_lameduck(on)
--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -65,9 +65,9 @@
     if views were not equal in time after the last fault, or a rule was broken for any mail.
     """
     try:
-        from laureldock.rehearsal.fleet.inmodel import InModel
         from laureldock.rehearsal.fleet.processes import play
         from laureldock.rehearsal.fleet.script import load, shipped
+        from laureldock.rehearsal.fleet.simulated import SimulatedRun
         from laureldock.rehearsal.fleet.verdict import side_by_side
     except ImportError as fault:
         hint = "pip install 'laureldock[rehearse]'"
@@ -85,7 +85,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             if model:
-                verdict = InModel(found, seed).play()
+                verdict = SimulatedRun(found, seed).play()
             else:
                 verdict = play(
                     found, seed, folder or Path(temporary), lambda line: click.echo(line, err=as_json),
--- a/laureldock/fleet/rumours.py
+++ b/laureldock/fleet/gossip_queue.py
@@ -6,31 +6,33 @@
 from itertools import count
 from math import ceil, log10
 
-from laureldock.fleet.words import Word, size_of
+from laureldock.fleet.messages import MemberRecord, size_of
 
 # Each word goes 4 log10(n + 1) times from each that heard it (as memberlist's default), by which all of n
 # have it but for chance; streams bring the rest.
-TIMES = 4
+RETRANSMIT_MULTIPLIER = 4
 
 
-class Rumours:
+class GossipQueue:
     def __init__(self) -> None:
-        self.told: dict[str, tuple[int, int, Word, int]] = {}  # times, serial, word, its size
+        self.told: dict[str, tuple[int, int, MemberRecord, int]] = {}  # times, serial, word, its size
         self.serial = count()
 
     def __len__(self) -> int:
         return len(self.told)
 
-    def add(self, word: Word) -> None:
+    def add(self, word: MemberRecord) -> None:
         """A newer word of a member takes the place of the older one."""
         self.told[word.name] = (0, next(self.serial), word, size_of(word))
 
     def drop(self, name: str) -> None:
         self.told.pop(name, None)
 
-    def pick(self, room: int, members: int, most: int, first: Word | None = None) -> tuple[Word, ...]:
+    def pick(
+        self, room: int, members: int, most: int, first: MemberRecord | None = None
+    ) -> tuple[MemberRecord, ...]:
         """Words for one datagram, at most so many, within `room` bytes; `first` goes whatever was told."""
-        picked, limit = [], TIMES * ceil(log10(members + 1))
+        picked, limit = [], RETRANSMIT_MULTIPLIER * ceil(log10(members + 1))
         if first is not None:
             picked.append(first)
             room -= size_of(first)
--- a/laureldock/fleet/members.py
+++ b/laureldock/fleet/members.py
@@ -12,13 +12,13 @@
 from msgspec import structs
 from xxhash import xxh3_64_intdigest
 
-from laureldock.fleet.words import ALIVE, FAILED, LEFT, SUSPECT, Word
+from laureldock.fleet.messages import ALIVE, FAILED, LEFT, SUSPECT, MemberRecord
 
 # Of one start of a member: which incarnation a told word must have to win over the known one. A later start
 # wins whatever it says, and an earlier one never does. Only the member itself raises its incarnation, so
 # an older word never wins, and nobody is revived by what was said before it failed. Left is the member's
 # own last word (or the operators', of one that failed).
-BEATS = {
+PRECEDENCE = {
     (ALIVE, ALIVE): "greater",
     (ALIVE, SUSPECT): "greater",
     (ALIVE, FAILED): "greater",
@@ -37,7 +37,7 @@
     (LEFT, LEFT): "never",
 }
 # What is told to those who use the view, by the state known before and the one that won; "" is nothing.
-EVENTS = {
+TRANSITION_EVENTS = {
     (None, ALIVE): "joined",
     (None, SUSPECT): "joined",
     (ALIVE, SUSPECT): "suspected",
@@ -52,16 +52,16 @@
     (SUSPECT, LEFT): "left",
     (FAILED, LEFT): "left",
 }
-HERE = (ALIVE, SUSPECT)
+PRESENT_STATES = (ALIVE, SUSPECT)
 # Of the buckets that a stream compares: one differing member costs the words of a 64th of the fleet.
-BUCKETS = 64
+DIGEST_BUCKETS = 64
 
 
-def wins(told: Word, known: Word | None) -> bool:
+def wins(told: MemberRecord, known: MemberRecord | None) -> bool:
     """Whether a word takes the place of the known one."""
     if known is None or told.era != known.era:
         return known is None or told.era > known.era
-    match BEATS[told.state, known.state]:
+    match PRECEDENCE[told.state, known.state]:
         case "greater":
             return told.incarnation > known.incarnation
         case "as great":
@@ -69,27 +69,27 @@
     return False
 
 
-def refuted(told: Word, mine: Word) -> Word | None:
+def refuted(told: MemberRecord, mine: MemberRecord) -> MemberRecord | None:
     """A member's own next word after a false one of the same start: nobody else raises its incarnation."""
     false = told.era == mine.era and told.state != ALIVE and told.incarnation >= mine.incarnation
     return structs.replace(mine, incarnation=told.incarnation + 1, state=ALIVE) if false else None
 
 
-def mark(word: Word) -> int:
+def mark(word: MemberRecord) -> int:
     """What a member adds to the digest: nought where it is not here, so that forgetting changes nothing."""
-    if word.state not in HERE:
+    if word.state not in PRESENT_STATES:
         return 0
     text = f"{word.name}|{word.site}|{word.address}|{word.generation}|{word.boot}|{word.incarnation}"
     return xxh3_64_intdigest(f"{text}|{word.state}|{word.lameduck}".encode()) >> 2
 
 
 def bucket(name: str) -> int:
-    return xxh3_64_intdigest(name.encode()) % BUCKETS
+    return xxh3_64_intdigest(name.encode()) % DIGEST_BUCKETS
 
 
 @dataclass(eq=False, slots=True)
 class Member:
-    word: Word
+    word: MemberRecord
     since: float  # when it got its state here
     heard: float = float("-inf")  # when a datagram of it came
     load: int = 0  # as it last told
@@ -99,13 +99,13 @@
     index: int = 0  # in `Roll.order`
 
 
-class Roll:
+class MemberTable:
     """All members that are known, by name, and the digests over those that are here."""
 
     def __init__(self, most: int) -> None:
         self.most = most
         self.members: dict[str, Member] = {}
-        self.digests = [0] * BUCKETS
+        self.digests = [0] * DIGEST_BUCKETS
         self.digest = 0
         self.here = self.alive = 0
         self.gone: dict[str, Member] = {}  # those that failed or left
@@ -124,7 +124,7 @@
         """Guards memory against made-up members: no more are taken on until some are forgotten."""
         return len(self.members) >= self.most
 
-    def put(self, now: float, word: Word) -> Member:
+    def put(self, now: float, word: MemberRecord) -> Member:
         """Set a member's word, whatever was known. The caller has asked `wins`."""
         member = self.members.get(word.name)
         if member is None:
@@ -152,7 +152,7 @@
         found = mark(member.word)
         self.digests[member.place] ^= found
         self.digest ^= found
-        if member.word.state in HERE:
+        if member.word.state in PRESENT_STATES:
             self.here += sign
             self.alive += sign * (member.word.state == ALIVE)
             self.gone.pop(member.word.name, None)
--- a/laureldock/fleet/reach.py
+++ b/laureldock/fleet/reachability.py
@@ -4,23 +4,23 @@
 
 from collections import deque
 
-from laureldock.fleet.words import Reach
+from laureldock.fleet.messages import SiteReachability
 
 # Three sites give each some three calls in ten periods: enough to tell a cut link from a lost datagram.
-PERIODS = 10.0
-MOST_SITES = 8  # told in a datagram
+WINDOW_PERIODS = 10.0
+MAX_REPORTED_SITES = 8  # told in a datagram
 
 
-class Sites:
+class ReachabilityTracker:
     def __init__(self, period: float) -> None:
-        self.span = PERIODS * period
+        self.span = WINDOW_PERIODS * period
         self.sites: dict[str, deque[tuple[float, bool]]] = {}  # when a call went, and whether it was answered
-        self.told: dict[str, tuple[float, tuple[Reach, ...]]] = {}  # by others, and when
+        self.told: dict[str, tuple[float, tuple[SiteReachability, ...]]] = {}  # by others, and when
 
     def tried(self, now: float, site: str, answered: bool) -> None:
         self.sites.setdefault(site, deque(maxlen=255)).append((now, answered))
 
-    def own(self, now: float) -> tuple[Reach, ...]:
+    def own(self, now: float) -> tuple[SiteReachability, ...]:
         """For datagrams: the sites called of late."""
         found = []
         for site in sorted(self.sites):
@@ -28,12 +28,12 @@
             while calls and calls[0][0] < now - self.span:
                 calls.popleft()
             if calls:
-                found.append(Reach(site, len(calls), sum(answered for _, answered in calls)))
+                found.append(SiteReachability(site, len(calls), sum(answered for _, answered in calls)))
             else:
                 del self.sites[site]
-        return tuple(found[:MOST_SITES])
+        return tuple(found[:MAX_REPORTED_SITES])
 
-    def hear(self, now: float, name: str, told: tuple[Reach, ...]) -> None:
+    def hear(self, now: float, name: str, told: tuple[SiteReachability, ...]) -> None:
         self.told[name] = (now, told)
 
     def forget(self, name: str) -> None:
--- a/laureldock/fleet/modelled.py
+++ b/laureldock/fleet/simulation.py
@@ -14,9 +14,16 @@
 from itertools import count
 from typing import Any
 
-from laureldock.fleet.members import HERE
-from laureldock.fleet.view import Charter, Happened, Send, Standing, Stream, View
-from laureldock.fleet.words import BadWord
+from laureldock.fleet.members import PRESENT_STATES
+from laureldock.fleet.messages import MalformedMessageError
+from laureldock.fleet.view import (
+    MembershipView,
+    OpenStream,
+    SendDatagram,
+    ViewEvent,
+    ViewSettings,
+    ViewStatus,
+)
 
 Pair = tuple[str, str]
 
@@ -32,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class Net:
+class SimulatedNetwork:
     """What becomes of datagrams: of all, and of those on single links."""
 
     loss: float = 0.0
@@ -49,13 +56,13 @@
 
 
 @dataclass(eq=False, slots=True)
-class Host:
+class SimulatedHost:
     """A member's process: it may be down, or stand still."""
 
     key: str  # of its address; a second process of one name has another
     name: str
     site: str
-    view: View | None = None
+    view: MembershipView | None = None
     starts: int = 0
     generation: int = 0  # on its disk
     stalled: float = 0.0  # until when
@@ -63,18 +70,18 @@
     woken: float = -1.0  # the turn that is already in the heap
 
 
-class World:
+class Simulation:
     """`names` of members, each with its site; the address of each is its name and `:1`."""
 
     def __init__(
         self, names: dict[str, str], seed: int = 1, period: float = 1.0, seeds: Iterable[str] = ()
     ) -> None:
-        self.seed, self.period, self.net = seed, period, Net()
-        self.hosts = {name: Host(name, name, site) for name, site in names.items()}
+        self.seed, self.period, self.net = seed, period, SimulatedNetwork()
+        self.hosts = {name: SimulatedHost(name, name, site) for name, site in names.items()}
         self.seeds = tuple(seeds) or tuple(f"{name}:1" for name in names)[:1]
         self.now, self.serial = 0.0, count(1)
         self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.happened: list[tuple[float, str, Happened]] = []
+        self.happened: list[tuple[float, str, ViewEvent]] = []
         self.sent = self.bytes = 0
 
     def chance(self) -> float:
@@ -91,25 +98,25 @@
 
     # Members
 
-    def start(self, key: str, clock: float = 0.0, seeds: Iterable[str] = ()) -> View:
+    def start(self, key: str, clock: float = 0.0, seeds: Iterable[str] = ()) -> MembershipView:
         """`clock`: seconds that its wall clock is off; `seeds`: others than the world's."""
         host = self.hosts[key]
         host.starts += 1
         # A day into the clock, so that one behind has a generation, too.
         host.generation = max(host.generation + 1, round((86400 + self.now + clock) * 1000))
         boot = zlib.crc32(f"{key}{host.starts}".encode())
-        told = Charter(
+        told = ViewSettings(
             "fleet", host.name, host.site, f"{key}:1", host.generation, boot,
             tuple(seeds) or self.seeds, self.period, self.seed * 100003 + host.starts,
         )  # fmt: skip
-        host.view, host.woken, host.stalled = View(told, self.now), -1.0, 0.0
+        host.view, host.woken, host.stalled = MembershipView(told, self.now), -1.0, 0.0
         host.inbox.clear()
         self.turn(host)
         return host.view
 
-    def twin(self, name: str) -> View:
+    def twin(self, name: str) -> MembershipView:
         """Another process of that name, at another address."""
-        self.hosts[f"{name}~"] = Host(f"{name}~", name, self.hosts[name].site)
+        self.hosts[f"{name}~"] = SimulatedHost(f"{name}~", name, self.hosts[name].site)
         return self.start(f"{name}~")
 
     def kill(self, key: str, folder: bool = False) -> None:
@@ -131,7 +138,7 @@
         host.stalled = self.now + seconds
         self.at(host.stalled, self.wake, host, host.view)
 
-    def wake(self, host: Host, view: View | None) -> None:
+    def wake(self, host: SimulatedHost, view: MembershipView | None) -> None:
         if host.view is view and view and host.stalled <= self.now:
             self.turn(host)
             inbox, host.inbox = host.inbox, []
@@ -139,23 +146,23 @@
                 view.hear(self.now, data)
             self.turn(host)
 
-    def turn(self, host: Host) -> None:
+    def turn(self, host: SimulatedHost) -> None:
         if host.view is None or host.stalled > self.now:
             return
         for effect in host.view.turn(self.now):
             match effect:
-                case Send(address=address, data=data):
+                case SendDatagram(address=address, data=data):
                     self.send(host.key, address, data)
-                case Stream(address=address):
+                case OpenStream(address=address):
                     self.at(self.now + self.delay(), self.stream, host, host.view, address)
-                case Happened():
+                case ViewEvent():
                     self.happened.append((self.now, host.key, effect))
         due = host.view.due
         if due != host.woken and due < float("inf"):
             host.woken = due
             self.at(due, self.due, host, host.view)
 
-    def due(self, host: Host, view: View) -> None:
+    def due(self, host: SimulatedHost, view: MembershipView) -> None:
         if host.view is view:
             host.woken = -1.0
             self.turn(host)
@@ -186,7 +193,7 @@
         host.view.hear(self.now, data)
         self.turn(host)
 
-    def stream(self, host: Host, view: View, address: str) -> None:
+    def stream(self, host: SimulatedHost, view: MembershipView, address: str) -> None:
         """Both ends in one go: a stream takes a few round trips, which only delays what it carries."""
         other = self.hosts.get(address.removesuffix(":1"))
         if other is None or other.view is None or host.view is not view:
@@ -203,23 +210,23 @@
                     break
                 self.bytes += len(data)
                 data = view_there.frame(self.now, data)
-        except BadWord:
+        except MalformedMessageError:
             pass
         self.turn(host)
         self.turn(other)
 
     # What is asked of a run
 
-    def living(self) -> list[View]:
+    def living(self) -> list[MembershipView]:
         views = (host.view for host in self.hosts.values())
-        return [view for view in views if view is not None and view.standing is Standing.HERE]
+        return [view for view in views if view is not None and view.standing is ViewStatus.ACTIVE]
 
     def agree(self) -> bool:
         """All that live hold the same members to be here, and these are those that live."""
         views = self.living()
         if not views or len({view.digest for view in views}) > 1:
             return not views
-        here = {each.word.name for each in views[0].roll if each.word.state in HERE}
+        here = {each.word.name for each in views[0].roll if each.word.state in PRESENT_STATES}
         return here == {view.charter.name for view in views}
 
     def settle(self, most: float) -> float:
--- a/laureldock/fleet/rim.py
+++ b/laureldock/fleet/transport.py
@@ -19,18 +19,27 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.protocols.policies import TimeoutMixin
 
-from laureldock.fleet import words
-from laureldock.fleet.view import Charter, Effect, Happened, Send, Standing, Stream, View
+from laureldock.fleet import messages
+from laureldock.fleet.view import (
+    Effect,
+    MembershipView,
+    OpenStream,
+    SendDatagram,
+    ViewEvent,
+    ViewSettings,
+    ViewStatus,
+)
 from laureldock.setup.plan import Fleet
 
-MOST_STREAMS = 16  # that others have open here: each is a few frames, and what speaks no frames must end
-SILENT = 3.0  # seconds; a stream is a few round trips
-SAVED_EVERY = 10.0  # periods; what the next start would miss at most of who was there
-MOST_SAVED = 64  # addresses: enough that one of them lives
-LOUD = ("name taken", "failed", "refused")
+# that others have open here: each is a few frames, and what speaks no frames must end
+MAX_INBOUND_STREAMS = 16
+STREAM_TIMEOUT = 3.0  # seconds; a stream is a few round trips
+SAVE_INTERVAL = 10.0  # periods; what the next start would miss at most of who was there
+MAX_SAVED_ADDRESSES = 64  # addresses: enough that one of them lives
+WARNING_EVENTS = ("name taken", "failed", "refused")
 
 
-class Remembered:
+class PersistentState:
     """What outlives the process: its generation, and whom to ask when all seeds are gone."""
 
     def __init__(self, path: Path) -> None:
@@ -40,7 +49,7 @@
         try:
             told = json.loads(path.read_bytes())
             self.generation = int(told["generation"])
-            self.addresses = [str(each) for each in told["addresses"]][:MOST_SAVED]
+            self.addresses = [str(each) for each in told["addresses"]][:MAX_SAVED_ADDRESSES]
         except (OSError, ValueError, KeyError, TypeError):
             pass  # a new folder, or a spoilt file: the clock and the fleet tell of an earlier start
 
@@ -51,7 +60,7 @@
 
     def save(self, generation: int, addresses: list[str]) -> None:
         """OSError."""
-        self.generation, self.addresses = generation, addresses[:MOST_SAVED]
+        self.generation, self.addresses = generation, addresses[:MAX_SAVED_ADDRESSES]
         fresh = self.path.with_suffix(".new")
         with fresh.open("w", encoding="utf-8") as file:
             json.dump({"generation": generation, "addresses": self.addresses}, file)
@@ -60,11 +69,11 @@
         fresh.rename(self.path)
 
 
-class Datagrams(DatagramProtocol):
+class DatagramEndpoint(DatagramProtocol):
     noisy = False
     transport: Any
 
-    def __init__(self, rim: Rim) -> None:
+    def __init__(self, rim: FleetTransport) -> None:
         self.rim = rim
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
@@ -72,29 +81,29 @@
         self.rim.turn_soon()
 
 
-class Frames(Int32StringReceiver, TimeoutMixin):
+class StreamProtocol(Int32StringReceiver, TimeoutMixin):
     """Either end of a stream; `opened`: this is the end that begins."""
 
-    MAX_LENGTH = words.MOST_FRAME
+    MAX_LENGTH = messages.MAX_FRAME_BYTES
     transport: Any
 
-    def __init__(self, rim: Rim, opened: bool) -> None:
+    def __init__(self, rim: FleetTransport, opened: bool) -> None:
         self.rim, self.opened = rim, opened
 
     def connectionMade(self) -> None:  # noqa: N802
-        self.setTimeout(SILENT)
+        self.setTimeout(STREAM_TIMEOUT)
         if self.opened:
             self.sendString(self.rim.view.begin(self.rim.now()))
         else:
             self.rim.streams += 1
-            if self.rim.streams > MOST_STREAMS:
+            if self.rim.streams > MAX_INBOUND_STREAMS:
                 self.transport.abortConnection()
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         self.resetTimeout()
         try:
             answer = self.rim.view.frame(self.rim.now(), string)
-        except words.BadWord:
+        except messages.MalformedMessageError:
             self.transport.abortConnection()
             return
         if answer is None:
@@ -113,19 +122,19 @@
             self.rim.streams -= 1
 
 
-class Streams(ClientFactory):
+class StreamFactory(ClientFactory):
     """Of those that others open here, or of one that this member opens."""
 
     noisy = False
 
-    def __init__(self, rim: Rim, opened: bool) -> None:
+    def __init__(self, rim: FleetTransport, opened: bool) -> None:
         self.rim, self.opened = rim, opened
 
-    def buildProtocol(self, addr: IAddress | None) -> Frames:  # noqa: N802
-        return Frames(self.rim, self.opened)
+    def buildProtocol(self, addr: IAddress | None) -> StreamProtocol:  # noqa: N802
+        return StreamProtocol(self.rim, self.opened)
 
 
-class Rim:
+class FleetTransport:
     """`told` hears of events: a name and its fields. `load` gives how full this dispatcher is, 0 to 1."""
 
     def __init__(
@@ -140,14 +149,14 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.reactor, self.settings, self.told, self.load = reactor, settings, told, load
-        self.remembered = Remembered(state / "fleet.json")
+        self.remembered = PersistentState(state / "fleet.json")
         host, _, port = settings.listen.rpartition(":")
         self.host, self.port = host, int(port)
         self.streams, self.due = 0, float("inf")
         self.timer: Any = None
         self.turning = self.dirty = False
-        self.view = View(
-            Charter(
+        self.view = MembershipView(
+            ViewSettings(
                 fleet=settings.name,
                 name=name,
                 site=settings.site,
@@ -162,7 +171,7 @@
             ),
             self.now(),
         )
-        self.datagrams = Datagrams(self)
+        self.datagrams = DatagramEndpoint(self)
 
     def asked(self, seeds: list[Any]) -> tuple[str, ...]:
         """Configured seeds, and those that the last start knew."""
@@ -178,16 +187,16 @@
     def start(self) -> None:
         """OSError where nothing can listen there."""
         self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
-        self.reactor.listenTCP(self.port, Streams(self, opened=False), interface=self.host)
+        self.reactor.listenTCP(self.port, StreamFactory(self, opened=False), interface=self.host)
         self.save()
-        self.reactor.callLater(SAVED_EVERY * self.settings.period, self.keep)
+        self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.keep)
         self.turn()
 
     def keep(self) -> None:
-        if self.view.standing is Standing.HERE:
+        if self.view.standing is ViewStatus.ACTIVE:
             if self.dirty:
                 self.save()
-            self.reactor.callLater(SAVED_EVERY * self.settings.period, self.keep)
+            self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.keep)
 
     def save(self) -> None:
         self.dirty = False
@@ -200,7 +209,7 @@
             self.told("not kept", {"fault": str(fault)})
 
     def leave(self) -> None:
-        if self.view.standing is Standing.HERE:
+        if self.view.standing is ViewStatus.ACTIVE:
             self.save()
             self.view.leave(self.now())
             self.turn()
@@ -241,19 +250,19 @@
 
     def carry_out(self, effect: Effect) -> None:
         match effect:
-            case Send(address=address, data=data):
+            case SendDatagram(address=address, data=data):
                 host, _, port = address.rpartition(":")
                 # What cannot be sent is as a lost one: whoever it was for is asked again.
                 with contextlib.suppress(OSError, ValueError, OverflowError):
                     self.datagrams.transport.write(data, (host, int(port)))
-            case Stream(address=address):
+            case OpenStream(address=address):
                 host, _, port = address.rpartition(":")
                 if port.isdigit() and 0 < int(port) < 65536:
-                    opened = Streams(self, opened=True)
+                    opened = StreamFactory(self, opened=True)
                     self.reactor.connectTCP(
-                        host, int(port), opened, timeout=SILENT, bindAddress=(self.host, 0)
+                        host, int(port), opened, timeout=STREAM_TIMEOUT, bindAddress=(self.host, 0)
                     )
-            case Happened(name=name, fields=fields):
+            case ViewEvent(name=name, fields=fields):
                 self.dirty = True
                 self.told(name, fields)
 
@@ -264,7 +273,7 @@
         return {
             "fleet": view.charter.fleet,
             "name": view.charter.name,
-            "standing": view.standing.name.lower().replace("_", " "),
+            "standing": view.standing.value,
             "digest": f"{view.digest:016x}",
             "version": view.version,
             "still_s": round(view.still(now), 3),
@@ -274,7 +283,7 @@
                     "name": each.word.name,
                     "site": each.word.site,
                     "address": each.word.address,
-                    "state": words.STATES[each.word.state],
+                    "state": messages.STATE_NAMES[each.word.state],
                     "generation": each.word.generation,
                     "incarnation": each.word.incarnation,
                     "lameduck": each.word.lameduck,
--- a/laureldock/fleet/view.py
+++ b/laureldock/fleet/view.py
@@ -20,38 +20,57 @@
 
 import msgspec
 
-from laureldock.fleet import words
-from laureldock.fleet.members import EVENTS, HERE, Member, Roll, refuted, wins
-from laureldock.fleet.reach import Sites
-from laureldock.fleet.rumours import Rumours
-from laureldock.fleet.words import ALIVE, FAILED, LEFT, SUSPECT, BadWord, Head, Word
+from laureldock.fleet import messages
+from laureldock.fleet.gossip_queue import GossipQueue
+from laureldock.fleet.members import PRESENT_STATES, TRANSITION_EVENTS, Member, MemberTable, refuted, wins
+from laureldock.fleet.messages import (
+    ALIVE,
+    FAILED,
+    LEFT,
+    SUSPECT,
+    MalformedMessageError,
+    MemberRecord,
+    MessageHeader,
+)
+from laureldock.fleet.reachability import ReachabilityTracker
 
 # In periods, but for what has another unit.
-DIRECT = 0.3  # within which an ack must come before others are asked: far more than a network that is well
-HELPERS = 3  # asked to ping in one's place; SWIM's k, at which one in 4 lost datagrams fails no probe in 50
+# within which an ack must come before others are asked: far more than a network that is well
+DIRECT_TIMEOUT = 0.3
+# asked to ping in one's place; SWIM's k, at which one in 4 lost datagrams fails no probe in 50
+INDIRECT_PROBES = 3
 # Times log10 of the members, at least one: in which a suspect may refute. Word goes round in two periods.
-SUSPICION = 3.0
-PATIENCE = 6.0  # times that while nobody else suspects it (Lifeguard's beta), falling with each that does
-CONFIRMED = 3  # others after whom the shortest wait holds (Lifeguard's K)
-MOST_ILL = 8  # of local health: nine times the waits for one that is itself slow (Lifeguard's S)
-SLEPT = 0.5  # late by so much, this process stood still: what it waited for says nothing of others
-GOSSIP = 0.25  # between datagrams of news alone, while there is any
-FAN = 2  # members that each of these goes to
-STILL = 2.0  # views that differ for so long are compared over a stream: news has gone round by then
-CALL = 2.0  # between calls to those that failed, at least; up to CALL_MOST times that when all is still
-CALL_MOST = 2.0
-SEEDS = 5.0  # between streams to seeds that are not known to be here; a period while alone
-NOBODY = 3.0  # for an answer of another process of one's own name
+SUSPICION_MULTIPLIER = 3.0
+# times that while nobody else suspects it (Lifeguard's beta), falling with each that does
+SUSPICION_MAX_MULTIPLIER = 6.0
+EXPECTED_CONFIRMATIONS = 3  # others after whom the shortest wait holds (Lifeguard's K)
+MAX_LOCAL_HEALTH = 8  # of local health: nine times the waits for one that is itself slow (Lifeguard's S)
+STALL_THRESHOLD = 0.5  # late by so much, this process stood still: what it waited for says nothing of others
+GOSSIP_INTERVAL = 0.25  # between datagrams of news alone, while there is any
+GOSSIP_FANOUT = 2  # members that each of these goes to
+# views that differ for so long are compared over a stream: news has gone round by then
+SYNC_AFTER_STABLE = 2.0
+# between calls to those that failed, at least; up to RECONNECT_MAX_BACKOFF times that when all is still
+RECONNECT_INTERVAL = 2.0
+RECONNECT_MAX_BACKOFF = 2.0
+SEED_INTERVAL = 5.0  # between streams to seeds that are not known to be here; a period while alone
+NAME_CHALLENGE_TIMEOUT = 3.0  # for an answer of another process of one's own name
 # Words this much ahead of what is known come from no member: each refutation raises an incarnation by one.
-AHEAD = 1 << 16
-MOST_RELAYS = 64  # pings in others' place that are out at once
-LEAVERS = 8  # told at once that this one leaves
+MAX_INCARNATION_LEAP = 1 << 16
+MAX_RELAYED_PINGS = 64  # pings in others' place that are out at once
+LEAVE_FANOUT = 8  # told at once that this one leaves
 
-Standing = Enum("Standing", "HERE STEPPED_DOWN GONE")
+
+class ViewStatus(Enum):
+    """Whether this member takes part in the fleet; the values are what operators are shown."""
+
+    ACTIVE = "here"
+    STEPPED_DOWN = "stepped down"
+    LEFT = "gone"
 
 
 @dataclass(frozen=True, slots=True)
-class Charter:
+class ViewSettings:
     """What a member is told at its start."""
 
     fleet: str
@@ -68,7 +87,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Send:
+class SendDatagram:
     """A datagram."""
 
     address: str
@@ -76,19 +95,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Stream:
+class OpenStream:
     """Open a stream there, send `begin`, and hand its frames to `frame` until there is no answer to one."""
 
     address: str
 
 
 @dataclass(frozen=True, slots=True)
-class Happened:
+class ViewEvent:
     name: str
     fields: dict[str, Any]
 
 
-Effect = Send | Stream | Happened
+Effect = SendDatagram | OpenStream | ViewEvent
 
 
 @dataclass(eq=False, slots=True)
@@ -103,7 +122,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Relay:
+class RelayedPing:
     """A ping in another's place."""
 
     address: str
@@ -111,7 +130,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Counts:
+class ViewCounters:
     datagrams: int = 0
     refused: int = 0
     sent: int = 0
@@ -121,18 +140,22 @@
     refuted: int = 0
 
 
-class View:
-    def __init__(self, charter: Charter, now: float) -> None:
+class MembershipView:
+    def __init__(self, charter: ViewSettings, now: float) -> None:
         self.charter = told = charter
         self.period, self.serial = told.period, count(1)
-        self.roll = Roll(told.most)
-        self.rumours, self.sites, self.counts = Rumours(), Sites(told.period), Counts()
-        self.standing, self.ill, self.load, self.version = Standing.HERE, 0, 0, 0
+        self.roll = MemberTable(told.most)
+        self.rumours, self.sites, self.counts = (
+            GossipQueue(),
+            ReachabilityTracker(told.period),
+            ViewCounters(),
+        )
+        self.standing, self.ill, self.load, self.version = ViewStatus.ACTIVE, 0, 0, 0
         self.changed = now
         self.effects: list[Effect] = []
         self.timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.probes: dict[int, Probe] = {}
-        self.relays: dict[int, Relay] = {}
+        self.relays: dict[int, RelayedPing] = {}
         self.circle: list[str] = []  # those still to be probed in this round
         self.calls: list[str] = []  # of those that failed, still to be called in this round
         self.seeds = list(told.seeds)
@@ -142,7 +165,7 @@
         self.twin: tuple[int, int] | None = None  # another start of this name, which may be alive
         self.challenges: dict[int, tuple[int, int]] = {}  # numbers that it has to answer
         self.me = self.roll.put(
-            now, Word(told.name, told.site, told.address, told.generation, told.boot, 0, ALIVE)
+            now, MemberRecord(told.name, told.site, told.address, told.generation, told.boot, 0, ALIVE)
         )
         self.tell(now, self.me.word)
         for action, after in (
@@ -171,14 +194,14 @@
 
     @property
     def due(self) -> float:
-        return self.timers[0][0] if self.timers and self.standing is Standing.HERE else inf
+        return self.timers[0][0] if self.timers and self.standing is ViewStatus.ACTIVE else inf
 
     # What the rim and the operators tell
 
     def turn(self, now: float) -> list[Effect]:
         """Do what is due; all effects since the last turn, in their order."""
         late = now - self.due
-        if late > SLEPT * self.period:
+        if late > STALL_THRESHOLD * self.period:
             self.woke(now, late)
         while self.due <= now:
             _, _, action, told = heapq.heappop(self.timers)
@@ -189,50 +212,50 @@
     def hear(self, now: float, data: bytes) -> None:
         """A datagram. What is malformed, or of another fleet, is counted and dropped."""
         self.counts.datagrams += 1
-        if self.standing is not Standing.HERE:
+        if self.standing is not ViewStatus.ACTIVE:
             return
         try:
-            message = words.datagram(data)
+            message = messages.datagram(data)
             self.meet(now, message.head)
-            if self.standing is Standing.HERE:
+            if self.standing is ViewStatus.ACTIVE:
                 self.take(now, message.words, message.head.sender)
-                self.ANSWERS[type(message)](self, now, message)
-        except BadWord as fault:
+                self.HANDLERS[type(message)](self, now, message)
+        except MalformedMessageError as fault:
             self.refuse(str(fault))
 
     def begin(self, now: float) -> bytes:
         """The first frame of a stream that this one opened."""
         self.counts.streams += 1
-        return words.encode(words.Compare(self.head(now), tuple(self.roll.digests)))
+        return messages.encode(messages.SyncDigests(self.head(now), tuple(self.roll.digests)))
 
     def frame(self, now: float, data: bytes) -> bytes | None:
         """The answer to a frame; None where the stream has ended. BadWord: it is to be closed."""
-        if self.standing is not Standing.HERE:
+        if self.standing is not ViewStatus.ACTIVE:
             return None
         try:
-            message = words.frame(data)
+            message = messages.frame(data)
             self.meet(now, message.head)
-        except BadWord as fault:
+        except MalformedMessageError as fault:
             self.refuse(str(fault))
             raise
         match message:
-            case words.Compare(buckets=told):
+            case messages.SyncDigests(buckets=told):
                 mine = self.roll.digests
                 differ = tuple(place for place in range(len(mine)) if mine[place] != told[place])
-                return words.encode(words.Differ(self.head(now), differ, self.inside(differ)))
-            case words.Differ(buckets=differ, words=told):
+                return messages.encode(messages.SyncDifference(self.head(now), differ, self.inside(differ)))
+            case messages.SyncDifference(buckets=differ, words=told):
                 own = self.inside(differ)
                 self.merge(now, told, message.head.sender)
-                return words.encode(words.Same(self.head(now), own))
-            case words.Same(words=told):
+                return messages.encode(messages.SyncCompletion(self.head(now), own))
+            case messages.SyncCompletion(words=told):
                 self.merge(now, told, message.head.sender)
         return None
 
     def leave(self, now: float) -> None:
         """The last word of this start. The rim sends what `turn` gives and closes."""
         self.say(now, LEFT)
-        self.spread(now, LEAVERS)
-        self.standing = Standing.GONE
+        self.spread(now, LEAVE_FANOUT)
+        self.standing = ViewStatus.LEFT
 
     def lameduck(self, now: float, on: bool) -> None:
         if self.me.word.lameduck != on:
@@ -267,7 +290,12 @@
         # Several tries for each wanted; where few fit, fewer are found.
         for _ in range(8 * most if len(order) > 1 else 0):
             member = order[int(self.chance() * len(order))]
-            if member is not self.me and member.word.state in HERE and member not in found and fit(member):
+            if (
+                member is not self.me
+                and member.word.state in PRESENT_STATES
+                and member not in found
+                and fit(member)
+            ):
                 found.append(member)
                 if len(found) == most:
                     break
@@ -286,30 +314,30 @@
         heapq.heapify(self.timers)
 
     def sick(self, change: int) -> None:
-        self.ill = min(MOST_ILL, max(0, self.ill + change))
+        self.ill = min(MAX_LOCAL_HEALTH, max(0, self.ill + change))
 
     # Datagrams out
 
-    def head(self, now: float) -> Head:
+    def head(self, now: float) -> MessageHeader:
         word, told = self.me.word, self.charter
-        return Head(
+        return MessageHeader(
             told.fleet, word.name, word.generation, word.boot, word.address, self.load, self.digest,
             self.sites.own(now),
         )  # fmt: skip
 
-    def pick(self, room: int, first: Word | None = None) -> tuple[Word, ...]:
+    def pick(self, room: int, first: MemberRecord | None = None) -> tuple[MemberRecord, ...]:
         return self.rumours.pick(room, self.roll.here, 64, first)
 
-    def send(self, now: float, address: str, make: Callable[[Head, int], words.Datagram]) -> None:
+    def send(self, now: float, address: str, make: Callable[[MessageHeader, int], messages.Datagram]) -> None:
         head = self.head(now)
         texts = sum(len(each.site) + 8 for each in head.reach)
         texts += len(head.fleet) + len(head.sender) + len(head.address)
         # Numbers, and the name and address of an `Ask`, take under 260 bytes beside the head's texts.
-        room = words.MOST_DATAGRAM - 260 - texts
-        data = words.encode(make(head, room))
+        room = messages.MAX_DATAGRAM_BYTES - 260 - texts
+        data = messages.encode(make(head, room))
         self.counts.sent += 1
         self.counts.bytes_sent += len(data)
-        self.effects.append(Send(address, data))
+        self.effects.append(SendDatagram(address, data))
 
     def ping(self, now: float, member: Member, probe: Probe | None, number: int) -> None:
         # A suspect, or one that failed, hears of it by the very call that tests it (Lifeguard's buddies).
@@ -320,7 +348,7 @@
         self.send(
             now,
             word.address,
-            lambda head, room: words.Ping(head, number, word.name, self.pick(room, first)),
+            lambda head, room: messages.Ping(head, number, word.name, self.pick(room, first)),
         )
 
     # Detection
@@ -335,16 +363,18 @@
             number = next(self.serial)
             probe = Probe(member.word.name, member.word.era, now)
             self.ping(now, member, probe, number)
-            self.after(now, DIRECT * slower * self.period, self.ask_others, number)
+            self.after(now, DIRECT_TIMEOUT * slower * self.period, self.ask_others, number)
             self.after(now, 0.95 * slower * self.period, self.unanswered, number)
 
     def next_probed(self) -> Member | None:
         for _ in range(2):
             while self.circle:
                 member = self.roll.get(self.circle.pop())
-                if member and member is not self.me and member.word.state in HERE:
+                if member and member is not self.me and member.word.state in PRESENT_STATES:
                     return member
-            self.circle = self.shuffled([each.word.name for each in self.roll if each.word.state in HERE])
+            self.circle = self.shuffled(
+                [each.word.name for each in self.roll if each.word.state in PRESENT_STATES]
+            )
         return None
 
     def ask_others(self, now: float, number: int) -> None:
@@ -352,13 +382,13 @@
         member = self.roll.get(probe.name) if probe else None
         if probe is None or probe.answered or member is None:
             return
-        helpers = self.some(HELPERS, lambda each: each is not member and each.word.state == ALIVE)
+        helpers = self.some(INDIRECT_PROBES, lambda each: each is not member and each.word.state == ALIVE)
         name, address = probe.name, member.word.address
         for helper in helpers:
             self.send(
                 now,
                 helper.word.address,
-                lambda head, room: words.Ask(head, number, name, address, self.pick(room)),
+                lambda head, room: messages.PingRequest(head, number, name, address, self.pick(room)),
             )
 
     def unanswered(self, now: float, number: int) -> None:
@@ -376,7 +406,7 @@
         # Where nobody at all was heard since, not even a helper's nack, this one's own link may be at fault.
         # Helpers that are silent tell nothing by themselves: of many that die at once some were asked.
         self.sick(1 if self.heard < probe.sent else 0)
-        if member.word.era == probe.era and member.word.state in HERE:
+        if member.word.era == probe.era and member.word.state in PRESENT_STATES:
             self.suspect(now, member, self.charter.name)
             # It hears of it at once, where only datagrams were lost, and its answer refutes.
             self.ping(now, member, None, next(self.serial))
@@ -386,7 +416,9 @@
         if member.word.state == ALIVE:
             self.accept(now, msgspec.structs.replace(member.word, state=SUSPECT, by=by), by)
         elif (
-            member.word.state == SUSPECT and by not in member.confirmed and len(member.confirmed) <= CONFIRMED
+            member.word.state == SUSPECT
+            and by not in member.confirmed
+            and len(member.confirmed) <= EXPECTED_CONFIRMATIONS
         ):
             member.confirmed.add(by)
             # What confirms goes on: others wait less, too.
@@ -395,13 +427,17 @@
 
     def wait(self, member: Member) -> float:
         """How long a suspect may refute: the shorter the more suspect it (Lifeguard)."""
-        least = SUSPICION * max(1.0, log10(max(1, self.roll.here))) * self.period
+        least = SUSPICION_MULTIPLIER * max(1.0, log10(max(1, self.roll.here))) * self.period
         # Those that are suspect themselves will not say so: of many that die at once the rest must do.
-        needed = min(CONFIRMED, self.roll.alive - 1)
+        needed = min(EXPECTED_CONFIRMATIONS, self.roll.alive - 1)
         if needed < 1:
             return least
         others = min(needed, max(0, len(member.confirmed) - 1))
-        return max(least, least * (PATIENCE - (PATIENCE - 1) * log(others + 1) / log(needed + 1)))
+        return max(
+            least,
+            least
+            * (SUSPICION_MAX_MULTIPLIER - (SUSPICION_MAX_MULTIPLIER - 1) * log(others + 1) / log(needed + 1)),
+        )
 
     def verdict(self, now: float, name: str, era: tuple[int, int], incarnation: int) -> None:
         member = self.roll.get(name)
@@ -421,12 +457,12 @@
     def refuse(self, why: str) -> None:
         self.counts.refused += 1
         if self.counts.refused in (1, 10, 100, 1000) or self.counts.refused % 10000 == 0:
-            self.effects.append(Happened("refused", {"why": why, "so_far": self.counts.refused}))
+            self.effects.append(ViewEvent("refused", {"why": why, "so_far": self.counts.refused}))
 
-    def meet(self, now: float, head: Head) -> None:
+    def meet(self, now: float, head: MessageHeader) -> None:
         """The sender itself: it lives, and what it says of itself."""
         if head.fleet != self.charter.fleet:
-            raise BadWord("another fleet")
+            raise MalformedMessageError("another fleet")
         if head.sender == self.charter.name:
             self.meet_twin(now, head)
             return
@@ -438,72 +474,80 @@
             self.sites.hear(now, head.sender, head.reach)
             if member.word.state in (FAILED, LEFT) and now - member.called >= self.period:
                 self.call(now, member)  # it may not know that it is held to have failed
-            elif head.digest != self.digest and self.still(now) >= STILL * self.period:
+            elif head.digest != self.digest and self.still(now) >= SYNC_AFTER_STABLE * self.period:
                 self.compare(now, head.address)
 
-    def take(self, now: float, told: tuple[words.Word, ...], sender: str) -> None:
+    def take(self, now: float, told: tuple[messages.MemberRecord, ...], sender: str) -> None:
         for word in told:
             self.accept(now, word, sender)
 
-    def on_ping(self, now: float, message: words.Ping) -> None:
+    def on_ping(self, now: float, message: messages.Ping) -> None:
         if message.target == self.charter.name:  # else its address has another owner now
             number = message.number
-            self.send(now, message.head.address, lambda head, room: words.Ack(head, number, self.pick(room)))
+            self.send(
+                now, message.head.address, lambda head, room: messages.Ack(head, number, self.pick(room))
+            )
 
-    def on_ack(self, now: float, message: words.Ack) -> None:
+    def on_ack(self, now: float, message: messages.Ack) -> None:
         number = message.number
         if era := self.challenges.pop(number, None):
             self.answered(now, message.head, era)
             return
         relay = self.relays.pop(number, None)
         if relay:
-            self.send(now, relay.address, lambda head, room: words.Ack(head, relay.number, self.pick(room)))
+            self.send(
+                now, relay.address, lambda head, room: messages.Ack(head, relay.number, self.pick(room))
+            )
         probe = self.probes.get(number)
         if probe and not probe.answered:
             probe.answered = True
             member = self.roll.get(probe.name)
-            if probe.again and member and member.word.state in HERE:
+            if probe.again and member and member.word.state in PRESENT_STATES:
                 self.compare(now, member.word.address)  # it is back: what else does it know?
 
-    def on_ask(self, now: float, message: words.Ask) -> None:
-        if len(self.relays) >= MOST_RELAYS or message.target == self.charter.name:
+    def on_ask(self, now: float, message: messages.PingRequest) -> None:
+        if len(self.relays) >= MAX_RELAYED_PINGS or message.target == self.charter.name:
             return
         number, target = next(self.serial), message.target
-        self.relays[number] = Relay(message.head.address, message.number)
-        self.send(now, message.address, lambda head, room: words.Ping(head, number, target, self.pick(room)))
-        self.after(now, DIRECT * self.period, self.no_answer, number)
+        self.relays[number] = RelayedPing(message.head.address, message.number)
+        self.send(
+            now, message.address, lambda head, room: messages.Ping(head, number, target, self.pick(room))
+        )
+        self.after(now, DIRECT_TIMEOUT * self.period, self.no_answer, number)
 
     def no_answer(self, now: float, number: int) -> None:
         if relay := self.relays.pop(number, None):
-            self.send(now, relay.address, lambda head, room: words.Nack(head, relay.number, self.pick(room)))
+            self.send(
+                now, relay.address, lambda head, room: messages.Nack(head, relay.number, self.pick(room))
+            )
 
-    def on_nack(self, now: float, message: words.Nack) -> None:
+    def on_nack(self, now: float, message: messages.Nack) -> None:
         """The helper lives, and heard nothing of the one it asked: it was heard, which is all that counts."""
 
-    def on_gossip(self, now: float, message: words.Gossip) -> None:
+    def on_gossip(self, now: float, message: messages.Gossip) -> None:
         """Its words were taken."""
 
-    ANSWERS: ClassVar[dict[type[words.Datagram], Callable[..., None]]] = {
-        words.Ping: on_ping,
-        words.Ack: on_ack,
-        words.Ask: on_ask,
-        words.Nack: on_nack,
-        words.Gossip: on_gossip,
+    HANDLERS: ClassVar[dict[type[messages.Datagram], Callable[..., None]]] = {
+        messages.Ping: on_ping,
+        messages.Ack: on_ack,
+        messages.PingRequest: on_ask,
+        messages.Nack: on_nack,
+        messages.Gossip: on_gossip,
     }
 
     # Words
 
-    def accept(self, now: float, word: Word, by: str, streamed: bool = False) -> None:
+    def accept(self, now: float, word: MemberRecord, by: str, streamed: bool = False) -> None:
         """A word about a member, from whomever: it wins over what is known, or is nothing new."""
         if word.name == self.charter.name:
             self.of_me(now, word)
             return
         member = self.roll.get(word.name)
         known = member.word if member else None
-        if known is None and (word.state not in HERE or self.roll.full()):
+        if known is None and (word.state not in PRESENT_STATES or self.roll.full()):
             return  # those that are gone are no news to one that never knew them
-        if known and known.era == word.era and word.incarnation > known.incarnation + AHEAD:
-            raise BadWord("an incarnation far ahead")
+        if known and known.era == word.era and word.incarnation > known.incarnation + MAX_INCARNATION_LEAP:
+            raise MalformedMessageError("an incarnation far ahead")
         if streamed and word.state == FAILED and (known is None or known.state != FAILED):
             # What failed beyond a cut may be well: it is suspect here, and has its time to refute.
             word = msgspec.structs.replace(word, state=SUSPECT, by=by)
@@ -521,25 +565,25 @@
         if known and known.era != word.era:
             name = "generation changed"
         else:
-            name = EVENTS.get((known.state if known else None, word.state), "")
+            name = TRANSITION_EVENTS.get((known.state if known else None, word.state), "")
             if known and not name and known.lameduck != word.lameduck:
                 name = "lameduck"
         if name:
             told = {"member": word.name, "site": word.site, "generation": word.generation, "by": by}
-            self.effects.append(Happened(name, told))
+            self.effects.append(ViewEvent(name, told))
 
-    def merge(self, now: float, told: tuple[Word, ...], sender: str) -> None:
+    def merge(self, now: float, told: tuple[MemberRecord, ...], sender: str) -> None:
         for word in told:
             try:
                 self.accept(now, word, sender, streamed=True)
-            except BadWord as fault:
+            except MalformedMessageError as fault:
                 self.refuse(str(fault))
 
-    def inside(self, buckets: tuple[int, ...]) -> tuple[Word, ...]:
+    def inside(self, buckets: tuple[int, ...]) -> tuple[MemberRecord, ...]:
         wanted = set(buckets)
         return tuple(each.word for each in self.roll if each.place in wanted)[:8192] if wanted else ()
 
-    def tell(self, now: float, word: Word) -> None:
+    def tell(self, now: float, word: MemberRecord) -> None:
         self.rumours.add(word)
         if not self.gossiping:
             self.gossiping = True
@@ -549,12 +593,12 @@
         self.gossiping = bool(len(self.rumours))
         if not self.gossiping:
             return
-        self.spread(now, FAN)
-        self.after(now, GOSSIP * self.period, self.gossip)
+        self.spread(now, GOSSIP_FANOUT)
+        self.after(now, GOSSIP_INTERVAL * self.period, self.gossip)
 
     def spread(self, now: float, most: int) -> None:
         for member in self.some(most):
-            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
+            self.send(now, member.word.address, lambda head, room: messages.Gossip(head, self.pick(room)))
 
     def news(self, now: float) -> None:
         self.version += 1
@@ -570,29 +614,29 @@
         )
         self.become(now, word)
 
-    def become(self, now: float, word: Word) -> None:
+    def become(self, now: float, word: MemberRecord) -> None:
         self.roll.put(now, word)
         self.news(now)
         self.tell(now, word)
 
-    def of_me(self, now: float, word: Word) -> None:
+    def of_me(self, now: float, word: MemberRecord) -> None:
         mine = self.me.word
         if word.era > mine.era:
             self.claimed(now, word)
-        elif word.era == mine.era and word.incarnation > mine.incarnation + AHEAD:
-            raise BadWord("an incarnation of mine far ahead")
+        elif word.era == mine.era and word.incarnation > mine.incarnation + MAX_INCARNATION_LEAP:
+            raise MalformedMessageError("an incarnation of mine far ahead")
         elif own := refuted(word, mine):
             self.counts.refuted += 1
             self.sick(1)
             self.become(now, own)
 
-    def claimed(self, now: float, word: Word) -> None:
+    def claimed(self, now: float, word: MemberRecord) -> None:
         """A later start of this name is known: its own forgotten past, or another process that lives."""
         if word.address == self.me.word.address:
             self.overtake(now, word.era)  # one address has one process, and that is this one
         elif self.twin is None or self.twin < word.era:
             self.challenge(now, word.address, word.era)
-            self.after(now, NOBODY * self.period, self.nobody, word.era)
+            self.after(now, NAME_CHALLENGE_TIMEOUT * self.period, self.nobody, word.era)
 
     def challenge(self, now: float, address: str, era: tuple[int, int]) -> None:
         """Only what answers from there with a number of this moment lives; a word alone could be made up."""
@@ -602,21 +646,21 @@
     def ping_twin(self, now: float, address: str) -> int:
         """The number that an answer from there has to bear."""
         number, name = next(self.serial), self.charter.name
-        self.send(now, address, lambda head, room: words.Ping(head, number, name, ()))
+        self.send(now, address, lambda head, room: messages.Ping(head, number, name, ()))
         return number
 
     def nobody(self, now: float, era: tuple[int, int]) -> None:
-        if self.twin == era and self.standing is Standing.HERE:
+        if self.twin == era and self.standing is ViewStatus.ACTIVE:
             self.overtake(now, era)
 
     def overtake(self, now: float, era: tuple[int, int]) -> None:
         """What was known of this name is gone with its disk: this start is made the later one."""
         self.twin = None
         self.roll.put(now, msgspec.structs.replace(self.me.word, generation=era[0] + 1))
-        self.effects.append(Happened("generation raised", {"generation": era[0] + 1}))
+        self.effects.append(ViewEvent("generation raised", {"generation": era[0] + 1}))
         self.say(now, ALIVE)
 
-    def meet_twin(self, now: float, head: Head) -> None:
+    def meet_twin(self, now: float, head: MessageHeader) -> None:
         """Another living process of this name. The later start stays."""
         mine, theirs = self.me.word, (head.generation, head.boot)
         if theirs == mine.era or head.boot == mine.boot:
@@ -631,15 +675,15 @@
             self.ping_twin(now, head.address)
         self.after(now, self.period, self.look_again)
 
-    def name_taken(self, head: Head, stays: bool) -> None:
+    def name_taken(self, head: MessageHeader, stays: bool) -> None:
         told = {"address": head.address, "generation": head.generation, "stays": stays}
-        self.effects.append(Happened("name taken", told))
+        self.effects.append(ViewEvent("name taken", told))
 
-    def answered(self, now: float, head: Head, era: tuple[int, int]) -> None:
+    def answered(self, now: float, head: MessageHeader, era: tuple[int, int]) -> None:
         """By another process of this name: it lives, and if it is the later start this one gives way."""
         theirs = head.generation, head.boot
         if head.sender == self.charter.name and theirs == era > self.me.word.era:
-            self.standing = Standing.STEPPED_DOWN
+            self.standing = ViewStatus.STEPPED_DOWN
             self.news(now)
             self.name_taken(head, stays=False)
 
@@ -651,7 +695,7 @@
     def compare(self, now: float, address: str) -> None:
         if now - self.compared >= self.period and address != self.me.word.address:
             self.compared = now
-            self.effects.append(Stream(address))
+            self.effects.append(OpenStream(address))
 
     def call_again(self, now: float) -> None:
         """Calls of all members together: about one a period to each that failed, however many there are.
@@ -659,8 +703,8 @@
         Without them two sides that failed each other would never meet again.
         """
         gone = [each.word.name for each in self.roll.gone.values() if each.word.state == FAILED]
-        slower = min(CALL_MOST, 1.0 + self.still(now) / (60.0 * self.period))
-        wait = max(CALL, self.roll.here / max(1, len(gone))) * slower
+        slower = min(RECONNECT_MAX_BACKOFF, 1.0 + self.still(now) / (60.0 * self.period))
+        wait = max(RECONNECT_INTERVAL, self.roll.here / max(1, len(gone))) * slower
         self.after(now, wait * (0.75 + 0.5 * self.chance()) * self.period, self.call_again)
         while gone:
             if not self.calls:
@@ -678,14 +722,16 @@
 
     def call_seeds(self, now: float) -> None:
         """Those that started beyond a cut are known to nobody here; the seeds may know them."""
-        here = {each.word.address for each in self.roll if each.word.state in HERE}
+        here = {each.word.address for each in self.roll if each.word.state in PRESENT_STATES}
         away = [seed for seed in self.seeds if seed not in here]
         alone = self.roll.here <= 1
         self.after(
-            now, (1.0 if alone else SEEDS) * (0.75 + 0.5 * self.chance()) * self.period, self.call_seeds
+            now,
+            (1.0 if alone else SEED_INTERVAL) * (0.75 + 0.5 * self.chance()) * self.period,
+            self.call_seeds,
         )
         if away:
-            self.effects.append(Stream(away[int(self.chance() * len(away))]))
+            self.effects.append(OpenStream(away[int(self.chance() * len(away))]))
 
     def sweep(self, now: float) -> None:
         """Forgets those that have been gone for long."""
--- a/laureldock/rehearsal/fleet/__init__.py
+++ b/laureldock/rehearsal/fleet/__init__.py
@@ -1,4 +1,4 @@
 """The rig: a fleet of real dispatchers on loopback, relays that cut and spoil what passes, scripts.
 
-The same scripts drive the processes (`processes.py`) and the model on one clock (`inmodel.py`).
+The same scripts drive the processes (`processes.py`) and the model on one clock (`simulated.py`).
 """
--- a/laureldock/rehearsal/fleet/processes.py
+++ b/laureldock/rehearsal/fleet/processes.py
@@ -31,7 +31,7 @@
 from laureldock.rehearsal.account import judge as judge_rules
 from laureldock.rehearsal.fleet.relay import Network, Relay
 from laureldock.rehearsal.fleet.script import Pair, Script, Step, pairs
-from laureldock.rehearsal.fleet.verdict import Told, Verdict, judge
+from laureldock.rehearsal.fleet.verdict import ObservedEvent, Verdict, judge
 from laureldock.rehearsal.play import CLASSES, new_lines
 from laureldock.rehearsal.standins import Receiver
 
@@ -96,7 +96,7 @@
         return self.process is not None and self.process.returncode is None
 
 
-class Processes:
+class ProcessFleet:
     def __init__(
         self,
         script: Script,
@@ -126,7 +126,7 @@
         self.relays: list[Relay] = []
         self.began = 0.0
         self.deeds: list[tuple[float, str]] = []
-        self.events: list[Told] = []
+        self.events: list[ObservedEvent] = []
         self.takers: dict[str, str] = {}  # which member took a mail on
         self.dead: set[str] = set()  # mails that a killed member held and that never came back with it
         self.clients: dict[str, redis.Redis] = {}
@@ -460,7 +460,7 @@
                     continue
                 at = (datetime.fromisoformat(told["timestamp"]).timestamp() - start) / self.period
                 if at >= 0:
-                    self.events.append(Told(at, member.key, name, str(told.get("member", ""))))
+                    self.events.append(ObservedEvent(at, member.key, name, str(told.get("member", ""))))
 
     def read_notices(self, member: Member) -> None:
         """New whole lines of its outlet's file."""
@@ -477,4 +477,4 @@
 def play(
     script: Script, seed: int, folder: Path, say: Callable[[str], None] = lambda text: None, **told: Any
 ) -> Verdict:
-    return asyncio.run(Processes(script, seed, folder, say=say, **told).play())
+    return asyncio.run(ProcessFleet(script, seed, folder, say=say, **told).play())
--- a/laureldock/rehearsal/fleet/inmodel.py
+++ b/laureldock/rehearsal/fleet/simulated.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from laureldock.fleet.modelled import World
+from laureldock.fleet.simulation import Simulation
 from laureldock.rehearsal.fleet.script import Pair, Script, Step, pairs
-from laureldock.rehearsal.fleet.verdict import Told, Verdict, judge
+from laureldock.rehearsal.fleet.verdict import ObservedEvent, Verdict, judge
 
 
-class InModel:
+class SimulatedRun:
     def __init__(self, script: Script, seed: int, period: float = 1.0) -> None:
         self.script, self.seed, self.period = script, seed, period
         names = script.names()
-        self.world = World(
+        self.world = Simulation(
             {name: script.site(name) for name in names}, seed, period, [f"{name}:1" for name in script.seeds]
         )
         self.deeds: list[tuple[float, str]] = []
@@ -28,7 +28,7 @@
         world.run(end)
         settled = joined if not script.step else world.settle(10 * script.within * self.period)
         told = [
-            Told((at - began) / self.period, by, event.name, str(event.fields.get("member", "")))
+            ObservedEvent((at - began) / self.period, by, event.name, str(event.fields.get("member", "")))
             for at, by, event in world.happened[events:]
         ]
         length = (world.now - began) / self.period
--- a/laureldock/rehearsal/fleet/verdict.py
+++ b/laureldock/rehearsal/fleet/verdict.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
+class ObservedEvent:
     """An event of a view: when (in periods from when all were up), by whom, what."""
 
     at: float
@@ -23,7 +23,7 @@
     script: str
     seed: int
     settled: float  # periods after the last fault until all views were equal, and stayed so for one
-    events: list[Told] = field(default_factory=list)
+    events: list[ObservedEvent] = field(default_factory=list)
     deeds: list[tuple[float, str]] = field(default_factory=list)
     bytes_each: float = 0.0  # a member and period
     broken: list[str] = field(default_factory=list)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,25 +17,25 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from laureldock.cli import main
-from laureldock.fleet import words
-from laureldock.fleet.modelled import World
-from laureldock.fleet.view import Charter, Happened, Send, Standing, View
-from laureldock.fleet.words import ALIVE, FAILED, Head, Word
-from laureldock.rehearsal.fleet.inmodel import InModel
-from laureldock.rehearsal.fleet.processes import Processes
+from laureldock.fleet import messages
+from laureldock.fleet.messages import ALIVE, FAILED, MemberRecord, MessageHeader
+from laureldock.fleet.simulation import Simulation
+from laureldock.fleet.view import MembershipView, SendDatagram, ViewEvent, ViewSettings, ViewStatus
+from laureldock.rehearsal.fleet.processes import ProcessFleet
 from laureldock.rehearsal.fleet.script import load, shipped
+from laureldock.rehearsal.fleet.simulated import SimulatedRun
 from laureldock.rehearsal.fleet.verdict import Verdict, side_by_side
 
 
-def world(members: int, seed: int = 1) -> World:
-    found = World({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
+def world(members: int, seed: int = 1) -> Simulation:
+    found = Simulation({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
     for name in found.hosts:
         found.start(name)
     assert found.settle(20.0) < 20.0
     return found
 
 
-def events(found: World, name: str, member: str = "") -> list[tuple[float, str]]:
+def events(found: Simulation, name: str, member: str = "") -> list[tuple[float, str]]:
     told = [(at, by, event) for at, by, event in found.happened if event.name == name]
     return [(at, by) for at, by, event in told if member in ("", event.fields.get("member"))]
 
@@ -44,14 +44,14 @@
 def test_each_script_holds_in_the_model(name: str) -> None:
     script = load(name)
     for seed in (1, 2, 3):
-        verdict = InModel(script, seed).play()
+        verdict = SimulatedRun(script, seed).play()
         assert verdict.held, "\n".join([*verdict.broken, *side_by_side(script, verdict)])
 
 
 def test_one_seed_gives_one_trace() -> None:
     told = []
     for seed in (5, 5, 6):
-        run = InModel(load("worse"), seed)
+        run = SimulatedRun(load("worse"), seed)
         run.play()
         told.append(repr(run.world.happened))
     assert told[0] == told[1] != told[2]
@@ -115,7 +115,7 @@
     later = found.twin("d2")
     found.run(found.now + 10)
     first = found.hosts["d2"].view
-    assert first and first.standing is Standing.STEPPED_DOWN and later.standing is Standing.HERE
+    assert first and first.standing is ViewStatus.STEPPED_DOWN and later.standing is ViewStatus.ACTIVE
     assert {by for _, by in events(found, "name taken")} >= {"d2"}
     assert found.agree()
 
@@ -164,20 +164,20 @@
 # Bad input
 
 
-def lone() -> View:
-    return View(Charter("fleet", "me", "s", "127.0.0.1:1", 1000, 7, most=100), 0.0)
+def lone() -> MembershipView:
+    return MembershipView(ViewSettings("fleet", "me", "s", "127.0.0.1:1", 1000, 7, most=100), 0.0)
 
 
-def head(**changes: object) -> Head:
-    return msgspec.structs.replace(Head("fleet", "other", 2000, 9, "127.0.0.1:2", 0, 0), **changes)
+def head(**changes: object) -> MessageHeader:
+    return msgspec.structs.replace(MessageHeader("fleet", "other", 2000, 9, "127.0.0.1:2", 0, 0), **changes)
 
 
-def gossip(*told: Word, **changes: object) -> bytes:
-    return words.encode(words.Gossip(head(**changes), told))
+def gossip(*told: MemberRecord, **changes: object) -> bytes:
+    return messages.encode(messages.Gossip(head(**changes), told))
 
 
-ME = Word("me", "s", "127.0.0.1:1", 1000, 7, 0, ALIVE)
-GOOD = Word("other", "s", "127.0.0.1:2", 2000, 9, 0, ALIVE)
+ME = MemberRecord("me", "s", "127.0.0.1:1", 1000, 7, 0, ALIVE)
+GOOD = MemberRecord("other", "s", "127.0.0.1:2", 2000, 9, 0, ALIVE)
 
 
 def test_what_is_no_word_of_this_fleet_is_counted_and_changes_nothing() -> None:
@@ -192,14 +192,14 @@
     for data in bad:
         view.hear(1.0, data)
     assert view.counts.refused == len(bad) and set(view.roll.members) == {"me"} and view.me.word == ME
-    assert sum(isinstance(effect, Happened) and effect.name == "refused" for effect in view.turn(1.0)) == 1
+    assert sum(isinstance(effect, ViewEvent) and effect.name == "refused" for effect in view.turn(1.0)) == 1
 
 
 def test_a_word_that_declares_this_one_dead_is_refuted() -> None:
     view = lone()
     view.hear(1.0, gossip(GOOD, msgspec.structs.replace(ME, incarnation=3, state=FAILED)))
     assert (view.me.word.state, view.me.word.incarnation) == (ALIVE, 4)
-    sent = [words.datagram(effect.data) for effect in view.turn(1.0) if isinstance(effect, Send)]
+    sent = [messages.datagram(effect.data) for effect in view.turn(1.0) if isinstance(effect, SendDatagram)]
     assert any(view.me.word in message.words for message in sent)
 
 
@@ -209,21 +209,22 @@
     claim = {"sender": "me", "generation": 5000, "boot": 3}
     for at in (1.0, 1.1, 5.0):
         view.hear(at, gossip(**claim))
-        view.hear(at, words.encode(words.Ack(head(**claim), 99)))
+        view.hear(at, messages.encode(messages.Ack(head(**claim), 99)))
         view.turn(at)
-    assert view.standing.name == "HERE"
+    assert view.standing.value == "here"
     view.hear(9.0, gossip(**claim))
-    pings = [words.datagram(effect.data) for effect in view.turn(9.0) if isinstance(effect, Send)]
-    number = next(ping.number for ping in pings if isinstance(ping, words.Ping) and ping.target == "me")
-    view.hear(9.1, words.encode(words.Ack(head(**claim), number)))
-    assert view.standing.name == "STEPPED_DOWN"
+    pings = [messages.datagram(effect.data) for effect in view.turn(9.0) if isinstance(effect, SendDatagram)]
+    number = next(ping.number for ping in pings if isinstance(ping, messages.Ping) and ping.target == "me")
+    view.hear(9.1, messages.encode(messages.Ack(head(**claim), number)))
+    assert view.standing.value == "stepped down"
 
 
 def test_ten_thousand_made_up_members_take_no_more_than_their_bound() -> None:
     view = lone()
     for number in range(0, 10000, 8):
         made = [
-            Word(f"m{each}", "s", f"127.0.0.1:{each}", 1, 1, 0, ALIVE) for each in range(number, number + 8)
+            MemberRecord(f"m{each}", "s", f"127.0.0.1:{each}", 1, 1, 0, ALIVE)
+            for each in range(number, number + 8)
         ]
         view.hear(1.0 + number / 1000, gossip(*made))
         view.turn(1.0 + number / 1000)
@@ -237,10 +238,10 @@
     view.hear(0.5, gossip(GOOD))
     frames = [
         gossip(GOOD, ME),
-        words.encode(words.Ping(head(), 1, "me", (GOOD,))),
-        words.encode(words.Ask(head(), 2, "other", "127.0.0.1:2", ())),
+        messages.encode(messages.Ping(head(), 1, "me", (GOOD,))),
+        messages.encode(messages.PingRequest(head(), 2, "other", "127.0.0.1:2", ())),
         view.begin(0.5),
-        words.encode(words.Differ(head(), (1, 2), (GOOD,))),
+        messages.encode(messages.SyncDifference(head(), (1, 2), (GOOD,))),
     ]
     raw = bytearray(data.draw(st.sampled_from(frames)))
     for _ in range(data.draw(st.integers(1, 4))):
@@ -248,7 +249,7 @@
     view.hear(1.0, bytes(raw))
     try:
         view.frame(1.0, bytes(raw))
-    except words.BadWord:
+    except messages.MalformedMessageError:
         assert view.counts.refused
     view.turn(1.0)
     assert len(view.roll.members) <= 4 and view.me.word.state == ALIVE
@@ -316,7 +317,7 @@
 
     async def together() -> list[Verdict]:
         runs = [
-            Processes(load(name), seed, tmp_path / name, net=20 + seed + 10 * part).play()
+            ProcessFleet(load(name), seed, tmp_path / name, net=20 + seed + 10 * part).play()
             for seed, name in enumerate(names, start=1)
         ]
         return await asyncio.gather(*runs)
@@ -332,7 +333,7 @@
 def test_operators_see_watch_and_forget(tmp_path: Path) -> None:
     script = load("start")
     script.members = 3
-    fleet = Processes(script, 1, tmp_path, net=19)
+    fleet = ProcessFleet(script, 1, tmp_path, net=19)
 
     def told(*arguments: str) -> str:
         done = CliRunner().invoke(main, ["fleet", *arguments])
@@ -368,7 +369,7 @@
 def test_other_seeds_are_taken_at_sighup_and_join_two_fleets(tmp_path: Path) -> None:
     script = load("start")
     script.members, script.seeds = 2, ["d1"]
-    fleet = Processes(script, 1, tmp_path, net=18)
+    fleet = ProcessFleet(script, 1, tmp_path, net=18)
 
     async def members(name: str) -> int:
         view = await fleet.ask(fleet.members[name], "/_fleet")
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -9,11 +9,11 @@
 from msgspec import structs
 
 from laureldock.fleet import members
-from laureldock.fleet.words import ALIVE, FAILED, LEFT, SUSPECT, Word
+from laureldock.fleet.messages import ALIVE, FAILED, LEFT, SUSPECT, MemberRecord
 
-Wins = Callable[[Word, Word | None], bool]
-Refuted = Callable[[Word, Word], Word | None]
-FIRST = Word("x", "s", "h:1", 1, 1, 0, ALIVE)
+Wins = Callable[[MemberRecord, MemberRecord | None], bool]
+Refuted = Callable[[MemberRecord, MemberRecord], MemberRecord | None]
+FIRST = MemberRecord("x", "s", "h:1", 1, 1, 0, ALIVE)
 DEPTH = 10  # events that are no delivery or are one; each state is expanded once at its least depth
 
 
@@ -24,11 +24,11 @@
     A word on its way may come now, later, twice or never: it stays among `sent`.
     """
 
-    own: Word | None
+    own: MemberRecord | None
     starts: int
-    first: Word
-    second: Word
-    sent: frozenset[Word]
+    first: MemberRecord
+    second: MemberRecord
+    sent: frozenset[MemberRecord]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +51,7 @@
             if answer := rules.refuted(word, state.own):
                 yield "refute", replace(state, own=answer, sent=state.sent | {answer})
     for side in ("first", "second"):
-        held: Word = getattr(state, side)
+        held: MemberRecord = getattr(state, side)
         steps = {ALIVE: SUSPECT if rules.suspicion else FAILED, SUSPECT: FAILED}
         if held.state in steps:
             word = structs.replace(held, state=steps[held.state])
@@ -130,26 +130,26 @@
     assert states > 10000
 
 
-def incarnation_ignored(told: Word, known: Word | None) -> bool:
+def incarnation_ignored(told: MemberRecord, known: MemberRecord | None) -> bool:
     return members.wins(told, known) if known is None or told.era != known.era else told.state > known.state
 
 
-def revived(told: Word, known: Word | None) -> bool:
+def revived(told: MemberRecord, known: MemberRecord | None) -> bool:
     old = known is not None and told.era == known.era and (told.state, known.state) == (ALIVE, FAILED)
     return old or members.wins(told, known)
 
 
-def generation_ignored(told: Word, known: Word | None) -> bool:
+def generation_ignored(told: MemberRecord, known: MemberRecord | None) -> bool:
     return members.wins(structs.replace(told, generation=1), known and structs.replace(known, generation=1))
 
 
-def ties_win(told: Word, known: Word | None) -> bool:
+def ties_win(told: MemberRecord, known: MemberRecord | None) -> bool:
     """Of two equal words the later to come wins: they take turns."""
     level = known is not None and (told.era, told.incarnation) == (known.era, known.incarnation)
     return (level and told != known and ALIVE not in (told.state,)) or members.wins(told, known)
 
 
-def not_raised(told: Word, mine: Word) -> Word | None:
+def not_raised(told: MemberRecord, mine: MemberRecord) -> MemberRecord | None:
     return mine if members.refuted(told, mine) else None
 
 
--- a/tests/test_fleet_trace.py
+++ b/tests/test_fleet_trace.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from laureldock.fleet.modelled import World
-from laureldock.fleet.view import View
-from laureldock.rehearsal.fleet.inmodel import InModel
+from laureldock.fleet.simulation import Simulation
+from laureldock.fleet.view import MembershipView
 from laureldock.rehearsal.fleet.script import load
+from laureldock.rehearsal.fleet.simulated import SimulatedRun
 
 GOLDEN_DIGESTS = {
     "halves": "518c9b8964a25132079668d6c2b5ee2abba43e105991f530a63e61f9b66c7c3e",
@@ -28,28 +28,28 @@
 @pytest.mark.parametrize("name", sorted(GOLDEN_DIGESTS))
 def test_simulated_run_matches_golden_trace(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     digest = hashlib.sha256()
-    send, begin, frame = World.send, View.begin, View.frame
+    send, begin, frame = Simulation.send, MembershipView.begin, MembershipView.frame
 
-    def recorded_send(world: World, sender: str, address: str, data: bytes) -> None:
+    def recorded_send(world: Simulation, sender: str, address: str, data: bytes) -> None:
         digest.update(f"{sender} {address} {len(data)} ".encode() + data)
         send(world, sender, address, data)
 
-    def recorded_begin(view: View, now: float) -> bytes:
+    def recorded_begin(view: MembershipView, now: float) -> bytes:
         data = begin(view, now)
         digest.update(f"first frame {len(data)} ".encode() + data)
         return data
 
-    def recorded_frame(view: View, now: float, data: bytes) -> bytes | None:
+    def recorded_frame(view: MembershipView, now: float, data: bytes) -> bytes | None:
         answer = frame(view, now, data)
         digest.update(f"answer {answer is None} ".encode() + (answer or b""))
         return answer
 
-    monkeypatch.setattr(World, "send", recorded_send)
-    monkeypatch.setattr(View, "begin", recorded_begin)
-    monkeypatch.setattr(View, "frame", recorded_frame)
+    monkeypatch.setattr(Simulation, "send", recorded_send)
+    monkeypatch.setattr(MembershipView, "begin", recorded_begin)
+    monkeypatch.setattr(MembershipView, "frame", recorded_frame)
     script = load(name)
     script.members = 12
-    run = InModel(script, seed=5)
+    run = SimulatedRun(script, seed=5)
     run.play()
     for at, by, event in run.world.happened:
         digest.update(f"{at:.6f} {by} {event.name} {sorted(event.fields.items())}\n".encode())
