--- a/benchmarks/fleet_spoilt.py
+++ b/benchmarks/fleet_spoilt.py
@@ -24,7 +24,7 @@
 
 
 def samples() -> list[bytes]:
-    head = MessageHeader(
+    header = MessageHeader(
         "fleet", "other", 2000, 9, "127.0.0.1:2", 3, 12345, (messages.SiteReachability("s", 3, 2),)
     )
     told = tuple(
@@ -36,10 +36,11 @@
     return [
         messages.encode(each)
         for each in (
-            messages.Ping(head, 5, "me", told), messages.Ack(head, 6, told),
-            messages.PingRequest(head, 7, "third", "127.0.0.1:3", told),
-            messages.Nack(head, 8), messages.Gossip(head, told), messages.SyncDigests(head, tuple(range(64))),
-            messages.SyncDifference(head, (1, 5), told), messages.SyncCompletion(head, told),
+            messages.Ping(header, 5, "me", told), messages.Ack(header, 6, told),
+            messages.PingRequest(header, 7, "third", "127.0.0.1:3", told),
+            messages.Nack(header, 8), messages.Gossip(header, told),
+            messages.SyncDigests(header, tuple(range(64))),
+            messages.SyncDifference(header, (1, 5), told), messages.SyncCompletion(header, told),
         )
     ]  # fmt: skip
 
@@ -66,32 +67,32 @@
 @click.option("--seed", default=1, show_default=True)
 def main(count: int, seed: int) -> None:
     chance, raw, began = random.Random(seed), samples(), time.monotonic()
-    view = MembershipView(ViewSettings("fleet", "me", "s", "127.0.0.1:1", 1_000_000, 7, most=256), 0.0)
+    view = MembershipView(ViewSettings("fleet", "me", "s", "127.0.0.1:1", 1_000_000, 7, max_members=256), 0.0)
     now, sent, events, frames_refused, least = 0.0, 0, 0, 0, 0
     for number in range(count):
         data = spoilt(chance.choice(raw), chance)
         now += 0.001
         if number % 2:
-            view.hear(now, data)
+            view.receive_datagram(now, data)
         else:
             try:
-                view.frame(now, data)
+                view.receive_frame(now, data)
             except MalformedMessageError:
                 frames_refused += 1
-        for effect in view.turn(now):
+        for effect in view.advance(now):
             sent += isinstance(effect, SendDatagram)
             events += isinstance(effect, ViewEvent)
         if number == count // 10:
             least = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     most = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    assert view.me.word.state == ALIVE and len(view.roll.members) <= 256, view.me.word
+    assert view.me.record.state == ALIVE and len(view.member_table.members) <= 256, view.me.record
     assert len(view.timers) < 5000 and len(view.probes) < 100 and len(view.relays) <= 64
-    assert view.standing is ViewStatus.ACTIVE
+    assert view.status is ViewStatus.ACTIVE
     cost = (time.monotonic() - began) / count * 1e6
     print(
         f"{count} spoilt: {view.counts.refused} refused, {frames_refused} of them frames; {cost:.0f} us each"
     )
-    print(f"{len(view.roll.members)} members known, {sent} datagrams sent, {events} events")
+    print(f"{len(view.member_table.members)} members known, {sent} datagrams sent, {events} events")
     print(f"memory {least / 1000:.1f} MB after a tenth, {most / 1000:.1f} MB at the end")
 
 
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -17,11 +17,11 @@
 from laureldock.fleet.simulation import Simulation
 
 
-def world(members: int, seed: int) -> Simulation:
-    found = Simulation({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
-    for name in found.hosts:
-        found.start(name)
-    return found
+def start_simulation(members: int, seed: int) -> Simulation:
+    simulation = Simulation({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
+    for name in simulation.hosts:
+        simulation.start(name)
+    return simulation
 
 
 def quantile(values: list[float], part: float) -> float:
@@ -31,53 +31,53 @@
 
 def crash(members: int, seed: int) -> dict[str, float]:
     """Joins, a quiet while, one crash, its return, a cut in halves that heals."""
-    found = world(members, seed)
-    told = {"join": found.settle(120.0)}
-    found.run(found.now + 10)
-    sent, size, began = found.sent, found.bytes, found.now
-    found.run(found.now + 20)
-    told["messages"] = (found.sent - sent) / 20 / members
-    told["bytes"] = (found.bytes - size) / (found.now - began) / members
-    at = found.now
-    found.kill("d1")
-    told["settled"] = found.settle(120.0)
-    found.run(found.now + 2)
+    simulation = start_simulation(members, seed)
+    told = {"join": simulation.settle(120.0)}
+    simulation.run(simulation.now + 10)
+    sent, size, began = simulation.datagrams_sent, simulation.bytes_sent, simulation.now
+    simulation.run(simulation.now + 20)
+    told["messages"] = (simulation.datagrams_sent - sent) / 20 / members
+    told["bytes"] = (simulation.bytes_sent - size) / (simulation.now - began) / members
+    at = simulation.now
+    simulation.kill("d1")
+    told["settled"] = simulation.settle(120.0)
+    simulation.run(simulation.now + 2)
     mine = [
         (when - at, event.name)
-        for when, _, event in found.happened
+        for when, _, event in simulation.events
         if when >= at and event.fields.get("member") == "d1"
     ]
     told["suspected"] = min((when for when, name in mine if name == "suspected"), default=float("nan"))
     failed = [when for when, name in mine if name == "failed"]
     told["first"], told["last"] = (min(failed), max(failed)) if failed else (float("nan"),) * 2
-    found.start("d1")
-    told["return"] = found.settle(120.0)
-    half = [name for place, name in enumerate(found.hosts) if place % 2]
-    pairs = [(one, other) for one in half for other in found.hosts if other not in set(half)]
+    simulation.start("d1")
+    told["return"] = simulation.settle(120.0)
+    half = [name for place, name in enumerate(simulation.hosts) if place % 2]
+    pairs = [(one, other) for one in half for other in simulation.hosts if other not in set(half)]
     for sign in (1, -1):
         for one, other in pairs:
-            found.net.link(one, other).cuts += sign
-            found.net.link(other, one).cuts += sign
+            simulation.network.link(one, other).cuts += sign
+            simulation.network.link(other, one).cuts += sign
         if sign > 0:
-            found.run(found.now + 40)
-    told["heal"] = found.settle(120.0)
+            simulation.run(simulation.now + 40)
+    told["heal"] = simulation.settle(120.0)
     return told
 
 
 def false_failures(members: int, loss: float, stalling: bool, hours: float, seed: int) -> float:
     """Members held to have failed that had not, a member-hour (a period is a second)."""
-    found = world(members, seed)
-    found.settle(120.0)
-    began, end = found.now, found.now + 3600 * hours
-    found.net.loss = loss
-    while found.now < end:
+    simulation = start_simulation(members, seed)
+    simulation.settle(120.0)
+    began, end = simulation.now, simulation.now + 3600 * hours
+    simulation.network.loss = loss
+    while simulation.now < end:
         if stalling:  # one in eight stands still for two periods, again and again
-            for name in list(found.hosts)[::8]:
-                found.stall(name, 2.0)
-        found.run(found.now + 10)
+            for name in list(simulation.hosts)[::8]:
+                simulation.stall(name, 2.0)
+        simulation.run(simulation.now + 10)
     wrong = {
         (event.fields["member"], round(at / 10))
-        for at, _, event in found.happened
+        for at, _, event in simulation.events
         if event.name == "failed" and at > began
     }
     return len(wrong) / (members * hours)
--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -74,7 +74,7 @@
         self.source = self.source_of(plan)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
-        self.rim = self.rim_of(plan, state) if plan.fleet else None
+        self.fleet = self.fleet_transport(plan, state) if plan.fleet else None
         self.door = None
         if plan.management:  # twisted.web costs some 4 MB, which a dispatcher without the address keeps
             from laureldock.operators.door import Door, Operated
@@ -83,8 +83,8 @@
                 core.takes_clients,
                 core.operators_figures,
                 self.lameduck,
-                self.rim.figures if self.rim else None,
-                self.rim.forget if self.rim else None,
+                self.fleet.report if self.fleet else None,
+                self.fleet.forget if self.fleet else None,
             )
             self.door = Door(reactor, plan.management, operated)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
@@ -99,7 +99,7 @@
             return Notices(self.core, self.reactor, plan.outlet.address)
         return Lines(self.core, state / plan.outlet.path if plan.outlet.path else None)
 
-    def rim_of(self, plan: Plan, state: Path) -> FleetTransport:
+    def fleet_transport(self, plan: Plan, state: Path) -> FleetTransport:
         from laureldock.fleet.transport import (  # a dispatcher without a fleet imports none of it
             WARNING_EVENTS,
             FleetTransport,
@@ -119,13 +119,13 @@
 
     def lameduck(self, on: bool) -> None:
         self.core.set_lameduck(on)
-        if self.rim:
-            self.rim.lameduck(on)
+        if self.fleet:
+            self.fleet.lameduck(on)
 
     def start(self) -> None:
-        if self.rim:
+        if self.fleet:
             try:
-                self.rim.start()
+                self.fleet.start()
             except CannotListenError as barred:
                 raise OSError(f"cannot listen for the fleet: {barred}") from None
         if self.door and (fault := self.door.open()):
@@ -139,12 +139,12 @@
             for clients in self.clients:
                 clients.most //= 2
             self.room.spare()
-        if self.rim:
-            self.rim.lameduck(True)  # others hear at once, and that it left once it is through
+        if self.fleet:
+            self.fleet.lameduck(True)  # others hear at once, and that it left once it is through
 
         def over() -> None:
-            if self.rim:
-                self.rim.leave()
+            if self.fleet:
+                self.fleet.leave()
             done.callback(None)
 
         self.core.stop(over)
@@ -192,8 +192,8 @@
         changed = changes(self.plan, plan)
         self.plan = plan
         self.core.book.retell(plan, fresh.terms)
-        if self.rim and plan.fleet:
-            self.rim.reseed(plan.fleet)
+        if self.fleet and plan.fleet:
+            self.fleet.set_seeds(plan.fleet)
         if isinstance(self.source, Listed):
             self.source.reread(fresh.listing)
         self.move_to(plan.source.address, plan.outlet.address)
--- a/laureldock/fleet/gossip_queue.py
+++ b/laureldock/fleet/gossip_queue.py
@@ -6,7 +6,7 @@
 from itertools import count
 from math import ceil, log10
 
-from laureldock.fleet.messages import MemberRecord, size_of
+from laureldock.fleet.messages import MemberRecord, encoded_size
 
 # Each word goes 4 log10(n + 1) times from each that heard it (as memberlist's default), by which all of n
 # have it but for chance; streams bring the rest.
@@ -15,36 +15,38 @@
 
 class GossipQueue:
     def __init__(self) -> None:
-        self.told: dict[str, tuple[int, int, MemberRecord, int]] = {}  # times, serial, word, its size
+        self.queue: dict[str, tuple[int, int, MemberRecord, int]] = {}  # times, serial, word, its size
         self.serial = count()
 
     def __len__(self) -> int:
-        return len(self.told)
+        return len(self.queue)
 
-    def add(self, word: MemberRecord) -> None:
+    def enqueue(self, record: MemberRecord) -> None:
         """A newer word of a member takes the place of the older one."""
-        self.told[word.name] = (0, next(self.serial), word, size_of(word))
+        self.queue[record.name] = (0, next(self.serial), record, encoded_size(record))
 
-    def drop(self, name: str) -> None:
-        self.told.pop(name, None)
+    def remove(self, name: str) -> None:
+        self.queue.pop(name, None)
 
-    def pick(
-        self, room: int, members: int, most: int, first: MemberRecord | None = None
+    def select(
+        self, max_bytes: int, members: int, max_records: int, first: MemberRecord | None = None
     ) -> tuple[MemberRecord, ...]:
         """Words for one datagram, at most so many, within `room` bytes; `first` goes whatever was told."""
-        picked, limit = [], RETRANSMIT_MULTIPLIER * ceil(log10(members + 1))
+        selected, max_transmissions = [], RETRANSMIT_MULTIPLIER * ceil(log10(members + 1))
         if first is not None:
-            picked.append(first)
-            room -= size_of(first)
-        for times, serial, word, size in heapq.nsmallest(most - len(picked), self.told.values()):
-            if size > room:
+            selected.append(first)
+            max_bytes -= encoded_size(first)
+        for transmissions, serial, record, size in heapq.nsmallest(
+            max_records - len(selected), self.queue.values()
+        ):
+            if size > max_bytes:
                 break
-            if first is not None and word.name == first.name:
+            if first is not None and record.name == first.name:
                 continue
-            room -= size
-            picked.append(word)
-            if times + 1 >= limit:
-                del self.told[word.name]
+            max_bytes -= size
+            selected.append(record)
+            if transmissions + 1 >= max_transmissions:
+                del self.queue[record.name]
             else:
-                self.told[word.name] = (times + 1, serial, word, size)
-        return tuple(picked)
+                self.queue[record.name] = (transmissions + 1, serial, record, size)
+        return tuple(selected)
--- a/laureldock/fleet/members.py
+++ b/laureldock/fleet/members.py
@@ -57,59 +57,64 @@
 DIGEST_BUCKETS = 64
 
 
-def wins(told: MemberRecord, known: MemberRecord | None) -> bool:
+def supersedes(claimed: MemberRecord, known: MemberRecord | None) -> bool:
     """Whether a word takes the place of the known one."""
-    if known is None or told.era != known.era:
-        return known is None or told.era > known.era
-    match PRECEDENCE[told.state, known.state]:
+    if known is None or claimed.start_key != known.start_key:
+        return known is None or claimed.start_key > known.start_key
+    match PRECEDENCE[claimed.state, known.state]:
         case "greater":
-            return told.incarnation > known.incarnation
+            return claimed.incarnation > known.incarnation
         case "as great":
-            return told.incarnation >= known.incarnation
+            return claimed.incarnation >= known.incarnation
     return False
 
 
-def refuted(told: MemberRecord, mine: MemberRecord) -> MemberRecord | None:
+def refutation(claimed: MemberRecord, own: MemberRecord) -> MemberRecord | None:
     """A member's own next word after a false one of the same start: nobody else raises its incarnation."""
-    false = told.era == mine.era and told.state != ALIVE and told.incarnation >= mine.incarnation
-    return structs.replace(mine, incarnation=told.incarnation + 1, state=ALIVE) if false else None
+    is_false = (
+        claimed.start_key == own.start_key
+        and claimed.state != ALIVE
+        and claimed.incarnation >= own.incarnation
+    )
+    return structs.replace(own, incarnation=claimed.incarnation + 1, state=ALIVE) if is_false else None
 
 
-def mark(word: MemberRecord) -> int:
+def record_digest(record: MemberRecord) -> int:
     """What a member adds to the digest: nought where it is not here, so that forgetting changes nothing."""
-    if word.state not in PRESENT_STATES:
+    if record.state not in PRESENT_STATES:
         return 0
-    text = f"{word.name}|{word.site}|{word.address}|{word.generation}|{word.boot}|{word.incarnation}"
-    return xxh3_64_intdigest(f"{text}|{word.state}|{word.lameduck}".encode()) >> 2
+    text = f"{record.name}|{record.site}|{record.address}"
+    text += f"|{record.generation}|{record.boot_id}|{record.incarnation}"
+    return xxh3_64_intdigest(f"{text}|{record.state}|{record.lameduck}".encode()) >> 2
 
 
-def bucket(name: str) -> int:
+def bucket_of(name: str) -> int:
     return xxh3_64_intdigest(name.encode()) % DIGEST_BUCKETS
 
 
 @dataclass(eq=False, slots=True)
 class Member:
-    word: MemberRecord
-    since: float  # when it got its state here
-    heard: float = float("-inf")  # when a datagram of it came
+    record: MemberRecord
+    state_since: float  # when it got its state here
+    last_heard: float = float("-inf")  # when a datagram of it came
     load: int = 0  # as it last told
-    called: float = float("-inf")  # when it was last called again, having failed
-    confirmed: set[str] = field(default_factory=set)  # who said it is suspect, besides this member
-    place: int = 0  # its bucket
+    last_called: float = float("-inf")  # when it was last called again, having failed
+    confirmed_by: set[str] = field(default_factory=set)  # who said it is suspect, besides this member
+    bucket: int = 0  # its bucket
     index: int = 0  # in `Roll.order`
 
 
 class MemberTable:
     """All members that are known, by name, and the digests over those that are here."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
         self.members: dict[str, Member] = {}
         self.digests = [0] * DIGEST_BUCKETS
         self.digest = 0
-        self.here = self.alive = 0
-        self.gone: dict[str, Member] = {}  # those that failed or left
-        self.order: list[Member] = []  # in no order that matters: chance picks by place
+        self.present_count = self.alive_count = 0
+        self.absent: dict[str, Member] = {}  # those that failed or left
+        self.by_index: list[Member] = []  # in no order that matters: chance picks by place
 
     def __getitem__(self, name: str) -> Member:
         return self.members[name]
@@ -120,41 +125,41 @@
     def __iter__(self) -> Iterator[Member]:
         return iter(self.members.values())
 
-    def full(self) -> bool:
+    def is_full(self) -> bool:
         """Guards memory against made-up members: no more are taken on until some are forgotten."""
-        return len(self.members) >= self.most
+        return len(self.members) >= self.capacity
 
-    def put(self, now: float, word: MemberRecord) -> Member:
+    def put(self, now: float, record: MemberRecord) -> Member:
         """Set a member's word, whatever was known. The caller has asked `wins`."""
-        member = self.members.get(word.name)
+        member = self.members.get(record.name)
         if member is None:
-            member = Member(word, now, place=bucket(word.name), index=len(self.order))
-            self.members[word.name] = member
-            self.order.append(member)
+            member = Member(record, now, bucket=bucket_of(record.name), index=len(self.by_index))
+            self.members[record.name] = member
+            self.by_index.append(member)
         else:
-            self.count(member, -1)
-            if member.word.state != word.state or member.word.era != word.era:
-                member.since = now
-                member.confirmed.clear()
-            member.word = word
-        self.count(member, 1)
+            self.account_for(member, -1)
+            if member.record.state != record.state or member.record.start_key != record.start_key:
+                member.state_since = now
+                member.confirmed_by.clear()
+            member.record = record
+        self.account_for(member, 1)
         return member
 
-    def drop(self, name: str) -> None:
+    def remove(self, name: str) -> None:
         member = self.members.pop(name)
-        self.count(member, -1)
-        self.gone.pop(name, None)
-        last = self.order.pop()
+        self.account_for(member, -1)
+        self.absent.pop(name, None)
+        last = self.by_index.pop()
         if last is not member:
-            self.order[member.index], last.index = last, member.index
-
-    def count(self, member: Member, sign: int) -> None:
-        found = mark(member.word)
-        self.digests[member.place] ^= found
-        self.digest ^= found
-        if member.word.state in PRESENT_STATES:
-            self.here += sign
-            self.alive += sign * (member.word.state == ALIVE)
-            self.gone.pop(member.word.name, None)
+            self.by_index[member.index], last.index = last, member.index
+
+    def account_for(self, member: Member, sign: int) -> None:
+        digest_part = record_digest(member.record)
+        self.digests[member.bucket] ^= digest_part
+        self.digest ^= digest_part
+        if member.record.state in PRESENT_STATES:
+            self.present_count += sign
+            self.alive_count += sign * (member.record.state == ALIVE)
+            self.absent.pop(member.record.name, None)
         elif sign > 0:
-            self.gone[member.word.name] = member
+            self.absent[member.record.name] = member
--- a/laureldock/fleet/messages.py
+++ b/laureldock/fleet/messages.py
@@ -46,23 +46,23 @@
     site: Site
     address: Address
     generation: Unsigned62
-    boot: Unsigned32
+    boot_id: Unsigned32
     incarnation: Unsigned32
     state: StateCode
     lameduck: bool = False
-    by: Annotated[str, Meta(pattern=r"^[!-~]{0,64}$")] = ""  # who suspects it, where it is suspect
+    suspected_by: Annotated[str, Meta(pattern=r"^[!-~]{0,64}$")] = ""  # who suspects it, where it is suspect
 
     @property
-    def era(self) -> tuple[int, int]:
-        return self.generation, self.boot
+    def start_key(self) -> tuple[int, int]:
+        return self.generation, self.boot_id
 
 
 class SiteReachability(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
     """Of the calls to a site's members within the last ten periods: how many went, how many were answered."""
 
     site: Site
-    tried: Annotated[int, Meta(ge=0, le=255)]
-    heard: Annotated[int, Meta(ge=0, le=255)]
+    calls: Annotated[int, Meta(ge=0, le=255)]
+    answered: Annotated[int, Meta(ge=0, le=255)]
 
 
 class MessageHeader(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
@@ -71,69 +71,69 @@
     fleet: Name
     sender: Name
     generation: Unsigned62
-    boot: Unsigned32
+    boot_id: Unsigned32
     address: Address
     load: Annotated[int, Meta(ge=0, le=255)]
     digest: Unsigned62
-    reach: Annotated[tuple[SiteReachability, ...], Meta(max_length=8)] = ()
+    reachability: Annotated[tuple[SiteReachability, ...], Meta(max_length=8)] = ()
 
 
 class Ping(Struct, tag=1, tag_field="t", array_like=True, frozen=True):
     """Are you there? Answered by an Ack of the same number."""
 
-    head: MessageHeader
-    number: Unsigned32
+    header: MessageHeader
+    sequence: Unsigned32
     target: Name
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class Ack(Struct, tag=2, tag_field="t", array_like=True, frozen=True):
-    head: MessageHeader
-    number: Unsigned32
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
+    header: MessageHeader
+    sequence: Unsigned32
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class PingRequest(Struct, tag=3, tag_field="t", array_like=True, frozen=True):
     """Ping that one for me. Answered by an Ack of this number, or a Nack once the helper has waited."""
 
-    head: MessageHeader
-    number: Unsigned32
+    header: MessageHeader
+    sequence: Unsigned32
     target: Name
     address: Address
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class Nack(Struct, tag=4, tag_field="t", array_like=True, frozen=True):
-    head: MessageHeader
-    number: Unsigned32
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
+    header: MessageHeader
+    sequence: Unsigned32
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class Gossip(Struct, tag=5, tag_field="t", array_like=True, frozen=True):
-    head: MessageHeader
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
+    header: MessageHeader
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class SyncDigests(Struct, tag=6, tag_field="t", array_like=True, frozen=True):
     """Begins a stream: the digest of each bucket of its members, and of those that failed or left."""
 
-    head: MessageHeader
+    header: MessageHeader
     buckets: Annotated[tuple[Unsigned62, ...], Meta(min_length=64, max_length=64)]
 
 
 class SyncDifference(Struct, tag=7, tag_field="t", array_like=True, frozen=True):
     """The other side's words of the buckets that differ; answered by a `Same` with the own ones."""
 
-    head: MessageHeader
+    header: MessageHeader
     buckets: Annotated[tuple[Annotated[int, Meta(ge=0, lt=64)], ...], Meta(max_length=64)]
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=8192)]
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=8192)]
 
 
 class SyncCompletion(Struct, tag=8, tag_field="t", array_like=True, frozen=True):
     """The last frame of a stream."""
 
-    head: MessageHeader
-    words: Annotated[tuple[MemberRecord, ...], Meta(max_length=8192)]
+    header: MessageHeader
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=8192)]
 
 
 Datagram = Ping | Ack | PingRequest | Nack | Gossip
@@ -149,12 +149,12 @@
     return MAGIC + bytes([VERSION]) + _encoder.encode(message)
 
 
-def size_of(word: MemberRecord) -> int:
-    return len(_encoder.encode(word))
+def encoded_size(record: MemberRecord) -> int:
+    return len(_encoder.encode(record))
 
 
-def payload(data: bytes, most: int) -> bytes:
-    if len(data) > most:
+def strip_envelope(data: bytes, max_bytes: int) -> bytes:
+    if len(data) > max_bytes:
         raise MalformedMessageError("too long")
     if data[:2] != MAGIC:
         raise MalformedMessageError("no word")
@@ -163,17 +163,17 @@
     return data[3:]
 
 
-def datagram(data: bytes) -> Datagram:
+def decode_datagram(data: bytes) -> Datagram:
     """BadWord."""
     try:
-        return _datagrams.decode(payload(data, MAX_DATAGRAM_BYTES))
-    except (msgspec.DecodeError, RecursionError) as fault:
-        raise MalformedMessageError(f"malformed: {fault}") from None
+        return _datagrams.decode(strip_envelope(data, MAX_DATAGRAM_BYTES))
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MalformedMessageError(f"malformed: {error}") from None
 
 
-def frame(data: bytes) -> Frame:
+def decode_frame(data: bytes) -> Frame:
     """BadWord."""
     try:
-        return _frames.decode(payload(data, MAX_FRAME_BYTES))
-    except (msgspec.DecodeError, RecursionError) as fault:
-        raise MalformedMessageError(f"malformed: {fault}") from None
+        return _frames.decode(strip_envelope(data, MAX_FRAME_BYTES))
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MalformedMessageError(f"malformed: {error}") from None
--- a/laureldock/fleet/reachability.py
+++ b/laureldock/fleet/reachability.py
@@ -13,37 +13,39 @@
 
 class ReachabilityTracker:
     def __init__(self, period: float) -> None:
-        self.span = WINDOW_PERIODS * period
-        self.sites: dict[str, deque[tuple[float, bool]]] = {}  # when a call went, and whether it was answered
-        self.told: dict[str, tuple[float, tuple[SiteReachability, ...]]] = {}  # by others, and when
+        self.window = WINDOW_PERIODS * period
+        self.calls_by_site: dict[
+            str, deque[tuple[float, bool]]
+        ] = {}  # when a call went, and whether it was answered
+        self.reports: dict[str, tuple[float, tuple[SiteReachability, ...]]] = {}  # by others, and when
 
-    def tried(self, now: float, site: str, answered: bool) -> None:
-        self.sites.setdefault(site, deque(maxlen=255)).append((now, answered))
+    def record_call(self, now: float, site: str, answered: bool) -> None:
+        self.calls_by_site.setdefault(site, deque(maxlen=255)).append((now, answered))
 
-    def own(self, now: float) -> tuple[SiteReachability, ...]:
+    def own_report(self, now: float) -> tuple[SiteReachability, ...]:
         """For datagrams: the sites called of late."""
-        found = []
-        for site in sorted(self.sites):
-            calls = self.sites[site]
-            while calls and calls[0][0] < now - self.span:
+        report = []
+        for site in sorted(self.calls_by_site):
+            calls = self.calls_by_site[site]
+            while calls and calls[0][0] < now - self.window:
                 calls.popleft()
             if calls:
-                found.append(SiteReachability(site, len(calls), sum(answered for _, answered in calls)))
+                report.append(SiteReachability(site, len(calls), sum(answered for _, answered in calls)))
             else:
-                del self.sites[site]
-        return tuple(found[:MAX_REPORTED_SITES])
+                del self.calls_by_site[site]
+        return tuple(report[:MAX_REPORTED_SITES])
 
-    def hear(self, now: float, name: str, told: tuple[SiteReachability, ...]) -> None:
-        self.told[name] = (now, told)
+    def record_report(self, now: float, name: str, reports: tuple[SiteReachability, ...]) -> None:
+        self.reports[name] = (now, reports)
 
     def forget(self, name: str) -> None:
-        self.told.pop(name, None)
+        self.reports.pop(name, None)
 
-    def figures(self, now: float, me: str) -> dict[str, dict[str, float]]:
+    def answered_shares(self, now: float, own_name: str) -> dict[str, dict[str, float]]:
         """Of each site: who heard what share of the calls to it, as told within the span."""
-        found: dict[str, dict[str, float]] = {}
-        fresh = {name: told for name, (at, told) in self.told.items() if at >= now - self.span}
-        for name, told in [(me, self.own(now)), *sorted(fresh.items())]:
-            for each in told:
-                found.setdefault(each.site, {})[name] = each.heard / each.tried if each.tried else 0.0
-        return found
+        report: dict[str, dict[str, float]] = {}
+        fresh = {name: reports for name, (at, reports) in self.reports.items() if at >= now - self.window}
+        for name, reports in [(own_name, self.own_report(now)), *sorted(fresh.items())]:
+            for each in reports:
+                report.setdefault(each.site, {})[name] = each.answered / each.calls if each.calls else 0.0
+        return report
--- a/laureldock/fleet/simulation.py
+++ b/laureldock/fleet/simulation.py
@@ -43,8 +43,8 @@
     """What becomes of datagrams: of all, and of those on single links."""
 
     loss: float = 0.0
-    least: float = 0.001
-    most: float = 0.01
+    min_delay: float = 0.001
+    max_delay: float = 0.01
     links: dict[Pair, Link] = field(default_factory=dict)
 
     def link(self, sender: str, receiver: str) -> Link:
@@ -67,7 +67,7 @@
     generation: int = 0  # on its disk
     stalled: float = 0.0  # until when
     inbox: list[bytes] = field(default_factory=list)  # of one that stands still
-    woken: float = -1.0  # the turn that is already in the heap
+    timer_due: float = -1.0  # the turn that is already in the heap
 
 
 class Simulation:
@@ -76,24 +76,24 @@
     def __init__(
         self, names: dict[str, str], seed: int = 1, period: float = 1.0, seeds: Iterable[str] = ()
     ) -> None:
-        self.seed, self.period, self.net = seed, period, SimulatedNetwork()
+        self.seed, self.period, self.network = seed, period, SimulatedNetwork()
         self.hosts = {name: SimulatedHost(name, name, site) for name, site in names.items()}
         self.seeds = tuple(seeds) or tuple(f"{name}:1" for name in names)[:1]
         self.now, self.serial = 0.0, count(1)
         self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.happened: list[tuple[float, str, ViewEvent]] = []
-        self.sent = self.bytes = 0
+        self.events: list[tuple[float, str, ViewEvent]] = []
+        self.datagrams_sent = self.bytes_sent = 0
 
-    def chance(self) -> float:
+    def random_fraction(self) -> float:
         return zlib.crc32(f"{self.seed}:{next(self.serial)}".encode()) / 2**32
 
-    def at(self, when: float, action: Callable[..., None], *told: Any) -> None:
-        heapq.heappush(self.heap, (when, next(self.serial), action, told))
+    def schedule(self, when: float, action: Callable[..., None], *arguments: Any) -> None:
+        heapq.heappush(self.heap, (when, next(self.serial), action, arguments))
 
     def run(self, until: float) -> None:
         while self.heap and self.heap[0][0] <= until:
-            self.now, _, action, told = heapq.heappop(self.heap)
-            action(*told)
+            self.now, _, action, arguments = heapq.heappop(self.heap)
+            action(*arguments)
         self.now = until
 
     # Members
@@ -104,17 +104,17 @@
         host.starts += 1
         # A day into the clock, so that one behind has a generation, too.
         host.generation = max(host.generation + 1, round((86400 + self.now + clock) * 1000))
-        boot = zlib.crc32(f"{key}{host.starts}".encode())
-        told = ViewSettings(
-            "fleet", host.name, host.site, f"{key}:1", host.generation, boot,
+        boot_id = zlib.crc32(f"{key}{host.starts}".encode())
+        arguments = ViewSettings(
+            "fleet", host.name, host.site, f"{key}:1", host.generation, boot_id,
             tuple(seeds) or self.seeds, self.period, self.seed * 100003 + host.starts,
         )  # fmt: skip
-        host.view, host.woken, host.stalled = MembershipView(told, self.now), -1.0, 0.0
+        host.view, host.timer_due, host.stalled = MembershipView(arguments, self.now), -1.0, 0.0
         host.inbox.clear()
-        self.turn(host)
+        self.advance(host)
         return host.view
 
-    def twin(self, name: str) -> MembershipView:
+    def start_duplicate(self, name: str) -> MembershipView:
         """Another process of that name, at another address."""
         self.hosts[f"{name}~"] = SimulatedHost(f"{name}~", name, self.hosts[name].site)
         return self.start(f"{name}~")
@@ -129,114 +129,117 @@
         host = self.hosts[key]
         if host.view:
             host.view.leave(self.now)
-            self.turn(host)
+            self.advance(host)
             host.view = None
 
     def stall(self, key: str, seconds: float) -> None:
         """As SIGSTOP does: it does nothing, and finds all that came meanwhile."""
         host = self.hosts[key]
         host.stalled = self.now + seconds
-        self.at(host.stalled, self.wake, host, host.view)
+        self.schedule(host.stalled, self.resume, host, host.view)
 
-    def wake(self, host: SimulatedHost, view: MembershipView | None) -> None:
+    def resume(self, host: SimulatedHost, view: MembershipView | None) -> None:
         if host.view is view and view and host.stalled <= self.now:
-            self.turn(host)
+            self.advance(host)
             inbox, host.inbox = host.inbox, []
             for data in inbox:
-                view.hear(self.now, data)
-            self.turn(host)
+                view.receive_datagram(self.now, data)
+            self.advance(host)
 
-    def turn(self, host: SimulatedHost) -> None:
+    def advance(self, host: SimulatedHost) -> None:
         if host.view is None or host.stalled > self.now:
             return
-        for effect in host.view.turn(self.now):
+        for effect in host.view.advance(self.now):
             match effect:
                 case SendDatagram(address=address, data=data):
                     self.send(host.key, address, data)
                 case OpenStream(address=address):
-                    self.at(self.now + self.delay(), self.stream, host, host.view, address)
+                    self.schedule(self.now + self.random_delay(), self.stream, host, host.view, address)
                 case ViewEvent():
-                    self.happened.append((self.now, host.key, effect))
-        due = host.view.due
-        if due != host.woken and due < float("inf"):
-            host.woken = due
-            self.at(due, self.due, host, host.view)
+                    self.events.append((self.now, host.key, effect))
+        due = host.view.next_due
+        if due != host.timer_due and due < float("inf"):
+            host.timer_due = due
+            self.schedule(due, self.on_timer, host, host.view)
 
-    def due(self, host: SimulatedHost, view: MembershipView) -> None:
+    def on_timer(self, host: SimulatedHost, view: MembershipView) -> None:
         if host.view is view:
-            host.woken = -1.0
-            self.turn(host)
+            host.timer_due = -1.0
+            self.advance(host)
 
     # The network
 
-    def delay(self) -> float:
-        return self.net.least + (self.net.most - self.net.least) * self.chance()
+    def random_delay(self) -> float:
+        return (
+            self.network.min_delay
+            + (self.network.max_delay - self.network.min_delay) * self.random_fraction()
+        )
 
     def send(self, sender: str, address: str, data: bytes) -> None:
-        self.sent += 1
-        self.bytes += len(data)
-        link = self.net.links.get((sender, address.removesuffix(":1"))) or Link()
-        for _ in range(2 if link.doubled and self.chance() < link.doubled else 1):
-            if link.loss and self.chance() < link.loss:
+        self.datagrams_sent += 1
+        self.bytes_sent += len(data)
+        link = self.network.links.get((sender, address.removesuffix(":1"))) or Link()
+        for _ in range(2 if link.doubled and self.random_fraction() < link.doubled else 1):
+            if link.loss and self.random_fraction() < link.loss:
                 continue
-            if not (self.net.loss and self.chance() < self.net.loss):
-                late = self.delay() + (link.delay * self.chance() if link.delay else 0.0)
-                self.at(self.now + late, self.arrive, sender, address, data)
+            if not (self.network.loss and self.random_fraction() < self.network.loss):
+                late = self.random_delay() + (link.delay * self.random_fraction() if link.delay else 0.0)
+                self.schedule(self.now + late, self.arrive, sender, address, data)
 
     def arrive(self, sender: str, address: str, data: bytes) -> None:
         host = self.hosts.get(address.removesuffix(":1"))
-        if host is None or host.view is None or self.net.cut(sender, host.key):
+        if host is None or host.view is None or self.network.cut(sender, host.key):
             return
         if host.stalled > self.now:
             host.inbox.append(data)
             return
-        host.view.hear(self.now, data)
-        self.turn(host)
+        host.view.receive_datagram(self.now, data)
+        self.advance(host)
 
     def stream(self, host: SimulatedHost, view: MembershipView, address: str) -> None:
         """Both ends in one go: a stream takes a few round trips, which only delays what it carries."""
         other = self.hosts.get(address.removesuffix(":1"))
         if other is None or other.view is None or host.view is not view:
             return
-        if self.net.cut(host.key, other.key) or self.net.cut(other.key, host.key):
+        if self.network.cut(host.key, other.key) or self.network.cut(other.key, host.key):
             return
         if other.stalled > self.now or host.stalled > self.now:
             return
-        data: bytes | None = view.begin(self.now)
+        data: bytes | None = view.first_frame(self.now)
         sides = (other, host)
         try:
             for turn in range(4):
                 if data is None or (view_there := sides[turn % 2].view) is None:
                     break
-                self.bytes += len(data)
-                data = view_there.frame(self.now, data)
+                self.bytes_sent += len(data)
+                data = view_there.receive_frame(self.now, data)
         except MalformedMessageError:
             pass
-        self.turn(host)
-        self.turn(other)
+        self.advance(host)
+        self.advance(other)
 
     # What is asked of a run
 
     def living(self) -> list[MembershipView]:
         views = (host.view for host in self.hosts.values())
-        return [view for view in views if view is not None and view.standing is ViewStatus.ACTIVE]
+        return [view for view in views if view is not None and view.status is ViewStatus.ACTIVE]
 
-    def agree(self) -> bool:
+    def views_agree(self) -> bool:
         """All that live hold the same members to be here, and these are those that live."""
         views = self.living()
         if not views or len({view.digest for view in views}) > 1:
             return not views
-        here = {each.word.name for each in views[0].roll if each.word.state in PRESENT_STATES}
-        return here == {view.charter.name for view in views}
+        here = {each.record.name for each in views[0].member_table if each.record.state in PRESENT_STATES}
+        return here == {view.settings.name for view in views}
 
-    def settle(self, most: float) -> float:
-        """Seconds until they agree and go on agreeing for a period; infinity if not within `most`."""
+    def settle(self, timeout: float) -> float:
+        """Seconds until they agree and go on agreeing for a period; infinity if not within `timeout`."""
         began = self.now
-        while self.now < began + most:
-            if self.agree():
+        while self.now < began + timeout:
+            if self.views_agree():
                 at = self.now
                 self.run(self.now + self.period)
-                if self.agree():
+                if self.views_agree():
                     return at - began
             self.run(self.now + self.period / 10)
         return float("inf")
--- a/laureldock/fleet/transport.py
+++ b/laureldock/fleet/transport.py
@@ -47,15 +47,15 @@
         self.generation = 0
         self.addresses: list[str] = []
         try:
-            told = json.loads(path.read_bytes())
-            self.generation = int(told["generation"])
-            self.addresses = [str(each) for each in told["addresses"]][:MAX_SAVED_ADDRESSES]
+            on_event = json.loads(path.read_bytes())
+            self.generation = int(on_event["generation"])
+            self.addresses = [str(each) for each in on_event["addresses"]][:MAX_SAVED_ADDRESSES]
         except (OSError, ValueError, KeyError, TypeError):
             pass  # a new folder, or a spoilt file: the clock and the fleet tell of an earlier start
 
-    def begin(self, wall: float) -> int:
+    def next_generation(self, wall_clock: float) -> int:
         """The generation of this start: above the last one known here, and what the clock says."""
-        self.generation = max(self.generation + 1, int(wall * 1000))
+        self.generation = max(self.generation + 1, int(wall_clock * 1000))
         return self.generation
 
     def save(self, generation: int, addresses: list[str]) -> None:
@@ -73,12 +73,12 @@
     noisy = False
     transport: Any
 
-    def __init__(self, rim: FleetTransport) -> None:
-        self.rim = rim
+    def __init__(self, fleet_transport: FleetTransport) -> None:
+        self.fleet_transport = fleet_transport
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
-        self.rim.view.hear(self.rim.now(), datagram)
-        self.rim.turn_soon()
+        self.fleet_transport.view.receive_datagram(self.fleet_transport.now(), datagram)
+        self.fleet_transport.schedule_advance()
 
 
 class StreamProtocol(Int32StringReceiver, TimeoutMixin):
@@ -87,22 +87,22 @@
     MAX_LENGTH = messages.MAX_FRAME_BYTES
     transport: Any
 
-    def __init__(self, rim: FleetTransport, opened: bool) -> None:
-        self.rim, self.opened = rim, opened
+    def __init__(self, fleet_transport: FleetTransport, opened: bool) -> None:
+        self.fleet_transport, self.opened = fleet_transport, opened
 
     def connectionMade(self) -> None:  # noqa: N802
         self.setTimeout(STREAM_TIMEOUT)
         if self.opened:
-            self.sendString(self.rim.view.begin(self.rim.now()))
+            self.sendString(self.fleet_transport.view.first_frame(self.fleet_transport.now()))
         else:
-            self.rim.streams += 1
-            if self.rim.streams > MAX_INBOUND_STREAMS:
+            self.fleet_transport.inbound_streams += 1
+            if self.fleet_transport.inbound_streams > MAX_INBOUND_STREAMS:
                 self.transport.abortConnection()
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         self.resetTimeout()
         try:
-            answer = self.rim.view.frame(self.rim.now(), string)
+            answer = self.fleet_transport.view.receive_frame(self.fleet_transport.now(), string)
         except messages.MalformedMessageError:
             self.transport.abortConnection()
             return
@@ -110,16 +110,16 @@
             self.transport.loseConnection()
         else:
             self.sendString(answer)
-        self.rim.turn_soon()
+        self.fleet_transport.schedule_advance()
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
-        self.rim.view.refuse("a frame too long")
+        self.fleet_transport.view.count_refused("a frame too long")
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         self.setTimeout(None)
         if not self.opened:
-            self.rim.streams -= 1
+            self.fleet_transport.inbound_streams -= 1
 
 
 class StreamFactory(ClientFactory):
@@ -127,11 +127,11 @@
 
     noisy = False
 
-    def __init__(self, rim: FleetTransport, opened: bool) -> None:
-        self.rim, self.opened = rim, opened
+    def __init__(self, fleet_transport: FleetTransport, opened: bool) -> None:
+        self.fleet_transport, self.opened = fleet_transport, opened
 
     def buildProtocol(self, addr: IAddress | None) -> StreamProtocol:  # noqa: N802
-        return StreamProtocol(self.rim, self.opened)
+        return StreamProtocol(self.fleet_transport, self.opened)
 
 
 class FleetTransport:
@@ -144,39 +144,39 @@
         name: str,
         seed: int,
         state: Path,
-        told: Callable[[str, dict[str, Any]], None],
+        on_event: Callable[[str, dict[str, Any]], None],
         load: Callable[[], float],
-        wall: Callable[[], float] = time.time,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
-        self.reactor, self.settings, self.told, self.load = reactor, settings, told, load
-        self.remembered = PersistentState(state / "fleet.json")
+        self.reactor, self.settings, self.on_event, self.load = reactor, settings, on_event, load
+        self.persistent_state = PersistentState(state / "fleet.json")
         host, _, port = settings.listen.rpartition(":")
         self.host, self.port = host, int(port)
-        self.streams, self.due = 0, float("inf")
+        self.inbound_streams, self.next_due = 0, float("inf")
         self.timer: Any = None
-        self.turning = self.dirty = False
+        self.advance_scheduled = self.dirty = False
         self.view = MembershipView(
             ViewSettings(
                 fleet=settings.name,
                 name=name,
                 site=settings.site,
                 address=str(settings.advertise or settings.listen),
-                generation=self.remembered.begin(wall()),
-                boot=int.from_bytes(os.urandom(4), "big"),
-                seeds=self.asked(settings.seeds),
+                generation=self.persistent_state.next_generation(wall_clock()),
+                boot_id=int.from_bytes(os.urandom(4), "big"),
+                seeds=self.seed_addresses(settings.seeds),
                 period=float(settings.period),
-                seed=seed,
-                most=settings.members,
-                forget=float(settings.forget),
+                random_seed=seed,
+                max_members=settings.members,
+                forget_after=float(settings.forget),
             ),
             self.now(),
         )
         self.datagrams = DatagramEndpoint(self)
 
-    def asked(self, seeds: list[Any]) -> tuple[str, ...]:
+    def seed_addresses(self, seeds: list[Any]) -> tuple[str, ...]:
         """Configured seeds, and those that the last start knew."""
         mine = self.settings.advertise or self.settings.listen
-        known = dict.fromkeys([*map(str, seeds), *self.remembered.addresses])
+        known = dict.fromkeys([*map(str, seeds), *self.persistent_state.addresses])
         return tuple(each for each in known if each != mine)
 
     def now(self) -> float:
@@ -189,66 +189,66 @@
         self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
         self.reactor.listenTCP(self.port, StreamFactory(self, opened=False), interface=self.host)
         self.save()
-        self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.keep)
-        self.turn()
+        self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.save_periodically)
+        self.advance()
 
-    def keep(self) -> None:
-        if self.view.standing is ViewStatus.ACTIVE:
+    def save_periodically(self) -> None:
+        if self.view.status is ViewStatus.ACTIVE:
             if self.dirty:
                 self.save()
-            self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.keep)
+            self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.save_periodically)
 
     def save(self) -> None:
         self.dirty = False
-        others = [each.word.address for each in self.view.members() if each is not self.view.me]
+        others = [each.record.address for each in self.view.members() if each is not self.view.me]
         try:
             # Who is there now, else who was: a start among strangers must not wipe out whom it knew.
-            addresses = others or self.remembered.addresses
-            self.remembered.save(self.view.me.word.generation, addresses)
-        except OSError as fault:
-            self.told("not kept", {"fault": str(fault)})
+            addresses = others or self.persistent_state.addresses
+            self.persistent_state.save(self.view.me.record.generation, addresses)
+        except OSError as error:
+            self.on_event("not kept", {"fault": str(error)})
 
     def leave(self) -> None:
-        if self.view.standing is ViewStatus.ACTIVE:
+        if self.view.status is ViewStatus.ACTIVE:
             self.save()
             self.view.leave(self.now())
-            self.turn()
+            self.advance()
 
     def lameduck(self, on: bool) -> None:
         self.view.lameduck(self.now(), on)
-        self.turn_soon()
+        self.schedule_advance()
 
-    def reseed(self, settings: Fleet) -> None:
-        self.view.reseed(list(self.asked(settings.seeds)))
+    def set_seeds(self, settings: Fleet) -> None:
+        self.view.set_seeds(list(self.seed_addresses(settings.seeds)))
 
     def forget(self, name: str) -> bool:
-        done = self.view.forget(self.now(), name)
-        self.turn_soon()
-        return done
+        forgotten = self.view.forget_failed(self.now(), name)
+        self.schedule_advance()
+        return forgotten
 
     # Turns
 
-    def turn_soon(self) -> None:
+    def schedule_advance(self) -> None:
         """Once all that has come in is read."""
-        if not self.turning:
-            self.turning = True
-            self.reactor.callLater(0, self.turn)
+        if not self.advance_scheduled:
+            self.advance_scheduled = True
+            self.reactor.callLater(0, self.advance)
 
-    def turn(self) -> None:
-        self.turning = False
+    def advance(self) -> None:
+        self.advance_scheduled = False
         self.view.load = round(255 * min(1.0, self.load()))
         version = self.view.version
-        for effect in self.view.turn(self.now()):
-            self.carry_out(effect)
+        for effect in self.view.advance(self.now()):
+            self.execute(effect)
         self.dirty = self.dirty or version != self.view.version
-        if self.view.due != self.due or self.timer is None or not self.timer.active():
-            self.due = self.view.due
+        if self.view.next_due != self.next_due or self.timer is None or not self.timer.active():
+            self.next_due = self.view.next_due
             if self.timer is not None and self.timer.active():
                 self.timer.cancel()
-            if self.due < float("inf"):
-                self.timer = self.reactor.callLater(max(0.0, self.due - self.now()), self.turn)
+            if self.next_due < float("inf"):
+                self.timer = self.reactor.callLater(max(0.0, self.next_due - self.now()), self.advance)
 
-    def carry_out(self, effect: Effect) -> None:
+    def execute(self, effect: Effect) -> None:
         match effect:
             case SendDatagram(address=address, data=data):
                 host, _, port = address.rpartition(":")
@@ -264,34 +264,34 @@
                     )
             case ViewEvent(name=name, fields=fields):
                 self.dirty = True
-                self.told(name, fields)
+                self.on_event(name, fields)
 
     # What people and programs are shown
 
-    def figures(self) -> dict[str, Any]:
+    def report(self) -> dict[str, Any]:
         view, now = self.view, self.now()
         return {
-            "fleet": view.charter.fleet,
-            "name": view.charter.name,
-            "standing": view.standing.value,
+            "fleet": view.settings.fleet,
+            "name": view.settings.name,
+            "standing": view.status.value,
             "digest": f"{view.digest:016x}",
             "version": view.version,
-            "still_s": round(view.still(now), 3),
-            "local_health": view.ill,
+            "still_s": round(view.stable_for(now), 3),
+            "local_health": view.local_health,
             "members": [
                 {
-                    "name": each.word.name,
-                    "site": each.word.site,
-                    "address": each.word.address,
-                    "state": messages.STATE_NAMES[each.word.state],
-                    "generation": each.word.generation,
-                    "incarnation": each.word.incarnation,
-                    "lameduck": each.word.lameduck,
+                    "name": each.record.name,
+                    "site": each.record.site,
+                    "address": each.record.address,
+                    "state": messages.STATE_NAMES[each.record.state],
+                    "generation": each.record.generation,
+                    "incarnation": each.record.incarnation,
+                    "lameduck": each.record.lameduck,
                     "load": round(each.load / 255, 3),
-                    "since_s": round(now - each.since, 3),
+                    "since_s": round(now - each.state_since, 3),
                 }
                 for each in view.members()
             ],
-            "reach": view.reach(now),
+            "reach": view.reachability_shares(now),
             "counts": {name: getattr(view.counts, name) for name in view.counts.__slots__},
         }
--- a/laureldock/fleet/view.py
+++ b/laureldock/fleet/view.py
@@ -22,7 +22,14 @@
 
 from laureldock.fleet import messages
 from laureldock.fleet.gossip_queue import GossipQueue
-from laureldock.fleet.members import PRESENT_STATES, TRANSITION_EVENTS, Member, MemberTable, refuted, wins
+from laureldock.fleet.members import (
+    PRESENT_STATES,
+    TRANSITION_EVENTS,
+    Member,
+    MemberTable,
+    refutation,
+    supersedes,
+)
 from laureldock.fleet.messages import (
     ALIVE,
     FAILED,
@@ -78,12 +85,12 @@
     site: str
     address: str  # where others reach it
     generation: int  # greater than that of any start of this name before, as far as is known
-    boot: int  # at random, of this start
+    boot_id: int  # at random, of this start
     seeds: tuple[str, ...] = ()
     period: float = 1.0
-    seed: int = 0
-    most: int = 4096  # members known at once
-    forget: float = 86400.0  # seconds after which one that failed or left is forgotten
+    random_seed: int = 0
+    max_members: int = 4096  # members known at once
+    forget_after: float = 86400.0  # seconds after which one that failed or left is forgotten
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,10 +122,10 @@
     """A member asked whether it is there."""
 
     name: str
-    era: tuple[int, int]
+    start_key: tuple[int, int]
     sent: float
     answered: bool = False
-    again: bool = False  # of one that failed: no answer says nothing new
+    reconnects: bool = False  # of one that failed: no answer says nothing new
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +133,7 @@
     """A ping in another's place."""
 
     address: str
-    number: int
+    sequence: int
 
 
 @dataclass(eq=False, slots=True)
@@ -141,384 +148,410 @@
 
 
 class MembershipView:
-    def __init__(self, charter: ViewSettings, now: float) -> None:
-        self.charter = told = charter
+    def __init__(self, settings: ViewSettings, now: float) -> None:
+        self.settings = told = settings
         self.period, self.serial = told.period, count(1)
-        self.roll = MemberTable(told.most)
-        self.rumours, self.sites, self.counts = (
+        self.member_table = MemberTable(told.max_members)
+        self.gossip_queue, self.reachability, self.counts = (
             GossipQueue(),
             ReachabilityTracker(told.period),
             ViewCounters(),
         )
-        self.standing, self.ill, self.load, self.version = ViewStatus.ACTIVE, 0, 0, 0
-        self.changed = now
+        self.status, self.local_health, self.load, self.version = ViewStatus.ACTIVE, 0, 0, 0
+        self.last_change = now
         self.effects: list[Effect] = []
         self.timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.probes: dict[int, Probe] = {}
         self.relays: dict[int, RelayedPing] = {}
-        self.circle: list[str] = []  # those still to be probed in this round
-        self.calls: list[str] = []  # of those that failed, still to be called in this round
+        self.probe_round: list[str] = []  # those still to be probed in this round
+        self.reconnect_round: list[str] = []  # of those that failed, still to be called in this round
         self.seeds = list(told.seeds)
-        self.compared = -inf  # when this one last began a stream
-        self.heard = -inf  # when any other was
-        self.gossiping = False
-        self.twin: tuple[int, int] | None = None  # another start of this name, which may be alive
+        self.last_sync = -inf  # when this one last began a stream
+        self.last_heard = -inf  # when any other was
+        self.gossip_scheduled = False
+        self.rival_start: tuple[int, int] | None = None  # another start of this name, which may be alive
         self.challenges: dict[int, tuple[int, int]] = {}  # numbers that it has to answer
-        self.me = self.roll.put(
-            now, MemberRecord(told.name, told.site, told.address, told.generation, told.boot, 0, ALIVE)
+        self.me = self.member_table.put(
+            now, MemberRecord(told.name, told.site, told.address, told.generation, told.boot_id, 0, ALIVE)
         )
-        self.tell(now, self.me.word)
+        self.enqueue_gossip(now, self.me.record)
         for action, after in (
-            (self.probe, self.chance()),  # members that start at once don't probe in step
-            (self.call_again, 1.0 + self.chance()),
-            (self.call_seeds, 0.0),
-            (self.sweep, 10.0),
+            (self.probe_next, self.random_fraction()),  # members that start at once don't probe in step
+            (self.reconnect_to_failed, 1.0 + self.random_fraction()),
+            (self.sync_with_seed, 0.0),
+            (self.forget_expired, 10.0),
         ):
-            self.after(now, after * self.period, action)
+            self.schedule(now, after * self.period, action)
 
     # What others use
 
     def members(self) -> list[Member]:
-        return sorted(self.roll, key=lambda each: each.word.name)
+        return sorted(self.member_table, key=lambda each: each.record.name)
 
     @property
     def digest(self) -> int:
-        return self.roll.digest
+        return self.member_table.digest
 
-    def still(self, now: float) -> float:
+    def stable_for(self, now: float) -> float:
         """Seconds since anything here changed."""
-        return now - self.changed
+        return now - self.last_change
 
-    def reach(self, now: float) -> dict[str, dict[str, float]]:
-        return self.sites.figures(now, self.charter.name)
+    def reachability_shares(self, now: float) -> dict[str, dict[str, float]]:
+        return self.reachability.answered_shares(now, self.settings.name)
 
     @property
-    def due(self) -> float:
-        return self.timers[0][0] if self.timers and self.standing is ViewStatus.ACTIVE else inf
+    def next_due(self) -> float:
+        return self.timers[0][0] if self.timers and self.status is ViewStatus.ACTIVE else inf
 
     # What the rim and the operators tell
 
-    def turn(self, now: float) -> list[Effect]:
+    def advance(self, now: float) -> list[Effect]:
         """Do what is due; all effects since the last turn, in their order."""
-        late = now - self.due
+        late = now - self.next_due
         if late > STALL_THRESHOLD * self.period:
-            self.woke(now, late)
-        while self.due <= now:
+            self.resume_after_stall(now, late)
+        while self.next_due <= now:
             _, _, action, told = heapq.heappop(self.timers)
             action(now, *told)
         effects, self.effects = self.effects, []
         return effects
 
-    def hear(self, now: float, data: bytes) -> None:
+    def receive_datagram(self, now: float, data: bytes) -> None:
         """A datagram. What is malformed, or of another fleet, is counted and dropped."""
         self.counts.datagrams += 1
-        if self.standing is not ViewStatus.ACTIVE:
+        if self.status is not ViewStatus.ACTIVE:
             return
         try:
-            message = messages.datagram(data)
-            self.meet(now, message.head)
-            if self.standing is ViewStatus.ACTIVE:
-                self.take(now, message.words, message.head.sender)
+            message = messages.decode_datagram(data)
+            self.observe_sender(now, message.header)
+            if self.status is ViewStatus.ACTIVE:
+                self.apply_records(now, message.records, message.header.sender)
                 self.HANDLERS[type(message)](self, now, message)
-        except MalformedMessageError as fault:
-            self.refuse(str(fault))
+        except MalformedMessageError as error:
+            self.count_refused(str(error))
 
-    def begin(self, now: float) -> bytes:
+    def first_frame(self, now: float) -> bytes:
         """The first frame of a stream that this one opened."""
         self.counts.streams += 1
-        return messages.encode(messages.SyncDigests(self.head(now), tuple(self.roll.digests)))
+        return messages.encode(messages.SyncDigests(self.header(now), tuple(self.member_table.digests)))
 
-    def frame(self, now: float, data: bytes) -> bytes | None:
+    def receive_frame(self, now: float, data: bytes) -> bytes | None:
         """The answer to a frame; None where the stream has ended. BadWord: it is to be closed."""
-        if self.standing is not ViewStatus.ACTIVE:
+        if self.status is not ViewStatus.ACTIVE:
             return None
         try:
-            message = messages.frame(data)
-            self.meet(now, message.head)
-        except MalformedMessageError as fault:
-            self.refuse(str(fault))
+            message = messages.decode_frame(data)
+            self.observe_sender(now, message.header)
+        except MalformedMessageError as error:
+            self.count_refused(str(error))
             raise
         match message:
             case messages.SyncDigests(buckets=told):
-                mine = self.roll.digests
+                mine = self.member_table.digests
                 differ = tuple(place for place in range(len(mine)) if mine[place] != told[place])
-                return messages.encode(messages.SyncDifference(self.head(now), differ, self.inside(differ)))
-            case messages.SyncDifference(buckets=differ, words=told):
-                own = self.inside(differ)
-                self.merge(now, told, message.head.sender)
-                return messages.encode(messages.SyncCompletion(self.head(now), own))
-            case messages.SyncCompletion(words=told):
-                self.merge(now, told, message.head.sender)
+                return messages.encode(
+                    messages.SyncDifference(self.header(now), differ, self.records_in(differ))
+                )
+            case messages.SyncDifference(buckets=differ, records=told):
+                own = self.records_in(differ)
+                self.merge_records(now, told, message.header.sender)
+                return messages.encode(messages.SyncCompletion(self.header(now), own))
+            case messages.SyncCompletion(records=told):
+                self.merge_records(now, told, message.header.sender)
         return None
 
     def leave(self, now: float) -> None:
         """The last word of this start. The rim sends what `turn` gives and closes."""
-        self.say(now, LEFT)
-        self.spread(now, LEAVE_FANOUT)
-        self.standing = ViewStatus.LEFT
+        self.announce(now, LEFT)
+        self.gossip_to_random(now, LEAVE_FANOUT)
+        self.status = ViewStatus.LEFT
 
     def lameduck(self, now: float, on: bool) -> None:
-        if self.me.word.lameduck != on:
-            self.say(now, ALIVE, on)
+        if self.me.record.lameduck != on:
+            self.announce(now, ALIVE, on)
 
-    def reseed(self, seeds: list[str]) -> None:
+    def set_seeds(self, seeds: list[str]) -> None:
         self.seeds = list(seeds)
 
-    def forget(self, now: float, name: str) -> bool:
+    def forget_failed(self, now: float, name: str) -> bool:
         """Operators' word that one that failed will not return; it goes round as if the member had left."""
-        member = self.roll.get(name)
-        if member is None or member.word.state != FAILED:
+        member = self.member_table.get(name)
+        if member is None or member.record.state != FAILED:
             return False
-        self.accept(now, msgspec.structs.replace(member.word, state=LEFT), self.charter.name)
+        self.apply_record(now, msgspec.structs.replace(member.record, state=LEFT), self.settings.name)
         return True
 
     # Chance and time
 
-    def chance(self) -> float:
-        return zlib.crc32(f"{self.charter.seed}:{self.charter.name}:{next(self.serial)}".encode()) / 2**32
+    def random_fraction(self) -> float:
+        return (
+            zlib.crc32(f"{self.settings.random_seed}:{self.settings.name}:{next(self.serial)}".encode())
+            / 2**32
+        )
 
-    def after(self, now: float, wait: float, action: Callable[..., None], *told: Any) -> None:
+    def schedule(self, now: float, wait: float, action: Callable[..., None], *told: Any) -> None:
         heapq.heappush(self.timers, (now + wait, next(self.serial), action, told))
 
     def shuffled(self, names: list[str]) -> list[str]:
         return sorted(names, key=lambda name: zlib.crc32(f"{next(self.serial)}:{name}".encode()))
 
-    def some(self, most: int, fit: Callable[[Member], bool] = lambda each: True) -> list[Member]:
+    def random_members(self, limit: int, fit: Callable[[Member], bool] = lambda each: True) -> list[Member]:
         """Others that are here, at random."""
         found: list[Member] = []
-        order = self.roll.order
+        order = self.member_table.by_index
         # Several tries for each wanted; where few fit, fewer are found.
-        for _ in range(8 * most if len(order) > 1 else 0):
-            member = order[int(self.chance() * len(order))]
+        for _ in range(8 * limit if len(order) > 1 else 0):
+            member = order[int(self.random_fraction() * len(order))]
             if (
                 member is not self.me
-                and member.word.state in PRESENT_STATES
+                and member.record.state in PRESENT_STATES
                 and member not in found
                 and fit(member)
             ):
                 found.append(member)
-                if len(found) == most:
+                if len(found) == limit:
                     break
         return found
 
-    def woke(self, now: float, late: float) -> None:
+    def resume_after_stall(self, now: float, late: float) -> None:
         """This process stood still: nobody could be heard meanwhile, and nobody had time to refute."""
         self.counts.slept += 1
-        self.sick(1)
+        self.adjust_local_health(1)
         self.probes.clear()
         self.relays.clear()
         self.timers = [
-            (at + late if action == self.verdict else at, serial, action, told)
+            (at + late if action == self.check_suspicion else at, serial, action, told)
             for at, serial, action, told in self.timers
         ]
         heapq.heapify(self.timers)
 
-    def sick(self, change: int) -> None:
-        self.ill = min(MAX_LOCAL_HEALTH, max(0, self.ill + change))
+    def adjust_local_health(self, change: int) -> None:
+        self.local_health = min(MAX_LOCAL_HEALTH, max(0, self.local_health + change))
 
     # Datagrams out
 
-    def head(self, now: float) -> MessageHeader:
-        word, told = self.me.word, self.charter
+    def header(self, now: float) -> MessageHeader:
+        record, told = self.me.record, self.settings
         return MessageHeader(
-            told.fleet, word.name, word.generation, word.boot, word.address, self.load, self.digest,
-            self.sites.own(now),
+            told.fleet, record.name, record.generation, record.boot_id, record.address,
+            self.load, self.digest, self.reachability.own_report(now),
         )  # fmt: skip
 
-    def pick(self, room: int, first: MemberRecord | None = None) -> tuple[MemberRecord, ...]:
-        return self.rumours.pick(room, self.roll.here, 64, first)
+    def select_gossip(self, room: int, first: MemberRecord | None = None) -> tuple[MemberRecord, ...]:
+        return self.gossip_queue.select(room, self.member_table.present_count, 64, first)
 
     def send(self, now: float, address: str, make: Callable[[MessageHeader, int], messages.Datagram]) -> None:
-        head = self.head(now)
-        texts = sum(len(each.site) + 8 for each in head.reach)
-        texts += len(head.fleet) + len(head.sender) + len(head.address)
+        header = self.header(now)
+        texts = sum(len(each.site) + 8 for each in header.reachability)
+        texts += len(header.fleet) + len(header.sender) + len(header.address)
         # Numbers, and the name and address of an `Ask`, take under 260 bytes beside the head's texts.
         room = messages.MAX_DATAGRAM_BYTES - 260 - texts
-        data = messages.encode(make(head, room))
+        data = messages.encode(make(header, room))
         self.counts.sent += 1
         self.counts.bytes_sent += len(data)
         self.effects.append(SendDatagram(address, data))
 
-    def ping(self, now: float, member: Member, probe: Probe | None, number: int) -> None:
+    def send_ping(self, now: float, member: Member, probe: Probe | None, sequence: int) -> None:
         # A suspect, or one that failed, hears of it by the very call that tests it (Lifeguard's buddies).
-        word = member.word
-        first = word if word.state != ALIVE else None
+        record = member.record
+        first = record if record.state != ALIVE else None
         if probe:
-            self.probes[number] = probe
+            self.probes[sequence] = probe
         self.send(
             now,
-            word.address,
-            lambda head, room: messages.Ping(head, number, word.name, self.pick(room, first)),
+            record.address,
+            lambda header, room: messages.Ping(
+                header, sequence, record.name, self.select_gossip(room, first)
+            ),
         )
 
     # Detection
 
-    def probe(self, now: float) -> None:
+    def probe_next(self, now: float) -> None:
         """One member each period, all in a round before any twice (SWIM): none waits over two rounds."""
-        member = self.next_probed()
+        member = self.next_probe_target()
         # One that is itself slow waits longer, and asks less often.
-        slower = 1 + self.ill
-        self.after(now, slower * self.period, self.probe)
+        slower = 1 + self.local_health
+        self.schedule(now, slower * self.period, self.probe_next)
         if member:
-            number = next(self.serial)
-            probe = Probe(member.word.name, member.word.era, now)
-            self.ping(now, member, probe, number)
-            self.after(now, DIRECT_TIMEOUT * slower * self.period, self.ask_others, number)
-            self.after(now, 0.95 * slower * self.period, self.unanswered, number)
+            sequence = next(self.serial)
+            probe = Probe(member.record.name, member.record.start_key, now)
+            self.send_ping(now, member, probe, sequence)
+            self.schedule(now, DIRECT_TIMEOUT * slower * self.period, self.request_indirect_probes, sequence)
+            self.schedule(now, 0.95 * slower * self.period, self.finish_probe, sequence)
 
-    def next_probed(self) -> Member | None:
+    def next_probe_target(self) -> Member | None:
         for _ in range(2):
-            while self.circle:
-                member = self.roll.get(self.circle.pop())
-                if member and member is not self.me and member.word.state in PRESENT_STATES:
+            while self.probe_round:
+                member = self.member_table.get(self.probe_round.pop())
+                if member and member is not self.me and member.record.state in PRESENT_STATES:
                     return member
-            self.circle = self.shuffled(
-                [each.word.name for each in self.roll if each.word.state in PRESENT_STATES]
+            self.probe_round = self.shuffled(
+                [each.record.name for each in self.member_table if each.record.state in PRESENT_STATES]
             )
         return None
 
-    def ask_others(self, now: float, number: int) -> None:
-        probe = self.probes.get(number)
-        member = self.roll.get(probe.name) if probe else None
+    def request_indirect_probes(self, now: float, sequence: int) -> None:
+        probe = self.probes.get(sequence)
+        member = self.member_table.get(probe.name) if probe else None
         if probe is None or probe.answered or member is None:
             return
-        helpers = self.some(INDIRECT_PROBES, lambda each: each is not member and each.word.state == ALIVE)
-        name, address = probe.name, member.word.address
+        helpers = self.random_members(
+            INDIRECT_PROBES, lambda each: each is not member and each.record.state == ALIVE
+        )
+        name, address = probe.name, member.record.address
         for helper in helpers:
             self.send(
                 now,
-                helper.word.address,
-                lambda head, room: messages.PingRequest(head, number, name, address, self.pick(room)),
+                helper.record.address,
+                lambda header, room: messages.PingRequest(
+                    header, sequence, name, address, self.select_gossip(room)
+                ),
             )
 
-    def unanswered(self, now: float, number: int) -> None:
+    def finish_probe(self, now: float, sequence: int) -> None:
         """The end of a probe."""
-        probe = self.probes.pop(number, None)
-        member = self.roll.get(probe.name) if probe else None
-        if probe is None or member is None or probe.again:
+        probe = self.probes.pop(sequence, None)
+        member = self.member_table.get(probe.name) if probe else None
+        if probe is None or member is None or probe.reconnects:
             return
         # Whoever was heard since is alive, also where only its answers are lost.
-        well = probe.answered or member.heard > probe.sent
-        self.sites.tried(now, member.word.site, well)
+        well = probe.answered or member.last_heard > probe.sent
+        self.reachability.record_call(now, member.record.site, well)
         if well:
-            self.sick(-1)
+            self.adjust_local_health(-1)
             return
         # Where nobody at all was heard since, not even a helper's nack, this one's own link may be at fault.
         # Helpers that are silent tell nothing by themselves: of many that die at once some were asked.
-        self.sick(1 if self.heard < probe.sent else 0)
-        if member.word.era == probe.era and member.word.state in PRESENT_STATES:
-            self.suspect(now, member, self.charter.name)
+        self.adjust_local_health(1 if self.last_heard < probe.sent else 0)
+        if member.record.start_key == probe.start_key and member.record.state in PRESENT_STATES:
+            self.suspect(now, member, self.settings.name)
             # It hears of it at once, where only datagrams were lost, and its answer refutes.
-            self.ping(now, member, None, next(self.serial))
+            self.send_ping(now, member, None, next(self.serial))
 
     def suspect(self, now: float, member: Member, by: str) -> None:
         """This member's own suspicion, or another's that confirms it."""
-        if member.word.state == ALIVE:
-            self.accept(now, msgspec.structs.replace(member.word, state=SUSPECT, by=by), by)
+        if member.record.state == ALIVE:
+            self.apply_record(now, msgspec.structs.replace(member.record, state=SUSPECT, suspected_by=by), by)
         elif (
-            member.word.state == SUSPECT
-            and by not in member.confirmed
-            and len(member.confirmed) <= EXPECTED_CONFIRMATIONS
+            member.record.state == SUSPECT
+            and by not in member.confirmed_by
+            and len(member.confirmed_by) <= EXPECTED_CONFIRMATIONS
         ):
-            member.confirmed.add(by)
+            member.confirmed_by.add(by)
             # What confirms goes on: others wait less, too.
-            self.rumours.add(msgspec.structs.replace(member.word, by=by))
-            self.after(now, 0.0, self.verdict, member.word.name, member.word.era, member.word.incarnation)
+            self.gossip_queue.enqueue(msgspec.structs.replace(member.record, suspected_by=by))
+            self.schedule(
+                now,
+                0.0,
+                self.check_suspicion,
+                member.record.name,
+                member.record.start_key,
+                member.record.incarnation,
+            )
 
-    def wait(self, member: Member) -> float:
+    def suspicion_timeout(self, member: Member) -> float:
         """How long a suspect may refute: the shorter the more suspect it (Lifeguard)."""
-        least = SUSPICION_MULTIPLIER * max(1.0, log10(max(1, self.roll.here))) * self.period
+        least = SUSPICION_MULTIPLIER * max(1.0, log10(max(1, self.member_table.present_count))) * self.period
         # Those that are suspect themselves will not say so: of many that die at once the rest must do.
-        needed = min(EXPECTED_CONFIRMATIONS, self.roll.alive - 1)
+        needed = min(EXPECTED_CONFIRMATIONS, self.member_table.alive_count - 1)
         if needed < 1:
             return least
-        others = min(needed, max(0, len(member.confirmed) - 1))
+        others = min(needed, max(0, len(member.confirmed_by) - 1))
         return max(
             least,
             least
             * (SUSPICION_MAX_MULTIPLIER - (SUSPICION_MAX_MULTIPLIER - 1) * log(others + 1) / log(needed + 1)),
         )
 
-    def verdict(self, now: float, name: str, era: tuple[int, int], incarnation: int) -> None:
-        member = self.roll.get(name)
-        if member is None or member.word.state != SUSPECT:
+    def check_suspicion(self, now: float, name: str, start_key: tuple[int, int], incarnation: int) -> None:
+        member = self.member_table.get(name)
+        if member is None or member.record.state != SUSPECT:
             return
-        if (member.word.era, member.word.incarnation) != (era, incarnation):
+        if (member.record.start_key, member.record.incarnation) != (start_key, incarnation):
             return
-        left = member.since + self.wait(member) - now
+        left = member.state_since + self.suspicion_timeout(member) - now
         if left > 1e-9:
             # Looked at again each period: fewer may be left to confirm it than there were.
-            self.after(now, min(left, self.period), self.verdict, name, era, incarnation)
+            self.schedule(now, min(left, self.period), self.check_suspicion, name, start_key, incarnation)
         else:
-            self.accept(now, msgspec.structs.replace(member.word, state=FAILED), self.charter.name)
+            self.apply_record(now, msgspec.structs.replace(member.record, state=FAILED), self.settings.name)
 
     # Datagrams in
 
-    def refuse(self, why: str) -> None:
+    def count_refused(self, why: str) -> None:
         self.counts.refused += 1
         if self.counts.refused in (1, 10, 100, 1000) or self.counts.refused % 10000 == 0:
             self.effects.append(ViewEvent("refused", {"why": why, "so_far": self.counts.refused}))
 
-    def meet(self, now: float, head: MessageHeader) -> None:
+    def observe_sender(self, now: float, header: MessageHeader) -> None:
         """The sender itself: it lives, and what it says of itself."""
-        if head.fleet != self.charter.fleet:
+        if header.fleet != self.settings.fleet:
             raise MalformedMessageError("another fleet")
-        if head.sender == self.charter.name:
-            self.meet_twin(now, head)
+        if header.sender == self.settings.name:
+            self.observe_rival(now, header)
             return
-        member = self.roll.get(head.sender)
-        if member is None or member.word.era < (head.generation, head.boot):
-            self.compare(now, head.address)
-        elif member.word.era == (head.generation, head.boot):
-            member.heard, member.load, self.heard = now, head.load, now
-            self.sites.hear(now, head.sender, head.reach)
-            if member.word.state in (FAILED, LEFT) and now - member.called >= self.period:
-                self.call(now, member)  # it may not know that it is held to have failed
-            elif head.digest != self.digest and self.still(now) >= SYNC_AFTER_STABLE * self.period:
-                self.compare(now, head.address)
-
-    def take(self, now: float, told: tuple[messages.MemberRecord, ...], sender: str) -> None:
-        for word in told:
-            self.accept(now, word, sender)
+        member = self.member_table.get(header.sender)
+        if member is None or member.record.start_key < (header.generation, header.boot_id):
+            self.start_sync(now, header.address)
+        elif member.record.start_key == (header.generation, header.boot_id):
+            member.last_heard, member.load, self.last_heard = now, header.load, now
+            self.reachability.record_report(now, header.sender, header.reachability)
+            if member.record.state in (FAILED, LEFT) and now - member.last_called >= self.period:
+                self.reconnect(now, member)  # it may not know that it is held to have failed
+            elif header.digest != self.digest and self.stable_for(now) >= SYNC_AFTER_STABLE * self.period:
+                self.start_sync(now, header.address)
+
+    def apply_records(self, now: float, told: tuple[messages.MemberRecord, ...], sender: str) -> None:
+        for record in told:
+            self.apply_record(now, record, sender)
 
     def on_ping(self, now: float, message: messages.Ping) -> None:
-        if message.target == self.charter.name:  # else its address has another owner now
-            number = message.number
+        if message.target == self.settings.name:  # else its address has another owner now
+            sequence = message.sequence
             self.send(
-                now, message.head.address, lambda head, room: messages.Ack(head, number, self.pick(room))
+                now,
+                message.header.address,
+                lambda header, room: messages.Ack(header, sequence, self.select_gossip(room)),
             )
 
     def on_ack(self, now: float, message: messages.Ack) -> None:
-        number = message.number
-        if era := self.challenges.pop(number, None):
-            self.answered(now, message.head, era)
+        sequence = message.sequence
+        if start_key := self.challenges.pop(sequence, None):
+            self.answered(now, message.header, start_key)
             return
-        relay = self.relays.pop(number, None)
+        relay = self.relays.pop(sequence, None)
         if relay:
             self.send(
-                now, relay.address, lambda head, room: messages.Ack(head, relay.number, self.pick(room))
+                now,
+                relay.address,
+                lambda header, room: messages.Ack(header, relay.sequence, self.select_gossip(room)),
             )
-        probe = self.probes.get(number)
+        probe = self.probes.get(sequence)
         if probe and not probe.answered:
             probe.answered = True
-            member = self.roll.get(probe.name)
-            if probe.again and member and member.word.state in PRESENT_STATES:
-                self.compare(now, member.word.address)  # it is back: what else does it know?
+            member = self.member_table.get(probe.name)
+            if probe.reconnects and member and member.record.state in PRESENT_STATES:
+                self.start_sync(now, member.record.address)  # it is back: what else does it know?
 
-    def on_ask(self, now: float, message: messages.PingRequest) -> None:
-        if len(self.relays) >= MAX_RELAYED_PINGS or message.target == self.charter.name:
+    def on_ping_request(self, now: float, message: messages.PingRequest) -> None:
+        if len(self.relays) >= MAX_RELAYED_PINGS or message.target == self.settings.name:
             return
-        number, target = next(self.serial), message.target
-        self.relays[number] = RelayedPing(message.head.address, message.number)
+        sequence, target = next(self.serial), message.target
+        self.relays[sequence] = RelayedPing(message.header.address, message.sequence)
         self.send(
-            now, message.address, lambda head, room: messages.Ping(head, number, target, self.pick(room))
+            now,
+            message.address,
+            lambda header, room: messages.Ping(header, sequence, target, self.select_gossip(room)),
         )
-        self.after(now, DIRECT_TIMEOUT * self.period, self.no_answer, number)
+        self.schedule(now, DIRECT_TIMEOUT * self.period, self.relayed_ping_expired, sequence)
 
-    def no_answer(self, now: float, number: int) -> None:
-        if relay := self.relays.pop(number, None):
+    def relayed_ping_expired(self, now: float, sequence: int) -> None:
+        if relay := self.relays.pop(sequence, None):
             self.send(
-                now, relay.address, lambda head, room: messages.Nack(head, relay.number, self.pick(room))
+                now,
+                relay.address,
+                lambda header, room: messages.Nack(header, relay.sequence, self.select_gossip(room)),
             )
 
     def on_nack(self, now: float, message: messages.Nack) -> None:
@@ -530,214 +563,238 @@
     HANDLERS: ClassVar[dict[type[messages.Datagram], Callable[..., None]]] = {
         messages.Ping: on_ping,
         messages.Ack: on_ack,
-        messages.PingRequest: on_ask,
+        messages.PingRequest: on_ping_request,
         messages.Nack: on_nack,
         messages.Gossip: on_gossip,
     }
 
     # Words
 
-    def accept(self, now: float, word: MemberRecord, by: str, streamed: bool = False) -> None:
+    def apply_record(self, now: float, record: MemberRecord, by: str, streamed: bool = False) -> None:
         """A word about a member, from whomever: it wins over what is known, or is nothing new."""
-        if word.name == self.charter.name:
-            self.of_me(now, word)
+        if record.name == self.settings.name:
+            self.apply_own_record(now, record)
             return
-        member = self.roll.get(word.name)
-        known = member.word if member else None
-        if known is None and (word.state not in PRESENT_STATES or self.roll.full()):
+        member = self.member_table.get(record.name)
+        known = member.record if member else None
+        if known is None and (record.state not in PRESENT_STATES or self.member_table.is_full()):
             return  # those that are gone are no news to one that never knew them
-        if known and known.era == word.era and word.incarnation > known.incarnation + MAX_INCARNATION_LEAP:
+        if (
+            known
+            and known.start_key == record.start_key
+            and record.incarnation > known.incarnation + MAX_INCARNATION_LEAP
+        ):
             raise MalformedMessageError("an incarnation far ahead")
-        if streamed and word.state == FAILED and (known is None or known.state != FAILED):
+        if streamed and record.state == FAILED and (known is None or known.state != FAILED):
             # What failed beyond a cut may be well: it is suspect here, and has its time to refute.
-            word = msgspec.structs.replace(word, state=SUSPECT, by=by)
-        if not wins(word, known):
-            same = known and (known.era, known.incarnation) == (word.era, word.incarnation)
-            if member and same and word.state == SUSPECT:
-                self.suspect(now, member, word.by)
+            record = msgspec.structs.replace(record, state=SUSPECT, suspected_by=by)
+        if not supersedes(record, known):
+            same = known and (known.start_key, known.incarnation) == (record.start_key, record.incarnation)
+            if member and same and record.state == SUSPECT:
+                self.suspect(now, member, record.suspected_by)
             return
-        member = self.roll.put(now, word)
-        self.tell(now, word)
-        self.news(now)
-        if word.state == SUSPECT:
-            member.confirmed = {word.by}
-            self.after(now, self.wait(member), self.verdict, word.name, word.era, word.incarnation)
-        if known and known.era != word.era:
+        member = self.member_table.put(now, record)
+        self.enqueue_gossip(now, record)
+        self.note_change(now)
+        if record.state == SUSPECT:
+            member.confirmed_by = {record.suspected_by}
+            self.schedule(
+                now,
+                self.suspicion_timeout(member),
+                self.check_suspicion,
+                record.name,
+                record.start_key,
+                record.incarnation,
+            )
+        if known and known.start_key != record.start_key:
             name = "generation changed"
         else:
-            name = TRANSITION_EVENTS.get((known.state if known else None, word.state), "")
-            if known and not name and known.lameduck != word.lameduck:
+            name = TRANSITION_EVENTS.get((known.state if known else None, record.state), "")
+            if known and not name and known.lameduck != record.lameduck:
                 name = "lameduck"
         if name:
-            told = {"member": word.name, "site": word.site, "generation": word.generation, "by": by}
+            told = {"member": record.name, "site": record.site, "generation": record.generation, "by": by}
             self.effects.append(ViewEvent(name, told))
 
-    def merge(self, now: float, told: tuple[MemberRecord, ...], sender: str) -> None:
-        for word in told:
+    def merge_records(self, now: float, told: tuple[MemberRecord, ...], sender: str) -> None:
+        for record in told:
             try:
-                self.accept(now, word, sender, streamed=True)
-            except MalformedMessageError as fault:
-                self.refuse(str(fault))
+                self.apply_record(now, record, sender, streamed=True)
+            except MalformedMessageError as error:
+                self.count_refused(str(error))
 
-    def inside(self, buckets: tuple[int, ...]) -> tuple[MemberRecord, ...]:
+    def records_in(self, buckets: tuple[int, ...]) -> tuple[MemberRecord, ...]:
         wanted = set(buckets)
-        return tuple(each.word for each in self.roll if each.place in wanted)[:8192] if wanted else ()
+        return (
+            tuple(each.record for each in self.member_table if each.bucket in wanted)[:8192] if wanted else ()
+        )
 
-    def tell(self, now: float, word: MemberRecord) -> None:
-        self.rumours.add(word)
-        if not self.gossiping:
-            self.gossiping = True
-            self.after(now, 0.0, self.gossip)
+    def enqueue_gossip(self, now: float, record: MemberRecord) -> None:
+        self.gossip_queue.enqueue(record)
+        if not self.gossip_scheduled:
+            self.gossip_scheduled = True
+            self.schedule(now, 0.0, self.gossip_round)
 
-    def gossip(self, now: float) -> None:
-        self.gossiping = bool(len(self.rumours))
-        if not self.gossiping:
+    def gossip_round(self, now: float) -> None:
+        self.gossip_scheduled = bool(len(self.gossip_queue))
+        if not self.gossip_scheduled:
             return
-        self.spread(now, GOSSIP_FANOUT)
-        self.after(now, GOSSIP_INTERVAL * self.period, self.gossip)
+        self.gossip_to_random(now, GOSSIP_FANOUT)
+        self.schedule(now, GOSSIP_INTERVAL * self.period, self.gossip_round)
 
-    def spread(self, now: float, most: int) -> None:
-        for member in self.some(most):
-            self.send(now, member.word.address, lambda head, room: messages.Gossip(head, self.pick(room)))
+    def gossip_to_random(self, now: float, limit: int) -> None:
+        for member in self.random_members(limit):
+            self.send(
+                now,
+                member.record.address,
+                lambda header, room: messages.Gossip(header, self.select_gossip(room)),
+            )
 
-    def news(self, now: float) -> None:
+    def note_change(self, now: float) -> None:
         self.version += 1
-        self.changed = now
+        self.last_change = now
 
     # This member itself
 
-    def say(self, now: float, state: int, lameduck: bool | None = None) -> None:
+    def announce(self, now: float, state: int, lameduck: bool | None = None) -> None:
         """A new word of this member about itself."""
-        duck = self.me.word.lameduck if lameduck is None else lameduck
-        word = msgspec.structs.replace(
-            self.me.word, state=state, lameduck=duck, incarnation=self.me.word.incarnation + 1
+        lameduck_now = self.me.record.lameduck if lameduck is None else lameduck
+        record = msgspec.structs.replace(
+            self.me.record, state=state, lameduck=lameduck_now, incarnation=self.me.record.incarnation + 1
         )
-        self.become(now, word)
-
-    def become(self, now: float, word: MemberRecord) -> None:
-        self.roll.put(now, word)
-        self.news(now)
-        self.tell(now, word)
-
-    def of_me(self, now: float, word: MemberRecord) -> None:
-        mine = self.me.word
-        if word.era > mine.era:
-            self.claimed(now, word)
-        elif word.era == mine.era and word.incarnation > mine.incarnation + MAX_INCARNATION_LEAP:
+        self.replace_own_record(now, record)
+
+    def replace_own_record(self, now: float, record: MemberRecord) -> None:
+        self.member_table.put(now, record)
+        self.note_change(now)
+        self.enqueue_gossip(now, record)
+
+    def apply_own_record(self, now: float, record: MemberRecord) -> None:
+        mine = self.me.record
+        if record.start_key > mine.start_key:
+            self.observe_later_start(now, record)
+        elif (
+            record.start_key == mine.start_key
+            and record.incarnation > mine.incarnation + MAX_INCARNATION_LEAP
+        ):
             raise MalformedMessageError("an incarnation of mine far ahead")
-        elif own := refuted(word, mine):
+        elif own := refutation(record, mine):
             self.counts.refuted += 1
-            self.sick(1)
-            self.become(now, own)
+            self.adjust_local_health(1)
+            self.replace_own_record(now, own)
 
-    def claimed(self, now: float, word: MemberRecord) -> None:
+    def observe_later_start(self, now: float, record: MemberRecord) -> None:
         """A later start of this name is known: its own forgotten past, or another process that lives."""
-        if word.address == self.me.word.address:
-            self.overtake(now, word.era)  # one address has one process, and that is this one
-        elif self.twin is None or self.twin < word.era:
-            self.challenge(now, word.address, word.era)
-            self.after(now, NAME_CHALLENGE_TIMEOUT * self.period, self.nobody, word.era)
+        if record.address == self.me.record.address:
+            self.raise_generation(now, record.start_key)  # one address has one process, and that is this one
+        elif self.rival_start is None or self.rival_start < record.start_key:
+            self.challenge(now, record.address, record.start_key)
+            self.schedule(now, NAME_CHALLENGE_TIMEOUT * self.period, self.challenge_expired, record.start_key)
 
-    def challenge(self, now: float, address: str, era: tuple[int, int]) -> None:
+    def challenge(self, now: float, address: str, start_key: tuple[int, int]) -> None:
         """Only what answers from there with a number of this moment lives; a word alone could be made up."""
-        self.twin = era
-        self.challenges = {self.ping_twin(now, address): era}
+        self.rival_start = start_key
+        self.challenges = {self.send_challenge(now, address): start_key}
 
-    def ping_twin(self, now: float, address: str) -> int:
+    def send_challenge(self, now: float, address: str) -> int:
         """The number that an answer from there has to bear."""
-        number, name = next(self.serial), self.charter.name
-        self.send(now, address, lambda head, room: messages.Ping(head, number, name, ()))
-        return number
+        sequence, name = next(self.serial), self.settings.name
+        self.send(now, address, lambda header, room: messages.Ping(header, sequence, name, ()))
+        return sequence
 
-    def nobody(self, now: float, era: tuple[int, int]) -> None:
-        if self.twin == era and self.standing is ViewStatus.ACTIVE:
-            self.overtake(now, era)
+    def challenge_expired(self, now: float, start_key: tuple[int, int]) -> None:
+        if self.rival_start == start_key and self.status is ViewStatus.ACTIVE:
+            self.raise_generation(now, start_key)
 
-    def overtake(self, now: float, era: tuple[int, int]) -> None:
+    def raise_generation(self, now: float, start_key: tuple[int, int]) -> None:
         """What was known of this name is gone with its disk: this start is made the later one."""
-        self.twin = None
-        self.roll.put(now, msgspec.structs.replace(self.me.word, generation=era[0] + 1))
-        self.effects.append(ViewEvent("generation raised", {"generation": era[0] + 1}))
-        self.say(now, ALIVE)
+        self.rival_start = None
+        self.member_table.put(now, msgspec.structs.replace(self.me.record, generation=start_key[0] + 1))
+        self.effects.append(ViewEvent("generation raised", {"generation": start_key[0] + 1}))
+        self.announce(now, ALIVE)
 
-    def meet_twin(self, now: float, head: MessageHeader) -> None:
+    def observe_rival(self, now: float, header: MessageHeader) -> None:
         """Another living process of this name. The later start stays."""
-        mine, theirs = self.me.word, (head.generation, head.boot)
-        if theirs == mine.era or head.boot == mine.boot:
+        mine, theirs = self.me.record, (header.generation, header.boot_id)
+        if theirs == mine.start_key or header.boot_id == mine.boot_id:
             return  # its own datagram, come back to it
-        if self.twin == theirs:
+        if self.rival_start == theirs:
             return  # challenged already, or told of
-        if theirs > mine.era:
-            self.challenge(now, head.address, theirs)
+        if theirs > mine.start_key:
+            self.challenge(now, header.address, theirs)
         else:  # told once, and heard by it: it steps down
-            self.twin = theirs
-            self.name_taken(head, stays=True)
-            self.ping_twin(now, head.address)
-        self.after(now, self.period, self.look_again)
+            self.rival_start = theirs
+            self.report_name_conflict(header, stays=True)
+            self.send_challenge(now, header.address)
+        self.schedule(now, self.period, self.clear_rival)
 
-    def name_taken(self, head: MessageHeader, stays: bool) -> None:
-        told = {"address": head.address, "generation": head.generation, "stays": stays}
+    def report_name_conflict(self, header: MessageHeader, stays: bool) -> None:
+        told = {"address": header.address, "generation": header.generation, "stays": stays}
         self.effects.append(ViewEvent("name taken", told))
 
-    def answered(self, now: float, head: MessageHeader, era: tuple[int, int]) -> None:
+    def answered(self, now: float, header: MessageHeader, start_key: tuple[int, int]) -> None:
         """By another process of this name: it lives, and if it is the later start this one gives way."""
-        theirs = head.generation, head.boot
-        if head.sender == self.charter.name and theirs == era > self.me.word.era:
-            self.standing = ViewStatus.STEPPED_DOWN
-            self.news(now)
-            self.name_taken(head, stays=False)
+        theirs = header.generation, header.boot_id
+        if header.sender == self.settings.name and theirs == start_key > self.me.record.start_key:
+            self.status = ViewStatus.STEPPED_DOWN
+            self.note_change(now)
+            self.report_name_conflict(header, stays=False)
 
-    def look_again(self, now: float) -> None:
-        self.twin = None
+    def clear_rival(self, now: float) -> None:
+        self.rival_start = None
 
     # Streams, seeds and those that failed
 
-    def compare(self, now: float, address: str) -> None:
-        if now - self.compared >= self.period and address != self.me.word.address:
-            self.compared = now
+    def start_sync(self, now: float, address: str) -> None:
+        if now - self.last_sync >= self.period and address != self.me.record.address:
+            self.last_sync = now
             self.effects.append(OpenStream(address))
 
-    def call_again(self, now: float) -> None:
+    def reconnect_to_failed(self, now: float) -> None:
         """Calls of all members together: about one a period to each that failed, however many there are.
 
         Without them two sides that failed each other would never meet again.
         """
-        gone = [each.word.name for each in self.roll.gone.values() if each.word.state == FAILED]
-        slower = min(RECONNECT_MAX_BACKOFF, 1.0 + self.still(now) / (60.0 * self.period))
-        wait = max(RECONNECT_INTERVAL, self.roll.here / max(1, len(gone))) * slower
-        self.after(now, wait * (0.75 + 0.5 * self.chance()) * self.period, self.call_again)
+        gone = [each.record.name for each in self.member_table.absent.values() if each.record.state == FAILED]
+        slower = min(RECONNECT_MAX_BACKOFF, 1.0 + self.stable_for(now) / (60.0 * self.period))
+        wait = max(RECONNECT_INTERVAL, self.member_table.present_count / max(1, len(gone))) * slower
+        self.schedule(
+            now, wait * (0.75 + 0.5 * self.random_fraction()) * self.period, self.reconnect_to_failed
+        )
         while gone:
-            if not self.calls:
-                self.calls = self.shuffled(gone)
-            member = self.roll.get(self.calls.pop())
-            if member and member.word.state == FAILED:
-                self.call(now, member)
+            if not self.reconnect_round:
+                self.reconnect_round = self.shuffled(gone)
+            member = self.member_table.get(self.reconnect_round.pop())
+            if member and member.record.state == FAILED:
+                self.reconnect(now, member)
                 return
 
-    def call(self, now: float, member: Member) -> None:
-        member.called = now
-        number = next(self.serial)
-        self.ping(now, member, Probe(member.word.name, member.word.era, now, again=True), number)
-        self.after(now, self.period, self.unanswered, number)
+    def reconnect(self, now: float, member: Member) -> None:
+        member.last_called = now
+        sequence = next(self.serial)
+        self.send_ping(
+            now, member, Probe(member.record.name, member.record.start_key, now, reconnects=True), sequence
+        )
+        self.schedule(now, self.period, self.finish_probe, sequence)
 
-    def call_seeds(self, now: float) -> None:
+    def sync_with_seed(self, now: float) -> None:
         """Those that started beyond a cut are known to nobody here; the seeds may know them."""
-        here = {each.word.address for each in self.roll if each.word.state in PRESENT_STATES}
+        here = {each.record.address for each in self.member_table if each.record.state in PRESENT_STATES}
         away = [seed for seed in self.seeds if seed not in here]
-        alone = self.roll.here <= 1
-        self.after(
+        alone = self.member_table.present_count <= 1
+        self.schedule(
             now,
-            (1.0 if alone else SEED_INTERVAL) * (0.75 + 0.5 * self.chance()) * self.period,
-            self.call_seeds,
+            (1.0 if alone else SEED_INTERVAL) * (0.75 + 0.5 * self.random_fraction()) * self.period,
+            self.sync_with_seed,
         )
         if away:
-            self.effects.append(OpenStream(away[int(self.chance() * len(away))]))
+            self.effects.append(OpenStream(away[int(self.random_fraction() * len(away))]))
 
-    def sweep(self, now: float) -> None:
+    def forget_expired(self, now: float) -> None:
         """Forgets those that have been gone for long."""
-        self.after(now, 10 * self.period, self.sweep)
-        for member in list(self.roll.gone.values()):
-            if now - member.since >= self.charter.forget:
-                self.roll.drop(member.word.name)
-                self.rumours.drop(member.word.name)
-                self.sites.forget(member.word.name)
+        self.schedule(now, 10 * self.period, self.forget_expired)
+        for member in list(self.member_table.absent.values()):
+            if now - member.state_since >= self.settings.forget_after:
+                self.member_table.remove(member.record.name)
+                self.gossip_queue.remove(member.record.name)
+                self.reachability.forget(member.record.name)
--- a/laureldock/rehearsal/fleet/simulated.py
+++ b/laureldock/rehearsal/fleet/simulated.py
@@ -11,62 +11,62 @@
     def __init__(self, script: Script, seed: int, period: float = 1.0) -> None:
         self.script, self.seed, self.period = script, seed, period
         names = script.names()
-        self.world = Simulation(
+        self.simulation = Simulation(
             {name: script.site(name) for name in names}, seed, period, [f"{name}:1" for name in script.seeds]
         )
         self.deeds: list[tuple[float, str]] = []
 
     def play(self) -> Verdict:
-        world, script = self.world, self.script
+        simulation, script = self.simulation, self.script
         for name in script.names():
-            world.start(name)
-        joined = world.settle(60 * self.period)
-        began, events, sent = world.now, len(world.happened), world.bytes
+            simulation.start(name)
+        joined = simulation.settle(60 * self.period)
+        began, events, sent = simulation.now, len(simulation.events), simulation.bytes_sent
         for at, step, who, to in script.timeline(self.seed):
-            world.at(began + at * self.period, self.do, step, who, to, began)
+            simulation.schedule(began + at * self.period, self.do, step, who, to, began)
         end = began + script.end() * self.period
-        world.run(end)
-        settled = joined if not script.step else world.settle(10 * script.within * self.period)
+        simulation.run(end)
+        settled = joined if not script.step else simulation.settle(10 * script.within * self.period)
         told = [
             ObservedEvent((at - began) / self.period, by, event.name, str(event.fields.get("member", "")))
-            for at, by, event in world.happened[events:]
+            for at, by, event in simulation.events[events:]
         ]
-        length = (world.now - began) / self.period
+        length = (simulation.now - began) / self.period
         verdict = Verdict(script.name, self.seed, settled / self.period, told, self.deeds)
-        verdict.bytes_each = (world.bytes - sent) / max(1.0, length) / script.members
+        verdict.bytes_each = (simulation.bytes_sent - sent) / max(1.0, length) / script.members
         return judge(script, verdict, length)
 
     def do(self, step: Step, who: list[str], to: list[str], began: float) -> None:
-        world = self.world
+        simulation = self.simulation
         self.deeds.append(
-            ((world.now - began) / self.period, f"{step.do} {' '.join(who)} {' '.join(to)}".rstrip())
+            ((simulation.now - began) / self.period, f"{step.do} {' '.join(who)} {' '.join(to)}".rstrip())
         )
         match step.do:
             case "kill":
                 for name in who:
-                    world.kill(name, step.folder)
+                    simulation.kill(name, step.folder)
             case "term":
                 for name in who:
-                    world.leave(name)
+                    simulation.leave(name)
             case "start":
                 for name in who:
-                    world.start(name, step.clock, [f"{seed}:1" for seed in step.seeds])
+                    simulation.start(name, step.clock, [f"{seed}:1" for seed in step.seeds])
             case "stop":
                 for name in who:
-                    world.stall(name, step.lasts * self.period)
+                    simulation.stall(name, step.lasts * self.period)
             case "twin":
                 for name in who:
-                    world.twin(name)
+                    simulation.start_duplicate(name)
             case "cut" | "spoil":
                 between = pairs(step, who, to)
                 self.spoil(step, between, 1)
-                world.at(world.now + step.lasts * self.period, self.spoil, step, between, -1)
+                simulation.schedule(simulation.now + step.lasts * self.period, self.spoil, step, between, -1)
             case "receivers":
                 pass  # the model has none
 
     def spoil(self, step: Step, between: list[Pair], sign: int) -> None:
         for pair in between:
-            link = self.world.net.link(*pair)
+            link = self.simulation.network.link(*pair)
             if step.do == "cut":
                 link.cuts += sign
             else:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -27,16 +27,16 @@
 from laureldock.rehearsal.fleet.verdict import Verdict, side_by_side
 
 
-def world(members: int, seed: int = 1) -> Simulation:
-    found = Simulation({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
-    for name in found.hosts:
-        found.start(name)
-    assert found.settle(20.0) < 20.0
-    return found
+def start_simulation(members: int, seed: int = 1) -> Simulation:
+    simulation = Simulation({f"d{place}": f"s{place % 3}" for place in range(members)}, seed)
+    for name in simulation.hosts:
+        simulation.start(name)
+    assert simulation.settle(20.0) < 20.0
+    return simulation
 
 
-def events(found: Simulation, name: str, member: str = "") -> list[tuple[float, str]]:
-    told = [(at, by, event) for at, by, event in found.happened if event.name == name]
+def events(simulation: Simulation, name: str, member: str = "") -> list[tuple[float, str]]:
+    told = [(at, by, event) for at, by, event in simulation.events if event.name == name]
     return [(at, by) for at, by, event in told if member in ("", event.fields.get("member"))]
 
 
@@ -53,127 +53,130 @@
     for seed in (5, 5, 6):
         run = SimulatedRun(load("worse"), seed)
         run.play()
-        told.append(repr(run.world.happened))
+        told.append(repr(run.simulation.events))
     assert told[0] == told[1] != told[2]
 
 
 def test_a_crash_is_found_by_all_within_ten_periods_and_by_none_before_it() -> None:
     for members in (3, 20, 40):
-        found = world(members)
-        found.run(20.0)
-        assert not events(found, "suspected")
-        found.kill("d1")
-        at = found.now
-        found.run(at + 12)
-        failed = events(found, "failed", "d1")
+        simulation = start_simulation(members)
+        simulation.run(20.0)
+        assert not events(simulation, "suspected")
+        simulation.kill("d1")
+        at = simulation.now
+        simulation.run(at + 12)
+        failed = events(simulation, "failed", "d1")
         assert len({by for _, by in failed}) == members - 1 == len(failed)
         assert at + 3 <= failed[0][0] and failed[-1][0] <= at + 10
 
 
 def test_those_left_of_half_that_died_at_once_know_it_soon() -> None:
     """Half of six: three others never confirmed it, and each of those left held itself to be slow."""
-    found = world(6)
+    simulation = start_simulation(6)
     for name in ("d0", "d1", "d3"):
-        found.kill(name)
-    assert found.settle(30.0) <= 10.0
+        simulation.kill(name)
+    assert simulation.settle(30.0) <= 10.0
 
 
 def test_at_a_fifth_of_losses_no_living_member_is_failed() -> None:
-    found = world(5)
-    found.net.loss = 0.2
-    found.run(600.0)
-    assert not events(found, "failed")
-    assert found.agree()
+    simulation = start_simulation(5)
+    simulation.network.loss = 0.2
+    simulation.run(600.0)
+    assert not events(simulation, "failed")
+    assert simulation.views_agree()
 
 
 @pytest.mark.parametrize("seconds", [2.0, 5.0, 20.0])
 def test_one_that_stood_still_fails_nobody_on_waking(seconds: float) -> None:
-    found = world(9)
+    simulation = start_simulation(9)
     for turn in range(3):
-        found.stall("d4", seconds)
-        found.run(found.now + seconds + 10)
-        mine = [at for name in ("suspected", "failed") for at, by in events(found, name) if by == "d4"]
-        others = [event.fields["member"] for _, by, event in found.happened if by == "d4"]
+        simulation.stall("d4", seconds)
+        simulation.run(simulation.now + seconds + 10)
+        mine = [at for name in ("suspected", "failed") for at, by in events(simulation, name) if by == "d4"]
+        others = [event.fields["member"] for _, by, event in simulation.events if by == "d4"]
         assert "d4" not in others and not mine, turn
-    assert found.settle(10.0) <= 10.0
+    assert simulation.settle(10.0) <= 10.0
 
 
 def test_a_view_with_an_empty_folder_is_never_taken_for_its_old_self() -> None:
-    found = world(4)
-    before = found.hosts["d2"].view
+    simulation = start_simulation(4)
+    before = simulation.hosts["d2"].view
     assert before
-    found.kill("d2", folder=True)
-    after = found.start("d2", clock=-7200.0)
-    assert after.me.word.era < before.me.word.era
-    found.run(found.now + 8)
-    assert after.me.word.generation == before.me.word.generation + 1 and found.agree()
-    assert events(found, "generation raised") and len(events(found, "generation changed", "d2")) == 3
+    simulation.kill("d2", folder=True)
+    after = simulation.start("d2", clock=-7200.0)
+    assert after.me.record.start_key < before.me.record.start_key
+    simulation.run(simulation.now + 8)
+    assert after.me.record.generation == before.me.record.generation + 1 and simulation.views_agree()
+    assert (
+        events(simulation, "generation raised") and len(events(simulation, "generation changed", "d2")) == 3
+    )
 
 
 def test_of_two_processes_of_one_name_the_later_stays_and_both_say_so() -> None:
-    found = world(4)
-    later = found.twin("d2")
-    found.run(found.now + 10)
-    first = found.hosts["d2"].view
-    assert first and first.standing is ViewStatus.STEPPED_DOWN and later.standing is ViewStatus.ACTIVE
-    assert {by for _, by in events(found, "name taken")} >= {"d2"}
-    assert found.agree()
+    simulation = start_simulation(4)
+    later = simulation.start_duplicate("d2")
+    simulation.run(simulation.now + 10)
+    first = simulation.hosts["d2"].view
+    assert first and first.status is ViewStatus.STEPPED_DOWN and later.status is ViewStatus.ACTIVE
+    assert {by for _, by in events(simulation, "name taken")} >= {"d2"}
+    assert simulation.views_agree()
 
 
 def test_a_planned_leave_is_no_failure_and_a_forgotten_one_is_called_no_more() -> None:
-    found = world(5)
-    found.leave("d1")
-    found.kill("d2")
-    found.run(found.now + 12)
-    assert len(events(found, "left", "d1")) == 3 and not events(found, "failed", "d1")
-    view = found.hosts["d3"].view
-    assert view and view.forget(found.now, "d2") and not view.forget(found.now, "d4")
-    found.turn(found.hosts["d3"])
-    found.run(found.now + 5)
+    simulation = start_simulation(5)
+    simulation.leave("d1")
+    simulation.kill("d2")
+    simulation.run(simulation.now + 12)
+    assert len(events(simulation, "left", "d1")) == 3 and not events(simulation, "failed", "d1")
+    view = simulation.hosts["d3"].view
+    assert view and view.forget_failed(simulation.now, "d2") and not view.forget_failed(simulation.now, "d4")
+    simulation.advance(simulation.hosts["d3"])
+    simulation.run(simulation.now + 5)
     assert all(
-        not [each for each in one.roll.gone.values() if each.word.state == FAILED] for one in found.living()
+        not [each for each in one.member_table.absent.values() if each.record.state == FAILED]
+        for one in simulation.living()
     )
 
 
 def test_lameduck_and_load_are_told() -> None:
-    found = world(3)
-    view, other = found.hosts["d1"].view, found.hosts["d0"].view
+    simulation = start_simulation(3)
+    view, other = simulation.hosts["d1"].view, simulation.hosts["d0"].view
     assert view and other
     view.load = 200
-    view.lameduck(found.now, True)
-    found.turn(found.hosts["d1"])
-    found.run(found.now + 5)
-    member = other.roll["d1"]
-    assert member.word.lameduck and member.load == 200 and member.word.state == ALIVE
-    assert {by for _, by in events(found, "lameduck", "d1")} == {"d0", "d2"}
+    view.lameduck(simulation.now, True)
+    simulation.advance(simulation.hosts["d1"])
+    simulation.run(simulation.now + 5)
+    member = other.member_table["d1"]
+    assert member.record.lameduck and member.load == 200 and member.record.state == ALIVE
+    assert {by for _, by in events(simulation, "lameduck", "d1")} == {"d0", "d2"}
 
 
 def test_reach_tells_which_site_is_heard_by_whom() -> None:
-    found = world(6)
+    simulation = start_simulation(6)
     for one in ("d1", "d4"):  # site s1
         for other in ("d0", "d2", "d3", "d5"):
-            found.net.link(one, other).cuts = found.net.link(other, one).cuts = 1
-    found.run(found.now + 12)
-    view, cut = found.hosts["d0"].view, found.hosts["d1"].view
+            simulation.network.link(one, other).cuts = simulation.network.link(other, one).cuts = 1
+    simulation.run(simulation.now + 12)
+    view, cut = simulation.hosts["d0"].view, simulation.hosts["d1"].view
     assert view and cut
-    reach = view.reach(found.now)
+    reach = view.reachability_shares(simulation.now)
     assert reach["s2"]["d0"] == 1.0 and all(share <= 0.2 for share in reach.get("s1", {}).values())
-    assert all(share == 0.0 for share in cut.reach(found.now).get("s0", {}).values())
+    assert all(share == 0.0 for share in cut.reachability_shares(simulation.now).get("s0", {}).values())
 
 
 # Bad input
 
 
 def lone() -> MembershipView:
-    return MembershipView(ViewSettings("fleet", "me", "s", "127.0.0.1:1", 1000, 7, most=100), 0.0)
+    return MembershipView(ViewSettings("fleet", "me", "s", "127.0.0.1:1", 1000, 7, max_members=100), 0.0)
 
 
-def head(**changes: object) -> MessageHeader:
+def header(**changes: object) -> MessageHeader:
     return msgspec.structs.replace(MessageHeader("fleet", "other", 2000, 9, "127.0.0.1:2", 0, 0), **changes)
 
 
 def gossip(*told: MemberRecord, **changes: object) -> bytes:
-    return messages.encode(messages.Gossip(head(**changes), told))
+    return messages.encode(messages.Gossip(header(**changes), told))
 
 
 ME = MemberRecord("me", "s", "127.0.0.1:1", 1000, 7, 0, ALIVE)
@@ -190,33 +193,45 @@
         gossip(GOOD, fleet="another"), gossip(ahead),
     ]  # fmt: skip
     for data in bad:
-        view.hear(1.0, data)
-    assert view.counts.refused == len(bad) and set(view.roll.members) == {"me"} and view.me.word == ME
-    assert sum(isinstance(effect, ViewEvent) and effect.name == "refused" for effect in view.turn(1.0)) == 1
+        view.receive_datagram(1.0, data)
+    assert (
+        view.counts.refused == len(bad) and set(view.member_table.members) == {"me"} and view.me.record == ME
+    )
+    assert (
+        sum(isinstance(effect, ViewEvent) and effect.name == "refused" for effect in view.advance(1.0)) == 1
+    )
 
 
 def test_a_word_that_declares_this_one_dead_is_refuted() -> None:
     view = lone()
-    view.hear(1.0, gossip(GOOD, msgspec.structs.replace(ME, incarnation=3, state=FAILED)))
-    assert (view.me.word.state, view.me.word.incarnation) == (ALIVE, 4)
-    sent = [messages.datagram(effect.data) for effect in view.turn(1.0) if isinstance(effect, SendDatagram)]
-    assert any(view.me.word in message.words for message in sent)
+    view.receive_datagram(1.0, gossip(GOOD, msgspec.structs.replace(ME, incarnation=3, state=FAILED)))
+    assert (view.me.record.state, view.me.record.incarnation) == (ALIVE, 4)
+    sent = [
+        messages.decode_datagram(effect.data)
+        for effect in view.advance(1.0)
+        if isinstance(effect, SendDatagram)
+    ]
+    assert any(view.me.record in message.records for message in sent)
 
 
 def test_a_datagram_that_claims_this_ones_name_is_asked_before_it_is_believed() -> None:
     """One made-up datagram of a later start made a living member step down."""
     view = lone()
-    claim = {"sender": "me", "generation": 5000, "boot": 3}
+    claim = {"sender": "me", "generation": 5000, "boot_id": 3}
     for at in (1.0, 1.1, 5.0):
-        view.hear(at, gossip(**claim))
-        view.hear(at, messages.encode(messages.Ack(head(**claim), 99)))
-        view.turn(at)
-    assert view.standing.value == "here"
-    view.hear(9.0, gossip(**claim))
-    pings = [messages.datagram(effect.data) for effect in view.turn(9.0) if isinstance(effect, SendDatagram)]
-    number = next(ping.number for ping in pings if isinstance(ping, messages.Ping) and ping.target == "me")
-    view.hear(9.1, messages.encode(messages.Ack(head(**claim), number)))
-    assert view.standing.value == "stepped down"
+        view.receive_datagram(at, gossip(**claim))
+        view.receive_datagram(at, messages.encode(messages.Ack(header(**claim), 99)))
+        view.advance(at)
+    assert view.status.value == "here"
+    view.receive_datagram(9.0, gossip(**claim))
+    pings = [
+        messages.decode_datagram(effect.data)
+        for effect in view.advance(9.0)
+        if isinstance(effect, SendDatagram)
+    ]
+    number = next(ping.sequence for ping in pings if isinstance(ping, messages.Ping) and ping.target == "me")
+    view.receive_datagram(9.1, messages.encode(messages.Ack(header(**claim), number)))
+    assert view.status.value == "stepped down"
 
 
 def test_ten_thousand_made_up_members_take_no_more_than_their_bound() -> None:
@@ -226,33 +241,33 @@
             MemberRecord(f"m{each}", "s", f"127.0.0.1:{each}", 1, 1, 0, ALIVE)
             for each in range(number, number + 8)
         ]
-        view.hear(1.0 + number / 1000, gossip(*made))
-        view.turn(1.0 + number / 1000)
-    assert len(view.roll.members) == 100 and len(view.rumours) <= 100 and len(view.timers) < 300
+        view.receive_datagram(1.0 + number / 1000, gossip(*made))
+        view.advance(1.0 + number / 1000)
+    assert len(view.member_table.members) == 100 and len(view.gossip_queue) <= 100 and len(view.timers) < 300
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(st.data())
 def test_spoilt_datagrams_and_frames_end_in_a_count(data: st.DataObject) -> None:
     view = lone()
-    view.hear(0.5, gossip(GOOD))
+    view.receive_datagram(0.5, gossip(GOOD))
     frames = [
         gossip(GOOD, ME),
-        messages.encode(messages.Ping(head(), 1, "me", (GOOD,))),
-        messages.encode(messages.PingRequest(head(), 2, "other", "127.0.0.1:2", ())),
-        view.begin(0.5),
-        messages.encode(messages.SyncDifference(head(), (1, 2), (GOOD,))),
+        messages.encode(messages.Ping(header(), 1, "me", (GOOD,))),
+        messages.encode(messages.PingRequest(header(), 2, "other", "127.0.0.1:2", ())),
+        view.first_frame(0.5),
+        messages.encode(messages.SyncDifference(header(), (1, 2), (GOOD,))),
     ]
     raw = bytearray(data.draw(st.sampled_from(frames)))
     for _ in range(data.draw(st.integers(1, 4))):
         raw[data.draw(st.integers(0, len(raw) - 1))] = data.draw(st.integers(0, 255))
-    view.hear(1.0, bytes(raw))
+    view.receive_datagram(1.0, bytes(raw))
     try:
-        view.frame(1.0, bytes(raw))
+        view.receive_frame(1.0, bytes(raw))
     except messages.MalformedMessageError:
         assert view.counts.refused
-    view.turn(1.0)
-    assert len(view.roll.members) <= 4 and view.me.word.state == ALIVE
+    view.advance(1.0)
+    assert len(view.member_table.members) <= 4 and view.me.record.state == ALIVE
 
 
 class Faults(RuleBasedStateMachine):
@@ -262,41 +277,41 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = world(6, 3)
+        self.simulation = start_simulation(6, 3)
 
     @rule(name=names, folder=st.booleans())
     def kill(self, name: str, folder: bool) -> None:
-        if len(self.world.living()) > 2:
-            self.world.kill(name, folder)
+        if len(self.simulation.living()) > 2:
+            self.simulation.kill(name, folder)
 
     @rule(name=names, clock=st.sampled_from([0.0, -3600.0, 5.0]))
     def start(self, name: str, clock: float) -> None:
-        if self.world.hosts[name].view is None:
-            self.world.start(name, clock)
+        if self.simulation.hosts[name].view is None:
+            self.simulation.start(name, clock)
 
     @rule(name=names, seconds=st.floats(0.5, 12.0))
     def stall(self, name: str, seconds: float) -> None:
-        self.world.stall(name, seconds)
+        self.simulation.stall(name, seconds)
 
     @rule(one=names, other=names, on=st.booleans())
     def cut(self, one: str, other: str, on: bool) -> None:
-        self.world.net.link(one, other).cuts = int(on)
+        self.simulation.network.link(one, other).cuts = int(on)
 
     @rule(loss=st.sampled_from([0.0, 0.2, 0.4]))
     def lose(self, loss: float) -> None:
-        self.world.net.loss = loss
+        self.simulation.network.loss = loss
 
     @rule(seconds=st.floats(0.1, 15.0))
     def wait(self, seconds: float) -> None:
-        self.world.run(self.world.now + seconds)
+        self.simulation.run(self.simulation.now + seconds)
 
     def teardown(self) -> None:
-        world = self.world
-        world.net.links.clear()
-        world.net.loss = 0.0
-        world.run(max([world.now, *(host.stalled for host in world.hosts.values())]))
+        simulation = self.simulation
+        simulation.network.links.clear()
+        simulation.network.loss = 0.0
+        simulation.run(max([simulation.now, *(host.stalled for host in simulation.hosts.values())]))
         # Each that died has to be found by those left: of many at once that takes over ten periods.
-        assert world.settle(60.0) <= 25.0, [view.charter.name for view in world.living()]
+        assert simulation.settle(60.0) <= 25.0, [view.settings.name for view in simulation.living()]
 
 
 TestFaults = Faults.TestCase
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -33,8 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    wins: Wins = members.wins
-    refuted: Refuted = members.refuted
+    supersedes: Wins = members.supersedes
+    refutation: Refuted = members.refutation
     suspicion: bool = True  # before anyone fails it
 
 
@@ -47,32 +47,32 @@
         yield "crash", replace(state, own=None)
         left = structs.replace(state.own, state=LEFT, incarnation=state.own.incarnation + 1)
         yield "leave", replace(state, own=None, sent=state.sent | {left})
-        for word in state.sent:
-            if answer := rules.refuted(word, state.own):
+        for record in state.sent:
+            if answer := rules.refutation(record, state.own):
                 yield "refute", replace(state, own=answer, sent=state.sent | {answer})
     for side in ("first", "second"):
         held: MemberRecord = getattr(state, side)
         steps = {ALIVE: SUSPECT if rules.suspicion else FAILED, SUSPECT: FAILED}
         if held.state in steps:
-            word = structs.replace(held, state=steps[held.state])
-            yield "judge", replace(state, **{side: word}, sent=state.sent | {word})  # type: ignore[arg-type]
-        for word in state.sent:
-            if rules.wins(word, held):
-                yield "deliver", replace(state, **{side: word})  # type: ignore[arg-type]
+            record = structs.replace(held, state=steps[held.state])
+            yield "judge", replace(state, **{side: record}, sent=state.sent | {record})  # type: ignore[arg-type]
+        for record in state.sent:
+            if rules.supersedes(record, held):
+                yield "deliver", replace(state, **{side: record})  # type: ignore[arg-type]
 
 
 def settled(state: State, rules: Rules) -> State | None:
     """All that is on its way comes, again and again, and nothing else happens; None if that never ends."""
     for _ in range(40):
         sent, own = set(state.sent) | {state.first, state.second}, state.own
-        for word in sorted(sent, key=repr):
-            if own is not None and (answer := rules.refuted(word, own)):
+        for record in sorted(sent, key=repr):
+            if own is not None and (answer := rules.refutation(record, own)):
                 own = answer
                 sent.add(own)
         first, second = state.first, state.second
-        for word in sorted(sent, key=repr):
-            first = word if rules.wins(word, first) else first
-            second = word if rules.wins(word, second) else second
+        for record in sorted(sent, key=repr):
+            first = record if rules.supersedes(record, first) else first
+            second = record if rules.supersedes(record, second) else second
         after = State(own, state.starts, first, second, frozenset(sent))
         if after == state:
             return state
@@ -83,9 +83,11 @@
 def faults(before: State, name: str, after: State, rules: Rules) -> Iterator[str]:
     for side in ("first", "second"):
         old, new = getattr(before, side), getattr(after, side)
-        if new.era < old.era or (new.era == old.era and new.incarnation < old.incarnation):
+        if new.start_key < old.start_key or (
+            new.start_key == old.start_key and new.incarnation < old.incarnation
+        ):
             yield f"{side} went back from {old} to {new} by {name}"
-        same = new.era == old.era and new.incarnation == old.incarnation
+        same = new.start_key == old.start_key and new.incarnation == old.incarnation
         if same and old.state in (FAILED, LEFT) and new.state in (ALIVE, SUSPECT):
             yield f"{side} revived {old} by an old word"
         if name == "judge" and old.state == ALIVE and new.state == FAILED:
@@ -99,7 +101,7 @@
         yield "words go round for ever"
     elif end.first != end.second:
         yield f"they disagree for ever: {end.first} and {end.second}"
-    elif end.own is not None and (end.first.era, end.first.state) != (end.own.era, ALIVE):
+    elif end.own is not None and (end.first.start_key, end.first.state) != (end.own.start_key, ALIVE):
         yield f"it lives as {end.own}, and is held to be {end.first}"
 
 
@@ -131,37 +133,47 @@
 
 
 def incarnation_ignored(told: MemberRecord, known: MemberRecord | None) -> bool:
-    return members.wins(told, known) if known is None or told.era != known.era else told.state > known.state
+    return (
+        members.supersedes(told, known)
+        if known is None or told.start_key != known.start_key
+        else told.state > known.state
+    )
 
 
 def revived(told: MemberRecord, known: MemberRecord | None) -> bool:
-    old = known is not None and told.era == known.era and (told.state, known.state) == (ALIVE, FAILED)
-    return old or members.wins(told, known)
+    old = (
+        known is not None
+        and told.start_key == known.start_key
+        and (told.state, known.state) == (ALIVE, FAILED)
+    )
+    return old or members.supersedes(told, known)
 
 
 def generation_ignored(told: MemberRecord, known: MemberRecord | None) -> bool:
-    return members.wins(structs.replace(told, generation=1), known and structs.replace(known, generation=1))
+    return members.supersedes(
+        structs.replace(told, generation=1), known and structs.replace(known, generation=1)
+    )
 
 
 def ties_win(told: MemberRecord, known: MemberRecord | None) -> bool:
     """Of two equal words the later to come wins: they take turns."""
-    level = known is not None and (told.era, told.incarnation) == (known.era, known.incarnation)
-    return (level and told != known and ALIVE not in (told.state,)) or members.wins(told, known)
+    level = known is not None and (told.start_key, told.incarnation) == (known.start_key, known.incarnation)
+    return (level and told != known and ALIVE not in (told.state,)) or members.supersedes(told, known)
 
 
 def not_raised(told: MemberRecord, mine: MemberRecord) -> MemberRecord | None:
-    return mine if members.refuted(told, mine) else None
+    return mine if members.refutation(told, mine) else None
 
 
 @pytest.mark.parametrize(
     ("name", "rules"),
     [
-        ("incarnation ignored", Rules(wins=incarnation_ignored)),
-        ("dead revived by an old word", Rules(wins=revived)),
-        ("generation ignored", Rules(wins=generation_ignored)),
-        ("ties win", Rules(wins=ties_win)),
-        ("refuted without a greater incarnation", Rules(refuted=not_raised)),
-        ("never refuted", Rules(refuted=lambda told, mine: None)),
+        ("incarnation ignored", Rules(supersedes=incarnation_ignored)),
+        ("dead revived by an old word", Rules(supersedes=revived)),
+        ("generation ignored", Rules(supersedes=generation_ignored)),
+        ("ties win", Rules(supersedes=ties_win)),
+        ("refuted without a greater incarnation", Rules(refutation=not_raised)),
+        ("never refuted", Rules(refutation=lambda told, mine: None)),
         ("suspicion skipped", Rules(suspicion=False)),
     ],
 )
--- a/tests/test_fleet_trace.py
+++ b/tests/test_fleet_trace.py
@@ -28,11 +28,11 @@
 @pytest.mark.parametrize("name", sorted(GOLDEN_DIGESTS))
 def test_simulated_run_matches_golden_trace(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     digest = hashlib.sha256()
-    send, begin, frame = Simulation.send, MembershipView.begin, MembershipView.frame
+    send, begin, frame = Simulation.send, MembershipView.first_frame, MembershipView.receive_frame
 
-    def recorded_send(world: Simulation, sender: str, address: str, data: bytes) -> None:
+    def recorded_send(simulation: Simulation, sender: str, address: str, data: bytes) -> None:
         digest.update(f"{sender} {address} {len(data)} ".encode() + data)
-        send(world, sender, address, data)
+        send(simulation, sender, address, data)
 
     def recorded_begin(view: MembershipView, now: float) -> bytes:
         data = begin(view, now)
@@ -45,13 +45,13 @@
         return answer
 
     monkeypatch.setattr(Simulation, "send", recorded_send)
-    monkeypatch.setattr(MembershipView, "begin", recorded_begin)
-    monkeypatch.setattr(MembershipView, "frame", recorded_frame)
+    monkeypatch.setattr(MembershipView, "first_frame", recorded_begin)
+    monkeypatch.setattr(MembershipView, "receive_frame", recorded_frame)
     script = load(name)
     script.members = 12
     run = SimulatedRun(script, seed=5)
     run.play()
-    for at, by, event in run.world.happened:
+    for at, by, event in run.simulation.events:
         digest.update(f"{at:.6f} {by} {event.name} {sorted(event.fields.items())}\n".encode())
-    assert run.world.sent > 100
+    assert run.simulation.datagrams_sent > 100
     assert digest.hexdigest() == GOLDEN_DIGESTS[name]
