Split the fleet's view into modules with one job each

Precedence leaves members.py, effects and settings leave view.py, the simulated network leaves the simulation. Docstrings in full. Tests ask the view through properties where they reached into it; every assertion is as strict, and one more holds the names of the counters that operators are shown.

--- a/benchmarks/fleet_spoilt.py
+++ b/benchmarks/fleet_spoilt.py
@@ -12,6 +12,7 @@
 import click
 
 from laureldock.fleet import messages
+from laureldock.fleet.effects import SendDatagram, ViewEvent
 from laureldock.fleet.messages import (
     ALIVE,
     FAILED,
@@ -20,7 +21,8 @@
     MemberRecord,
     MessageHeader,
 )
-from laureldock.fleet.view import MembershipView, SendDatagram, ViewEvent, ViewSettings, ViewStatus
+from laureldock.fleet.settings import ViewSettings, ViewStatus
+from laureldock.fleet.view import MembershipView
 
 
 def samples() -> list[bytes]:
@@ -85,13 +87,16 @@
         if number == count // 10:
             least = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     most = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    assert view.me.record.state == ALIVE and len(view.member_table.members) <= 256, view.me.record
-    assert len(view.timers) < 5000 and len(view.probes) < 100 and len(view.relays) <= 64
+    assert view.local.record.state == ALIVE and len(view.member_table.members) <= 256, view.local.record
+    assert (
+        view.pending_timers < 5000
+        and len(view.probing.probes) < 100
+        and len(view.relayed_pings.pending) <= 64
+    )
     assert view.status is ViewStatus.ACTIVE
     cost = (time.monotonic() - began) / count * 1e6
-    print(
-        f"{count} spoilt: {view.counts.refused} refused, {frames_refused} of them frames; {cost:.0f} us each"
-    )
+    refused = view.counters.refused
+    print(f"{count} spoilt: {refused} refused, {frames_refused} of them frames; {cost:.0f} us each")
     print(f"{len(view.member_table.members)} members known, {sent} datagrams sent, {events} events")
     print(f"memory {least / 1000:.1f} MB after a tenth, {most / 1000:.1f} MB at the end")
 
--- a/laureldock/fleet/messages.py
+++ b/laureldock/fleet/messages.py
@@ -1,8 +1,8 @@
-"""What members tell one another: words about members, in datagrams and in frames of a stream. No I/O.
+"""Messages between members: records of members in datagrams, and in frames of a stream. No I/O.
 
-Encoded as msgpack by msgspec, arrays without names, behind two bytes of magic and one of version. What is
-malformed raises `BadWord` and costs its sender alone: every figure has a bound, every text a length, every
-list a size.
+Encoded by msgspec as msgpack arrays without field names, behind two bytes of magic and one of version. A
+malformed message raises `MalformedMessageError` and costs its sender alone: every number has a bound, every
+text a length, every list a size.
 """
 
 from __future__ import annotations
@@ -14,32 +14,37 @@
 
 MAGIC = b"ld"
 VERSION = 1
-# An Ethernet frame less headers, with room for a tunnel's: a datagram in pieces is lost with any of them.
+# An Ethernet frame less headers, with room for a tunnel's: a fragmented datagram is lost with any fragment.
 MAX_DATAGRAM_BYTES = 1200
-# 4,096 members in one bucket of a stream, by far more than any fleet has.
+# Room for 4,096 members in one bucket of a stream, by far more than any fleet has.
 MAX_FRAME_BYTES = 1 << 20
+MAX_FRAME_RECORDS = 8192
 
 Name = Annotated[str, Meta(pattern=r"^[!-~]{1,64}$")]
-Address = Annotated[str, Meta(pattern=r"^[!-~]{3,80}$")]  # an address, host:port
+Address = Annotated[str, Meta(pattern=r"^[!-~]{3,80}$")]  # host:port
 Site = Annotated[str, Meta(pattern=r"^[!-~]{0,32}$")]
 Unsigned32 = Annotated[int, Meta(ge=0, lt=1 << 32)]
-Unsigned62 = Annotated[int, Meta(ge=0, lt=1 << 62)]  # digests too: msgspec takes no larger bound
+Unsigned62 = Annotated[int, Meta(ge=0, lt=1 << 62)]  # msgspec takes no larger bound
 StateCode = Annotated[int, Meta(ge=0, le=3)]
 
 ALIVE, SUSPECT, FAILED, LEFT = range(4)
 STATE_NAMES = ("alive", "suspect", "failed", "left")
 
+StartKey = tuple[int, int]
+"""Generation and boot identifier of one start of a member: a later start has a greater key."""
+
 
 class MalformedMessageError(ValueError):
-    """What came in is no word of this version, or passes a bound."""
+    """What came in is no message of this version, or breaks a bound."""
 
 
 class MemberRecord(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
-    """What is said of a member.
+    """What is known of one member.
 
-    `generation` is of its start: greater than that of any start of the same name before, and `boot` tells two
-    starts apart that claim the same one. `incarnation` counts what it said of itself since, so that an older
-    word never wins.
+    `generation` is of its start: greater than that of any earlier start of the same name; `boot_id` tells
+    two starts apart that claim the same one. `incarnation` counts what the member said of itself since its
+    start, so that an older record never wins. `suspected_by` names a member that suspects it, where its state
+    is suspect.
     """
 
     name: Name
@@ -50,15 +55,15 @@
     incarnation: Unsigned32
     state: StateCode
     lameduck: bool = False
-    suspected_by: Annotated[str, Meta(pattern=r"^[!-~]{0,64}$")] = ""  # who suspects it, where it is suspect
+    suspected_by: Annotated[str, Meta(pattern=r"^[!-~]{0,64}$")] = ""
 
     @property
-    def start_key(self) -> tuple[int, int]:
+    def start_key(self) -> StartKey:
         return self.generation, self.boot_id
 
 
 class SiteReachability(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
-    """Of the calls to a site's members within the last ten periods: how many went, how many were answered."""
+    """Probes of a site's members within the last ten periods: how many there were, how many were answered."""
 
     site: Site
     calls: Annotated[int, Meta(ge=0, le=255)]
@@ -66,7 +71,7 @@
 
 
 class MessageHeader(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
-    """In each datagram: who sends, in which fleet, and what of its own changes too often for a word."""
+    """In each message: who sends it, in which fleet, and what changes too often for the sender's record."""
 
     fleet: Name
     sender: Name
@@ -77,9 +82,13 @@
     digest: Unsigned62
     reachability: Annotated[tuple[SiteReachability, ...], Meta(max_length=8)] = ()
 
+    @property
+    def start_key(self) -> StartKey:
+        return self.generation, self.boot_id
+
 
 class Ping(Struct, tag=1, tag_field="t", array_like=True, frozen=True):
-    """Are you there? Answered by an Ack of the same number."""
+    """A direct probe; answered by an `Ack` of the same sequence number."""
 
     header: MessageHeader
     sequence: Unsigned32
@@ -88,13 +97,15 @@
 
 
 class Ack(Struct, tag=2, tag_field="t", array_like=True, frozen=True):
+    """Answers a `Ping`, or a `PingRequest` whose target answered."""
+
     header: MessageHeader
     sequence: Unsigned32
     records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class PingRequest(Struct, tag=3, tag_field="t", array_like=True, frozen=True):
-    """Ping that one for me. Answered by an Ack of this number, or a Nack once the helper has waited."""
+    """Asks a member to ping another; answered by an `Ack`, or by a `Nack` where none came in time."""
 
     header: MessageHeader
     sequence: Unsigned32
@@ -104,36 +115,40 @@
 
 
 class Nack(Struct, tag=4, tag_field="t", array_like=True, frozen=True):
+    """Answers a `PingRequest` whose target did not answer (Lifeguard)."""
+
     header: MessageHeader
     sequence: Unsigned32
     records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class Gossip(Struct, tag=5, tag_field="t", array_like=True, frozen=True):
+    """Records alone; answered by nothing."""
+
     header: MessageHeader
     records: Annotated[tuple[MemberRecord, ...], Meta(max_length=64)] = ()
 
 
 class SyncDigests(Struct, tag=6, tag_field="t", array_like=True, frozen=True):
-    """Begins a stream: the digest of each bucket of its members, and of those that failed or left."""
+    """The first frame of a stream: the digest of each bucket of members."""
 
     header: MessageHeader
     buckets: Annotated[tuple[Unsigned62, ...], Meta(min_length=64, max_length=64)]
 
 
 class SyncDifference(Struct, tag=7, tag_field="t", array_like=True, frozen=True):
-    """The other side's words of the buckets that differ; answered by a `Same` with the own ones."""
+    """The second frame: which buckets differ, and the records of the answering side in them."""
 
     header: MessageHeader
     buckets: Annotated[tuple[Annotated[int, Meta(ge=0, lt=64)], ...], Meta(max_length=64)]
-    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=8192)]
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=MAX_FRAME_RECORDS)]
 
 
 class SyncCompletion(Struct, tag=8, tag_field="t", array_like=True, frozen=True):
-    """The last frame of a stream."""
+    """The last frame: the records in those buckets of the side that opened the stream."""
 
     header: MessageHeader
-    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=8192)]
+    records: Annotated[tuple[MemberRecord, ...], Meta(max_length=MAX_FRAME_RECORDS)]
 
 
 Datagram = Ping | Ack | PingRequest | Nack | Gossip
@@ -146,14 +161,17 @@
 
 
 def encode(message: Message) -> bytes:
+    """A message as it is sent."""
     return MAGIC + bytes([VERSION]) + _encoder.encode(message)
 
 
 def encoded_size(record: MemberRecord) -> int:
+    """Bytes that a record takes within a message."""
     return len(_encoder.encode(record))
 
 
 def strip_envelope(data: bytes, max_bytes: int) -> bytes:
+    """The payload behind magic and version. MalformedMessageError: these are wrong, or data is too long."""
     if len(data) > max_bytes:
         raise MalformedMessageError("too long")
     if data[:2] != MAGIC:
@@ -164,7 +182,7 @@
 
 
 def decode_datagram(data: bytes) -> Datagram:
-    """BadWord."""
+    """A datagram that came in. MalformedMessageError."""
     try:
         return _datagrams.decode(strip_envelope(data, MAX_DATAGRAM_BYTES))
     except (msgspec.DecodeError, RecursionError) as error:
@@ -172,7 +190,7 @@
 
 
 def decode_frame(data: bytes) -> Frame:
-    """BadWord."""
+    """A frame of a stream that came in. MalformedMessageError."""
     try:
         return _frames.decode(strip_envelope(data, MAX_FRAME_BYTES))
     except (msgspec.DecodeError, RecursionError) as error:
--- a/laureldock/fleet/reachability.py
+++ b/laureldock/fleet/reachability.py
@@ -1,4 +1,4 @@
-"""How much of each site is heard: calls to its members within the last while, and those answered. No I/O."""
+"""Reachability of sites: how many of the latest probes of a site's members were answered. No I/O."""
 
 from __future__ import annotations
 
@@ -6,46 +6,51 @@
 
 from laureldock.fleet.messages import SiteReachability
 
-# Three sites give each some three calls in ten periods: enough to tell a cut link from a lost datagram.
+# Of three sites each gets some three probes in ten periods: enough to tell a cut link from a lost datagram.
 WINDOW_PERIODS = 10.0
-MAX_REPORTED_SITES = 8  # told in a datagram
+MAX_REPORTED_SITES = 8  # in the header of a message
+MAX_COUNTED_CALLS = 255  # of one site
 
 
 class ReachabilityTracker:
+    """This member's own probes by site, and what other members reported of theirs. Times are seconds."""
+
     def __init__(self, period: float) -> None:
-        self.window = WINDOW_PERIODS * period
-        self.calls_by_site: dict[
-            str, deque[tuple[float, bool]]
-        ] = {}  # when a call went, and whether it was answered
-        self.reports: dict[str, tuple[float, tuple[SiteReachability, ...]]] = {}  # by others, and when
+        self._window = WINDOW_PERIODS * period
+        self._calls: dict[str, deque[tuple[float, bool]]] = {}  # by site: when, and whether it was answered
+        self._reports: dict[str, tuple[float, tuple[SiteReachability, ...]]] = {}  # by member: when, and what
 
     def record_call(self, now: float, site: str, answered: bool) -> None:
-        self.calls_by_site.setdefault(site, deque(maxlen=255)).append((now, answered))
+        """Count a probe of a member of a site."""
+        self._calls.setdefault(site, deque(maxlen=MAX_COUNTED_CALLS)).append((now, answered))
 
     def own_report(self, now: float) -> tuple[SiteReachability, ...]:
-        """For datagrams: the sites called of late."""
+        """For the header of messages: sites probed within the window."""
         report = []
-        for site in sorted(self.calls_by_site):
-            calls = self.calls_by_site[site]
-            while calls and calls[0][0] < now - self.window:
+        for site in sorted(self._calls):
+            calls = self._calls[site]
+            while calls and calls[0][0] < now - self._window:
                 calls.popleft()
             if calls:
                 report.append(SiteReachability(site, len(calls), sum(answered for _, answered in calls)))
             else:
-                del self.calls_by_site[site]
+                del self._calls[site]
         return tuple(report[:MAX_REPORTED_SITES])
 
-    def record_report(self, now: float, name: str, reports: tuple[SiteReachability, ...]) -> None:
-        self.reports[name] = (now, reports)
+    def record_report(self, now: float, member: str, report: tuple[SiteReachability, ...]) -> None:
+        """Keep what another member reported."""
+        self._reports[member] = (now, report)
 
-    def forget(self, name: str) -> None:
-        self.reports.pop(name, None)
+    def forget(self, member: str) -> None:
+        """Drop what a member reported."""
+        self._reports.pop(member, None)
 
     def answered_shares(self, now: float, own_name: str) -> dict[str, dict[str, float]]:
-        """Of each site: who heard what share of the calls to it, as told within the span."""
-        report: dict[str, dict[str, float]] = {}
-        fresh = {name: reports for name, (at, reports) in self.reports.items() if at >= now - self.window}
-        for name, reports in [(own_name, self.own_report(now)), *sorted(fresh.items())]:
-            for each in reports:
-                report.setdefault(each.site, {})[name] = each.answered / each.calls if each.calls else 0.0
-        return report
+        """By site, then by reporting member: the share of its probes that was answered within the window."""
+        shares: dict[str, dict[str, float]] = {}
+        recent = {name: report for name, (at, report) in self._reports.items() if at >= now - self._window}
+        for name, report in [(own_name, self.own_report(now)), *sorted(recent.items())]:
+            for each in report:
+                share = each.answered / each.calls if each.calls else 0.0
+                shares.setdefault(each.site, {})[name] = share
+        return shares
--- /dev/null
+++ b/laureldock/fleet/settings.py
@@ -0,0 +1,36 @@
+"""What a membership view is configured with, and whether it takes part in the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class ViewStatus(Enum):
+    """Whether this member takes part in the fleet; operators are shown the values."""
+
+    ACTIVE = "here"
+    STEPPED_DOWN = "stepped down"
+    LEFT = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class ViewSettings:
+    """Identity of the local member and the parameters of its view; fixed for the life of a process.
+
+    `address` is where other members reach this one, as host:port. `generation` is greater than that of any
+    earlier start of this name, as far as is known, and `boot_id` is drawn at random for this start. `period`
+    and `forget_after` are seconds. `max_members` bounds how many members are known at once.
+    """
+
+    fleet: str
+    name: str
+    site: str
+    address: str
+    generation: int
+    boot_id: int
+    seeds: tuple[str, ...] = ()
+    period: float = 1.0
+    random_seed: int = 0
+    max_members: int = 4096
+    forget_after: float = 86400.0
--- a/laureldock/fleet/simulation.py
+++ b/laureldock/fleet/simulation.py
@@ -1,8 +1,7 @@
-"""Many views on one clock set by hand, over a modelled network: one seed gives one trace, to the byte.
+"""Simulation of a fleet: many views on one simulated clock; one seed gives one trace, to the byte.
 
-Shipped, since operators rehearse with it what no machine holds as processes. The network is a model:
-independent loss, delays drawn evenly, cuts by directed pair of members; a stream is there while both ways
-are.
+Shipped, since operators rehearse with it what no machine holds as processes. The network loses datagrams
+independently and delays them uniformly; a stream needs both directions of a link.
 """
 
 from __future__ import annotations
@@ -14,64 +13,34 @@
 from itertools import count
 from typing import Any
 
+from laureldock.fleet.effects import OpenStream, SendDatagram, ViewEvent
 from laureldock.fleet.members import PRESENT_STATES
 from laureldock.fleet.messages import MalformedMessageError
-from laureldock.fleet.view import (
-    MembershipView,
-    OpenStream,
-    SendDatagram,
-    ViewEvent,
-    ViewSettings,
-    ViewStatus,
-)
-
-Pair = tuple[str, str]
-
-
-@dataclass(slots=True)
-class Link:
-    """From one member to another. Times are seconds."""
-
-    cuts: int = 0  # faults that cut it now
-    loss: float = 0.0
-    doubled: float = 0.0
-    delay: float = 0.0  # at most, beside the network's own
-
-
-@dataclass(slots=True)
-class SimulatedNetwork:
-    """What becomes of datagrams: of all, and of those on single links."""
-
-    loss: float = 0.0
-    min_delay: float = 0.001
-    max_delay: float = 0.01
-    links: dict[Pair, Link] = field(default_factory=dict)
-
-    def link(self, sender: str, receiver: str) -> Link:
-        return self.links.setdefault((sender, receiver), Link())
-
-    def cut(self, sender: str, receiver: str) -> bool:
-        link = self.links.get((sender, receiver))
-        return link is not None and link.cuts > 0
+from laureldock.fleet.settings import ViewSettings, ViewStatus
+from laureldock.fleet.simulated_network import Link, SimulatedNetwork
+from laureldock.fleet.view import MembershipView
 
 
 @dataclass(eq=False, slots=True)
 class SimulatedHost:
-    """A member's process: it may be down, or stand still."""
+    """A member's process, which may be down or stalled. Times are seconds of the simulation."""
 
-    key: str  # of its address; a second process of one name has another
+    key: str  # of its address; a duplicate of a name has another
     name: str
     site: str
     view: MembershipView | None = None
     starts: int = 0
     generation: int = 0  # on its disk
-    stalled: float = 0.0  # until when
-    inbox: list[bytes] = field(default_factory=list)  # of one that stands still
-    timer_due: float = -1.0  # the turn that is already in the heap
+    stalled: float = 0.0  # until then
+    inbox: list[bytes] = field(default_factory=list)  # datagrams that came while it is stalled
+    timer_due: float = -1.0  # of the timer that is scheduled; -1 for none
 
 
 class Simulation:
-    """`names` of members, each with its site; the address of each is its name and `:1`."""
+    """Members by name, each with its site; the address of a member is its name and `:1`.
+
+    `period` is that of the views, in seconds; `seeds` are addresses, by default that of the first member.
+    """
 
     def __init__(
         self, names: dict[str, str], seed: int = 1, period: float = 1.0, seeds: Iterable[str] = ()
@@ -85,12 +54,15 @@
         self.datagrams_sent = self.bytes_sent = 0
 
     def random_fraction(self) -> float:
+        """A reproducible number from 0 up to, not including, 1."""
         return zlib.crc32(f"{self.seed}:{next(self.serial)}".encode()) / 2**32
 
     def schedule(self, when: float, action: Callable[..., None], *arguments: Any) -> None:
+        """Call `action` with `arguments` at a time of the simulation."""
         heapq.heappush(self.heap, (when, next(self.serial), action, arguments))
 
     def run(self, until: float) -> None:
+        """Run everything that is scheduled up to a time."""
         while self.heap and self.heap[0][0] <= until:
             self.now, _, action, arguments = heapq.heappop(self.heap)
             action(*arguments)
@@ -99,33 +71,37 @@
     # Members
 
     def start(self, key: str, clock: float = 0.0, seeds: Iterable[str] = ()) -> MembershipView:
-        """`clock`: seconds that its wall clock is off; `seeds`: others than the world's."""
+        """Start a member's process; its wall clock is off by `clock` seconds.
+
+        `seeds`, if any, take the place of the simulation's own.
+        """
         host = self.hosts[key]
         host.starts += 1
         # A day into the clock, so that one behind has a generation, too.
         host.generation = max(host.generation + 1, round((86400 + self.now + clock) * 1000))
         boot_id = zlib.crc32(f"{key}{host.starts}".encode())
-        arguments = ViewSettings(
+        settings = ViewSettings(
             "fleet", host.name, host.site, f"{key}:1", host.generation, boot_id,
             tuple(seeds) or self.seeds, self.period, self.seed * 100003 + host.starts,
         )  # fmt: skip
-        host.view, host.timer_due, host.stalled = MembershipView(arguments, self.now), -1.0, 0.0
+        host.view, host.timer_due, host.stalled = MembershipView(settings, self.now), -1.0, 0.0
         host.inbox.clear()
         self.advance(host)
         return host.view
 
     def start_duplicate(self, name: str) -> MembershipView:
-        """Another process of that name, at another address."""
+        """Start another process of a name, at another address."""
         self.hosts[f"{name}~"] = SimulatedHost(f"{name}~", name, self.hosts[name].site)
         return self.start(f"{name}~")
 
     def kill(self, key: str, folder: bool = False) -> None:
-        """`folder`: its disk is gone, too."""
+        """End a member's process at once; with `folder` its disk is lost, too."""
         host = self.hosts[key]
         host.view = None
         host.generation = 0 if folder else host.generation
 
     def leave(self, key: str) -> None:
+        """End a member's process after it told the others."""
         host = self.hosts[key]
         if host.view:
             host.view.leave(self.now)
@@ -133,12 +109,13 @@
             host.view = None
 
     def stall(self, key: str, seconds: float) -> None:
-        """As SIGSTOP does: it does nothing, and finds all that came meanwhile."""
+        """Stop a process as SIGSTOP does; when it goes on it finds all that came meanwhile."""
         host = self.hosts[key]
         host.stalled = self.now + seconds
         self.schedule(host.stalled, self.resume, host, host.view)
 
     def resume(self, host: SimulatedHost, view: MembershipView | None) -> None:
+        """Go on after a stall, if it is still the same process."""
         if host.view is view and view and host.stalled <= self.now:
             self.advance(host)
             inbox, host.inbox = host.inbox, []
@@ -147,6 +124,7 @@
             self.advance(host)
 
     def advance(self, host: SimulatedHost) -> None:
+        """Run what is due in a member's view, and carry out the effects."""
         if host.view is None or host.stalled > self.now:
             return
         for effect in host.view.advance(self.now):
@@ -163,19 +141,22 @@
             self.schedule(due, self.on_timer, host, host.view)
 
     def on_timer(self, host: SimulatedHost, view: MembershipView) -> None:
+        """A scheduled timer of a view is due."""
         if host.view is view:
             host.timer_due = -1.0
             self.advance(host)
 
-    # The network
+    # Network
 
     def random_delay(self) -> float:
+        """Seconds that a datagram takes."""
         return (
             self.network.min_delay
             + (self.network.max_delay - self.network.min_delay) * self.random_fraction()
         )
 
     def send(self, sender: str, address: str, data: bytes) -> None:
+        """Send a datagram, which may be lost, doubled or delayed."""
         self.datagrams_sent += 1
         self.bytes_sent += len(data)
         link = self.network.links.get((sender, address.removesuffix(":1"))) or Link()
@@ -187,8 +168,9 @@
                 self.schedule(self.now + late, self.arrive, sender, address, data)
 
     def arrive(self, sender: str, address: str, data: bytes) -> None:
+        """A datagram arrives, unless its receiver is down or behind a cut."""
         host = self.hosts.get(address.removesuffix(":1"))
-        if host is None or host.view is None or self.network.cut(sender, host.key):
+        if host is None or host.view is None or self.network.is_cut(sender, host.key):
             return
         if host.stalled > self.now:
             host.inbox.append(data)
@@ -197,11 +179,11 @@
         self.advance(host)
 
     def stream(self, host: SimulatedHost, view: MembershipView, address: str) -> None:
-        """Both ends in one go: a stream takes a few round trips, which only delays what it carries."""
+        """Play both ends of a stream at once: its round trips would only delay what it carries."""
         other = self.hosts.get(address.removesuffix(":1"))
         if other is None or other.view is None or host.view is not view:
             return
-        if self.network.cut(host.key, other.key) or self.network.cut(other.key, host.key):
+        if self.network.is_cut(host.key, other.key) or self.network.is_cut(other.key, host.key):
             return
         if other.stalled > self.now or host.stalled > self.now:
             return
@@ -218,14 +200,15 @@
         self.advance(host)
         self.advance(other)
 
-    # What is asked of a run
+    # Observation
 
     def living(self) -> list[MembershipView]:
+        """Views of processes that are up and take part."""
         views = (host.view for host in self.hosts.values())
         return [view for view in views if view is not None and view.status is ViewStatus.ACTIVE]
 
     def views_agree(self) -> bool:
-        """All that live hold the same members to be here, and these are those that live."""
+        """Whether all living views hold the same members to be present, namely those that live."""
         views = self.living()
         if not views or len({view.digest for view in views}) > 1:
             return not views
@@ -233,7 +216,7 @@
         return here == {view.settings.name for view in views}
 
     def settle(self, timeout: float) -> float:
-        """Seconds until they agree and go on agreeing for a period; infinity if not within `timeout`."""
+        """Seconds until all views agree, and do so for a period; infinity if not within `timeout` seconds."""
         began = self.now
         while self.now < began + timeout:
             if self.views_agree():
--- a/laureldock/fleet/transport.py
+++ b/laureldock/fleet/transport.py
@@ -1,4 +1,4 @@
-"""The rim of the view: datagrams and streams at one number, the clock, a small file for the next start.
+"""The transport of a membership view: UDP and TCP at one port number, the clock, a file for the next start.
 
 Everything is sent from the listening address, so that a relay or a packet filter knows the sender by it.
 """
@@ -10,6 +10,7 @@
 import os
 import time
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -20,27 +21,21 @@
 from twisted.protocols.policies import TimeoutMixin
 
 from laureldock.fleet import messages
-from laureldock.fleet.view import (
-    Effect,
-    MembershipView,
-    OpenStream,
-    SendDatagram,
-    ViewEvent,
-    ViewSettings,
-    ViewStatus,
-)
+from laureldock.fleet.effects import Effect, OpenStream, SendDatagram, ViewEvent
+from laureldock.fleet.settings import ViewSettings, ViewStatus
+from laureldock.fleet.view import MembershipView
 from laureldock.setup.plan import Fleet
 
-# that others have open here: each is a few frames, and what speaks no frames must end
+# Streams that others have open here: each is a few frames, and what speaks no frames must end.
 MAX_INBOUND_STREAMS = 16
 STREAM_TIMEOUT = 3.0  # seconds; a stream is a few round trips
 SAVE_INTERVAL = 10.0  # periods; what the next start would miss at most of who was there
-MAX_SAVED_ADDRESSES = 64  # addresses: enough that one of them lives
-WARNING_EVENTS = ("name taken", "failed", "refused")
+MAX_SAVED_ADDRESSES = 64  # enough that one of them lives
+WARNING_EVENTS = ("name taken", "failed", "refused")  # logged as warnings
 
 
 class PersistentState:
-    """What outlives the process: its generation, and whom to ask when all seeds are gone."""
+    """What outlives the process: its generation, and addresses to ask when all seeds are gone."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
@@ -54,12 +49,12 @@
             pass  # a new folder, or a spoilt file: the clock and the fleet tell of an earlier start
 
     def next_generation(self, wall_clock: float) -> int:
-        """The generation of this start: above the last one known here, and what the clock says."""
+        """The generation of this start: above the last one known here, at least the clock's milliseconds."""
         self.generation = max(self.generation + 1, int(wall_clock * 1000))
         return self.generation
 
     def save(self, generation: int, addresses: list[str]) -> None:
-        """OSError."""
+        """Write the file anew, atomically. OSError if that fails."""
         self.generation, self.addresses = generation, addresses[:MAX_SAVED_ADDRESSES]
         fresh = self.path.with_suffix(".new")
         with fresh.open("w", encoding="utf-8") as file:
@@ -70,6 +65,8 @@
 
 
 class DatagramEndpoint(DatagramProtocol):
+    """Passes datagrams to the view."""
+
     noisy = False
     transport: Any
 
@@ -82,7 +79,7 @@
 
 
 class StreamProtocol(Int32StringReceiver, TimeoutMixin):
-    """Either end of a stream; `opened`: this is the end that begins."""
+    """Either end of a stream; `opened`: this member opened it, and sends the first frame."""
 
     MAX_LENGTH = messages.MAX_FRAME_BYTES
     transport: Any
@@ -123,7 +120,7 @@
 
 
 class StreamFactory(ClientFactory):
-    """Of those that others open here, or of one that this member opens."""
+    """Builds the protocol of streams that others open here, or of one that this member opens."""
 
     noisy = False
 
@@ -135,7 +132,11 @@
 
 
 class FleetTransport:
-    """`told` hears of events: a name and its fields. `load` gives how full this dispatcher is, 0 to 1."""
+    """Runs a membership view on a reactor.
+
+    `on_event` is called with the name and fields of each event. `load` gives how full this dispatcher is,
+    0 to 1.
+    """
 
     def __init__(
         self,
@@ -174,18 +175,19 @@
         self.datagrams = DatagramEndpoint(self)
 
     def seed_addresses(self, seeds: list[Any]) -> tuple[str, ...]:
-        """Configured seeds, and those that the last start knew."""
+        """Configured seeds, and addresses that the last start knew."""
         mine = self.settings.advertise or self.settings.listen
         known = dict.fromkeys([*map(str, seeds), *self.persistent_state.addresses])
         return tuple(each for each in known if each != mine)
 
     def now(self) -> float:
+        """Seconds of the reactor's clock."""
         return self.reactor.seconds()
 
-    # The life of the process
+    # Lifecycle
 
     def start(self) -> None:
-        """OSError where nothing can listen there."""
+        """Listen, and begin to join. CannotListenError where nothing can listen there."""
         self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
         self.reactor.listenTCP(self.port, StreamFactory(self, opened=False), interface=self.host)
         self.save()
@@ -193,50 +195,57 @@
         self.advance()
 
     def save_periodically(self) -> None:
+        """Save what changed, again and again while this member takes part."""
         if self.view.status is ViewStatus.ACTIVE:
             if self.dirty:
                 self.save()
             self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.save_periodically)
 
     def save(self) -> None:
+        """Save for the next start; a fault is reported as an event."""
         self.dirty = False
-        others = [each.record.address for each in self.view.members() if each is not self.view.me]
+        others = [each.record.address for each in self.view.members() if each is not self.view.local]
         try:
-            # Who is there now, else who was: a start among strangers must not wipe out whom it knew.
+            # Present members, else those saved before: a start that reaches nobody must not lose them.
             addresses = others or self.persistent_state.addresses
-            self.persistent_state.save(self.view.me.record.generation, addresses)
+            self.persistent_state.save(self.view.local.record.generation, addresses)
         except OSError as error:
             self.on_event("not kept", {"fault": str(error)})
 
     def leave(self) -> None:
+        """Tell the fleet that this member leaves."""
         if self.view.status is ViewStatus.ACTIVE:
             self.save()
             self.view.leave(self.now())
             self.advance()
 
     def lameduck(self, on: bool) -> None:
-        self.view.lameduck(self.now(), on)
+        """Tell the fleet that this member is being emptied, or takes clients again."""
+        self.view.set_lameduck(self.now(), on)
         self.schedule_advance()
 
     def set_seeds(self, settings: Fleet) -> None:
+        """Take over the seeds of a new configuration."""
         self.view.set_seeds(list(self.seed_addresses(settings.seeds)))
 
     def forget(self, name: str) -> bool:
+        """Hold a failed member to have left; False where no such member failed."""
         forgotten = self.view.forget_failed(self.now(), name)
         self.schedule_advance()
         return forgotten
 
-    # Turns
+    # Time and effects
 
     def schedule_advance(self) -> None:
-        """Once all that has come in is read."""
+        """Advance the view once all that has come in is read."""
         if not self.advance_scheduled:
             self.advance_scheduled = True
             self.reactor.callLater(0, self.advance)
 
     def advance(self) -> None:
+        """Run what is due, carry out the effects, and set the timer for what is due next."""
         self.advance_scheduled = False
-        self.view.load = round(255 * min(1.0, self.load()))
+        self.view.set_load(round(255 * min(1.0, self.load())))
         version = self.view.version
         for effect in self.view.advance(self.now()):
             self.execute(effect)
@@ -249,10 +258,11 @@
                 self.timer = self.reactor.callLater(max(0.0, self.next_due - self.now()), self.advance)
 
     def execute(self, effect: Effect) -> None:
+        """Carry out one effect; failures to send or connect are as lost datagrams."""
         match effect:
             case SendDatagram(address=address, data=data):
                 host, _, port = address.rpartition(":")
-                # What cannot be sent is as a lost one: whoever it was for is asked again.
+                # What cannot be sent counts as lost: its receiver is probed again.
                 with contextlib.suppress(OSError, ValueError, OverflowError):
                     self.datagrams.transport.write(data, (host, int(port)))
             case OpenStream(address=address):
@@ -266,9 +276,10 @@
                 self.dirty = True
                 self.on_event(name, fields)
 
-    # What people and programs are shown
+    # Reporting
 
     def report(self) -> dict[str, Any]:
+        """The view as `GET /_fleet` shows it."""
         view, now = self.view, self.now()
         return {
             "fleet": view.settings.fleet,
@@ -293,5 +304,5 @@
                 for each in view.members()
             ],
             "reach": view.reachability_shares(now),
-            "counts": {name: getattr(view.counts, name) for name in view.counts.__slots__},
+            "counts": asdict(view.counters),
         }
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+from dataclasses import asdict
 from pathlib import Path
 
 import msgspec
@@ -18,9 +19,11 @@
 
 from laureldock.cli import main
 from laureldock.fleet import messages
+from laureldock.fleet.effects import SendDatagram, ViewEvent
 from laureldock.fleet.messages import ALIVE, FAILED, MemberRecord, MessageHeader
+from laureldock.fleet.settings import ViewSettings, ViewStatus
 from laureldock.fleet.simulation import Simulation
-from laureldock.fleet.view import MembershipView, SendDatagram, ViewEvent, ViewSettings, ViewStatus
+from laureldock.fleet.view import MembershipView
 from laureldock.rehearsal.fleet.processes import ProcessFleet
 from laureldock.rehearsal.fleet.script import load, shipped
 from laureldock.rehearsal.fleet.simulated import SimulatedRun
@@ -104,9 +107,9 @@
     assert before
     simulation.kill("d2", folder=True)
     after = simulation.start("d2", clock=-7200.0)
-    assert after.me.record.start_key < before.me.record.start_key
+    assert after.local.record.start_key < before.local.record.start_key
     simulation.run(simulation.now + 8)
-    assert after.me.record.generation == before.me.record.generation + 1 and simulation.views_agree()
+    assert after.local.record.generation == before.local.record.generation + 1 and simulation.views_agree()
     assert (
         events(simulation, "generation raised") and len(events(simulation, "generation changed", "d2")) == 3
     )
@@ -142,8 +145,8 @@
     simulation = start_simulation(3)
     view, other = simulation.hosts["d1"].view, simulation.hosts["d0"].view
     assert view and other
-    view.load = 200
-    view.lameduck(simulation.now, True)
+    view.set_load(200)
+    view.set_lameduck(simulation.now, True)
     simulation.advance(simulation.hosts["d1"])
     simulation.run(simulation.now + 5)
     member = other.member_table["d1"]
@@ -195,7 +198,9 @@
     for data in bad:
         view.receive_datagram(1.0, data)
     assert (
-        view.counts.refused == len(bad) and set(view.member_table.members) == {"me"} and view.me.record == ME
+        view.counters.refused == len(bad)
+        and set(view.member_table.members) == {"me"}
+        and view.local.record == ME
     )
     assert (
         sum(isinstance(effect, ViewEvent) and effect.name == "refused" for effect in view.advance(1.0)) == 1
@@ -205,13 +210,13 @@
 def test_a_word_that_declares_this_one_dead_is_refuted() -> None:
     view = lone()
     view.receive_datagram(1.0, gossip(GOOD, msgspec.structs.replace(ME, incarnation=3, state=FAILED)))
-    assert (view.me.record.state, view.me.record.incarnation) == (ALIVE, 4)
+    assert (view.local.record.state, view.local.record.incarnation) == (ALIVE, 4)
     sent = [
         messages.decode_datagram(effect.data)
         for effect in view.advance(1.0)
         if isinstance(effect, SendDatagram)
     ]
-    assert any(view.me.record in message.records for message in sent)
+    assert any(view.local.record in message.records for message in sent)
 
 
 def test_a_datagram_that_claims_this_ones_name_is_asked_before_it_is_believed() -> None:
@@ -243,7 +248,7 @@
         ]
         view.receive_datagram(1.0 + number / 1000, gossip(*made))
         view.advance(1.0 + number / 1000)
-    assert len(view.member_table.members) == 100 and len(view.gossip_queue) <= 100 and len(view.timers) < 300
+    assert len(view.member_table.members) == 100 and view.queued_records <= 100 and view.pending_timers < 300
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
@@ -265,9 +270,9 @@
     try:
         view.receive_frame(1.0, bytes(raw))
     except messages.MalformedMessageError:
-        assert view.counts.refused
+        assert view.counters.refused
     view.advance(1.0)
-    assert len(view.member_table.members) <= 4 and view.me.record.state == ALIVE
+    assert len(view.member_table.members) <= 4 and view.local.record.state == ALIVE
 
 
 class Faults(RuleBasedStateMachine):
@@ -420,3 +425,8 @@
     )
     done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_counters_shown_to_operators_keep_their_names() -> None:
+    names = list(asdict(lone().counters))
+    assert names == ["datagrams", "refused", "sent", "bytes_sent", "streams", "slept", "refuted"]
--- a/tests/test_fleet_model.py
+++ b/tests/test_fleet_model.py
@@ -8,7 +8,7 @@
 import pytest
 from msgspec import structs
 
-from laureldock.fleet import members
+from laureldock.fleet import precedence
 from laureldock.fleet.messages import ALIVE, FAILED, LEFT, SUSPECT, MemberRecord
 
 Wins = Callable[[MemberRecord, MemberRecord | None], bool]
@@ -33,8 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    supersedes: Wins = members.supersedes
-    refutation: Refuted = members.refutation
+    supersedes: Wins = precedence.supersedes
+    refutation: Refuted = precedence.refutation
     suspicion: bool = True  # before anyone fails it
 
 
@@ -134,7 +134,7 @@
 
 def incarnation_ignored(told: MemberRecord, known: MemberRecord | None) -> bool:
     return (
-        members.supersedes(told, known)
+        precedence.supersedes(told, known)
         if known is None or told.start_key != known.start_key
         else told.state > known.state
     )
@@ -146,11 +146,11 @@
         and told.start_key == known.start_key
         and (told.state, known.state) == (ALIVE, FAILED)
     )
-    return old or members.supersedes(told, known)
+    return old or precedence.supersedes(told, known)
 
 
 def generation_ignored(told: MemberRecord, known: MemberRecord | None) -> bool:
-    return members.supersedes(
+    return precedence.supersedes(
         structs.replace(told, generation=1), known and structs.replace(known, generation=1)
     )
 
@@ -158,11 +158,11 @@
 def ties_win(told: MemberRecord, known: MemberRecord | None) -> bool:
     """Of two equal words the later to come wins: they take turns."""
     level = known is not None and (told.start_key, told.incarnation) == (known.start_key, known.incarnation)
-    return (level and told != known and ALIVE not in (told.state,)) or members.supersedes(told, known)
+    return (level and told != known and ALIVE not in (told.state,)) or precedence.supersedes(told, known)
 
 
 def not_raised(told: MemberRecord, mine: MemberRecord) -> MemberRecord | None:
-    return mine if members.refutation(told, mine) else None
+    return mine if precedence.refutation(told, mine) else None
 
 
 @pytest.mark.parametrize(
