Rename the core's Letter, Owed, Word and Answer to the field's names

core/letters.py -> core/messages.py: Letter -> HeldMessage, Owed -> StoredMessage, Word -> ReplyKind, Answer -> Reply, Waiter -> Submitter, TAKEN -> ACCEPTED, notice_of -> encode_notice; Dispatcher.letters -> held. Log events and their fields, counters, the spool's records and what clients read are untouched. Tests change by the names alone; every assertion is as strict as before.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -113,7 +113,7 @@
             (core.log.warning if name in WARNING_EVENTS else core.log.info)(f"fleet: {name}", **fields)
 
         def load() -> float:
-            return len(core.letters) / plan.limits.room
+            return len(core.held) / plan.limits.room
 
         return FleetTransport(self.reactor, settings, plan.name, plan.seed, state, told, load)
 
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -11,7 +11,7 @@
 
 from laureldock.core import MOST_BODY
 from laureldock.core.ends import OUTCOMES, STATUSES, End
-from laureldock.core.letters import Letter
+from laureldock.core.messages import HeldMessage
 from laureldock.core.seams import Outcomes, Timer
 from laureldock.interface import Attempt, Ending, Listed, Outcome, Probe, Route
 from laureldock.sockets.flush import unread
@@ -65,21 +65,24 @@
                 pool.hang_up()
                 del self.pools[route]
 
-    def attempt(self, attempt: Attempt, letter: Letter) -> None:
-        head = [b"POST /hook HTTP/1.1", b"X-Call-Id: " + letter.name]
-        head += [b"Idempotency-Key: " + letter.tag] if letter.tag else []
-        head += [b"X-Budget: %dm" % max(1, attempt.time_out * 1000), b"Content-Length: %d" % len(letter.body)]
+    def attempt(self, attempt: Attempt, message: HeldMessage) -> None:
+        head = [b"POST /hook HTTP/1.1", b"X-Call-Id: " + message.name]
+        head += [b"Idempotency-Key: " + message.tag] if message.tag else []
+        head += [
+            b"X-Budget: %dm" % max(1, attempt.time_out * 1000),
+            b"Content-Length: %d" % len(message.body),
+        ]
 
         def may_begin() -> bool:
-            return self.core.may_begin(attempt, letter)
+            return self.core.may_begin(attempt, message)
 
         def ended(end: End, outcome: Outcome) -> None:
             del self.errands[attempt]
-            self.core.ended(attempt, letter, end, outcome)
+            self.core.ended(attempt, message, end, outcome)
 
         pool = self.pools[attempt.route]
-        errand = Errand(self, pool, head, letter.body, attempt.time_out, may_begin, ended, attempt.rest)
-        errand.letter = letter
+        errand = Errand(self, pool, head, message.body, attempt.time_out, may_begin, ended, attempt.rest)
+        errand.message = message
         self.errands[attempt] = errand
         errand.start()
 
@@ -149,7 +152,7 @@
         self.rest, self.rested = rest, 0.0
         self.began, self.over = receivers.core.now(), False
         self.line: HttpLine | None = None
-        self.letter: Letter | None = None  # of an attempt
+        self.message: HeldMessage | None = None  # of an attempt
         self.opening: Deferred[HttpLine] | None = None
         self.timer: Timer | None = None
 
@@ -221,8 +224,8 @@
         self.finish(end, headers)
 
     def written_out(self) -> None:
-        if self.letter:  # not of a probe
-            self.receivers.core.sent(self.letter)
+        if self.message:  # not of a probe
+            self.receivers.core.sent(self.message)
 
     def unanswered(self, end: End) -> None:
         self.finish(end)
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -13,7 +13,15 @@
 from laureldock import interface as face
 from laureldock.control import Control
 from laureldock.core.ends import OUTCOMES, End
-from laureldock.core.letters import TAKEN, Answer, Letter, Owed, Waiter, Word, notice_of
+from laureldock.core.messages import (
+    ACCEPTED,
+    HeldMessage,
+    Reply,
+    ReplyKind,
+    StoredMessage,
+    Submitter,
+    encode_notice,
+)
 from laureldock.core.seams import Carrier, Clock, Front, NotAMailError, Outlet, Source, Store, Timer
 from laureldock.tariff import Book, Entry
 
@@ -57,15 +65,15 @@
         self.counters: Counter[str] = Counter()
         self.by_class: dict[str, Counter[str]] = {}  # of each queue class: relayed, deferred, bounced, sent
         self.store.open()
-        self.letters: dict[face.Mail, Letter] = {}
-        self.by_name: dict[bytes, Letter] = {}
+        self.held: dict[face.Mail, HeldMessage] = {}
+        self.by_name: dict[bytes, HeldMessage] = {}
         self.fronts: list[Front] = []
         self.running, self.stopped_at = True, 0.0
         self.recovered = False  # what the life before owed is held
         self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
         self.handed_down = False  # the listening socket is the platform's, shared with the next process
         self.verbose = False  # whether each mail's steps are logged
-        self.fresh: list[Letter] = []  # taken since the last turn
+        self.fresh: list[HeldMessage] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
 
@@ -80,9 +88,9 @@
 
     def start(self) -> None:
         self.log.info("starting", owed=len(self.store.owed), torn_bytes=self.store.torn)
-        for owed in list(self.store.owed.values()):
-            if owed.notice:
-                self.outlet.put(owed.name, owed.notice)
+        for stored in list(self.store.owed.values()):
+            if stored.notice:
+                self.outlet.put(stored.name, stored.notice)
         self.source.start()
         self.recover()
 
@@ -103,16 +111,16 @@
         still owes waits here."""
         if not self.running or not (self.handed_down or self.store.sharing):
             return
-        found: list[Owed] = []
+        found: list[StoredMessage] = []
         try:
             found = [] if self.stopped_at else self.store.adopt()
         except OSError as fault:
             self.log.error("spool cannot be written", fault=str(fault))
         if found:
             self.log.info("taken over", owed=len(found))
-            for owed in found:
-                if owed.notice:
-                    self.outlet.put(owed.name, owed.notice)
+            for stored in found:
+                if stored.notice:
+                    self.outlet.put(stored.name, stored.notice)
             self.revive(found, earlier=True)
         if self.handed_down:
             self.tell(self.control.elsewhere, self.store.keys_elsewhere())
@@ -122,21 +130,21 @@
                     self.tell(self.control.told_to_wait, route, until - clock)
         self.later(ADOPT_EVERY, self.adopt)
 
-    def revive(self, found: list[Owed], earlier: bool = False) -> None:
+    def revive(self, found: list[StoredMessage], earlier: bool = False) -> None:
         clock = self.wall()
-        for owed in found:
-            kind = self.book.classes.get(owed.queue_class)
+        for stored in found:
+            kind = self.book.classes.get(stored.queue_class)
             if kind is None:  # the settings have changed since
-                if not owed.notice:
-                    self.end_by_notice(owed.name, handed_back=False)
+                if not stored.notice:
+                    self.end_by_notice(stored.name, handed_back=False)
                 continue
-            starts = [at for at in (owed.ran, owed.out) if at is not None]
-            mail = self.book.mail(kind, owed.destination, owed.end - clock, owed.customer, owed.key)
+            starts = [at for at in (stored.ran, stored.out) if at is not None]
+            mail = self.book.mail(kind, stored.destination, stored.end - clock, stored.customer, stored.key)
             ran = clock - min(starts) if starts else None
             # A wall clock that was set back meanwhile tells nothing of how long ago it was: no tag is known.
-            mail.attempts, mail.ran = owed.attempts, LONG_AGO if ran is not None and ran < 0 else ran
-            mail.earlier, mail.ended = earlier, bool(owed.notice)
-            self.hold(Letter(owed.name, owed.tag, owed.body, mail, self.now() + mail.left))
+            mail.attempts, mail.ran = stored.attempts, LONG_AGO if ran is not None and ran < 0 else ran
+            mail.earlier, mail.ended = earlier, bool(stored.notice)
+            self.hold(HeldMessage(stored.name, stored.tag, stored.body, mail, self.now() + mail.left))
             self.tell(self.control.taken, mail)
 
     def open_door(self) -> None:
@@ -146,11 +154,11 @@
                 self.ended_for(f"cannot listen: {fault}")
                 return
         self.ready = True
-        self.log.info("ready", routes=len(self.book.routes), owed=len(self.letters))
+        self.log.info("ready", routes=len(self.book.routes), owed=len(self.held))
 
     def stop(self, done: Callable[[], None]) -> None:
         """A planned stop: still serve what comes, finish what is out, keep the rest for the next start."""
-        self.log.info("stopping", out=self.carrier.out, held=len(self.letters))
+        self.log.info("stopping", out=self.carrier.out, held=len(self.held))
         self.stopped_at = self.now()
         self.ready = False
         self.tell(self.control.closing, ALL_OVER)
@@ -164,14 +172,14 @@
 
     def wind_up(self, done: Callable[[], None]) -> None:
         late = self.now() - self.stopped_at > ALL_OVER
-        if not late and (self.letters or self.outlet.waiting or any(front.busy for front in self.fronts)):
+        if not late and (self.held or self.outlet.waiting or any(front.busy for front in self.fronts)):
             self.later(0.02, self.wind_up, done)
             return
         self.running = False
         self.source.close()
         self.outlet.close()
         self.carrier.close()
-        self.log.info("stopped", kept=len(self.letters), out=self.carrier.out, **self.counters)
+        self.log.info("stopped", kept=len(self.held), out=self.carrier.out, **self.counters)
         done()
 
     def takes_clients(self) -> bool:
@@ -181,7 +189,7 @@
         """Empty this dispatcher, or take clients again; the process runs on, and what it has is served."""
         if on != self.lameduck:
             self.lameduck = on
-            self.log.warning("lameduck" if on else "lameduck over", held=len(self.letters))
+            self.log.warning("lameduck" if on else "lameduck over", held=len(self.held))
             for front in self.fronts:
                 front.set_lameduck(on)
 
@@ -204,10 +212,10 @@
         for effect in self.guard(self.control.turn, self.now()) or ():
             self.guard(self.carry_out, effect)
         fresh, self.fresh = self.fresh, []
-        for letter in fresh:
-            if letter.waiter:
-                waiter, letter.waiter = letter.waiter, None
-                waiter.told(letter.refusal or TAKEN)
+        for message in fresh:
+            if message.submitter:
+                submitter, message.submitter = message.submitter, None
+                submitter.reply(message.refusal or ACCEPTED)
 
     def guard(self, call: Callable[..., Any], *args: Any) -> Any:
         """A fault ends what it was about, not the process."""
@@ -222,17 +230,17 @@
         match effect:
             case face.Attempt(mail=mail):
                 self.counters["connects"] += 1
-                letter = self.letters[mail]
-                letter.attempts += 1
+                message = self.held[mail]
+                message.attempts += 1
                 if self.verbose:
-                    self.step("connect", letter, route=effect.route.name)
-                self.carrier.attempt(effect, letter)
+                    self.step("connect", message, route=effect.route.name)
+                self.carrier.attempt(effect, message)
             case face.Cancel(attempt=attempt):
                 self.carrier.cancel(attempt)
             case face.Defer(mail=mail, retry_after=retry_after):
-                self.answer(self.letters[mail], True, retry_after)
+                self.answer(self.held[mail], True, retry_after)
             case face.Bounce(mail=mail):
-                self.answer(self.letters[mail], False, 0.0)
+                self.answer(self.held[mail], False, 0.0)
             case face.Probe():
                 self.counters["probes"] += 1
                 self.carrier.probe(effect)
@@ -250,45 +258,45 @@
 
     # Fronts
 
-    def put(self, waiter: Waiter, owed: Owed, left: float) -> Answer | Letter:
+    def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage:
         """Take a mail on: its waiter is told after the turn, or hears now what is given back."""
-        kind = self.book.classes.get(owed.queue_class)
+        kind = self.book.classes.get(stored.queue_class)
         if kind is None:
-            self.count(owed.queue_class, "bounced")
+            self.count(stored.queue_class, "bounced")
             raise NotAMailError("unknown class")
-        if owed.destination not in self.book.destinations:  # none was ever listed for it
-            self.count(owed.queue_class, "bounced")
+        if stored.destination not in self.book.destinations:  # none was ever listed for it
+            self.count(stored.queue_class, "bounced")
             raise NotAMailError("unknown destination")
-        if owed.name in self.by_name:  # sent once more, since a close had crossed it
-            return TAKEN
-        if not self.store.take(owed):
+        if stored.name in self.by_name:  # sent once more, since a close had crossed it
+            return ACCEPTED
+        if not self.store.take(stored):
             self.counters["spool full"] += 1
-            self.count(owed.queue_class, "deferred")
-            return Answer(Word.BUSY)
-        mail = self.book.mail(kind, owed.destination, left, owed.customer, owed.key)
-        letter = Letter(owed.name, owed.tag, owed.body, mail, self.now() + left, waiter)
-        self.hold(letter)
-        self.fresh.append(letter)
+            self.count(stored.queue_class, "deferred")
+            return Reply(ReplyKind.BUSY)
+        mail = self.book.mail(kind, stored.destination, left, stored.customer, stored.key)
+        message = HeldMessage(stored.name, stored.tag, stored.body, mail, self.now() + left, submitter)
+        self.hold(message)
+        self.fresh.append(message)
         self.counters["taken"] += 1
         if self.verbose:
-            self.step("mail taken", letter)
+            self.step("mail taken", message)
         self.tell(self.control.taken, mail)
-        return letter
+        return message
 
-    def withdrawn(self, letter: Letter) -> None:
+    def withdrawn(self, message: HeldMessage) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
-        if letter.name in self.by_name and not self.outlet.owes(letter.name):
+        if message.name in self.by_name and not self.outlet.owes(message.name):
             self.counters["withdrawn"] += 1
-            letter.waiter = None
-            self.tell(self.control.withdrawn, letter.mail)
-            self.forget(letter)
+            message.submitter = None
+            self.tell(self.control.withdrawn, message.mail)
+            self.forget(message)
 
-    def step(self, event: str, letter: Letter, **fields: Any) -> None:
+    def step(self, event: str, message: HeldMessage, **fields: Any) -> None:
         """Of one mail, by the names that its client and the list gave."""
-        owed = self.store.owed.get(letter.name)
-        names = {"queue_class": owed.queue_class, "destination": owed.destination} if owed else {}
-        mail = letter.name.decode(errors="replace")
-        self.log.debug(event, mail=mail, **names, connects=letter.attempts, **fields)
+        stored = self.store.owed.get(message.name)
+        names = {"queue_class": stored.queue_class, "destination": stored.destination} if stored else {}
+        mail = message.name.decode(errors="replace")
+        self.log.debug(event, mail=mail, **names, connects=message.attempts, **fields)
 
     def full(self, full: bool) -> None:
         self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
@@ -301,13 +309,13 @@
         self.counters["malformed requests"] += 1
         self.log.warning("malformed request", why=why, so_far=self.counters["malformed requests"])
 
-    def hold(self, letter: Letter) -> None:
-        self.letters[letter.mail] = self.by_name[letter.name] = letter
+    def hold(self, message: HeldMessage) -> None:
+        self.held[message.mail] = self.by_name[message.name] = message
 
-    def forget(self, letter: Letter) -> None:
-        self.keep(self.store.over, letter.name)
-        self.by_name.pop(letter.name, None)
-        self.letters.pop(letter.mail, None)
+    def forget(self, message: HeldMessage) -> None:
+        self.keep(self.store.over, message.name)
+        self.by_name.pop(message.name, None)
+        self.held.pop(message.mail, None)
 
     def keep(self, record: Callable[..., None], *args: Any) -> bool:
         """Put it down in the spool."""
@@ -320,66 +328,66 @@
 
     # Ends
 
-    def over(self, letter: Letter, word: str) -> None:
+    def over(self, message: HeldMessage, word: str) -> None:
         if self.verbose:
-            self.step("mail over", letter, word=word)
+            self.step("mail over", message, word=word)
 
-    def answer(self, letter: Letter, handed_back: bool, retry_after: float) -> None:
+    def answer(self, message: HeldMessage, handed_back: bool, retry_after: float) -> None:
         word = "deferred" if handed_back else "bounced"
-        self.over(letter, word)
+        self.over(message, word)
         self.counters[word] += 1
-        self.count_of(letter, word)
-        if letter.waiter:  # it has had no answer yet
-            letter.refusal = Answer(Word.BUSY if handed_back else Word.FAILED, retry_after)
-            self.forget(letter)
-            self.tell(self.control.noticed, letter.mail)
+        self.count_of(message, word)
+        if message.submitter:  # it has had no answer yet
+            message.refusal = Reply(ReplyKind.BUSY if handed_back else ReplyKind.FAILED, retry_after)
+            self.forget(message)
+            self.tell(self.control.noticed, message.mail)
         else:
-            self.end_by_notice(letter.name, handed_back, retry_after)
+            self.end_by_notice(message.name, handed_back, retry_after)
 
     def end_by_notice(self, name: bytes, handed_back: bool, retry_after: float = 0.0) -> None:
-        line = notice_of(name, handed_back, retry_after)
+        line = encode_notice(name, handed_back, retry_after)
         self.keep(self.store.notice, name, line)
         self.outlet.put(name, line)
 
     def noticed(self, name: bytes) -> None:
-        letter = self.by_name.get(name)
-        if letter:
-            self.forget(letter)
-            self.tell(self.control.noticed, letter.mail)
+        message = self.by_name.get(name)
+        if message:
+            self.forget(message)
+            self.tell(self.control.noticed, message.mail)
         else:  # ended in an earlier life
             self.keep(self.store.over, name)
 
     # Carriers
 
-    def may_begin(self, attempt: face.Attempt, letter: Letter) -> bool:
+    def may_begin(self, attempt: face.Attempt, message: HeldMessage) -> bool:
         """Asked when the connection is up: what was told meanwhile may forbid it; and the spool must know."""
-        if letter.name not in self.by_name or not self.control.may_begin(self.now(), attempt):
+        if message.name not in self.by_name or not self.control.may_begin(self.now(), attempt):
             return False
-        letter.noted = attempt
-        return self.keep(self.store.out, letter.name, self.wall())
+        message.recorded_attempt = attempt
+        return self.keep(self.store.out, message.name, self.wall())
 
-    def sent(self, letter: Letter) -> None:
-        self.count_of(letter, "sent")
+    def sent(self, message: HeldMessage) -> None:
+        self.count_of(message, "sent")
 
-    def ended(self, attempt: face.Attempt, letter: Letter, end: End, outcome: face.Outcome) -> None:
-        if end is End.DELIVERED and self.now() > letter.end - ROUNDING:
+    def ended(self, attempt: face.Attempt, message: HeldMessage, end: End, outcome: face.Outcome) -> None:
+        if end is End.DELIVERED and self.now() > message.end - ROUNDING:
             end = End.TOO_LATE
             ending, finished = OUTCOMES[end]
             outcome = replace(outcome, ending=ending, finished=finished)
         self.counters[f"ended: {end.value}"] += 1
         if self.verbose:
             self.step(
-                "connect ended", letter, route=attempt.route.name, end=end.value, took=round(outcome.took, 4)
+                "connect ended", message, route=attempt.route.name, end=end.value, took=round(outcome.took, 4)
             )
         if outcome.finished:
-            if letter.name in self.by_name:  # a second copy may have been served first
+            if message.name in self.by_name:  # a second copy may have been served first
                 if end is End.DELIVERED:
                     self.counters["relayed"] += 1
-                    self.count_of(letter, "relayed")
-                self.over(letter, end.value)
-            self.forget(letter)
-        elif letter.noted is attempt and outcome.ending in NOT_RUN:
-            self.keep(self.store.back, letter.name)
+                    self.count_of(message, "relayed")
+                self.over(message, end.value)
+            self.forget(message)
+        elif message.recorded_attempt is attempt and outcome.ending in NOT_RUN:
+            self.keep(self.store.back, message.name)
         if outcome.wait and self.handed_down:  # binds both processes: to the rules they are one dispatcher
             clock = self.wall()
             self.keep(self.store.wait, attempt.route.name, clock + outcome.wait, clock)
@@ -410,8 +418,8 @@
 
     # Counters
 
-    def count_of(self, letter: Letter, word: str) -> None:
-        self.count(self.book.name_of(letter.mail.queue_class), word)
+    def count_of(self, message: HeldMessage, word: str) -> None:
+        self.count(self.book.name_of(message.mail.queue_class), word)
 
     def count(self, queue_class: str, word: str) -> None:
         found = self.by_class.get(queue_class)
@@ -431,7 +439,7 @@
                 name: {shown: counts[word] for shown, word in words.items()}
                 for name, counts in sorted(self.by_class.items())
             },
-            "in_flight": len(self.letters),
+            "in_flight": len(self.held),
             "endpoints_known": len(routes),
             "endpoints_excluded": draining + self.control.excluded(self.now()),
             "reloads_ok": self.counters["configurations read"],
@@ -444,6 +452,6 @@
         self.log.info("counters", **self.figures())
 
     def figures(self) -> dict[str, int]:
-        held = {"held": len(self.letters), "out": self.carrier.out}
+        held = {"held": len(self.held), "out": self.carrier.out}
         held["clients"] = sum(front.busy for front in self.fronts)
         return {**held, **dict(sorted(self.counters.items()))}
--- /dev/null
+++ b/laureldock/core/messages.py
@@ -0,0 +1,80 @@
+"""Messages as the core keeps them: stored ones, which outlive the process, and those it holds now."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+from laureldock import interface as face
+
+
+@dataclass(eq=False, slots=True)
+class StoredMessage:
+    """A message as the store knows it. Times are of the wall clock, which goes on between two processes."""
+
+    name: bytes
+    key: str | None
+    queue_class: str
+    customer: str
+    tag: bytes
+    destination: Any  # a number or a name, as the list of receivers has it
+    end: float
+    body: bytes
+    attempts: int = 0
+    ran: float | None = None  # when the first attempt that may have run was sent
+    out: float | None = None  # when the last one was sent, unless it is known not to have run
+    notice: bytes = b""  # by which it ends undelivered, not taken yet
+    room: int = 0  # bytes reserved for it in the store
+
+
+class ReplyKind(Enum):
+    """What the sender of a message hears."""
+
+    ACCEPTED = "taken on"
+    BUSY = "come again"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The reply to a submitted message."""
+
+    kind: ReplyKind
+    retry_after: float = 0.0  # seconds; 0 for no advice
+
+
+ACCEPTED = Reply(ReplyKind.ACCEPTED)
+
+
+class Submitter(Protocol):
+    """Submitted a message, and waits for the reply."""
+
+    def reply(self, reply: Reply) -> None:
+        """Take the reply; called once for each message."""
+
+
+@dataclass(eq=False, slots=True)
+class HeldMessage:
+    """A message that this process holds, with what the decisions know of it (`mail`)."""
+
+    name: bytes
+    tag: bytes
+    body: bytes
+    mail: face.Mail
+    end: float  # of its lifetime, in seconds of the clock of the process
+    submitter: Submitter | None = None  # until it has been replied to
+    refusal: Reply | None = None
+    recorded_attempt: face.Attempt | None = None  # the last attempt that the store holds to be under way
+    attempts: int = 0  # by this process
+
+
+def encode_notice(name: bytes, handed_back: bool, retry_after: float) -> bytes:
+    """The notice by which an accepted message ends undelivered: a line of JSON."""
+    fields: dict[str, object] = {"message": name.decode("ascii"), "outcome": "given_up"}
+    if handed_back:
+        fields["outcome"] = "handed_back"
+        if wait := round(retry_after * 1000):
+            fields["retry_in_ms"] = wait
+    return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -12,7 +12,7 @@
 
 from laureldock import interface as face
 from laureldock.core.ends import End
-from laureldock.core.letters import Answer, Letter, Owed, Waiter
+from laureldock.core.messages import HeldMessage, Reply, StoredMessage, Submitter
 from laureldock.tariff import Entry
 
 
@@ -62,7 +62,7 @@
     def forget(self) -> None:
         """Close what leads to routes that are gone from the list."""
 
-    def attempt(self, attempt: face.Attempt, letter: Letter) -> None: ...
+    def attempt(self, attempt: face.Attempt, message: HeldMessage) -> None: ...
 
     def cancel(self, attempt: face.Attempt) -> None: ...
 
@@ -103,7 +103,7 @@
     """Each call that writes raises OSError if it cannot; `take` says so."""
 
     @property
-    def owed(self) -> Mapping[bytes, Owed]: ...
+    def owed(self) -> Mapping[bytes, StoredMessage]: ...
 
     @property
     def torn(self) -> int:
@@ -111,7 +111,7 @@
 
     def open(self) -> None: ...
 
-    def take(self, mail: Owed) -> bool:
+    def take(self, mail: StoredMessage) -> bool:
         """Whether there was room for it."""
 
     def out(self, name: bytes, at: float) -> None: ...
@@ -127,7 +127,7 @@
     def sharing(self) -> bool:
         """Whether another process of this dispatcher writes the folder too, while it hands over."""
 
-    def adopt(self) -> list[Owed]:
+    def adopt(self) -> list[StoredMessage]:
         """What processes that have ended since owe, now owed by this one."""
 
     def keys_elsewhere(self) -> list[str]:
@@ -157,10 +157,10 @@
     def wall(self) -> float:
         """The wall clock, by which lifetimes are kept over a restart."""
 
-    def put(self, waiter: Waiter, owed: Owed, left: float) -> Answer | Letter:
+    def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage:
         """Take a mail on: its answer, or the letter whose waiter is told later. NotAMailError."""
 
-    def withdrawn(self, letter: Letter) -> None:
+    def withdrawn(self, message: HeldMessage) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
 
     def malformed(self, why: str) -> None: ...
@@ -180,12 +180,12 @@
     @property
     def tariff(self) -> face.Tariff: ...
 
-    def may_begin(self, attempt: face.Attempt, letter: Letter) -> bool: ...
+    def may_begin(self, attempt: face.Attempt, message: HeldMessage) -> bool: ...
 
-    def sent(self, letter: Letter) -> None:
+    def sent(self, message: HeldMessage) -> None:
         """The last byte of a call with it has left."""
 
-    def ended(self, attempt: face.Attempt, letter: Letter, end: End, outcome: face.Outcome) -> None: ...
+    def ended(self, attempt: face.Attempt, message: HeldMessage, end: End, outcome: face.Outcome) -> None: ...
 
     def probed(self, route: face.Route, outcome: face.Outcome) -> None: ...
 
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -17,7 +17,7 @@
 
 from laureldock import __version__
 from laureldock.core import MOST_BODY
-from laureldock.core.letters import Answer, Letter, Owed, Word
+from laureldock.core.messages import HeldMessage, Reply, ReplyKind, StoredMessage
 from laureldock.core.seams import Intake, NotAMailError
 from laureldock.sockets.flush import Flush, half_close, unread
 from laureldock.sockets.reactor import Door
@@ -44,10 +44,10 @@
 NAME = re.compile(rb"[A-Za-z_][A-Za-z0-9_.-]{0,63}")  # a destination that is not a number
 
 
-def encoded(answer: Answer) -> bytes:
-    if answer.word is Word.TAKEN:
+def encoded(answer: Reply) -> bytes:
+    if answer.kind is ReplyKind.ACCEPTED:
         return b"+OK\r\n"
-    if answer.word is Word.FAILED:
+    if answer.kind is ReplyKind.FAILED:
         return b"-ERR\r\n"
     wait = round(answer.retry_after * 1000)
     return b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n"
@@ -68,7 +68,7 @@
     def __init__(self, clients: Clients, number: int) -> None:
         self.clients, self.number = clients, number
         self.commands = Commands(MOST_BODY)
-        self.pending: Letter | None = None  # taken on, and its client has not been told
+        self.pending: HeldMessage | None = None  # taken on, and its client has not been told
         self.answering = self.reading = False
         self.closing = self.leaving = False  # nothing more is read; nothing after this request
         self.released = False  # closing with nothing owed: its client was answered, or has asked nothing
@@ -181,15 +181,15 @@
         lain = self.clients.unread()
         left = max(0.0, int(told) / 1000 - (REFUSED if lain == inf else min(PATIENT, lain)))
         core = self.clients.core
-        owed = Owed(name, order, sort, customer, tag, to, core.wall() + left, body)
+        owed = StoredMessage(name, order, sort, customer, tag, to, core.wall() + left, body)
         if unread(self.transport) == b"":  # as after a stall of this process: it has given up
             self.leaving = True  # the reactor reads the close
             return
         got = core.put(self, owed, left)
-        if isinstance(got, Letter):
+        if isinstance(got, HeldMessage):
             self.paused, self.pending = True, got
         else:
-            self.told(got)
+            self.reply(got)
 
     def ping(self, word: bytes | None = None) -> None:
         if self.clients.lameduck:  # a front's health check: send no more here
@@ -276,7 +276,7 @@
 
     # Answers
 
-    def told(self, answer: Answer) -> None:
+    def reply(self, answer: Reply) -> None:
         self.answer(encoded(answer))
 
     def answer(self, data: bytes) -> None:
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -20,13 +20,13 @@
 from struct import Struct
 from typing import Any
 
-from laureldock.core.letters import Owed
+from laureldock.core.messages import StoredMessage
 
 HEAD = Struct(">II")
 BLOCK = 512  # in which the folder's limit is counted
 
 
-def record(mail: Owed) -> bytes:
+def record(mail: StoredMessage) -> bytes:
     fields = [mail.key, mail.queue_class, mail.customer, mail.tag.decode(), mail.destination, mail.end]
     return pack(["mail", mail.name.decode(), *fields, mail.attempts, mail.ran, mail.out], mail.body)
 
@@ -111,7 +111,7 @@
         # has half of that.
         self.most_owed = int(disk / (6 if self.held else 3)) - 2 * BLOCK
         self.most = 2 * self.most_owed
-        self.owed: dict[bytes, Owed] = {}
+        self.owed: dict[bytes, StoredMessage] = {}
         self.room = 0
         self.waits: dict[str, float] = {}  # told to this process, or to one whose file it took
         data = self.path.read_bytes() if self.path.exists() else b""
@@ -193,9 +193,9 @@
             os.close(file)
         self.left = []
 
-    def adopt(self) -> list[Owed]:
+    def adopt(self) -> list[StoredMessage]:
         """What processes that have ended since owe, now owed by this one."""
-        found: list[Owed] = []
+        found: list[StoredMessage] = []
         for path in list(self.held):
             file = locked(path)
             if file is None:
@@ -216,7 +216,9 @@
         if sort == "mail":
             key, queue_class, customer, tag, destination, end, attempts, ran, out = rest
             tag = tag.encode()
-            mail = Owed(name, key, queue_class, customer, tag, destination, end, body, attempts, ran, out)
+            mail = StoredMessage(
+                name, key, queue_class, customer, tag, destination, end, body, attempts, ran, out
+            )
             self.add(mail, record(mail))
         elif sort == "wait":
             self.waits[name.decode()] = rest[0]
@@ -224,16 +226,16 @@
             self.apply(sort, self.owed[name], rest)
 
     @staticmethod
-    def room_for(mail: Owed, record: bytes) -> int:
+    def room_for(mail: StoredMessage, record: bytes) -> int:
         """Besides the mail: its notice, and the record that it is over."""
         return len(record) + 8 * len(mail.name) + 256
 
-    def add(self, mail: Owed, record: bytes) -> None:
+    def add(self, mail: StoredMessage, record: bytes) -> None:
         mail.room = self.room_for(mail, record)
         self.room += mail.room
         self.owed[mail.name] = mail
 
-    def apply(self, sort: str, mail: Owed, rest: list[Any]) -> None:
+    def apply(self, sort: str, mail: StoredMessage, rest: list[Any]) -> None:
         match sort:
             case "out":
                 if mail.ran is None:
@@ -247,7 +249,7 @@
                 self.room -= mail.room
                 del self.owed[mail.name]
 
-    def take(self, mail: Owed) -> bool:
+    def take(self, mail: StoredMessage) -> bool:
         """Whether there was room for it."""
         data = record(mail)
         if self.room + self.room_for(mail, data) > self.most_owed:
--- a/tests/test_crossing_exit.py
+++ b/tests/test_crossing_exit.py
@@ -25,7 +25,7 @@
 from test_process import platform as platform  # a fixture
 
 from laureldock.carriers.http import Errand
-from laureldock.core.letters import Owed
+from laureldock.core.messages import StoredMessage
 from laureldock.fronts.resp import Client
 from laureldock.outlets.platform import Notices
 from laureldock.sockets.httpline import HttpLine
@@ -240,15 +240,15 @@
     shore.begin()
     shore.until(lambda: shore.core.ready, most=10.0)
     assert time.monotonic() - began < 5.0
-    assert len(shore.core.letters) == many
+    assert len(shore.core.held) == many
     peer = shore.client()
     peer.send(b"PING\r\n")
     shore.until(lambda: peer.pull() == b"+PONG\r\n")
 
 
-def owed(name: bytes, sort: str = "order", left: float = 60.0, key: str | None = None) -> Owed:
+def owed(name: bytes, sort: str = "order", left: float = 60.0, key: str | None = None) -> StoredMessage:
     order = "k" + name.decode()[-2:] if key is None else key or None
-    return Owed(name, order, sort, "", b"t" + name, 7, time.time() + left, b"hello")
+    return StoredMessage(name, order, sort, "", b"t" + name, 7, time.time() + left, b"hello")
 
 
 def launched(process: Process, run: str) -> subprocess.Popen[bytes]:
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -244,15 +244,15 @@
     calls: list[Callable[[], None]] = []
     hold = shore.core.may_begin
 
-    def asked(attempt: object, letter: object) -> bool:
+    def asked(attempt: object, message: object) -> bool:
         """The last look before the call's first byte: the list is read there, or right after it."""
         shore.core.may_begin = hold  # type: ignore[method-assign]
         shore.announce("Terminating", seq=2)
         news = read(shore.platform.hosts)[2]
         if first == "drain":
             shore.core.news(news, True)
-            return hold(attempt, letter)  # type: ignore[arg-type]
-        may = hold(attempt, letter)  # type: ignore[arg-type]
+            return hold(attempt, message)  # type: ignore[arg-type]
+        may = hold(attempt, message)  # type: ignore[arg-type]
         calls.append(lambda: shore.core.news(news, True))
         return may
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,12 +7,12 @@
 
 from dock import Quay
 
-from laureldock.core.letters import Owed
+from laureldock.core.messages import StoredMessage
 from laureldock.stores.spool import Spool
 
 
-def mail(name: bytes, key: str | None = None) -> Owed:
-    return Owed(name, key, "news", "", b"", 7, 1e12, b"body")
+def mail(name: bytes, key: str | None = None) -> StoredMessage:
+    return StoredMessage(name, key, "news", "", b"", 7, 1e12, b"body")
 
 
 def test_the_next_process_writes_its_own_file_and_takes_over_what_the_last_one_leaves(tmp_path: Path) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 from dock import Quay
 from msgspec.structs import replace
 
-from laureldock.core.letters import Owed
+from laureldock.core.messages import StoredMessage
 from laureldock.setup.platform import of_platform
 from laureldock.setup.units import Address
 from laureldock.stores.spool import Spool
@@ -514,7 +514,7 @@
     most, refused = 0, 0
     for number in range(400):
         name = b"m%d" % number
-        taken = spool.take(Owed(name, "k", "news", "x", b"", 7, 1e9, bytes(3000)))
+        taken = spool.take(StoredMessage(name, "k", "news", "x", b"", 7, 1e9, bytes(3000)))
         refused += not taken
         for _ in range(3 if taken else 0):
             spool.out(name, 1e9)
--- a/tests/test_served.py
+++ b/tests/test_served.py
@@ -19,7 +19,7 @@
 from dock import Quay
 from redis._parsers import _HiredisParser, _RESP2Parser
 
-from laureldock.core.letters import Owed
+from laureldock.core.messages import StoredMessage
 from laureldock.stores.spool import Spool
 
 NAMES = {"n1": "north", "n2": "north", "s1": "south"}
@@ -212,7 +212,7 @@
         (tmp_path / "state").mkdir()
         spool = Spool(tmp_path / "state", 1e6)
         spool.open()
-        spool.take(Owed(b"old", None, "news", "", b"", "north", time.time() + 20, b"hello"))
+        spool.take(StoredMessage(b"old", None, "news", "", b"", "north", time.time() + 20, b"hello"))
         spool.close()
         async with daemon(tmp_path, NAMES) as here:
             await here.until("relayed", 1)
