--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -1,7 +1,7 @@
 """What was taken on and is still owed, in files that outlive the process.
 
-One file of records, appended to: a length, a checksum, a line of JSON and, for a mail, its body. Before it is
-full it is written anew with only what is still owed. What was written outlives a kill; no sync is needed.
+One file of records (`spool_records.py`), appended to. Before it is full it is written anew with only what is
+still owed. What was written outlives a kill; no sync is needed.
 
 Two processes of one dispatcher may share the folder while one hands over to the next. Each holds a lock on
 the file it writes (`spool`, else `spool.1`, ...); a file whose lock is free belongs to a process that has
@@ -12,86 +12,21 @@
 
 import contextlib
 import fcntl
-import json
 import os
-import zlib
-from collections.abc import Iterator
 from pathlib import Path
-from struct import Struct
 from typing import Any
 
 from laureldock.core.messages import StoredMessage
+from laureldock.stores.peer_spool import PeerSpool
+from laureldock.stores.spool_records import (
+    decode_message,
+    decode_records,
+    encode_message,
+    encode_record,
+    open_locked,
+)
 
-HEAD = Struct(">II")
-BLOCK = 512  # in which the folder's limit is counted
-
-
-def record(mail: StoredMessage) -> bytes:
-    fields = [mail.key, mail.queue_class, mail.customer, mail.tag.decode(), mail.destination, mail.end]
-    return pack(["mail", mail.name.decode(), *fields, mail.attempts, mail.ran, mail.out], mail.body)
-
-
-def pack(fields: list[Any], body: bytes = b"") -> bytes:
-    data = json.dumps(fields, separators=(",", ":")).encode() + b"\n" + body
-    return HEAD.pack(len(data), zlib.crc32(data)) + data
-
-
-def records(data: bytes) -> Iterator[tuple[int, list[Any], bytes]]:
-    """Each whole record with the place where it ends; a torn one ends them."""
-    place = 0
-    while place + HEAD.size <= len(data):
-        size, check = HEAD.unpack_from(data, place)
-        place += HEAD.size + size
-        text = data[place - size : place]
-        if len(text) < size or zlib.crc32(text) != check:
-            return
-        line, _, body = text.partition(b"\n")
-        yield place, json.loads(line), body
-
-
-def locked(path: Path) -> int | None:
-    """The file opened and locked for this process alone; None while another process holds it."""
-    file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-    try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        os.close(file)
-        return None
-    except OSError:  # where locks are not to be had, a process is alone with its folder, as before
-        pass
-    return file
-
-
-class Watch:
-    """What another process's file owes keys of, and the waits told to it, read as it grows; a file written
-    anew is read anew."""
-
-    def __init__(self) -> None:
-        self.inode, self.size = -1, 0
-        self.names: dict[str, str] = {}  # of mails with a key, owed
-        self.waits: dict[str, float] = {}  # of routes, until when by the wall clock
-
-    def keys(self, path: Path) -> list[str]:
-        try:
-            with path.open("rb") as file:
-                inode = os.fstat(file.fileno()).st_ino
-                if inode != self.inode:
-                    self.inode, self.size, self.names = inode, 0, {}
-                file.seek(self.size)
-                data = file.read()
-        except OSError:
-            return []
-        start = self.size
-        for place, fields, _ in records(data):
-            self.size = start + place
-            sort, name, *rest = fields
-            if sort == "mail" and rest[0]:
-                self.names[name] = rest[0]
-            elif sort == "over":
-                self.names.pop(name, None)
-            elif sort == "wait":
-                self.waits[name] = rest[0]
-        return list(self.names.values())
+BLOCK = 512  # bytes, in which the folder's limit is counted
 
 
 class Spool:
@@ -101,7 +36,7 @@
         self.folder = folder
         file: int | None = -1
         place, self.held = 0, []  # the files that other living processes write
-        while writes and (file := locked(self.named(place))) is None:
+        while writes and (file := open_locked(self.named(place))) is None:
             self.held.append(self.named(place))
             place += 1
         self.file = file if file is not None and writes else -1
@@ -116,14 +51,14 @@
         self.waits: dict[str, float] = {}  # told to this process, or to one whose file it took
         data = self.path.read_bytes() if self.path.exists() else b""
         self.size = 0
-        for place, fields, body in records(data):
+        for place, fields, body in decode_records(data):
             self.size = place
             self.replay(fields, body)
         self.torn = len(data) - self.size
         self.left: list[tuple[Path, int]] = []  # files of ended processes, to be taken over at `open`
-        self.watched: dict[Path, Watch] = {}
+        self.watched: dict[Path, PeerSpool] = {}
         for path in self.others():
-            file = locked(path) if writes else -1
+            file = open_locked(path) if writes else -1
             if file is None:
                 self.held.append(path)
             else:
@@ -142,7 +77,7 @@
     def take_file(self, path: Path, file: int) -> None:
         """What an ended process's file owes is owed by this one; the file goes at the next `take_left`."""
         self.left.append((path, file))
-        for _, fields, body in records(path.read_bytes()):
+        for _, fields, body in decode_records(path.read_bytes()):
             self.replay(fields, body)
 
     def keys_elsewhere(self) -> list[str]:
@@ -150,7 +85,7 @@
         self.held += self.others()
         keys: dict[str, None] = {}
         for path in self.held:
-            watch = self.watched.get(path) or Watch()
+            watch = self.watched.get(path) or PeerSpool()
             self.watched[path] = watch
             keys.update(dict.fromkeys(watch.keys(path)))
         for path in list(self.watched):
@@ -166,7 +101,7 @@
         """Told to this process, for the others to read."""
         self.waits = {name: end for name, end in self.waits.items() if end > now}
         self.waits[route] = until
-        self.write(pack(["wait", route, until]))
+        self.write(encode_record(["wait", route, until]))
 
     def named(self, place: int) -> Path:
         return self.folder / ("spool" if place == 0 else f"spool.{place}")
@@ -197,7 +132,7 @@
         """What processes that have ended since owe, now owed by this one."""
         found: list[StoredMessage] = []
         for path in list(self.held):
-            file = locked(path)
+            file = open_locked(path)
             if file is None:
                 continue
             self.held.remove(path)
@@ -214,12 +149,8 @@
         sort, name, *rest = fields
         name = name.encode()
         if sort == "mail":
-            key, queue_class, customer, tag, destination, end, attempts, ran, out = rest
-            tag = tag.encode()
-            mail = StoredMessage(
-                name, key, queue_class, customer, tag, destination, end, body, attempts, ran, out
-            )
-            self.add(mail, record(mail))
+            mail = decode_message(fields[1:], body)
+            self.add(mail, encode_message(mail))
         elif sort == "wait":
             self.waits[name.decode()] = rest[0]
         elif name in self.owed:
@@ -251,7 +182,7 @@
 
     def take(self, mail: StoredMessage) -> bool:
         """Whether there was room for it."""
-        data = record(mail)
+        data = encode_message(mail)
         if self.room + self.room_for(mail, data) > self.most_owed:
             return False
         try:
@@ -277,7 +208,7 @@
     def tell(self, sort: str, name: bytes, *rest: Any) -> None:
         if name in self.owed:
             try:
-                self.write(pack([sort, name.decode(), *rest]))
+                self.write(encode_record([sort, name.decode(), *rest]))
             finally:  # true all the same, and in the file once that is written anew
                 self.apply(sort, self.owed[name], list(rest))
 
@@ -294,10 +225,10 @@
     def renew(self) -> None:
         parts = []
         for mail in self.owed.values():
-            parts.append(record(mail))
+            parts.append(encode_message(mail))
             if mail.notice:
-                parts.append(pack(["notice", mail.name.decode(), mail.notice.decode()]))
-        parts += [pack(["wait", route, until]) for route, until in self.waits.items()]
+                parts.append(encode_record(["notice", mail.name.decode(), mail.notice.decode()]))
+        parts += [encode_record(["wait", route, until]) for route, until in self.waits.items()]
         data = b"".join(parts)
         file = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
