--- a/laureldock/fleet/view.py
+++ b/laureldock/fleet/view.py
@@ -1,7 +1,7 @@
-"""The view that one member has of its fleet: SWIM with suspicion, Lifeguard's local health, compared streams.
+"""The view that one member has of its fleet: SWIM with suspicion, Lifeguard's local health, anti-entropy.
 
-Bytes in, effects out; no I/O, no clock of its own, and all chance from a seed and a counter, so that
-thousands of them run on one clock set by hand. Why this and not another way: `docs/design/fleet-view.md`.
+Bytes in, effects out; no I/O, no clock of its own, and all randomness from a seed and a counter, so that
+thousands of views run on one clock set by hand. Why this and not another way: `docs/design/fleet-view.md`.
 Sources: Das, Gupta, Motivala, "SWIM" (DSN 2002); Dadgar, Phillips, Currey, "Lifeguard" (arXiv:1707.00788).
 
 What two members may disagree on, and for how long, is said on the operators' page: nothing here is consensus.
@@ -9,689 +9,260 @@
 
 from __future__ import annotations
 
-import heapq
-import zlib
-from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
-from itertools import count
-from math import inf, log, log10
-from typing import Any, ClassVar
-
-import msgspec
-
-from laureldock.fleet import words
-from laureldock.fleet.members import EVENTS, HERE, Member, Roll, refuted, wins
-from laureldock.fleet.reach import Sites
-from laureldock.fleet.rumours import Rumours
-from laureldock.fleet.words import ALIVE, FAILED, LEFT, SUSPECT, BadWord, Head, Word
-
-# In periods, but for what has another unit.
-DIRECT = 0.3  # within which an ack must come before others are asked: far more than a network that is well
-HELPERS = 3  # asked to ping in one's place; SWIM's k, at which one in 4 lost datagrams fails no probe in 50
-# Times log10 of the members, at least one: in which a suspect may refute. Word goes round in two periods.
-SUSPICION = 3.0
-PATIENCE = 6.0  # times that while nobody else suspects it (Lifeguard's beta), falling with each that does
-CONFIRMED = 3  # others after whom the shortest wait holds (Lifeguard's K)
-MOST_ILL = 8  # of local health: nine times the waits for one that is itself slow (Lifeguard's S)
-SLEPT = 0.5  # late by so much, this process stood still: what it waited for says nothing of others
-GOSSIP = 0.25  # between datagrams of news alone, while there is any
-FAN = 2  # members that each of these goes to
-STILL = 2.0  # views that differ for so long are compared over a stream: news has gone round by then
-CALL = 2.0  # between calls to those that failed, at least; up to CALL_MOST times that when all is still
-CALL_MOST = 2.0
-SEEDS = 5.0  # between streams to seeds that are not known to be here; a period while alone
-NOBODY = 3.0  # for an answer of another process of one's own name
-# Words this much ahead of what is known come from no member: each refutation raises an incarnation by one.
-AHEAD = 1 << 16
-MOST_RELAYS = 64  # pings in others' place that are out at once
-LEAVERS = 8  # told at once that this one leaves
-
-Standing = Enum("Standing", "HERE STEPPED_DOWN GONE")
-
-
-@dataclass(frozen=True, slots=True)
-class Charter:
-    """What a member is told at its start."""
-
-    fleet: str
-    name: str
-    site: str
-    address: str  # where others reach it
-    generation: int  # greater than that of any start of this name before, as far as is known
-    boot: int  # at random, of this start
-    seeds: tuple[str, ...] = ()
-    period: float = 1.0
-    seed: int = 0
-    most: int = 4096  # members known at once
-    forget: float = 86400.0  # seconds after which one that failed or left is forgotten
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """A datagram."""
-
-    address: str
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Stream:
-    """Open a stream there, send `begin`, and hand its frames to `frame` until there is no answer to one."""
-
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class Happened:
-    name: str
-    fields: dict[str, Any]
-
-
-Effect = Send | Stream | Happened
-
-
-@dataclass(eq=False, slots=True)
-class Probe:
-    """A member asked whether it is there."""
-
-    name: str
-    era: tuple[int, int]
-    sent: float
-    answered: bool = False
-    again: bool = False  # of one that failed: no answer says nothing new
-
-
-@dataclass(frozen=True, slots=True)
-class Relay:
-    """A ping in another's place."""
-
-    address: str
-    number: int
-
-
-@dataclass(eq=False, slots=True)
-class Counts:
-    datagrams: int = 0
-    refused: int = 0
-    sent: int = 0
-    bytes_sent: int = 0
-    streams: int = 0
-    slept: int = 0
-    refuted: int = 0
-
-
-class View:
-    def __init__(self, charter: Charter, now: float) -> None:
-        self.charter = told = charter
-        self.period, self.serial = told.period, count(1)
-        self.roll = Roll(told.most)
-        self.rumours, self.sites, self.counts = Rumours(), Sites(told.period), Counts()
-        self.standing, self.ill, self.load, self.version = Standing.HERE, 0, 0, 0
-        self.changed = now
-        self.effects: list[Effect] = []
-        self.timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.probes: dict[int, Probe] = {}
-        self.relays: dict[int, Relay] = {}
-        self.circle: list[str] = []  # those still to be probed in this round
-        self.calls: list[str] = []  # of those that failed, still to be called in this round
-        self.seeds = list(told.seeds)
-        self.compared = -inf  # when this one last began a stream
-        self.heard = -inf  # when any other was
-        self.gossiping = False
-        self.twin: tuple[int, int] | None = None  # another start of this name, which may be alive
-        self.challenges: dict[int, tuple[int, int]] = {}  # numbers that it has to answer
-        self.me = self.roll.put(
-            now, Word(told.name, told.site, told.address, told.generation, told.boot, 0, ALIVE)
-        )
-        self.tell(now, self.me.word)
-        for action, after in (
-            (self.probe, self.chance()),  # members that start at once don't probe in step
-            (self.call_again, 1.0 + self.chance()),
-            (self.call_seeds, 0.0),
-            (self.sweep, 10.0),
-        ):
-            self.after(now, after * self.period, action)
-
-    # What others use
+from math import inf
+
+from msgspec import structs
+
+from laureldock.fleet import messages
+from laureldock.fleet.anti_entropy import AntiEntropy
+from laureldock.fleet.dissemination import Dissemination
+from laureldock.fleet.effects import Effect
+from laureldock.fleet.local_member import LocalMember
+from laureldock.fleet.members import Member, MemberTable
+from laureldock.fleet.merging import RecordMerger
+from laureldock.fleet.messages import ALIVE, FAILED, LEFT, Datagram, MalformedMessageError, MessageHeader
+from laureldock.fleet.name_conflicts import NameConflicts
+from laureldock.fleet.probing import Probing
+from laureldock.fleet.reconnection import Reconnection
+from laureldock.fleet.relayed_pings import RelayedPings
+from laureldock.fleet.sender import DatagramSender
+from laureldock.fleet.settings import ViewSettings, ViewStatus
+from laureldock.fleet.state import ViewCounters, ViewState
+
+# Periods.
+STALL_THRESHOLD = 0.5  # a timer this late: the process stood still, and its timeouts say nothing of others
+SYNC_AFTER_STABLE = 2.0  # views that still differ after this are compared: gossip has gone round by then
+FORGET_INTERVAL = 10.0  # between looks for members that have been absent for long
+LEAVE_FANOUT = 8  # members that are told at once that this one leaves
+
+
+class MembershipView:
+    """One member's view: its transport passes bytes and the time in, and carries out the effects.
+
+    All times are seconds of one clock, which the transport chooses.
+    """
+
+    def __init__(self, settings: ViewSettings, now: float) -> None:
+        self._state = state = ViewState(settings, now)
+        self._sender = DatagramSender(state)
+        self._dissemination = Dissemination(state, self._sender)
+        self._local = LocalMember(state, self._dissemination)
+        self._conflicts = NameConflicts(state, self._sender, self._local)
+        self._merger = RecordMerger(state, self._dissemination, self._local, self._conflicts)
+        self.probing = Probing(state, self._sender, self._merger.suspicion)
+        self.relayed_pings = RelayedPings(state, self._sender)
+        self._anti_entropy = AntiEntropy(state, self._sender, self._merger)
+        self._reconnection = Reconnection(state, self._sender, self._anti_entropy)
+        self._dissemination.enqueue(now, state.local.record)
+        probing_delay, reconnection_delay = state.random.fraction(), 1.0 + state.random.fraction()
+        self.probing.start(now, probing_delay)
+        self._reconnection.start(now, reconnection_delay)
+        self._anti_entropy.start(now)
+        state.schedule(now, FORGET_INTERVAL, self._forget_expired)
+
+    # What the view shows
 
-    def members(self) -> list[Member]:
-        return sorted(self.roll, key=lambda each: each.word.name)
+    @property
+    def settings(self) -> ViewSettings:
+        return self._state.settings
+
+    @property
+    def status(self) -> ViewStatus:
+        return self._state.status
+
+    @property
+    def counters(self) -> ViewCounters:
+        return self._state.counters
+
+    @property
+    def local(self) -> Member:
+        """This member itself."""
+        return self._state.local
+
+    @property
+    def member_table(self) -> MemberTable:
+        return self._state.members
 
     @property
     def digest(self) -> int:
-        return self.roll.digest
+        """Equal digests mean equal views."""
+        return self._state.members.digest
+
+    @property
+    def version(self) -> int:
+        """How often the view has changed."""
+        return self._state.version
+
+    @property
+    def local_health(self) -> int:
+        """0 for a healthy member; above, it is slow itself and waits longer before it suspects others."""
+        return self._state.local_health.score
 
-    def still(self, now: float) -> float:
-        """Seconds since anything here changed."""
-        return now - self.changed
+    @property
+    def queued_records(self) -> int:
+        """Records that are still to be spread."""
+        return len(self._state.gossip_queue)
 
-    def reach(self, now: float) -> dict[str, dict[str, float]]:
-        return self.sites.figures(now, self.charter.name)
+    @property
+    def pending_timers(self) -> int:
+        return len(self._state.timers)
 
     @property
-    def due(self) -> float:
-        return self.timers[0][0] if self.timers and self.standing is Standing.HERE else inf
-
-    # What the rim and the operators tell
-
-    def turn(self, now: float) -> list[Effect]:
-        """Do what is due; all effects since the last turn, in their order."""
-        late = now - self.due
-        if late > SLEPT * self.period:
-            self.woke(now, late)
-        while self.due <= now:
-            _, _, action, told = heapq.heappop(self.timers)
-            action(now, *told)
-        effects, self.effects = self.effects, []
+    def next_due(self) -> float:
+        """When `advance` must be called next; infinity where this member takes no part any more."""
+        return self._state.timers.next_due if self._state.is_active else inf
+
+    def members(self) -> list[Member]:
+        """All known members, by name."""
+        return sorted(self._state.members, key=lambda member: member.record.name)
+
+    def stable_for(self, now: float) -> float:
+        """Seconds since the view last changed."""
+        return self._state.stable_for(now)
+
+    def reachability_shares(self, now: float) -> dict[str, dict[str, float]]:
+        """By site, then by member: the share of its calls to that site that was answered lately."""
+        return self._state.reachability.answered_shares(now, self.settings.name)
+
+    # Time and messages
+
+    def advance(self, now: float) -> list[Effect]:
+        """Run the timers that are due; all effects since the last call, in their order."""
+        late = now - self.next_due
+        if late > STALL_THRESHOLD * self._state.period:
+            self._resume_after_stall(late)
+        while self.next_due <= now:
+            self._state.timers.run_next(now)
+        effects, self._state.effects = self._state.effects, []
         return effects
 
-    def hear(self, now: float, data: bytes) -> None:
-        """A datagram. What is malformed, or of another fleet, is counted and dropped."""
-        self.counts.datagrams += 1
-        if self.standing is not Standing.HERE:
+    def receive_datagram(self, now: float, data: bytes) -> None:
+        """Take in a datagram. What is malformed, or of another fleet, is counted and dropped."""
+        self._state.counters.datagrams += 1
+        if not self._state.is_active:
             return
         try:
-            message = words.datagram(data)
-            self.meet(now, message.head)
-            if self.standing is Standing.HERE:
-                self.take(now, message.words, message.head.sender)
-                self.ANSWERS[type(message)](self, now, message)
-        except BadWord as fault:
-            self.refuse(str(fault))
-
-    def begin(self, now: float) -> bytes:
-        """The first frame of a stream that this one opened."""
-        self.counts.streams += 1
-        return words.encode(words.Compare(self.head(now), tuple(self.roll.digests)))
-
-    def frame(self, now: float, data: bytes) -> bytes | None:
-        """The answer to a frame; None where the stream has ended. BadWord: it is to be closed."""
-        if self.standing is not Standing.HERE:
+            message = messages.decode_datagram(data)
+            self._observe_sender(now, message.header)
+            if self._state.is_active:
+                self._merger.apply_all(now, message.records, message.header.sender)
+                self._handle(now, message)
+        except MalformedMessageError as error:
+            self.count_refused(str(error))
+
+    def first_frame(self, now: float) -> bytes:
+        """The first frame of a stream that this member opened."""
+        return self._anti_entropy.first_frame(now)
+
+    def receive_frame(self, now: float, data: bytes) -> bytes | None:
+        """The answer to a frame of a stream; None where the stream has ended.
+
+        MalformedMessageError: the stream is to be closed.
+        """
+        if not self._state.is_active:
             return None
         try:
-            message = words.frame(data)
-            self.meet(now, message.head)
-        except BadWord as fault:
-            self.refuse(str(fault))
+            frame = messages.decode_frame(data)
+            self._observe_sender(now, frame.header)
+        except MalformedMessageError as error:
+            self.count_refused(str(error))
             raise
-        match message:
-            case words.Compare(buckets=told):
-                mine = self.roll.digests
-                differ = tuple(place for place in range(len(mine)) if mine[place] != told[place])
-                return words.encode(words.Differ(self.head(now), differ, self.inside(differ)))
-            case words.Differ(buckets=differ, words=told):
-                own = self.inside(differ)
-                self.merge(now, told, message.head.sender)
-                return words.encode(words.Same(self.head(now), own))
-            case words.Same(words=told):
-                self.merge(now, told, message.head.sender)
-        return None
+        return self._anti_entropy.answer(now, frame)
+
+    def count_refused(self, why: str) -> None:
+        """Count what came in and is not taken; operators are told of the first, and ever more seldom."""
+        self._state.count_refused(why)
+
+    # What operators and the dispatcher ask
 
     def leave(self, now: float) -> None:
-        """The last word of this start. The rim sends what `turn` gives and closes."""
-        self.say(now, LEFT)
-        self.spread(now, LEAVERS)
-        self.standing = Standing.GONE
-
-    def lameduck(self, now: float, on: bool) -> None:
-        if self.me.word.lameduck != on:
-            self.say(now, ALIVE, on)
-
-    def reseed(self, seeds: list[str]) -> None:
-        self.seeds = list(seeds)
-
-    def forget(self, now: float, name: str) -> bool:
-        """Operators' word that one that failed will not return; it goes round as if the member had left."""
-        member = self.roll.get(name)
-        if member is None or member.word.state != FAILED:
+        """Announce that this member leaves; the transport carries out what `advance` gives, then closes."""
+        self._local.announce(now, LEFT)
+        self._dissemination.send_to_random(now, LEAVE_FANOUT)
+        self._state.status = ViewStatus.LEFT
+
+    def set_load(self, load: int) -> None:
+        """How full this dispatcher is, 0 to 255, as other members are told."""
+        self._state.load = load
+
+    def set_lameduck(self, now: float, lameduck: bool) -> None:
+        """Announce that this member is being emptied, or takes clients again."""
+        if self.local.record.lameduck != lameduck:
+            self._local.announce(now, ALIVE, lameduck)
+
+    def set_seeds(self, seeds: list[str]) -> None:
+        """Take over other seeds, as addresses."""
+        self._anti_entropy.seeds = list(seeds)
+
+    def forget_failed(self, now: float, name: str) -> bool:
+        """Hold a failed member to have left, here and everywhere; False where no such member failed."""
+        member = self._state.members.get(name)
+        if member is None or member.record.state != FAILED:
             return False
-        self.accept(now, msgspec.structs.replace(member.word, state=LEFT), self.charter.name)
+        self._merger.apply(now, structs.replace(member.record, state=LEFT), self.settings.name)
         return True
 
-    # Chance and time
-
-    def chance(self) -> float:
-        return zlib.crc32(f"{self.charter.seed}:{self.charter.name}:{next(self.serial)}".encode()) / 2**32
-
-    def after(self, now: float, wait: float, action: Callable[..., None], *told: Any) -> None:
-        heapq.heappush(self.timers, (now + wait, next(self.serial), action, told))
-
-    def shuffled(self, names: list[str]) -> list[str]:
-        return sorted(names, key=lambda name: zlib.crc32(f"{next(self.serial)}:{name}".encode()))
-
-    def some(self, most: int, fit: Callable[[Member], bool] = lambda each: True) -> list[Member]:
-        """Others that are here, at random."""
-        found: list[Member] = []
-        order = self.roll.order
-        # Several tries for each wanted; where few fit, fewer are found.
-        for _ in range(8 * most if len(order) > 1 else 0):
-            member = order[int(self.chance() * len(order))]
-            if member is not self.me and member.word.state in HERE and member not in found and fit(member):
-                found.append(member)
-                if len(found) == most:
-                    break
-        return found
-
-    def woke(self, now: float, late: float) -> None:
-        """This process stood still: nobody could be heard meanwhile, and nobody had time to refute."""
-        self.counts.slept += 1
-        self.sick(1)
-        self.probes.clear()
-        self.relays.clear()
-        self.timers = [
-            (at + late if action == self.verdict else at, serial, action, told)
-            for at, serial, action, told in self.timers
-        ]
-        heapq.heapify(self.timers)
-
-    def sick(self, change: int) -> None:
-        self.ill = min(MOST_ILL, max(0, self.ill + change))
-
-    # Datagrams out
-
-    def head(self, now: float) -> Head:
-        word, told = self.me.word, self.charter
-        return Head(
-            told.fleet, word.name, word.generation, word.boot, word.address, self.load, self.digest,
-            self.sites.own(now),
-        )  # fmt: skip
-
-    def pick(self, room: int, first: Word | None = None) -> tuple[Word, ...]:
-        return self.rumours.pick(room, self.roll.here, 64, first)
-
-    def send(self, now: float, address: str, make: Callable[[Head, int], words.Datagram]) -> None:
-        head = self.head(now)
-        texts = sum(len(each.site) + 8 for each in head.reach)
-        texts += len(head.fleet) + len(head.sender) + len(head.address)
-        # Numbers, and the name and address of an `Ask`, take under 260 bytes beside the head's texts.
-        room = words.MOST_DATAGRAM - 260 - texts
-        data = words.encode(make(head, room))
-        self.counts.sent += 1
-        self.counts.bytes_sent += len(data)
-        self.effects.append(Send(address, data))
-
-    def ping(self, now: float, member: Member, probe: Probe | None, number: int) -> None:
-        # A suspect, or one that failed, hears of it by the very call that tests it (Lifeguard's buddies).
-        word = member.word
-        first = word if word.state != ALIVE else None
-        if probe:
-            self.probes[number] = probe
-        self.send(
-            now,
-            word.address,
-            lambda head, room: words.Ping(head, number, word.name, self.pick(room, first)),
-        )
-
-    # Detection
-
-    def probe(self, now: float) -> None:
-        """One member each period, all in a round before any twice (SWIM): none waits over two rounds."""
-        member = self.next_probed()
-        # One that is itself slow waits longer, and asks less often.
-        slower = 1 + self.ill
-        self.after(now, slower * self.period, self.probe)
-        if member:
-            number = next(self.serial)
-            probe = Probe(member.word.name, member.word.era, now)
-            self.ping(now, member, probe, number)
-            self.after(now, DIRECT * slower * self.period, self.ask_others, number)
-            self.after(now, 0.95 * slower * self.period, self.unanswered, number)
-
-    def next_probed(self) -> Member | None:
-        for _ in range(2):
-            while self.circle:
-                member = self.roll.get(self.circle.pop())
-                if member and member is not self.me and member.word.state in HERE:
-                    return member
-            self.circle = self.shuffled([each.word.name for each in self.roll if each.word.state in HERE])
-        return None
-
-    def ask_others(self, now: float, number: int) -> None:
-        probe = self.probes.get(number)
-        member = self.roll.get(probe.name) if probe else None
-        if probe is None or probe.answered or member is None:
-            return
-        helpers = self.some(HELPERS, lambda each: each is not member and each.word.state == ALIVE)
-        name, address = probe.name, member.word.address
-        for helper in helpers:
-            self.send(
-                now,
-                helper.word.address,
-                lambda head, room: words.Ask(head, number, name, address, self.pick(room)),
-            )
-
-    def unanswered(self, now: float, number: int) -> None:
-        """The end of a probe."""
-        probe = self.probes.pop(number, None)
-        member = self.roll.get(probe.name) if probe else None
-        if probe is None or member is None or probe.again:
-            return
-        # Whoever was heard since is alive, also where only its answers are lost.
-        well = probe.answered or member.heard > probe.sent
-        self.sites.tried(now, member.word.site, well)
-        if well:
-            self.sick(-1)
-            return
-        # Where nobody at all was heard since, not even a helper's nack, this one's own link may be at fault.
-        # Helpers that are silent tell nothing by themselves: of many that die at once some were asked.
-        self.sick(1 if self.heard < probe.sent else 0)
-        if member.word.era == probe.era and member.word.state in HERE:
-            self.suspect(now, member, self.charter.name)
-            # It hears of it at once, where only datagrams were lost, and its answer refutes.
-            self.ping(now, member, None, next(self.serial))
-
-    def suspect(self, now: float, member: Member, by: str) -> None:
-        """This member's own suspicion, or another's that confirms it."""
-        if member.word.state == ALIVE:
-            self.accept(now, msgspec.structs.replace(member.word, state=SUSPECT, by=by), by)
-        elif (
-            member.word.state == SUSPECT and by not in member.confirmed and len(member.confirmed) <= CONFIRMED
-        ):
-            member.confirmed.add(by)
-            # What confirms goes on: others wait less, too.
-            self.rumours.add(msgspec.structs.replace(member.word, by=by))
-            self.after(now, 0.0, self.verdict, member.word.name, member.word.era, member.word.incarnation)
-
-    def wait(self, member: Member) -> float:
-        """How long a suspect may refute: the shorter the more suspect it (Lifeguard)."""
-        least = SUSPICION * max(1.0, log10(max(1, self.roll.here))) * self.period
-        # Those that are suspect themselves will not say so: of many that die at once the rest must do.
-        needed = min(CONFIRMED, self.roll.alive - 1)
-        if needed < 1:
-            return least
-        others = min(needed, max(0, len(member.confirmed) - 1))
-        return max(least, least * (PATIENCE - (PATIENCE - 1) * log(others + 1) / log(needed + 1)))
-
-    def verdict(self, now: float, name: str, era: tuple[int, int], incarnation: int) -> None:
-        member = self.roll.get(name)
-        if member is None or member.word.state != SUSPECT:
-            return
-        if (member.word.era, member.word.incarnation) != (era, incarnation):
-            return
-        left = member.since + self.wait(member) - now
-        if left > 1e-9:
-            # Looked at again each period: fewer may be left to confirm it than there were.
-            self.after(now, min(left, self.period), self.verdict, name, era, incarnation)
-        else:
-            self.accept(now, msgspec.structs.replace(member.word, state=FAILED), self.charter.name)
-
-    # Datagrams in
-
-    def refuse(self, why: str) -> None:
-        self.counts.refused += 1
-        if self.counts.refused in (1, 10, 100, 1000) or self.counts.refused % 10000 == 0:
-            self.effects.append(Happened("refused", {"why": why, "so_far": self.counts.refused}))
-
-    def meet(self, now: float, head: Head) -> None:
-        """The sender itself: it lives, and what it says of itself."""
-        if head.fleet != self.charter.fleet:
-            raise BadWord("another fleet")
-        if head.sender == self.charter.name:
-            self.meet_twin(now, head)
-            return
-        member = self.roll.get(head.sender)
-        if member is None or member.word.era < (head.generation, head.boot):
-            self.compare(now, head.address)
-        elif member.word.era == (head.generation, head.boot):
-            member.heard, member.load, self.heard = now, head.load, now
-            self.sites.hear(now, head.sender, head.reach)
-            if member.word.state in (FAILED, LEFT) and now - member.called >= self.period:
-                self.call(now, member)  # it may not know that it is held to have failed
-            elif head.digest != self.digest and self.still(now) >= STILL * self.period:
-                self.compare(now, head.address)
-
-    def take(self, now: float, told: tuple[words.Word, ...], sender: str) -> None:
-        for word in told:
-            self.accept(now, word, sender)
-
-    def on_ping(self, now: float, message: words.Ping) -> None:
-        if message.target == self.charter.name:  # else its address has another owner now
-            number = message.number
-            self.send(now, message.head.address, lambda head, room: words.Ack(head, number, self.pick(room)))
-
-    def on_ack(self, now: float, message: words.Ack) -> None:
-        number = message.number
-        if era := self.challenges.pop(number, None):
-            self.answered(now, message.head, era)
-            return
-        relay = self.relays.pop(number, None)
-        if relay:
-            self.send(now, relay.address, lambda head, room: words.Ack(head, relay.number, self.pick(room)))
-        probe = self.probes.get(number)
-        if probe and not probe.answered:
-            probe.answered = True
-            member = self.roll.get(probe.name)
-            if probe.again and member and member.word.state in HERE:
-                self.compare(now, member.word.address)  # it is back: what else does it know?
-
-    def on_ask(self, now: float, message: words.Ask) -> None:
-        if len(self.relays) >= MOST_RELAYS or message.target == self.charter.name:
-            return
-        number, target = next(self.serial), message.target
-        self.relays[number] = Relay(message.head.address, message.number)
-        self.send(now, message.address, lambda head, room: words.Ping(head, number, target, self.pick(room)))
-        self.after(now, DIRECT * self.period, self.no_answer, number)
-
-    def no_answer(self, now: float, number: int) -> None:
-        if relay := self.relays.pop(number, None):
-            self.send(now, relay.address, lambda head, room: words.Nack(head, relay.number, self.pick(room)))
-
-    def on_nack(self, now: float, message: words.Nack) -> None:
-        """The helper lives, and heard nothing of the one it asked: it was heard, which is all that counts."""
-
-    def on_gossip(self, now: float, message: words.Gossip) -> None:
-        """Its words were taken."""
-
-    ANSWERS: ClassVar[dict[type[words.Datagram], Callable[..., None]]] = {
-        words.Ping: on_ping,
-        words.Ack: on_ack,
-        words.Ask: on_ask,
-        words.Nack: on_nack,
-        words.Gossip: on_gossip,
-    }
-
-    # Words
-
-    def accept(self, now: float, word: Word, by: str, streamed: bool = False) -> None:
-        """A word about a member, from whomever: it wins over what is known, or is nothing new."""
-        if word.name == self.charter.name:
-            self.of_me(now, word)
-            return
-        member = self.roll.get(word.name)
-        known = member.word if member else None
-        if known is None and (word.state not in HERE or self.roll.full()):
-            return  # those that are gone are no news to one that never knew them
-        if known and known.era == word.era and word.incarnation > known.incarnation + AHEAD:
-            raise BadWord("an incarnation far ahead")
-        if streamed and word.state == FAILED and (known is None or known.state != FAILED):
-            # What failed beyond a cut may be well: it is suspect here, and has its time to refute.
-            word = msgspec.structs.replace(word, state=SUSPECT, by=by)
-        if not wins(word, known):
-            same = known and (known.era, known.incarnation) == (word.era, word.incarnation)
-            if member and same and word.state == SUSPECT:
-                self.suspect(now, member, word.by)
+    # Internals
+
+    def _observe_sender(self, now: float, header: MessageHeader) -> None:
+        """A message shows that its sender lives, and what it says of itself."""
+        if header.fleet != self.settings.fleet:
+            raise MalformedMessageError("another fleet")
+        if header.sender == self.settings.name:
+            self._conflicts.observe_rival(now, header)
             return
-        member = self.roll.put(now, word)
-        self.tell(now, word)
-        self.news(now)
-        if word.state == SUSPECT:
-            member.confirmed = {word.by}
-            self.after(now, self.wait(member), self.verdict, word.name, word.era, word.incarnation)
-        if known and known.era != word.era:
-            name = "generation changed"
-        else:
-            name = EVENTS.get((known.state if known else None, word.state), "")
-            if known and not name and known.lameduck != word.lameduck:
-                name = "lameduck"
-        if name:
-            told = {"member": word.name, "site": word.site, "generation": word.generation, "by": by}
-            self.effects.append(Happened(name, told))
-
-    def merge(self, now: float, told: tuple[Word, ...], sender: str) -> None:
-        for word in told:
-            try:
-                self.accept(now, word, sender, streamed=True)
-            except BadWord as fault:
-                self.refuse(str(fault))
-
-    def inside(self, buckets: tuple[int, ...]) -> tuple[Word, ...]:
-        wanted = set(buckets)
-        return tuple(each.word for each in self.roll if each.place in wanted)[:8192] if wanted else ()
-
-    def tell(self, now: float, word: Word) -> None:
-        self.rumours.add(word)
-        if not self.gossiping:
-            self.gossiping = True
-            self.after(now, 0.0, self.gossip)
-
-    def gossip(self, now: float) -> None:
-        self.gossiping = bool(len(self.rumours))
-        if not self.gossiping:
+        member = self._state.members.get(header.sender)
+        if member is None or member.record.start_key < header.start_key:
+            self._anti_entropy.sync_with(now, header.address)
+        elif member.record.start_key == header.start_key:
+            self._observe_member(now, member, header)
+
+    def _observe_member(self, now: float, member: Member, header: MessageHeader) -> None:
+        member.last_heard, member.load, self._state.last_heard = now, header.load, now
+        self._state.reachability.record_report(now, header.sender, header.reachability)
+        is_absent = member.record.state in (FAILED, LEFT)
+        if is_absent and now - member.last_called >= self._state.period:
+            # It may not know that it is held to have failed; the ping tells it.
+            self._reconnection.ping(now, member)
+        elif header.digest != self.digest and self._is_stable(now):
+            self._anti_entropy.sync_with(now, header.address)
+
+    def _is_stable(self, now: float) -> bool:
+        return self._state.stable_for(now) >= SYNC_AFTER_STABLE * self._state.period
+
+    def _handle(self, now: float, message: Datagram) -> None:
+        """Act on a datagram, beyond its header and its records; a nack or gossip asks for nothing more."""
+        match message:
+            case messages.Ping(target=target) if target == self.settings.name:
+                # Else another member has this address now.
+                self._sender.send_ack(now, message.header.address, message.sequence)
+            case messages.PingRequest():
+                self.relayed_pings.relay(now, message)
+            case messages.Ack():
+                self._handle_ack(now, message)
+
+    def _handle_ack(self, now: float, message: messages.Ack) -> None:
+        if self._conflicts.acknowledge(now, message):
             return
-        self.spread(now, FAN)
-        self.after(now, GOSSIP * self.period, self.gossip)
-
-    def spread(self, now: float, most: int) -> None:
-        for member in self.some(most):
-            self.send(now, member.word.address, lambda head, room: words.Gossip(head, self.pick(room)))
-
-    def news(self, now: float) -> None:
-        self.version += 1
-        self.changed = now
-
-    # This member itself
-
-    def say(self, now: float, state: int, lameduck: bool | None = None) -> None:
-        """A new word of this member about itself."""
-        duck = self.me.word.lameduck if lameduck is None else lameduck
-        word = msgspec.structs.replace(
-            self.me.word, state=state, lameduck=duck, incarnation=self.me.word.incarnation + 1
-        )
-        self.become(now, word)
-
-    def become(self, now: float, word: Word) -> None:
-        self.roll.put(now, word)
-        self.news(now)
-        self.tell(now, word)
-
-    def of_me(self, now: float, word: Word) -> None:
-        mine = self.me.word
-        if word.era > mine.era:
-            self.claimed(now, word)
-        elif word.era == mine.era and word.incarnation > mine.incarnation + AHEAD:
-            raise BadWord("an incarnation of mine far ahead")
-        elif own := refuted(word, mine):
-            self.counts.refuted += 1
-            self.sick(1)
-            self.become(now, own)
-
-    def claimed(self, now: float, word: Word) -> None:
-        """A later start of this name is known: its own forgotten past, or another process that lives."""
-        if word.address == self.me.word.address:
-            self.overtake(now, word.era)  # one address has one process, and that is this one
-        elif self.twin is None or self.twin < word.era:
-            self.challenge(now, word.address, word.era)
-            self.after(now, NOBODY * self.period, self.nobody, word.era)
-
-    def challenge(self, now: float, address: str, era: tuple[int, int]) -> None:
-        """Only what answers from there with a number of this moment lives; a word alone could be made up."""
-        self.twin = era
-        self.challenges = {self.ping_twin(now, address): era}
-
-    def ping_twin(self, now: float, address: str) -> int:
-        """The number that an answer from there has to bear."""
-        number, name = next(self.serial), self.charter.name
-        self.send(now, address, lambda head, room: words.Ping(head, number, name, ()))
-        return number
-
-    def nobody(self, now: float, era: tuple[int, int]) -> None:
-        if self.twin == era and self.standing is Standing.HERE:
-            self.overtake(now, era)
-
-    def overtake(self, now: float, era: tuple[int, int]) -> None:
-        """What was known of this name is gone with its disk: this start is made the later one."""
-        self.twin = None
-        self.roll.put(now, msgspec.structs.replace(self.me.word, generation=era[0] + 1))
-        self.effects.append(Happened("generation raised", {"generation": era[0] + 1}))
-        self.say(now, ALIVE)
-
-    def meet_twin(self, now: float, head: Head) -> None:
-        """Another living process of this name. The later start stays."""
-        mine, theirs = self.me.word, (head.generation, head.boot)
-        if theirs == mine.era or head.boot == mine.boot:
-            return  # its own datagram, come back to it
-        if self.twin == theirs:
-            return  # challenged already, or told of
-        if theirs > mine.era:
-            self.challenge(now, head.address, theirs)
-        else:  # told once, and heard by it: it steps down
-            self.twin = theirs
-            self.name_taken(head, stays=True)
-            self.ping_twin(now, head.address)
-        self.after(now, self.period, self.look_again)
-
-    def name_taken(self, head: Head, stays: bool) -> None:
-        told = {"address": head.address, "generation": head.generation, "stays": stays}
-        self.effects.append(Happened("name taken", told))
-
-    def answered(self, now: float, head: Head, era: tuple[int, int]) -> None:
-        """By another process of this name: it lives, and if it is the later start this one gives way."""
-        theirs = head.generation, head.boot
-        if head.sender == self.charter.name and theirs == era > self.me.word.era:
-            self.standing = Standing.STEPPED_DOWN
-            self.news(now)
-            self.name_taken(head, stays=False)
-
-    def look_again(self, now: float) -> None:
-        self.twin = None
-
-    # Streams, seeds and those that failed
-
-    def compare(self, now: float, address: str) -> None:
-        if now - self.compared >= self.period and address != self.me.word.address:
-            self.compared = now
-            self.effects.append(Stream(address))
-
-    def call_again(self, now: float) -> None:
-        """Calls of all members together: about one a period to each that failed, however many there are.
-
-        Without them two sides that failed each other would never meet again.
-        """
-        gone = [each.word.name for each in self.roll.gone.values() if each.word.state == FAILED]
-        slower = min(CALL_MOST, 1.0 + self.still(now) / (60.0 * self.period))
-        wait = max(CALL, self.roll.here / max(1, len(gone))) * slower
-        self.after(now, wait * (0.75 + 0.5 * self.chance()) * self.period, self.call_again)
-        while gone:
-            if not self.calls:
-                self.calls = self.shuffled(gone)
-            member = self.roll.get(self.calls.pop())
-            if member and member.word.state == FAILED:
-                self.call(now, member)
-                return
-
-    def call(self, now: float, member: Member) -> None:
-        member.called = now
-        number = next(self.serial)
-        self.ping(now, member, Probe(member.word.name, member.word.era, now, again=True), number)
-        self.after(now, self.period, self.unanswered, number)
-
-    def call_seeds(self, now: float) -> None:
-        """Those that started beyond a cut are known to nobody here; the seeds may know them."""
-        here = {each.word.address for each in self.roll if each.word.state in HERE}
-        away = [seed for seed in self.seeds if seed not in here]
-        alone = self.roll.here <= 1
-        self.after(
-            now, (1.0 if alone else SEEDS) * (0.75 + 0.5 * self.chance()) * self.period, self.call_seeds
-        )
-        if away:
-            self.effects.append(Stream(away[int(self.chance() * len(away))]))
-
-    def sweep(self, now: float) -> None:
-        """Forgets those that have been gone for long."""
-        self.after(now, 10 * self.period, self.sweep)
-        for member in list(self.roll.gone.values()):
-            if now - member.since >= self.charter.forget:
-                self.roll.drop(member.word.name)
-                self.rumours.drop(member.word.name)
-                self.sites.forget(member.word.name)
+        self.relayed_pings.acknowledge(now, message)
+        self.probing.acknowledge(message)
+        self._reconnection.acknowledge(now, message)
+
+    def _resume_after_stall(self, late: float) -> None:
+        """The process stood still: nobody could be heard meanwhile, and nobody had time to refute."""
+        self._state.counters.slept += 1
+        self._state.local_health.worsen()
+        self.probing.abandon()
+        self.relayed_pings.abandon()
+        self._reconnection.abandon()
+        self._merger.suspicion.postpone_all(late)
+
+    def _forget_expired(self, now: float) -> None:
+        """Forget members that have been absent for long."""
+        self._state.schedule(now, FORGET_INTERVAL, self._forget_expired)
+        for member in list(self._state.members.absent.values()):
+            if now - member.state_since >= self.settings.forget_after:
+                name = member.record.name
+                self._state.members.remove(name)
+                self._state.gossip_queue.remove(name)
+                self._state.reachability.forget(name)
