--- a/benchmarks/slopes/fleet.py
+++ b/benchmarks/slopes/fleet.py
@@ -11,7 +11,7 @@
 
 from benchmarks.slopes.model import Experiment, Measured, Values
 from benchmarks.slopes.process import Process, endpoint, free_port, resident
-from laureldock.fleet.modelled import World
+from laureldock.fleet.simulation import Simulation
 
 MODEL_SIZES = [50, 100, 200, 400]
 PROCESS_SIZES = [4, 8, 16, 32]
@@ -30,13 +30,17 @@
 """
 
 
-def counted(world: World, members: int, change: Callable[[], None]) -> tuple[float, float, float]:
+def counted(world: Simulation, members: int, change: Callable[[], None]) -> tuple[float, float, float]:
     """Bytes, messages and processor seconds a member and period in the periods after a change."""
-    messages, size, used = world.sent, world.bytes, time.process_time()
+    messages, size, used = world.datagrams_sent, world.bytes_sent, time.process_time()
     change()
     world.run(world.now + CHANGE_FOR)
     each = members * CHANGE_FOR
-    return (world.bytes - size) / each, (world.sent - messages) / each, (time.process_time() - used) / each
+    return (
+        (world.bytes_sent - size) / each,
+        (world.datagrams_sent - messages) / each,
+        (time.process_time() - used) / each,
+    )
 
 
 def names(prefix: str, count: int) -> list[str]:
@@ -54,7 +58,7 @@
     members = names("d", size)
     fresh = {share: names(f"new{share}-", max(1, round(part * size))) for share, part in SHARES.items()}
     everyone = [*members, *(name for share in ("1%", "10%") for name in fresh[share])]
-    world = World({name: f"zone{place % ZONES}" for place, name in enumerate(everyone)})
+    world = Simulation({name: f"zone{place % ZONES}" for place, name in enumerate(everyone)})
 
     def start(names: list[str]) -> None:
         for name in names:
--- a/benchmarks/slopes/owed.py
+++ b/benchmarks/slopes/owed.py
@@ -9,7 +9,7 @@
 
 from benchmarks.slopes.model import Experiment, Measured, Values
 from benchmarks.slopes.process import Process, endpoint
-from laureldock.core.letters import Owed
+from laureldock.core.messages import StoredMessage
 from laureldock.stores.spool import Spool
 
 SIZES = [2_000, 10_000, 50_000, 200_000]
@@ -26,7 +26,7 @@
     store.open()
     for number in range(count):
         destination = f"d{number % DESTINATIONS}"
-        store.take(Owed(b"m%d" % number, None, "news", "", b"", destination, end, BODY))
+        store.take(StoredMessage(b"m%d" % number, None, "news", "", b"", destination, end, BODY))
     store.close()
     return store.size
 
