A long told wait is an outage: each comes back from it at a moment of its own, to a cold route

Checked: each attempt at it logged with its route's state. The destination was shut for eight seconds and told when it opens to most that it turned away; in the 130 ms after that moment 25 of 32 dispatchers sent, 21 of them over routes held for live and warm that had been covered by a wait told over another route of the destination. Ruled out: trials (4 of 25), silence (none before), the refusals that make no route cold (where each meets a route seldom no refusal did before either).

Lines at fault: reading, where each meets a route seldom: a refusal's rest has a length of its own for each, but a told wait beyond it ends for all alike; reopen holds every wait for a mere one, and routes beside the one that told it are not reopened at all.

Change: where a wait is told beyond that rest, the rest is the wait and a part, by chance, of what lies between calls of those that saw it (apart), and the destination's routes are cold from its end. slow_start is not below its start before that.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -103,12 +103,10 @@
         self.keys: dict[str, Turns] = {}
         self.owed_elsewhere: dict[str, float] = {}  # keys of another process of this dispatcher, and until
         self.resting: list[tuple[float, int, Turns]] = []
-        # Connections are kept as long as receivers keep them, and by many shorter where attempts find none:
-        # idle ones fill tables that nobody tells of.
+        # Kept as long as receivers keep them; by many shorter where attempts find none: idle ones cost.
         self.idle_time = min(tariff.idle_time or inf, 30.0)
         self.keep = self.idle_time if self.many else 30.0 / tariff.instances
-        self.idle = deque[tuple[float, Lane]]()
-        self.tally = Tally()  # of all calls, for routes of which too few are known
+        self.idle, self.tally = deque[tuple[float, Lane]](), Tally()  # of all calls, where a route's are few
         self.rest, self.broke = inf, now  # for how long a connection may have rested when one last broke
         self.held, self.ask_backoff, self.asked, self.ticking, self.close_at = 0, 0.0, now, False, inf
         self.effects: list[face.Effect] = []
@@ -304,10 +302,9 @@
             return Sign.UNSENT
         good = outcome.ending is Ending.SERVED
         if self.seldom and outcome.ending is Ending.NO_CONNECTION and lane.state is State.LIVE:
-            self.keep = max(0.1, 0.25 * self.keep)
+            self.keep = max(0.1, 0.25 * self.keep)  # grown slowly: a full table costs one in a hundred
         elif good:
-            if self.seldom:  # a table that is short of room costs one attempt in a hundred
-                self.keep = min(self.idle_time, 1.01 * self.keep)
+            self.keep = min(self.idle_time, 1.01 * self.keep) if self.seldom else self.keep
             lane.refused = lane.line.refused = 0.0
             lane.rest, lane.line.rest = 0.8 * lane.rest, 0.8 * lane.line.rest
         used_up = outcome.ending is Ending.FULL and lane.told_rate and lane.told_left < 0.5
@@ -327,6 +324,10 @@
             even = 1 / (rate * self.part) if rate else 2.0
             bound.rest = min(max(4.0, 3 * bound.rest), max(1.0, 2 * even))
             rest = max(bound.rest, self.apart(now - bound.refused, rate)) * (0.5 + self.chance())
+            if outcome.wait > rest:  # shut: it tells all that it turns away the same end, and is cold then
+                rest = outcome.wait + self.apart(now + outcome.wait - bound.refused, rate) * self.chance()
+                for each in (lane,) if lane.route.kind.apart else lane.line.lanes.values():
+                    each.back = now + rest
             bound.until = max(bound.until, now + rest)
             lane.part = max(0.1, 0.5 * lane.part)
             lane.credit = min(0.0, lane.credit) + 0.5 - self.chance()
@@ -393,9 +394,8 @@
     def apart(self, since: float, rate: float, clump: float = 0.0) -> float:
         """Seconds between the calls of one that was failed for so long, beside others that were, too.
 
-        Those that saw it fail, as many as met it since, must not be the greater part of what it gets when
-        it is back: they come as often, together, as those that did not. Once all did, they send what a cold
-        route bears.
+        Those that saw it fail, as many as met it since, must not be the greater part of what it gets then:
+        they come as often, together, as those that did not. Once all did, they send what a cold route bears.
         """
         own, cold = rate * self.part, self.cold * self.start
         seen = min(1.0, own * since)
@@ -411,7 +411,7 @@
 
     def slow_start(self, now: float, lane: Lane) -> float:
         """The part of its capacity that a route has at least."""
-        return min(1.0, self.start + (1 - self.start) * (now - lane.back) / self.warm_time)
+        return min(1.0, self.start + (1 - self.start) * max(0.0, now - lane.back) / self.warm_time)
 
     def bears(self, now: float, lane: Lane) -> float:
         """The part of what comes in for a route that may go to it."""
--- a/tests/test_seldom.py
+++ b/tests/test_seldom.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import sqrt
 
 import pytest
 from dock import Dock
@@ -97,6 +98,35 @@
     assert fleet.served >= 18, fleet.served
 
 
+@pytest.mark.parametrize("size", [16, 24, 32])
+def test_the_end_of_a_wait_told_to_many_does_not_bring_all_of_them_at_once(size: int) -> None:
+    """A receiver that is shut tells everyone the same end: 25 of 32 sent at it, and it fell over."""
+    fleet, opens, span = Fleet(size), 10.0, 1.0
+    for dock in fleet.docks:
+        dock.listed(*(f"spare/{place}" for place in range(24)))
+        dock.mail("early", "redeliverable", left=30.0)
+    late: list[float] = []
+    step = 0
+    while fleet.now < opens + 20.0:
+        fleet.now, step = fleet.now + 0.05, step + 1
+        if step % 4 == 0:  # half of its limit, in turn over all dispatchers
+            fleet.docks[step // 4 % size].mail(f"m{step}", "redeliverable", left=20.0)
+        for dock in fleet.docks:
+            dock.after(0.05)
+            for name in sorted(dock.out):
+                if fleet.now < opens:
+                    dock.end(name, "full", wait=opens - fleet.now)
+                else:
+                    late.append(fleet.now)
+                    dock.end(name, "served")
+    for at in (each for each in late if each + span <= opens + 10.0):  # while it is cold
+        sent = sum(at <= other < at + span for other in late)
+        middle = at - opens + span / 2
+        bears = 2.0 * LIMIT * min(1.0, 0.2 + 0.8 * middle / 10.0) * span
+        assert sent <= bears + 2 * sqrt(bears) + 2, (at, sent, bears)
+    assert len(late) >= 100, len(late)  # of 150 handed in, 20 s each
+
+
 EVENTS = ("served", "waits", "drains", "withdrawn", "silent")
 
 
