What waits behind a silent route met seldom goes as to a cold one; paced once it is warm

The dispatches in the windows that were over, by state of the route: of 20, 150 of 163 were to a live route taken for warm, 137 of them further calls of an instance after its first served one. Two waves: seconds 2 to 4 after the return, and 10 to 11.

Cause: where each meets a route seldom, one silent call rests it (apart, 4 to 12 s of 20) before a run of failures can come about: it stays live, is never shut, and `not seldom` kept it from being cold; its failures have faded (ill) once the rest is over. An instance with a tenth of the mails holds some twenty by then and sends a call each turn. 16 has one such instance, which meets the route four times a second, sees several failures at once and shuts it; 24 rests longer. The lead is confirmed: seldom, not the number, is the condition. The second wave: cold until warm_time is over, then free at once.

Lines at fault: reading's branch that makes a live route cold asked for `not self.seldom`; refill gave a whole call of credit each turn as soon as slow_start is 1.

Change: of a route met seldom, one rested for silence (hush after gone) is cold once served if more mails wait than its destination has routes; and of many, a route that was cold takes from one instance no more than its whole rate, call by call.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -117,11 +117,10 @@
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_backoff = 0.0
-        held = (route for line in self.lines.values() for route in line.lanes)
-        for route in list(held) if whole else routes:  # nothing new to the others; what is out runs on
+        for route in [route for line in self.lines.values() for route in line.lanes] if whole else routes:
             gone = route.listed is not face.Listed.UP
             if gone and (lane := self.line(route.destination).lanes.pop(route, None)):
-                lane.drained, self.known = now, self.known - 1
+                lane.drained, self.known = now, self.known - 1  # nothing new to it; what is out runs on
         for route in routes:
             line = self.line(route.destination)
             if route.listed is face.Listed.UP and route not in line.lanes:
@@ -347,7 +346,8 @@
             lane.since = lane.since or now
             lane.gone = lane.gone or (0.0 if table or outcome.ending is Ending.FULL else now)
         elif lane.state is State.LIVE:
-            if self.many and not self.seldom and 0 < lane.gone < now - 1 and lane.ill > 0.2:  # it is cold
+            held = lane.hush > lane.gone and lane.line.waiting > len(lane.line.lanes)  # behind a silent route
+            if self.many and 0 < lane.gone < now - 1 and (held if self.seldom else lane.ill > 0.2):  # cold
                 lane.back, lane.credit = now, 0.0
             lane.since = lane.gone = 0.0
         bad = Sign.WAIT if outcome.wait else Sign.RUN if self.failing(lane) else Sign.FAILED
@@ -449,7 +449,8 @@
         fill = self.rate(lane) * self.part * self.bears(now, lane)
         free = self.slow_start(now, lane) == 1 and (lane.part >= 1 if self.many else lane.told_rate == 0)
         if free or not fill:
-            lane.credit = 1.0  # no limit to keep to, but a clump goes call by call
+            paced = self.many and lane.back > -inf and fill  # no one sends more than all of its rate
+            lane.credit = min(1.0, lane.credit + self.rate(lane) * (now - lane.filled)) if paced else 1.0
         else:
             lane.credit = min(max(1.0, fill * 0.5), lane.credit + fill * (now - lane.filled))
         lane.filled = now
@@ -604,9 +605,8 @@
 
     def alone(self, case: Case, lane: Lane) -> bool:
         """Whether a mail that may have run there could go again over no other route."""
-        lanes = case.line.lanes.values()
-        live = (other for other in lanes if other.state is State.LIVE and other is not lane)
-        return case.mail.queue_class.one_zone and all(other.route.zone != lane.route.zone for other in live)
+        live = (each for each in case.line.lanes.values() if each.state is State.LIVE and each is not lane)
+        return case.mail.queue_class.one_zone and all(each.route.zone != lane.route.zone for each in live)
 
     def dispatch(self, now: float, case: Case, lane: Lane, trial: bool = False) -> bool:
         """Send a mail over a route, in a call of this turn or a new one, if limits leave room."""
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -16,17 +16,12 @@
 
 
 @pytest.mark.parametrize("restart", [False, True])
-@pytest.mark.parametrize("size", [2, 3, 8, 9, 30, 40, 200])
+@pytest.mark.parametrize("size", [2, 3, 8, 9, 12, 16, 20, 24, 28, 30, 40, 200])
 def test_hardly_a_window_has_more_than_a_receiver_that_is_back_bears(size: int, restart: bool) -> None:
-    """Of 200 each that had failed once or twice sent what waited at once: 0.18 of the windows, 0.06 of 40."""
+    """What waited went at once after a failure or two: 0.18 of 200's windows, 0.06 of 40's, 0.08 of 20's."""
     assert over(size, "all", restart) < 0.04
 
 
-@pytest.mark.parametrize("restart", [False, True])
-def test_of_twenty_that_meet_a_route_seldom_hardly_a_window_has_more(restart: bool) -> None:
-    assert over(20, "all", restart) < 0.04
-
-
 def test_what_is_held_back_by_it_is_served_soon_after() -> None:
     """Since the return, and with what had waited; the receiver bears no more than that sooner."""
     served = [ramp.play(200, "all", seed)[4] for seed in range(SEEDS)]
@@ -51,3 +46,51 @@
     lane = dock.routes["north/1"].notes
     assert any("served" in line for line in dock.lines)
     assert (dock.control.slow_start(dock.now, lane) < 1) == cold
+
+
+def served_once(instances: int, waiting: int) -> Dock:
+    """A dispatcher that meets routes seldom; one of them was silent once, and is back with its first call."""
+    dock = Dock(instances=instances, connect_time=1.5, most_attempts=9)
+    dock.listed("north/1", rate=10.0)
+    dock.listed(*(f"other/{place}" for place in range(20)))
+    for name, ending in (("first", "served"), ("lost", "no connection")):
+        dock.after(0.5)
+        dock.mail(name, "redeliverable", left=60.0)
+        dock.after(1.5)
+        dock.end(name, ending, took=1.5)
+    for number in range(waiting):
+        dock.mail(f"m{number}", "redeliverable", left=60.0)
+    while not dock.out:
+        dock.after(0.05)
+    for name in sorted(dock.out):
+        dock.end(name, "served")
+    return dock
+
+
+@pytest.mark.parametrize("instances", [9, 20, 30])
+@pytest.mark.parametrize(("waiting", "cold"), [(1, False), (9, True)])
+def test_of_a_route_met_seldom_that_was_silent_what_waits_goes_as_to_a_cold_one(
+    instances: int, waiting: int, cold: bool
+) -> None:
+    """One failure and its rest make no run of failures; a mail alone needs no shaping, many do."""
+    dock = served_once(instances, waiting)
+    assert dock.control.seldom
+    assert (dock.control.slow_start(dock.now, dock.routes["north/1"].notes) < 1) == cold
+
+
+def test_of_many_one_alone_sends_what_waited_no_faster_than_the_rate_of_a_route_that_was_cold() -> None:
+    """Once the route was warm all went at twenty a second from each that held some; it takes ten."""
+    dock = served_once(20, 90)
+    lane = dock.routes["north/1"].notes
+    most = ended = 0
+    for _ in range(round(30 / 0.05)):  # all calls are answered at once
+        dock.after(0.05)
+        for name in sorted(dock.out):
+            dock.end(name, "served", took=0.05)
+            ended += dock.control.slow_start(dock.now, lane) == 1
+        most = max(most, sum("to north/1," in line and at(line) > dock.now - 101 for line in dock.lines))
+    assert ended > 20 and most <= 11, (ended, most)
+
+
+def at(line: str) -> float:
+    return float(line.split()[0])
