Types of configuration changes and of the messages that carry them

Cause: changes of the configuration reach dispatchers as files and signals alone. The types are the join between the catalog of entries, the controller and a dispatcher's stream, which are built beside each other. [[terms]] may have a name; [source] may be of kind controller; [controller]. Nothing uses them yet.

--- /dev/null
+++ b/laureldock/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: it accepts changes of the configuration and carries them to the dispatchers."""
--- a/laureldock/setup/plan.py
+++ b/laureldock/setup/plan.py
@@ -59,6 +59,17 @@
 class Entry(Terms, kw_only=True):
     """[[terms]]: settings for what it names; all that it names must fit."""
 
+    name: (
+        Annotated[
+            str,
+            Meta(
+                pattern=r"^[!-~]{1,256}$",
+                description="by which a change replaces or removes it; made of what it selects if left out",
+            ),
+        ]
+        | None
+    ) = None
+
     queue_class: Annotated[str | list[str] | None, Meta(description="a queue class, or several")] = field(
         default=None, name="class"
     )
@@ -179,9 +190,13 @@
 
 class Source(Table, kw_only=True):
     kind: Annotated[
-        Literal["file", "platform"], Meta(description="[[endpoint]] of this file, or the platform's watch")
+        Literal["file", "platform", "controller"],
+        Meta(description="[[endpoint]] of this file, the platform's watch, or a controller's changes"),
     ] = "file"
     address: Address | None = None
+    controllers: Annotated[list[Address], Meta(description="controller: where it listens; tried in turn")] = (
+        field(default_factory=list)
+    )
     known: Annotated[Any, Meta(description="platform: the list as last known, in its own form")] = None
 
 
@@ -214,6 +229,21 @@
     )
 
 
+class Controller(Table, kw_only=True):
+    """A controller: it accepts changes of the configuration and carries them to dispatchers."""
+
+    listen: Annotated[Address, Meta(description="where dispatchers and operators' commands connect")]
+    state: Annotated[str, Meta(description="folder of its snapshot and log; relative to the file")] = (
+        "controller-state"
+    )
+    pace: Annotated[Size, Meta(description="bytes a second to one dispatcher, bursts aside")] = field(
+        default_factory=partial(Size, 4000)
+    )
+    subscribers: Annotated[int, Meta(ge=1, le=65536, description="dispatchers that may follow at once")] = (
+        4096
+    )
+
+
 class Log(Table, kw_only=True):
     level: Literal["debug", "info", "warning", "error"] = "info"
     format: Annotated[
@@ -240,6 +270,7 @@
     outlet: Outlet = field(default_factory=Outlet)
     log: Log = field(default_factory=Log)
     fleet: Fleet | None = None
+    controller: Controller | None = None
     management: Annotated[str, Meta(description="operators' HTTP address, host:port; empty: none")] = ""
     passed: Annotated[
         int, Meta(ge=-1, description="descriptor of a listening socket handed down; -1: none")
