A log of changes on disk that loses nothing acknowledged

Need: a controller's state must outlive its process at any point, and a dispatcher's must be kept from start to start.

A durable log syncs each record before it counts, refuses what is spoilt by file and offset, and is held by one process. A log that is not durable drops what is spoilt. Records before the last compaction stay at hand for those who follow it.

Result: cut at every byte of the last records, a bit flipped in every byte of both files, ended before each of its steps on the disk (half of a write done), failing at each step, and killed by SIGKILL at up to 100 moments: no acknowledged version was lost, no refused one came back.

--- /dev/null
+++ b/tests/test_change_log.py
@@ -0,0 +1,441 @@
+"""The change log on disk: nothing acknowledged is lost, whatever ends the process; what is spoilt is told."""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+import shutil
+import signal
+import time
+import traceback
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from xxhash import xxh3_64_intdigest
+
+from laureldock.replication import change_log
+from laureldock.replication.change_log import (
+    LOG_HEADER,
+    LOG_NAME,
+    SNAPSHOT_NAME,
+    ChangeLog,
+    LogInUseError,
+    Record,
+    SpoiltLogError,
+)
+from laureldock.replication.messages import NO_POSITION, Position
+
+EPOCH = 77
+
+
+class State:
+    """A stand-in for the catalog: names with numbers, changed one at a time."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, int] = {}
+
+    @property
+    def digest(self) -> int:
+        return xxh3_64_intdigest(msgspec.msgpack.encode(sorted(self.values.items()))) >> 2
+
+    def record(self, version: int, size: int = 20) -> Record:
+        name = f"n{version % 13}"
+        self.values[name] = version
+        body = msgspec.msgpack.encode([name, version, "x" * size])
+        return Record(Position(EPOCH, version), self.digest, float(version), body)
+
+    def parts(self, each: int = 3) -> Iterator[bytes]:
+        items = sorted(self.values.items())
+        for place in range(0, len(items), each):
+            yield msgspec.msgpack.encode(items[place : place + each])
+
+    def load(self, log: ChangeLog) -> None:
+        for found in log.load():
+            if isinstance(found, Record):
+                name, value, _ = msgspec.msgpack.decode(found.body)
+                self.values[name] = value
+                assert self.digest == found.digest, found.position
+            else:
+                self.values.update(dict(msgspec.msgpack.decode(found)))
+        assert not self.values or self.digest == log.digest
+
+
+def opened(folder: Path, durable: bool = True) -> tuple[ChangeLog, State]:
+    log, state = ChangeLog(folder, durable), State()
+    state.load(log)
+    return log, state
+
+
+def begun(folder: Path) -> tuple[ChangeLog, State]:
+    """As a controller begins: an epoch on disk before the first change."""
+    log, state = opened(folder)
+    if log.position == NO_POSITION:
+        log.compact(Position(EPOCH, 0), state.digest, [])
+    return log, state
+
+
+def append(log: ChangeLog, state: State, size: int = 20) -> int:
+    version = log.position.version + 1
+    log.append(state.record(version, size))
+    return version
+
+
+def compact_in_slices(log: ChangeLog, state: State, between: Callable[[], Any]) -> None:
+    parts = list(state.parts())
+    writer = log.begin_compaction(log.position, log.digest, len(state.values))
+    for part in parts:
+        writer.write(part)
+        between()
+    writer.seal(True)
+    between()
+    log.finish_compaction(writer)
+
+
+def filled(folder: Path, records: int) -> None:
+    """A snapshot of a few entries and so many records behind it."""
+    log, state = begun(folder)
+    for _ in range(4):
+        append(log, state)
+    compact_in_slices(log, state, lambda: None)
+    for _ in range(records):
+        append(log, state)
+    log.close()
+
+
+def test_what_was_appended_is_there_after_a_restart(tmp_path: Path) -> None:
+    filled(tmp_path, 6)
+    log, state = opened(tmp_path)
+    assert log.position == Position(EPOCH, 10) and state.values["n10"] == 10 and len(state.values) == 10
+    assert log.torn_bytes == 0 == log.spoilt_bytes
+    append(log, state)
+    log.close()
+    log, _ = opened(tmp_path)
+    assert log.position.version == 11
+
+
+def test_records_after_a_version_over_one_compaction_and_none_that_is_gone(tmp_path: Path) -> None:
+    log, state = begun(tmp_path)
+    for _ in range(5):
+        append(log, state)
+    assert log.oldest_version == 0
+    compact_in_slices(log, state, lambda: append(log, state))
+    newest = log.position.version
+    for version in range(newest + 1):  # those of the log before the compaction are still at hand
+        records = log.records_after(version, 1)
+        assert records is not None
+        assert [each.position.version for each in records] == [version + 1][: newest - version]
+    assert log.records_after(newest + 1) is None
+    compact_in_slices(log, state, lambda: None)
+    assert log.oldest_version == 5 and log.records_after(4) is None
+    assert [each.position.version for each in log.records_after(5) or []] == list(range(6, newest + 1))
+    log.close()
+    log, state = opened(tmp_path)
+    assert log.records_after(newest - 1) is None and log.records_after(newest) == []
+
+
+def test_a_snapshot_is_read_to_its_end_over_a_later_compaction(tmp_path: Path) -> None:
+    log, state = begun(tmp_path)
+    first = log.snapshot_file()
+    assert first and (first.entries, first.parts) == (0, 0) and first.next_part() is None
+    for _ in range(13):
+        append(log, state)
+    compact_in_slices(log, state, lambda: None)
+    reader, before = log.snapshot_file(), state.digest
+    assert reader and reader.position == log.position and (reader.entries, reader.parts) == (13, 5)
+    parts = [reader.next_part()]
+    for _ in range(9):
+        append(log, state)
+    compact_in_slices(log, state, lambda: None)
+    while (part := reader.next_part()) is not None:
+        parts.append(part)
+    seen = State()
+    for part in parts:
+        seen.values.update(dict(msgspec.msgpack.decode(part or b"")))
+    assert seen.digest == before == reader.digest != log.digest
+
+
+def test_a_folder_is_held_by_one_process(tmp_path: Path) -> None:
+    log, _ = begun(tmp_path)
+    with pytest.raises(LogInUseError, match="another process"):
+        ChangeLog(tmp_path, durable=True)
+    log.close()
+    ChangeLog(tmp_path, durable=True).close()
+
+
+def test_where_it_does_not_write_nothing_on_disk_is_touched(tmp_path: Path) -> None:
+    absent = ChangeLog(tmp_path / "absent", durable=False, writes=False)
+    assert list(absent.load()) == [] and not (tmp_path / "absent").exists()
+    filled(tmp_path, 3)
+    path = tmp_path / LOG_NAME
+    path.write_bytes(path.read_bytes()[:-1])
+    before = {each.name: each.read_bytes() for each in tmp_path.iterdir()}
+    log = ChangeLog(tmp_path, durable=False, writes=False)
+    State().load(log)
+    assert log.position.version == 6 and log.torn_bytes > 0
+    assert before == {each.name: each.read_bytes() for each in tmp_path.iterdir()}
+    with pytest.raises(RuntimeError):
+        log.append(State().record(8))
+
+
+def test_a_change_must_follow(tmp_path: Path) -> None:
+    log, state = begun(tmp_path)
+    append(log, state)
+    for position in (Position(EPOCH, 1), Position(EPOCH, 0), Position(EPOCH + 1, 2)):
+        with pytest.raises(ValueError, match="does not follow"):
+            log.append(Record(position, 0, 0.0, b""))
+    with pytest.raises(ValueError, match="would drop records"):
+        log.compact(Position(EPOCH, 0), 0, [])
+
+
+# Truncated and spoilt files
+
+
+@pytest.mark.usefixtures("unsynced")
+def test_truncated_at_any_byte_of_the_last_records_the_whole_ones_stay(tmp_path: Path) -> None:
+    filled(tmp_path / "whole", 3)
+    data = (tmp_path / "whole" / LOG_NAME).read_bytes()
+    ends = [LOG_HEADER.size]  # of the records
+    log, _ = opened(tmp_path / "whole")
+    for record in log.records_after(4) or []:
+        ends.append(ends[-1] + len(change_log.encode_record(record)))
+    log.close()
+    assert ends[-1] == len(data)
+    for size in range(LOG_HEADER.size, len(data)):
+        folder = tmp_path / "cut"
+        shutil.copytree(tmp_path / "whole", folder)
+        (folder / LOG_NAME).write_bytes(data[:size])
+        log, state = opened(folder)
+        whole = sum(end <= size for end in ends) - 1
+        assert log.position.version == 4 + whole and log.torn_bytes == size - ends[whole], size
+        append(log, state)
+        log.close()
+        log, _ = opened(folder)
+        assert log.position.version == 5 + whole and log.torn_bytes == 0
+        log.close()
+        shutil.rmtree(folder)
+
+
+@pytest.mark.usefixtures("unsynced")
+@pytest.mark.parametrize("name", [LOG_NAME, SNAPSHOT_NAME])
+def test_any_flipped_byte_is_told_with_its_place_and_never_read(tmp_path: Path, name: str) -> None:
+    filled(tmp_path / "whole", 3)
+    data = (tmp_path / "whole" / name).read_bytes()
+    folder = tmp_path / "spoilt"
+    shutil.copytree(tmp_path / "whole", folder)
+    for place in range(len(data)):
+        spoilt = bytearray(data)
+        spoilt[place] ^= 1 << (place % 8)
+        (folder / name).write_bytes(spoilt)
+        log = ChangeLog(folder, durable=True)
+        with pytest.raises(SpoiltLogError, match=rf"{name}: byte \d+: ") as told:
+            State().load(log)
+        assert told.value.path == folder / name and told.value.offset <= place
+        log.close()
+        if name == LOG_NAME:  # a dispatcher drops it and what is behind it, and goes on
+            log, state = opened(folder, durable=False)
+            assert 4 <= log.position.version < 7 and log.spoilt_bytes > 0
+            append(log, state)
+            log.close()
+            log, _ = opened(folder, durable=False)
+            assert log.spoilt_bytes == 0
+            log.close()
+    if name == SNAPSHOT_NAME:
+        log = ChangeLog(folder, durable=False)
+        with pytest.raises(SpoiltLogError):
+            State().load(log)
+        log.clear()
+        assert log.position == NO_POSITION
+        log.append(State().record(9))
+        log.close()
+        assert opened(folder, durable=False)[0].position.version == 9
+
+
+@pytest.mark.parametrize("name", [LOG_NAME, SNAPSHOT_NAME])
+def test_a_lost_file_is_no_empty_folder(tmp_path: Path, name: str) -> None:
+    filled(tmp_path, 3)
+    (tmp_path / name).unlink()
+    with pytest.raises(SpoiltLogError):
+        opened(tmp_path)
+
+
+def test_a_lost_record_in_the_middle_is_seen(tmp_path: Path) -> None:
+    filled(tmp_path, 3)
+    data = (tmp_path / LOG_NAME).read_bytes()
+    length = (len(data) - LOG_HEADER.size) // 3
+    (tmp_path / LOG_NAME).write_bytes(data[: LOG_HEADER.size] + data[LOG_HEADER.size + length :])
+    with pytest.raises(SpoiltLogError, match="behind"):
+        opened(tmp_path)
+
+
+# A dispatcher's folder
+
+
+def test_a_dispatcher_takes_a_snapshot_of_any_position_and_may_skip_versions(tmp_path: Path) -> None:
+    log, state = opened(tmp_path, durable=False)
+    for position in (Position(3, 10), Position(3, 4), Position(9, 2)):
+        log.compact(position, state.digest, state.parts())
+        for step in (2, 3):
+            record = state.record(position.version + step)
+            log.append(
+                Record(Position(position.epoch, record.position.version), state.digest, 0.0, record.body)
+            )
+        log.close()
+        log, state = opened(tmp_path, durable=False)
+        assert log.position == Position(position.epoch, position.version + 3)
+        assert log.digest == state.digest
+
+
+# A disk that is full or gone
+
+
+def not_synced(descriptor: int) -> None:
+    """In place of fsync where a process ends, not the machine: a thousand syncs take long."""
+
+
+@pytest.fixture
+def unsynced(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(os, "fsync", not_synced)
+    monkeypatch.setattr(os, "fdatasync", not_synced)
+
+
+class Syscalls:
+    """Counts what the log does to the disk, and lets the call of one number fail before it is done."""
+
+    NAMES = ("pwrite", "fdatasync", "fsync", "rename", "ftruncate", "unlink")
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, fail_at: int, fault: BaseException) -> None:
+        self.count, self.fail_at, self.fault = 0, fail_at, fault
+        for name in self.NAMES:
+            call = not_synced if name in ("fsync", "fdatasync") else getattr(os, name)
+            monkeypatch.setattr(os, name, self.wrapped(name, call))
+
+    def wrapped(self, name: str, call: Callable[..., Any]) -> Callable[..., Any]:
+        def counted(*words: Any, **more: Any) -> Any:
+            self.count += 1
+            if self.count == self.fail_at:
+                if name == "pwrite":  # half of it has reached the file
+                    descriptor, data, offset = words
+                    call(descriptor, data[: len(data) // 2], offset)
+                raise self.fault
+            return call(*words, **more)
+
+        return counted
+
+
+def scenario(folder: Path, acknowledged: list[int]) -> None:
+    """A start, records, a compaction with records between its slices, and records."""
+    log, state = begun(folder)
+    try:
+        for _ in range(3):
+            acknowledged.append(append(log, state))
+        compact_in_slices(log, state, lambda: acknowledged.append(append(log, state)))
+        acknowledged.append(append(log, state))
+        acknowledged.append(append(log, state))
+    finally:
+        log.close()
+
+
+class Crash(BaseException):
+    """The process ends here."""
+
+
+@pytest.mark.usefixtures("unsynced")
+def test_ended_at_any_step_nothing_acknowledged_is_lost(tmp_path: Path) -> None:
+    fail_at = 0
+    while True:
+        fail_at += 1
+        folder, acknowledged = tmp_path / str(fail_at), list[int]()
+        with pytest.MonkeyPatch.context() as patch:
+            calls = Syscalls(patch, fail_at, Crash())
+            try:
+                scenario(folder, acknowledged)
+            except Crash as crash:  # what the ended process held open is closed with its frames
+                traceback.clear_frames(crash.__traceback__)
+                crash.__traceback__ = None
+        newest = acknowledged[-1] if acknowledged else 0
+        log, state = begun(folder)
+        assert newest <= log.position.version <= newest + 1, fail_at
+        assert log.position.epoch == EPOCH
+        append(log, state)
+        log.close()
+        if calls.count < fail_at:
+            break
+    assert fail_at > 35  # or the steps are not counted
+
+
+@pytest.mark.usefixtures("unsynced")
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
+def test_where_the_disk_fails_what_is_refused_is_not_there_and_the_rest_is(
+    tmp_path: Path, number: int
+) -> None:
+    fail_at = 0
+    while True:
+        fail_at += 1
+        folder, acknowledged = tmp_path / str(fail_at), list[int]()
+        log, state = begun(folder)
+        with pytest.MonkeyPatch.context() as patch:
+            calls = Syscalls(patch, fail_at, OSError(number, os.strerror(number)))
+            for step in range(12):
+                before = dict(state.values)
+                try:
+                    if step % 4 == 3:
+                        log_position = log.position
+                        compact_in_slices(log, state, lambda: None)
+                        assert log.position == log_position
+                    else:
+                        acknowledged.append(append(log, state))
+                except OSError:
+                    state.values = before
+        log.close()
+        log, again = opened(folder)
+        assert log.position.version == len(acknowledged) == acknowledged[-1]
+        assert again.values == state.values
+        log.close()
+        if calls.count < fail_at:
+            break
+    assert fail_at > 30
+
+
+# Real kills
+
+
+def run_until_killed(folder: Path, told: int) -> None:
+    """Appends and compacts for ever; each version that is on disk is told."""
+    log, state = begun(folder)
+    chance = random.Random(log.position.version)
+    while True:
+        size = chance.choice((0, 10, 300, 5000))
+        os.write(told, b"%d\n" % append(log, state, size))
+        if log.position.version % 5 == 0:
+            compact_in_slices(log, state, lambda: os.write(told, b"%d\n" % append(log, state)))
+
+
+def test_killed_at_a_hundred_moments_nothing_acknowledged_is_lost(tmp_path: Path) -> None:
+    chance, newest, kills = random.Random(41), 0, 0
+    end = time.monotonic() + 6.0
+    while kills < 100 and time.monotonic() < end:
+        reading, told = os.pipe()
+        child = os.fork()
+        if child == 0:
+            try:
+                run_until_killed(tmp_path, told)
+            finally:
+                os._exit(1)
+        os.close(told)
+        time.sleep(chance.uniform(0.0, 0.04))
+        os.kill(child, signal.SIGKILL)
+        assert os.WIFSIGNALED(os.waitpid(child, 0)[1])
+        with open(reading, "rb") as lines:
+            acknowledged = [int(line) for line in lines.read().split(b"\n")[:-1]]
+        newest = max([newest, *acknowledged])
+        log, state = begun(tmp_path)
+        assert newest <= log.position.version, f"kill {kills}: {newest} was acknowledged"
+        newest = log.position.version
+        assert newest < 1 or state.values[f"n{newest % 13}"] == newest
+        log.close()
+        kills += 1
+    assert kills >= 30 and newest > kills
