--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -65,6 +65,8 @@
         self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
         self.handed_down = False  # the listening socket is the platform's, shared with the next process
         self.verbose = False  # whether each mail's steps are logged
+        # Figures of the configuration in force, where it comes from a controller.
+        self.configuration_figures: Callable[[], dict[str, float]] = dict
         self.fresh: list[Letter] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
@@ -438,12 +440,13 @@
             "reloads_failed": self.counters["configurations refused"],
             "ready": self.takes_clients(),
             "lameduck": self.lameduck,
+            **self.configuration_figures(),
         }
 
     def log_counters(self) -> None:
         self.log.info("counters", **self.figures())
 
-    def figures(self) -> dict[str, int]:
+    def figures(self) -> dict[str, float]:
         held = {"held": len(self.letters), "out": self.carrier.out}
         held["clients"] = sum(front.busy for front in self.fronts)
-        return {**held, **dict(sorted(self.counters.items()))}
+        return {**held, **self.configuration_figures(), **dict(sorted(self.counters.items()))}
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -171,7 +171,7 @@
     def short(self) -> None:
         """The process is out of descriptors before the limit on clients is reached."""
 
-    def figures(self) -> dict[str, int]: ...
+    def figures(self) -> dict[str, float]: ...
 
 
 class Outcomes(Timing, Protocol):
