Catalog of entries: changes checked and applied in the size of the change

A controller and the dispatchers that follow it have to take single entries without reading a whole file again. The catalog keeps indexes (endpoints by destination and address, terms by what they name, places by kind) and checks only the places that a change touches; destinations without settings of their own are the same for their kind, so one stands for all. setup/rules.py gives its rules entry by entry now, and both ways call them. [controller] and [source] kind = "controller" have rules too.

--- /dev/null
+++ b/laureldock/setup/catalog.py
@@ -0,0 +1,362 @@
+"""All entries of a configuration that is changed entry by entry. No I/O, no clock.
+
+A change is checked by the rules of a whole file and applied whole or not at all, at a cost of what it names
+and what that selects, whatever else is held. docs/design/configuration-changes.md says how.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from msgspec import structs
+
+from laureldock.setup import plan as model
+from laureldock.setup.catalog_index import AddressIndex, Groups, Place, PlaceIndex, put_in, take_out
+from laureldock.setup.catalog_rules import Touched, duplicates, faults_of, misnamed
+from laureldock.setup.changes import (
+    CatalogEntry,
+    Change,
+    ClassEntry,
+    ClassSettings,
+    CustomerEntry,
+    DestinationEntry,
+    EndpointEntry,
+    EntryKey,
+    EntryKind,
+    TermsEntry,
+    entry_digest,
+)
+from laureldock.setup.entries import (
+    class_pairs,
+    destination_pairs,
+    endpoint_pairs,
+    enter,
+    kind_of,
+    named,
+    settings_of,
+    term_book,
+    withdraw,
+)
+from laureldock.setup.faults import Fault, Path
+from laureldock.setup.rules import Bounds
+from laureldock.setup.terms import Level, Spot, TermBook
+
+ENTRY_TYPES: dict[EntryKind, Any] = {
+    EntryKind.ENDPOINT: EndpointEntry,
+    EntryKind.DESTINATION: DestinationEntry,
+    EntryKind.TERMS: TermsEntry,
+    EntryKind.CUSTOMER: CustomerEntry,
+    EntryKind.CLASS: ClassEntry,
+}
+# Entries to be put, or None where they are removed.
+Values = Mapping[EntryKey, CatalogEntry | None]
+
+
+class RefusedChangeError(ValueError):
+    """A change that is not taken, with all that is wrong with it. Nothing has changed.
+
+    A fault's path is (kind, name, field...) of an entry, or (table, name, field...) of the base.
+    """
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__("; ".join(f"{'.'.join(map(str, each.path))}: {each.reason}" for each in faults[:3]))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointPut:
+    name: str
+    value: model.Endpoint
+    before: model.Endpoint | None
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointRemoved:
+    name: str
+    before: model.Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """Settings that hold anew, or no more, for a queue class ("": all) at a place."""
+
+    queue_class: str
+    spot: Spot
+    settings: frozenset[str]
+
+
+@dataclass(slots=True)
+class AppliedChange:
+    """What a change touched: what is equal to what was held is not told."""
+
+    endpoints_put: list[EndpointPut] = field(default_factory=list)
+    endpoints_removed: list[EndpointRemoved] = field(default_factory=list)
+    destinations: list[str] = field(default_factory=list)  # their kind or settings
+    rekinded: list[str] = field(default_factory=list)  # those of them whose kind is another
+    selections: list[Selection] = field(default_factory=list)  # by [[terms]] and queue classes
+    classes: list[str] = field(default_factory=list)
+    customers: list[str] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return any(getattr(self, name) for name in self.__slots__)
+
+
+class Catalog:
+    """Entries above a base: the dispatcher's or controller's file, which holds none itself.
+
+    `live` is the base with the destinations, customers and queue classes in force (not endpoints and terms:
+    those are `plan()`'s); with `term_book` it is what a dispatcher looks up, kept up in place.
+    """
+
+    def __init__(self, base: model.Plan, bounds: Bounds | None = None) -> None:
+        self.base, self.bounds = base, bounds or Bounds()
+        self.live = structs.replace(
+            base, destinations={}, customers={}, classes=dict(base.classes), endpoints=[], terms=[]
+        )
+        self.term_book: TermBook = term_book(self.live)[0]
+        self.digest = 0
+        self.endpoints: dict[str, model.Endpoint] = {}
+        self.terms: dict[str, model.Entry] = {}
+        self._classes: dict[str, ClassSettings] = {}
+        self._held: dict[EntryKind, dict[str, Any]] = {
+            EntryKind.ENDPOINT: self.endpoints,
+            EntryKind.DESTINATION: self.live.destinations,
+            EntryKind.TERMS: self.terms,
+            EntryKind.CUSTOMER: self.live.customers,
+            EntryKind.CLASS: self._classes,
+        }
+        self.endpoint_names: Groups[str, str] = {}  # by destination
+        self.addresses = AddressIndex()
+        self.places = PlaceIndex()
+        self.terms_naming: Groups[Spot, str] = {}  # names of terms by each destination and route they name
+
+    def __len__(self) -> int:
+        return sum(map(len, self._held.values()))
+
+    def get(self, key: EntryKey) -> CatalogEntry | None:
+        value = self._held[key.kind].get(key.name)
+        return None if value is None else self._entry(key, value)
+
+    def entries(self) -> Iterator[CatalogEntry]:
+        """In the order of their keys: by kind and name."""
+        for kind in sorted(self._held):
+            held = self._held[kind]
+            for name in sorted(held):
+                yield ENTRY_TYPES[kind](name, held[name])
+
+    def plan(self) -> model.Plan:
+        """The whole file that means the same."""
+        return structs.replace(
+            self.live,
+            source=model.Source(),
+            controller=None,
+            destinations=dict(self.live.destinations),
+            customers=dict(self.live.customers),
+            classes=dict(self.live.classes),
+            endpoints=[self.endpoints[name] for name in sorted(self.endpoints)],
+            terms=[self.terms[name] for name in sorted(self.terms)],
+        )
+
+    def apply(self, change: Change, *, missing_ok: bool = False) -> AppliedChange:
+        """Put and remove, whole or not at all. RefusedChangeError.
+
+        `missing_ok`: what is to be removed need not be held. A controller refuses that, since a name may be
+        mistyped; a dispatcher that follows it may have refused the change that put the entry.
+        """
+        keys = [*(entry.key for entry in change.puts), *change.removals]
+        faults = [*duplicates(keys), *misnamed(change.puts)]
+        values: dict[EntryKey, CatalogEntry | None] = {entry.key: entry for entry in change.puts}
+        for key in change.removals:
+            if self.get(key) is not None:
+                values[key] = None
+            elif not missing_ok:
+                faults.append(Fault((str(key.kind), key.name), "cannot be removed: there is no such entry"))
+        return self._commit(values, faults)
+
+    def replace(self, entries: Iterable[CatalogEntry]) -> AppliedChange:
+        """All entries anew: what differs is applied as one change. RefusedChangeError."""
+        told = list(entries)
+        values: dict[EntryKey, CatalogEntry | None] = {entry.key: entry for entry in told}
+        faults = [*duplicates([entry.key for entry in told]), *misnamed(told)]
+        for kind, held in self._held.items():
+            for name in held:
+                values.setdefault(EntryKey(kind, name), None)
+        return self._commit(values, faults)
+
+    # How a change is made
+
+    def _commit(self, told: Values, faults: list[Fault]) -> AppliedChange:
+        values = {key: entry for key, entry in told.items() if not self._holds(key, entry)}
+        before = {key: self.get(key) for key in values}
+        touched = self._exchange(values, faults)
+        faults = faults_of(self, values, touched, faults)
+        if faults:
+            self._exchange(before, [])
+            raise RefusedChangeError(faults)
+        return applied(values, before)
+
+    def _holds(self, key: EntryKey, entry: CatalogEntry | None) -> bool:
+        value = self._held[key.kind].get(key.name)
+        return bool(value is None if entry is None else value == entry.value)
+
+    def _exchange(self, values: Values, faults: list[Fault]) -> Touched:
+        """Put and remove unchecked; called with what was held before, it undoes that.
+
+        Faults of settings that cannot stand where they do are added to those handed in.
+        """
+        touched = self._touched(values)
+        # Places are taken out of their index as they are, and put in as they become.
+        for destination in touched.destinations:
+            if state := self._destination_place(destination):
+                self.places.discard(*state)
+        for route in touched.routes:
+            if state := self._route_place(route):
+                self.places.discard(*state)
+        for key, entry in values.items():
+            self._set(key, entry, faults)
+        for destination in touched.destinations:
+            if state := self._destination_place(destination):
+                self.places.add(*state)
+        for route in touched.routes:
+            if state := self._route_place(route):
+                self.places.add(*state)
+        return touched
+
+    def _touched(self, values: Values) -> Touched:
+        """Before it is made: what the change names, what that selects, and what it did name."""
+        touched = Touched()
+        for key, entry in values.items():
+            value = None if entry is None else entry.value
+            for each in (self._held[key.kind].get(key.name), value):
+                if isinstance(each, model.Endpoint):
+                    touched.destinations[each.destination] = None
+                    touched.routes[key.name] = None
+                elif isinstance(each, model.Entry):
+                    for queue_class, spot in named(each):
+                        touched.select(queue_class, spot)
+            if key.kind is EntryKind.DESTINATION:
+                touched.select("", (Level.DESTINATION, key.name))
+            elif key.kind is EntryKind.CLASS and key.name in self.base.classes:
+                touched.select(key.name, class_pairs(key.name)[0][1])
+        for destination in touched.selected_destinations:
+            touched.routes |= dict.fromkeys(self.places.own_routes(destination))
+        return touched
+
+    def _destination_place(self, destination: str) -> tuple[str, Place, bool] | None:
+        """Its kind, and whether it has settings of its own; None while nothing is listed there."""
+        if destination not in self.endpoint_names and destination not in self.live.destinations:
+            return None
+        own = (Level.DESTINATION, destination) in self.term_book.spots
+        return kind_of(self.live, destination), (destination, ""), own
+
+    def _route_place(self, route: str) -> tuple[str, Place, bool] | None:
+        """None if it is not listed, or has no settings of its own."""
+        endpoint = self.endpoints.get(route)
+        if endpoint is None or (Level.ROUTE, route) not in self.term_book.spots:
+            return None
+        return kind_of(self.live, endpoint.destination), (endpoint.destination, route), True
+
+    def _set(self, key: EntryKey, entry: CatalogEntry | None, faults: list[Fault]) -> None:
+        held = self._held[key.kind]
+        before = held.get(key.name)
+        path: Path = (str(key.kind), key.name)
+        if before is not None:
+            self.digest ^= entry_digest(self._entry(key, before))
+            self._unlink(key, before)
+            del held[key.name]
+        owner_before = self._settings(key, before)
+        if entry is not None:
+            self.digest ^= entry_digest(entry)
+            held[key.name] = entry.value
+            self._link(key, entry.value)
+        owner_after = self._settings(key, held.get(key.name))
+        if key.kind is EntryKind.CLASS and owner_after is not None:
+            self.live.classes[key.name] = owner_after  # type: ignore[assignment]
+        if owner_before is not None:
+            withdraw(self.term_book, owner_before, path, self._pairs(key, owner_before))
+        if owner_after is not None:
+            faults += enter(self.term_book, owner_after, path, self._pairs(key, owner_after))
+
+    def _settings(self, key: EntryKey, value: Any) -> model.Terms | None:
+        """What holds settings by that key: of a queue class the base's, with the entry above it."""
+        if key.kind is EntryKind.CLASS:
+            base = self.base.classes.get(key.name)
+            if base is None or value is None:
+                return base
+            return structs.replace(base, **dict(settings_of(value)))
+        return value if isinstance(value, model.Terms) else None
+
+    @staticmethod
+    def _pairs(key: EntryKey, owner: model.Terms) -> list[tuple[str, Spot]]:
+        if isinstance(owner, model.Entry):
+            return list(named(owner))
+        pairs = {
+            EntryKind.CLASS: class_pairs,
+            EntryKind.DESTINATION: destination_pairs,
+            EntryKind.ENDPOINT: endpoint_pairs,
+        }
+        return pairs[key.kind](key.name)
+
+    def _link(self, key: EntryKey, value: Any) -> None:
+        """Put an entry in the indexes, those of places aside."""
+        if isinstance(value, model.Endpoint):
+            put_in(self.endpoint_names, value.destination, key.name)
+            self.addresses.add(value.destination, value.address, key.name)
+        elif isinstance(value, model.Entry):
+            for _, spot in named(value):
+                if spot[0] >= Level.DESTINATION:
+                    put_in(self.terms_naming, spot, key.name)
+
+    def _unlink(self, key: EntryKey, value: Any) -> None:
+        if isinstance(value, model.Endpoint):
+            take_out(self.endpoint_names, value.destination, key.name)
+            self.addresses.discard(value.destination, value.address, key.name)
+        elif isinstance(value, model.Entry):
+            for _, spot in named(value):
+                if spot[0] >= Level.DESTINATION:
+                    take_out(self.terms_naming, spot, key.name)
+
+    @staticmethod
+    def _entry(key: EntryKey, value: Any) -> CatalogEntry:
+        entry: CatalogEntry = ENTRY_TYPES[key.kind](key.name, value)
+        return entry
+
+
+def applied(values: Values, before: Values) -> AppliedChange:
+    """What the exchange of one for the other touched."""
+    found = AppliedChange()
+    for key, entry in values.items():
+        old = before[key]
+        some = entry or old
+        match some:
+            case EndpointEntry(name):
+                endpoint = old.value if isinstance(old, EndpointEntry) else None
+                if isinstance(entry, EndpointEntry):
+                    found.endpoints_put.append(EndpointPut(name, entry.value, endpoint))
+                elif endpoint is not None:
+                    found.endpoints_removed.append(EndpointRemoved(name, endpoint))
+            case DestinationEntry(name):
+                found.destinations.append(name)
+                kinds = {
+                    each.value.kind if isinstance(each, DestinationEntry) else None for each in (old, entry)
+                }
+                if len(kinds) > 1:
+                    found.rekinded.append(name)
+            case TermsEntry():
+                found.selections += selections(old, entry)
+            case CustomerEntry(name):
+                found.customers.append(name)
+            case ClassEntry(name):
+                found.classes.append(name)
+                found.selections += selections(old, entry)
+    return found
+
+
+def selections(*entries: CatalogEntry | None) -> Iterator[Selection]:
+    for entry in entries:
+        if isinstance(entry, TermsEntry | ClassEntry):
+            settings = frozenset(setting for setting, _ in settings_of(entry.value))
+            pairs = class_pairs(entry.name) if isinstance(entry, ClassEntry) else named(entry.value)
+            yield from (Selection(queue_class, spot, settings) for queue_class, spot in pairs)
--- /dev/null
+++ b/laureldock/setup/catalog_rules.py
@@ -0,0 +1,178 @@
+"""A change held against the rules of `laureldock.setup.rules`, at the places that it touches. No I/O."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from laureldock.setup.changes import (
+    CatalogEntry,
+    ClassEntry,
+    CustomerEntry,
+    DestinationEntry,
+    EndpointEntry,
+    EntryKey,
+    TermsEntry,
+    terms_name,
+)
+from laureldock.setup.entries import kind_of, name_of, spots
+from laureldock.setup.faults import Fault, Path
+from laureldock.setup.rules import (
+    Cells,
+    Known,
+    class_faults,
+    destination_faults,
+    listed_twice,
+    terms_faults,
+    unknown,
+)
+from laureldock.setup.terms import Level, Spot
+
+if TYPE_CHECKING:
+    from laureldock.setup.catalog import Catalog
+
+# Among more known names the nearest is not looked for: a change may have a thousand faults.
+MOST_SEARCHED = 500
+CUSTOMER_NAME = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_.-]{0,63}")  # `plan.Name`
+
+# Queue classes whose cells are to be checked; None: all, and what they share.
+Classes = set[str] | None
+
+
+@dataclass(slots=True)
+class Touched:
+    """What a change names, and by it selects: places whose cells may have become other ones."""
+
+    destinations: dict[str, None] = field(default_factory=dict)
+    routes: dict[str, None] = field(default_factory=dict)
+    # Destinations whose settings or kind change, which binds their routes too.
+    selected_destinations: dict[str, None] = field(default_factory=dict)
+    selected_kinds: dict[str, Classes] = field(default_factory=dict)
+    everywhere: Classes = field(default_factory=set)
+
+    def select(self, queue_class: str, spot: Spot) -> None:
+        level, name = spot
+        if level is Level.ANY:
+            self.everywhere = joined(self.everywhere, queue_class)
+        elif level is Level.KIND:
+            self.selected_kinds[name] = joined(self.selected_kinds.get(name, set()), queue_class)
+        elif level is Level.DESTINATION:
+            self.destinations[name] = self.selected_destinations[name] = None
+        else:
+            self.routes[name] = None
+
+
+def joined(known: Classes, queue_class: str) -> Classes:
+    return None if known is None or not queue_class else known | {queue_class}
+
+
+def duplicates(keys: Iterable[EntryKey]) -> Iterator[Fault]:
+    seen: set[EntryKey] = set()
+    for key in keys:
+        if key in seen:
+            yield Fault((str(key.kind), key.name), "stands twice in one change", "each entry once")
+        seen.add(key)
+
+
+def misnamed(entries: Iterable[CatalogEntry]) -> Iterator[Fault]:
+    """Entries with a key that is not their own, or that no file could have."""
+    for entry in entries:
+        at: Path = (str(entry.key.kind), entry.name)
+        match entry:
+            case EndpointEntry(name, value) if name != name_of(value):
+                yield Fault((*at, "name"), f"its name is {name_of(value)!r}", "the same")
+            case TermsEntry(name, value) if name != terms_name(value):
+                yield Fault((*at, "name"), f"its name is {terms_name(value)!r}", "the same")
+            case CustomerEntry(name) if not CUSTOMER_NAME.fullmatch(name):
+                yield Fault(at, f"this name cannot be of a customer: {name!r}", CUSTOMER_NAME.pattern)
+
+
+def faults_of(
+    catalog: Catalog,
+    values: Mapping[EntryKey, CatalogEntry | None],
+    touched: Touched,
+    found: Iterable[Fault],
+) -> list[Fault]:
+    """All that is wrong once a change is made, each once; `found`: what was seen before."""
+    faults = {(fault.path, fault.reason): fault for fault in found}
+    known = known_to(catalog)
+    for entry in values.values():
+        if entry is not None:
+            faults |= {(fault.path, fault.reason): fault for fault in entry_faults(catalog, entry, known)}
+    for fault in (*left_behind(catalog, touched, known), *cells(catalog, touched)):
+        faults.setdefault((fault.path, fault.reason), fault)
+    return list(faults.values())
+
+
+def known_to(catalog: Catalog) -> Known:
+    live = catalog.live
+    return Known(live.classes, live.kinds, catalog.endpoint_names, catalog.endpoints, search=MOST_SEARCHED)
+
+
+def entry_faults(catalog: Catalog, entry: CatalogEntry, known: Known) -> Iterator[Fault]:
+    """Of an entry that is put."""
+    at: Path = (str(entry.key.kind), entry.name)
+    match entry:
+        case EndpointEntry(name, value):
+            for other in catalog.addresses.others(value.destination, value.address, name):
+                yield listed_twice(value, at, ("endpoint", other))
+        case DestinationEntry(_, value):
+            yield from destination_faults(value, at, known)
+        case TermsEntry(_, value):
+            yield from terms_faults(value, at, known)
+        case ClassEntry(name):
+            if name not in known.classes:
+                yield unknown(at, "queue class", name, known.classes)
+            else:
+                yield from class_faults(catalog.live.classes[name], at)
+
+
+def left_behind(catalog: Catalog, touched: Touched, known: Known) -> Iterator[Fault]:
+    """What names a destination or a route that is not listed, or no more."""
+    for name in touched.destinations:
+        if name in catalog.endpoint_names:
+            continue
+        if name in catalog.live.destinations:
+            yield from known.unknown(("destination", name), "destination", name)
+        for terms in catalog.terms_naming.get((Level.DESTINATION, name), ()):
+            yield from known.unknown(("terms", terms, "destination"), "destination", name)
+    for name in touched.routes:
+        if name not in catalog.endpoints:
+            for terms in catalog.terms_naming.get((Level.ROUTE, name), ()):
+                yield from known.unknown(("terms", terms, "route"), "route", name)
+
+
+def cells(catalog: Catalog, touched: Touched) -> Iterator[Fault]:
+    """Of the places touched, and of one that stands for those without settings of their own."""
+    checked = Cells(catalog.live, catalog.bounds, catalog.term_book)
+    if not catalog.term_book.settings:
+        return
+    for where, classes in places(catalog, touched):
+        yield from checked.at(where, classes)
+
+
+def places(catalog: Catalog, touched: Touched) -> Iterator[tuple[list[Spot], Classes]]:
+    live, index = catalog.live, catalog.places
+    if not index:
+        yield [], None
+    for name in touched.destinations:
+        if name in catalog.endpoint_names or name in live.destinations:
+            yield spots(kind_of(live, name), name), None
+    for name in touched.routes:
+        endpoint = catalog.endpoints.get(name)
+        if endpoint is not None and (Level.ROUTE, name) in catalog.term_book.spots:
+            yield spots(kind_of(live, endpoint.destination), endpoint.destination, name), None
+    if touched.everywhere != set():
+        for kind in index.kinds():
+            yield from of_kind(catalog, kind, touched.everywhere)
+    for kind, classes in touched.selected_kinds.items():
+        yield from of_kind(catalog, kind, classes)
+
+
+def of_kind(catalog: Catalog, kind: str, classes: Classes) -> Iterator[tuple[list[Spot], Classes]]:
+    if catalog.places.has_plain(kind):
+        yield spots(kind, ""), classes
+    for destination, route in catalog.places.own(kind):
+        yield spots(kind, destination, route), classes
--- a/laureldock/setup/changes.py
+++ b/laureldock/setup/changes.py
@@ -17,6 +17,7 @@
 from xxhash import xxh3_64_intdigest
 
 from laureldock.setup import plan
+from laureldock.setup.entries import several
 from laureldock.setup.units import decode, encode
 
 
@@ -89,6 +90,19 @@
         return EntryKey(EntryKind.CLASS, self.name)
 
 
+def terms_name(value: plan.Entry) -> str:
+    """As given, else made of what it selects: `class=a+b,destination=c`."""
+    if value.name is not None:
+        return value.name
+    selected = (
+        ("class", value.queue_class),
+        ("kind", value.kind),
+        ("destination", value.destination),
+        ("route", value.route),
+    )
+    return ",".join(f"{field}={'+'.join(several(told))}" for field, told in selected if told is not None)
+
+
 CatalogEntry = EndpointEntry | DestinationEntry | TermsEntry | CustomerEntry | ClassEntry
 
 
--- a/laureldock/setup/rules.py
+++ b/laureldock/setup/rules.py
@@ -5,14 +5,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from difflib import get_close_matches
 from ipaddress import ip_address
+from math import inf
 
 from laureldock.setup.entries import kind_of, name_of, several, spots, term_book
 from laureldock.setup.faults import Fault, Path
-from laureldock.setup.plan import SETTINGS, Plan, QueueClass
+from laureldock.setup.plan import SETTINGS, Destination, Endpoint, Entry, Plan, QueueClass
 from laureldock.setup.terms import Set, Spot, TermBook
 from laureldock.setup.units import encode
 
@@ -83,7 +84,7 @@
 
 
 def peers(plan: Plan, bounds: Bounds) -> Iterator[Fault]:
-    if not plan.front:
+    if not plan.front and not plan.controller:
         yield Fault(("front",), "no front: nobody could hand a mail in", "one [[front]] or more")
     seen: dict[str, int] = {}
     for place, front in enumerate(plan.front):
@@ -100,14 +101,42 @@
         yield Fault(("outlet", "path"), "the file of the lines is missing", "a path")
     if plan.outlet.kind != "lines" and plan.outlet.path:
         yield Fault(("outlet", "path"), "only an outlet of kind 'lines' has a path")
-    if plan.source.kind == "file" and not plan.endpoints:
+    yield from list_source(plan)
+
+
+def list_source(plan: Plan) -> Iterator[Fault]:
+    """Where the list comes from, and with it all entries."""
+    source = plan.source
+    if source.kind == "controller" and not source.controllers:
+        yield Fault(("source", "controllers"), "no controller is named", "one host and port, or several")
+    if source.kind != "controller" and source.controllers:
+        yield Fault(("source", "controllers"), "only a source of kind 'controller' has them")
+    if plan.controller and source.kind != "file":
+        reason = "a controller follows nobody: its entries come by changes"
+        yield Fault(("source", "kind"), reason, "no [source] beside [controller]")
+    if plan.controller or source.kind == "controller":
+        for name, entries in entry_tables(plan).items():
+            if entries:
+                allowed = "none in this file: `laureldock config apply` puts them"
+                yield Fault((name,), "entries come by a controller's changes", allowed)
+    elif source.kind == "file" and not plan.endpoints:
         yield Fault(("endpoint",), "no endpoint is listed", "one [[endpoint]] or more, or another source")
-    if plan.source.kind != "file" and plan.endpoints:
+    elif source.kind == "platform" and plan.endpoints:
         yield Fault(
             ("endpoint",), "the list comes from the platform", "no [[endpoint]], or source.kind 'file'"
         )
 
 
+def entry_tables(plan: Plan) -> dict[str, Collection[object]]:
+    """The tables of which a controller's changes are made, classes aside."""
+    return {
+        "endpoint": plan.endpoints,
+        "destination": plan.destinations,
+        "terms": plan.terms,
+        "customer": plan.customers,
+    }
+
+
 def is_ip(host: str) -> bool:
     try:
         ip_address(host)
@@ -144,13 +173,16 @@
     if not plan.classes:
         yield Fault(("class",), "no queue class: no mail could be taken", "one [class.NAME] or more")
     for name, each in plan.classes.items():
-        at: Path = ("class", name)
-        yield from positive((*at, "target_delay"), each.target_delay)
-        yield from positive((*at, "lifetime"), each.lifetime)
-        if each.target_delay > each.lifetime:
-            allowed = f"{encode(each.lifetime)}, its lifetime, or less"
-            yield Fault((*at, "target_delay"), "a mail would be over before it is late", allowed)
-        yield from effects(each, at)
+        yield from class_faults(each, ("class", name))
+
+
+def class_faults(each: QueueClass, at: Path) -> Iterator[Fault]:
+    yield from positive((*at, "target_delay"), each.target_delay)
+    yield from positive((*at, "lifetime"), each.lifetime)
+    if each.target_delay > each.lifetime:
+        allowed = f"{encode(each.lifetime)}, its lifetime, or less"
+        yield Fault((*at, "target_delay"), "a mail would be over before it is late", allowed)
+    yield from effects(each, at)
 
 
 def effects(each: QueueClass, at: Path) -> Iterator[Fault]:
@@ -173,46 +205,83 @@
         yield Fault((*at, "connects"), "resend is 'never'", "1", (*at, "resend"))
 
 
-def unknown(path: Path, what: str, name: str, known: Sequence[str]) -> Fault:
+def unknown(path: Path, what: str, name: str, known: Collection[str], search: float = inf) -> Fault:
+    """`search`: of how many known names at most the nearest is looked for, which takes time."""
+    if len(known) > search:
+        return Fault(path, f"unknown {what} {name!r}", f"one of the {len(known)} that are listed")
     near = get_close_matches(name, known, 1)
     some = ", ".join(sorted(known)[:8]) + (", ..." if len(known) > 8 else "")
     reason = f"unknown {what} {name!r}" + (f"; {near[0]!r} is meant?" if near else "")
     return Fault(path, reason, some or f"no {what} is listed")
 
 
+@dataclass(frozen=True, slots=True)
+class Known:
+    """Names that entries may use."""
+
+    classes: Collection[str]
+    kinds: Collection[str]
+    destinations: Collection[str]
+    routes: Collection[str]
+    listed: bool = True  # else the list of destinations and routes may have more than is known now
+    search: float = inf  # see `unknown`
+
+    def unknown(self, path: Path, field: str, name: str) -> Iterator[Fault]:
+        """Of a field of [[terms]], or of a destination's kind."""
+        what, known = {
+            "class": ("queue class", self.classes),
+            "kind": ("kind", self.kinds),
+            "destination": ("destination", self.destinations),
+            "route": ("route", self.routes),
+        }[field]
+        of_list = field in ("destination", "route")
+        if name not in known and (self.listed or not of_list):
+            yield unknown(path, what, name, known, self.search)
+
+
 def names(plan: Plan, bounds: Bounds) -> Iterator[Fault]:
-    listed = plan.source.kind == "file"  # the platform's list may name more than is known now
-    known = {
-        "class": list(plan.classes),
-        "kind": list(plan.kinds),
-        "destination": list({each.destination: None for each in plan.endpoints}),
-        "route": [name_of(each) for each in plan.endpoints],
-    }
-    what = {"class": "queue class", "route": "route"}
+    known = Known(
+        plan.classes,
+        plan.kinds,
+        {each.destination: None for each in plan.endpoints},
+        {name_of(each): None for each in plan.endpoints},
+        plan.source.kind == "file",
+    )
     for name, destination in plan.destinations.items():
-        if destination.kind is not None and destination.kind not in plan.kinds:
-            yield unknown(("destination", name, "kind"), "kind", destination.kind, known["kind"])
-        if listed and plan.endpoints and name not in known["destination"]:
-            yield unknown(("destination", name), "destination", name, known["destination"])
+        at: Path = ("destination", name)
+        yield from destination_faults(destination, at, known)
+        if plan.endpoints:  # else one fault says it for all
+            yield from known.unknown(at, "destination", name)
     for place, entry in enumerate(plan.terms):
-        at: Path = ("terms", place)
-        selected = {
-            "class": entry.queue_class,
-            "kind": entry.kind,
-            "destination": entry.destination,
-            "route": entry.route,
-        }
-        for field, told in selected.items():
-            of_list = field in ("destination", "route")
-            for name in several(told) if told is not None else ():
-                if name not in known[field] and (listed or not of_list):
-                    yield unknown((*at, field), what.get(field, field), name, known[field])
-            if isinstance(told, list) and not told:
-                yield Fault((*at, field), "names nothing", "a name, or several")
-        if sum(selected[field] is not None for field in ("kind", "destination", "route")) > 1:
-            yield Fault(at, "names two places", "one of kind, destination, route")
-        if all(getattr(entry, setting) is None for setting in SETTINGS):
-            yield Fault(at, "sets nothing", "one of " + ", ".join(SETTINGS))
+        yield from terms_faults(entry, ("terms", place), known)
+
+
+def destination_faults(destination: Destination, at: Path, known: Known) -> Iterator[Fault]:
+    if destination.kind is not None:
+        yield from known.unknown((*at, "kind"), "kind", destination.kind)
+
+
+def terms_faults(entry: Entry, at: Path, known: Known) -> Iterator[Fault]:
+    selected = {
+        "class": entry.queue_class,
+        "kind": entry.kind,
+        "destination": entry.destination,
+        "route": entry.route,
+    }
+    for field, told in selected.items():
+        for name in several(told) if told is not None else ():
+            yield from known.unknown((*at, field), field, name)
+        if isinstance(told, list) and not told:
+            yield Fault((*at, field), "names nothing", "a name, or several")
+    if sum(selected[field] is not None for field in ("kind", "destination", "route")) > 1:
+        yield Fault(at, "names two places", "one of kind, destination, route")
+    if all(getattr(entry, setting) is None for setting in SETTINGS):
+        yield Fault(at, "sets nothing", "one of " + ", ".join(SETTINGS))
+
+
+def listed_twice(endpoint: Endpoint, at: Path, also: Path) -> Fault:
+    reason = f"{endpoint.address} is listed twice for {endpoint.destination}"
+    return Fault((*at, "address"), reason, "", also)
 
 
 def endpoints(plan: Plan, bounds: Bounds) -> Iterator[Fault]:
@@ -223,7 +292,7 @@
         name, spot = name_of(each), (each.destination, str(each.address))
         if spot in by_place:
             also = ("endpoint", by_place[spot])
-            yield Fault((*at, "address"), f"{each.address} is listed twice for {each.destination}", "", also)
+            yield listed_twice(each, at, also)
         elif name in by_name:
             also = ("endpoint", by_name[name])
             yield Fault((*at, "name"), f"two endpoints are named {name!r}", "a name of its own", also)
@@ -239,6 +308,7 @@
         self.told: set[tuple[Path, str]] = set()
 
     def check(self) -> list[Fault]:
+        """At all places of the plan."""
         if not self.book.settings:
             return []
         plan, faults = self.plan, []
@@ -251,11 +321,18 @@
             if name_of(each) in named_routes
         }
         for destination, route in places or {("", ""): None}:
-            where = spots(kind_of(plan, destination), destination, route)
+            faults += self.at(spots(kind_of(plan, destination), destination, route))
+        return faults
+
+    def at(self, where: Sequence[Spot], classes: Iterable[str] | None = None) -> list[Fault]:
+        """What is new of one place: for these queue classes, or for all and what they share."""
+        faults: list[Fault] = []
+        known = self.plan.classes
+        if classes is None:
             faults += [fault for fault in self.window(where) if self.fresh(fault)]
-            for name in plan.classes:
-                found = [*self.book.conflicts(name, where), *self.cell(name, where)]
-                faults += [fault for fault in found if self.fresh(fault)]
+        for name in known if classes is None else (each for each in classes if each in known):
+            found = [*self.book.conflicts(name, where), *self.cell(name, where)]
+            faults += [fault for fault in found if self.fresh(fault)]
         return faults
 
     def fresh(self, fault: Fault) -> bool:
--- a/laureldock/setup/terms.py
+++ b/laureldock/setup/terms.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import Any
+from typing import Any, TypeVar
 
 from laureldock.setup.faults import Fault, Path
 
@@ -42,6 +43,16 @@
 }
 
 
+Counted = TypeVar("Counted")
+
+
+def uncount(counts: Counter[Counted], item: Counted, times: int) -> None:
+    """Count it down, and leave no nought behind."""
+    counts[item] -= times
+    if not counts[item]:
+        del counts[item]
+
+
 @dataclass(frozen=True, slots=True)
 class Set:
     """One setting of one entry."""
@@ -61,7 +72,10 @@
     """All entries, by setting and by what they name."""
 
     entries: dict[tuple[str, str, Spot], list[Set]] = field(default_factory=dict)
-    settings: set[str] = field(default_factory=set)
+    settings: Counter[str] = field(
+        default_factory=Counter
+    )  # how often each is set; those never set are not in it
+    spots: Counter[Spot] = field(default_factory=Counter)  # likewise, by place
 
     def add(self, setting: str, value: Any, path: Path, queue_class: str, spot: Spot) -> Fault | None:
         """Enter it, or say why it cannot stand there."""
@@ -75,9 +89,24 @@
             return Fault(path, reason, "at a " + ", a ".join((["queue class"] if classes else []) + names))
         found = self.entries.setdefault((setting, queue_class, spot), [])
         found.append(Set(value, path, bool(queue_class), spot[0]))
-        self.settings.add(setting)
+        self.settings[setting] += 1
+        self.spots[spot] += 1
         return None
 
+    def remove(self, setting: str, path: Path, queue_class: str, spot: Spot) -> None:
+        """Take out what was added by that path, if it was."""
+        found = self.entries.get((setting, queue_class, spot), [])
+        kept = [each for each in found if each.path != path]
+        removed = len(found) - len(kept)
+        if not removed:
+            return
+        if kept:
+            self.entries[setting, queue_class, spot] = kept
+        else:
+            del self.entries[setting, queue_class, spot]
+        uncount(self.settings, setting, removed)
+        uncount(self.spots, spot, removed)
+
     def fitting(self, setting: str, queue_class: str, spots: Sequence[Spot]) -> list[Set]:
         """Those that fit and that no other beats."""
         fit = [
@@ -108,4 +137,4 @@
 
     def routes(self) -> set[str]:
         """Names of routes that any entry names."""
-        return {spot[1] for _, _, spot in self.entries if spot[0] is Level.ROUTE}
+        return {name for level, name in self.spots if level is Level.ROUTE}
