--- a/laureldock/replication/subscriber.py
+++ b/laureldock/replication/subscriber.py
@@ -113,7 +113,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Happened:
+class SubscriberEvent:
     """For the log and the counters. `serious`: a person may have to look."""
 
     event: str
@@ -121,7 +121,7 @@
     serious: bool = False
 
 
-Effect = Connect | Disconnect | Send | ApplyChange | ReplaceEntries | Happened
+Effect = Connect | Disconnect | Send | ApplyChange | ReplaceEntries | SubscriberEvent
 
 
 class LinkState(Enum):
@@ -235,11 +235,11 @@
         self._failures += 1
         self._connect_at = now + wait * (0.5 + 0.5 * self._chance())
         if was_open:
-            self._tell("controller lost", {"reason": reason})
+            self._report("controller lost", {"reason": reason})
 
     def malformed(self, now: float, reason: str) -> None:
         """A frame that is no message: the stream cannot be followed."""
-        self._tell("malformed message", {"reason": reason}, serious=True)
+        self._report("malformed message", {"reason": reason}, serious=True)
         self._give_up(now, reason)
 
     def received(self, now: float, message: Message) -> None:
@@ -307,7 +307,7 @@
             if now - self._progress_at < self._patience:
                 return
             self._patience = min(LONGEST_PATIENCE, 2 * self._patience)
-        self._tell("asked again", {"reason": reason, "version": self.position.version})
+        self._report("asked again", {"reason": reason, "version": self.position.version})
         self._ask(now)
 
     def _ask_for_snapshot(self, now: float, reason: str) -> None:
@@ -335,13 +335,13 @@
             received = self._snapshot.begin.position
         same_epoch = position.epoch == received.epoch
         if same_epoch and position.version <= received.version:
-            self._tell("change repeated", {"version": position.version})
+            self._report("change repeated", {"version": position.version})
         elif self._snapshot_wanted and self._snapshot is None:
             pass  # the snapshot has it
         elif self._snapshot is not None or not same_epoch or position.version != received.version + 1:
             self._ask_again(now, "gap")
         elif checksum(message.body) != message.checksum:
-            self._tell("change spoilt", {"version": position.version}, serious=True)
+            self._report("change spoilt", {"version": position.version}, serious=True)
             self._ask_again(now, "spoilt")
         else:
             self._progress(now)
@@ -381,7 +381,7 @@
             return  # told twice
         newer = begin.position.epoch != self._received.epoch or begin.position > self._received
         if not (newer or self._asked or self._snapshot_wanted):
-            self._tell("snapshot repeated", {"version": begin.position.version})
+            self._report("snapshot repeated", {"version": begin.position.version})
             return
         self._progress(now)
         self._snapshot = IncomingSnapshot(begin)
@@ -406,7 +406,7 @@
             case PartOutcome.MISSING:
                 self._ask_for_snapshot(now, "a part of a snapshot is missing")
             case PartOutcome.SPOILT:
-                self._tell("snapshot spoilt", {"part": part.number}, serious=True)
+                self._report("snapshot spoilt", {"part": part.number}, serious=True)
                 self._ask_for_snapshot(now, "spoilt")
 
     def _end_snapshot(self, now: float) -> None:
@@ -416,7 +416,7 @@
         self._snapshot = None
         begin = snapshot.begin
         if not snapshot.matches:
-            self._tell("snapshot spoilt", {"version": begin.position.version}, serious=True)
+            self._report("snapshot spoilt", {"version": begin.position.version}, serious=True)
             self._snapshot_wanted = self._asked = True  # after a while: one spoilt for good costs little
             return
         entries, parts = tuple(snapshot.entries), tuple(snapshot.parts)
@@ -440,7 +440,7 @@
         self.refusal = None
         self._on_disk = on_disk
         if digest != effect.digest:
-            self._tell("digest differs", {"version": effect.position.version}, serious=True)
+            self._report("digest differs", {"version": effect.position.version}, serious=True)
             self._asked = isinstance(effect, ReplaceEntries)  # then after a while
             self._ask_for_snapshot(now, "digest differs")
             return
@@ -471,7 +471,7 @@
     def _refuse(self, now: float, position: Position, faults: Sequence[FaultReport]) -> None:
         reason = faults[0].reason if faults else ""
         self.refusal = Refusal(position, reason)
-        self._tell("change refused", {"version": position.version, "reason": reason}, serious=True)
+        self._report("change refused", {"version": position.version, "reason": reason}, serious=True)
         self._send(now, Refused(position, tuple(faults[:MAX_REPORTED_FAULTS])))
 
     def _refuse_snapshot(self, now: float, position: Position, faults: Sequence[FaultReport]) -> None:
@@ -487,8 +487,8 @@
         self._sent_at = now
         self._effects.append(Send(message))
 
-    def _tell(self, event: str, fields: dict[str, object], serious: bool = False) -> None:
-        self._effects.append(Happened(event, fields, serious))
+    def _report(self, event: str, fields: dict[str, object], serious: bool = False) -> None:
+        self._effects.append(SubscriberEvent(event, fields, serious))
 
     def _chance(self) -> float:
         """Evenly spread over 0 to 1."""
--- a/tests/replication_rig.py
+++ b/tests/replication_rig.py
@@ -23,10 +23,10 @@
     Connect,
     Disconnect,
     Effect,
-    Happened,
     ReplaceEntries,
     Send,
     Subscriber,
+    SubscriberEvent,
 )
 from laureldock.setup import plan
 from laureldock.setup.changes import (
@@ -189,7 +189,7 @@
                 self.apply(effect, lambda: self.sink.apply_change(change))
             case ReplaceEntries(entries=entries):
                 self.apply(effect, lambda: self.sink.replace_entries(entries))
-            case Happened(event=event):
+            case SubscriberEvent(event=event):
                 self.happened.append(event)
             case Disconnect():
                 pass
