--- a/laureldock/replication/subscriber.py
+++ b/laureldock/replication/subscriber.py
@@ -46,7 +46,7 @@
 CONNECT_TIMEOUT = 3.0
 SHORTEST_BACKOFF, LONGEST_BACKOFF = 0.25, 4.0
 # A question to the controller is repeated after so long without an answer, twice as long each time.
-SHORTEST_PATIENCE, LONGEST_PATIENCE = 4.0, 64.0
+SHORTEST_PATIENCE, LONGEST_PATIENCE = 3.5, 56.0
 # A part of a snapshot may wait for the controller's pace.
 SNAPSHOT_PATIENCE = 64.0
 # From what could not be read until a snapshot is asked for (with the next change), twice as long each time.
@@ -154,6 +154,7 @@
         self._received = NO_POSITION  # the newest change received in order, applied or pending
         self._snapshot: IncomingSnapshot | None = None
         self._snapshot_wanted = False
+        self._distrusted = False  # what is in force is not what its position says
         self._snapshot_retry = SHORTEST_SNAPSHOT_RETRY
         self._retry_snapshot_at = inf
         self._outstanding: ApplyChange | ReplaceEntries | None = None
@@ -167,6 +168,7 @@
         self._heard_at = self._sent_at = -inf
         self._asked = False  # and nothing has come since that leads on
         self._progress_at = -inf
+        self._behind_since = inf  # when a heartbeat first named what did not come
         self._patience = SHORTEST_PATIENCE
         self._effects: list[Effect] = []
 
@@ -206,7 +208,7 @@
 
     def distrust(self) -> None:
         """What is in force is not what its position says: a snapshot is asked for."""
-        self._snapshot_wanted = True
+        self._snapshot_wanted = self._distrusted = True
 
     def try_again(self, now: float) -> None:
         """The rules may have changed here: what was refused is asked for once more."""
@@ -315,18 +317,20 @@
         self._ask_again(now, reason)
 
     def _progress(self, now: float) -> None:
-        self._asked, self._progress_at = False, now
+        self._asked, self._progress_at, self._behind_since = False, now, inf
 
     # What the controller tells
 
     def _heartbeat(self, now: float, position: Position) -> None:
         if position == self._received and not self._snapshot_wanted and self._snapshot is None:
-            self._asked, self._patience = False, SHORTEST_PATIENCE
+            self._asked, self._patience, self._behind_since = False, SHORTEST_PATIENCE, inf
             if position == self.position:
                 self.current_at = now
             return
+        # It may be on its way, or wait for the controller's pace.
+        self._behind_since = min(now, self._behind_since)
         patience = SNAPSHOT_PATIENCE if self._snapshot else self._patience
-        if now - self._progress_at >= patience:
+        if now - max(self._progress_at, self._behind_since) >= patience:
             self._ask_again(now, "the controller has what did not come")
 
     def _change(self, now: float, message: ChangeMessage) -> None:
@@ -384,6 +388,9 @@
             self._report("snapshot repeated", {"version": begin.position.version})
             return
         self._progress(now)
+        if not newer and not self._distrusted and self._snapshot_wanted:
+            self._snapshot_wanted = False  # an old one: changes follow it that may help
+            return
         self._snapshot = IncomingSnapshot(begin)
         self._end_snapshot(now)
 
@@ -441,12 +448,13 @@
         self._on_disk = on_disk
         if digest != effect.digest:
             self._report("digest differs", {"version": effect.position.version}, serious=True)
+            self.distrust()
             self._asked = isinstance(effect, ReplaceEntries)  # then after a while
             self._ask_for_snapshot(now, "digest differs")
             return
         self._patience, self._snapshot_retry = SHORTEST_PATIENCE, SHORTEST_SNAPSHOT_RETRY
         if isinstance(effect, ReplaceEntries):
-            self._snapshot_wanted = False
+            self._snapshot_wanted = self._distrusted = False
         if on_disk:
             self._send(now, InForce(self.position, self.digest))
 
@@ -466,7 +474,10 @@
             return
         self._refuse(now, effect.position, faults)
         if self.pending.full:
-            self._ask_for_snapshot(now, "too many pending changes")
+            first = self._snapshot_retry == SHORTEST_SNAPSHOT_RETRY
+            self._add_unreadable(now)
+            if first:
+                self._ask_for_snapshot(now, "too many pending changes")
 
     def _refuse(self, now: float, position: Position, faults: Sequence[FaultReport]) -> None:
         reason = faults[0].reason if faults else ""
