A dispatcher takes over a change in the size of the change

Assembly.apply_change and replace_entries bring a catalog's change to the book (terms cached by destination, windows, time-outs, customers), to the list (Listed.change) and to the carrier. News of the list that replace nothing no longer walk over all routes and pools. A reload of a file may change customers too, since a quota binds no mail that was taken on, and forgets the kind that a destination was first listed with.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -18,19 +18,22 @@
 from laureldock.outlets.lines import Lines
 from laureldock.outlets.platform import Notices
 from laureldock.setup.entries import term_book
+from laureldock.setup.faults import dotted
 from laureldock.setup.plan import Plan
 from laureldock.setup.reload import changes, refused
 from laureldock.setup.terms import TermBook
 from laureldock.setup.units import Address
 from laureldock.sockets.reactor import SteadyReactor
 from laureldock.sockets.room import Room
-from laureldock.sources.listed import Listed, Listing, listing
+from laureldock.sources.listed import Listed, Listing, listing, listing_of
 from laureldock.sources.platform import Directory
 from laureldock.stores.spool import Spool
 from laureldock.tariff import Book
 
 if TYPE_CHECKING:
     from laureldock.fleet.rim import Rim
+    from laureldock.setup.catalog import AppliedChange, Catalog
+    from laureldock.setup.changes import CatalogEntry, Change
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +61,13 @@
         # Two processes of one dispatcher, while one hands over to the next, hold half of the sockets each.
         sockets = plan.limits.sockets // (2 if store.sharing else 1)
         self.room = Room.of(sockets)
-        self.core = core = Dispatcher(plan.name, Book(plan, sockets=True), store, reactor, ended_for)
+        self.catalog = catalog_of(plan)
+        book = (
+            Book(self.catalog.live, True, self.catalog.term_book)
+            if self.catalog
+            else Book(plan, sockets=True)
+        )
+        self.core = core = Dispatcher(plan.name, book, store, reactor, ended_for)
         # Half of the sockets for clients at most, shared by the fronts.
         most = sockets // 2 // len(plan.front)
         self.clients = [
@@ -71,6 +80,7 @@
         core.handed_down = plan.passed >= 0
         fronts: list[Front] = [*self.clients]
         self.receivers = Receivers(core, reactor, self.room)
+        self.listed = None if plan.source.kind == "platform" else Listed(core, listing(plan))
         self.source = self.source_of(plan)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
@@ -92,7 +102,8 @@
     def source_of(self, plan: Plan) -> Source:
         if plan.source.address:
             return Directory(self.core, self.reactor, plan.source.address, plan.source.known)
-        return Listed(self.core, listing(plan))
+        assert self.listed is not None
+        return self.listed
 
     def outlet_of(self, plan: Plan, state: Path) -> Outlet:
         if plan.outlet.address:
@@ -187,13 +198,75 @@
             self.unread([f"{name} cannot change while it runs" for name in barred])
             return barred
         changed = changes(self.plan, plan)
+        if self.catalog:
+            if faults := self.rebase(plan):
+                self.unread(faults)
+                return faults
+        else:
+            self.core.book.retell(plan, fresh.terms)
         self.plan = plan
-        self.core.book.retell(plan, fresh.terms)
         if self.rim and plan.fleet:
             self.rim.reseed(plan.fleet)
-        if isinstance(self.source, Listed):
-            self.source.reread(fresh.listing)
+        if self.listed and not self.catalog:
+            self.listed.reread(fresh.listing)
         self.move_to(plan.source.address, plan.outlet.address)
         self.core.counters["configurations read"] += 1
         self.core.log.info("configuration read", changed=changed, routes=len(self.core.book.routes))
         return []
+
+    def rebase(self, plan: Plan) -> list[str]:
+        """The entries that a controller told, above another file; or nothing, and why not."""
+        from laureldock.setup.catalog import RefusedChangeError
+
+        assert self.catalog is not None
+        fresh = catalog_of(plan)
+        assert fresh is not None  # a reload changes no kind of source
+        try:
+            fresh.replace(self.catalog.entries())
+        except RefusedChangeError as refusal:
+            return [f"{dotted(fault.path)}: {fault.reason}" for fault in refusal.faults]
+        self.catalog = fresh
+        self.core.book.retell(fresh.live, fresh.term_book)
+        return []
+
+    # A controller's changes
+
+    def apply_change(self, change: Change) -> None:
+        """Take it over whole, in the size of the change. RefusedChangeError, then nothing has changed."""
+        assert self.catalog is not None
+        self.take_over(self.catalog.apply(change, missing_ok=True))
+
+    def replace_entries(self, entries: Iterable[CatalogEntry]) -> None:
+        """All entries anew; what differs is taken over. RefusedChangeError, then nothing has changed."""
+        assert self.catalog is not None
+        self.take_over(self.catalog.replace(entries))
+
+    def take_over(self, applied: AppliedChange) -> None:
+        """What changed in the catalog, told to the book and to the list; as a reload does it."""
+        assert self.catalog is not None and self.listed is not None
+        if not applied:
+            return
+        catalog, core = self.catalog, self.core
+        core.book.change(applied, catalog)
+        names = {put.name: None for put in applied.endpoints_put}
+        for destination in applied.rekinded:
+            names |= dict.fromkeys(catalog.endpoint_names.get(destination, ()))
+        put = listing_of(catalog.live, [catalog.endpoints[name] for name in names])
+        self.listed.change(put, [removed.name for removed in applied.endpoints_removed])
+        core.counters["configuration changes"] += 1
+        core.log.info(
+            "configuration changed",
+            endpoints=len(applied.endpoints_put) + len(applied.endpoints_removed),
+            destinations=len(applied.destinations),
+            settings=len(applied.selections),
+            customers=len(applied.customers),
+        )
+
+
+def catalog_of(plan: Plan) -> Catalog | None:
+    """For what a controller tells; no other dispatcher imports it."""
+    if plan.source.kind != "controller":
+        return None
+    from laureldock.setup.catalog import Catalog
+
+    return Catalog(plan)
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import inf
 
 from twisted.internet.defer import Deferred
@@ -59,11 +59,10 @@
             pool.hang_up()
         pool.dial = dial
 
-    def forget(self) -> None:
-        for route, pool in list(self.pools.items()):
-            if route.listed is Listed.REMOVED:
+    def forget(self, routes: Iterable[Route]) -> None:
+        for route in routes:
+            if pool := self.pools.pop(route, None):
                 pool.hang_up()
-                del self.pools[route]
 
     def attempt(self, attempt: Attempt, letter: Letter) -> None:
         head = [b"POST /hook HTTP/1.1", b"X-Call-Id: " + letter.name]
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -391,14 +391,18 @@
     # The list
 
     def news(self, hosts: list[tuple[Entry, str]], whole: bool) -> None:
-        up = [route for route in self.book.routes.values() if route.listed is face.Listed.UP]
+        known = self.book.routes
+        named = known.keys() if whole else (entry.name for entry, _ in hosts)
+        before = {name: known[name] for name in named if name in known}
+        up = [route for route in before.values() if route.listed is face.Listed.UP]
         routes = self.book.listed([entry for entry, _ in hosts], whole)
         for route, (_, dial) in zip(routes, hosts, strict=True):
             self.carrier.listed(route, dial)
         drained = [route.name for route in up if route.listed is not face.Listed.UP]
         if drained:
             self.log.info("drained or gone", routes=drained)
-        self.carrier.forget()
+        touched = dict.fromkeys([*before.values(), *routes])
+        self.carrier.forget([route for route in touched if route.listed is face.Listed.REMOVED])
         self.tell(self.control.news, routes, whole)
         self.recover()
 
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 from laureldock import interface as face
@@ -59,8 +59,8 @@
 
     def listed(self, route: face.Route, dial: str) -> None: ...
 
-    def forget(self) -> None:
-        """Close what leads to routes that are gone from the list."""
+    def forget(self, routes: Iterable[face.Route]) -> None:
+        """Close what leads to them: they are gone from the list."""
 
     def attempt(self, attempt: face.Attempt, letter: Letter) -> None: ...
 
--- a/laureldock/setup/changes.py
+++ b/laureldock/setup/changes.py
@@ -91,7 +91,7 @@
 
 
 def terms_name(value: plan.Entry) -> str:
-    """As given, else made of what it selects: `class=a+b,destination=c`."""
+    """As given, else made of what it selects: `class=a+b,destination=c`; `all` where it names nothing."""
     if value.name is not None:
         return value.name
     selected = (
@@ -100,7 +100,8 @@
         ("destination", value.destination),
         ("route", value.route),
     )
-    return ",".join(f"{field}={'+'.join(several(told))}" for field, told in selected if told is not None)
+    parts = [f"{field}={'+'.join(several(told))}" for field, told in selected if told is not None]
+    return ",".join(parts) or "all"
 
 
 CatalogEntry = EndpointEntry | DestinationEntry | TermsEntry | CustomerEntry | ClassEntry
--- a/laureldock/setup/entries.py
+++ b/laureldock/setup/entries.py
@@ -14,6 +14,11 @@
     return endpoint.name or endpoint.address
 
 
+def number_of(destination: str) -> int | str:
+    """As fronts name it."""
+    return int(destination) if destination.isdigit() else destination
+
+
 def kind_of(plan: Plan, destination: str) -> str:
     found = plan.destinations.get(destination)
     return (found.kind if found else None) or ""
--- a/laureldock/setup/reload.py
+++ b/laureldock/setup/reload.py
@@ -6,7 +6,7 @@
 
 # Whole tables that may change; of the rest only settings of `SETTINGS`. A class's own figures may not: mails
 # that wait were taken on under them, and the store knows them by its name.
-FREE = {"endpoints", "terms", "log", "destinations"}
+FREE = {"endpoints", "terms", "log", "destinations", "customers"}
 ADDRESSES = ("source", "outlet")
 FREE_PARTS = {"fleet.seeds"}
 NAMES = {"classes": "class", "kinds": "kind", "destinations": "destination", "endpoints": "endpoint"}
@@ -25,13 +25,15 @@
         name = NAMES.get(field, field)
         if field in FREE:
             continue
-        if field in ("classes", "kinds", "customers"):
+        if field in ("classes", "kinds"):
             for key, table in value.items():
                 found |= {f"{name}.{key}.{part}": each for part, each in bare(table).items()}
         elif field in ADDRESSES:
             found[f"{name}.kind"] = value.kind
             if field == "outlet":
                 found["outlet.path"] = value.path
+            else:
+                found["source.controllers"] = value.controllers
         elif isinstance(value, Table):
             found |= {f"{name}.{part}": getattr(value, part) for part in value.__struct_fields__}
         else:
--- a/laureldock/sources/listed.py
+++ b/laureldock/sources/listed.py
@@ -2,25 +2,30 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 from laureldock import interface as face
 from laureldock.core.seams import News
-from laureldock.setup.entries import kind_of, name_of
-from laureldock.setup.plan import Plan
+from laureldock.setup.entries import kind_of, name_of, number_of
+from laureldock.setup.plan import Endpoint, Plan
 from laureldock.tariff import Entry
 
 Listing = dict[str, tuple[Entry, str]]  # by name, each with where to dial
 
 
-def number_of(destination: str) -> int | str:
-    """As fronts name it."""
-    return int(destination) if destination.isdigit() else destination
+def entries(plan: Plan) -> list[tuple[Entry, str]]:
+    return list(listing(plan).values())
 
 
-def entries(plan: Plan) -> list[tuple[Entry, str]]:
-    return [
-        (
+def listing(plan: Plan) -> Listing:
+    return listing_of(plan, plan.endpoints)
+
+
+def listing_of(plan: Plan, endpoints: Iterable[Endpoint]) -> Listing:
+    """Of some endpoints, with the kinds of their destinations by that plan."""
+    return {
+        name_of(each): (
             Entry(
                 name_of(each),
                 number_of(each.destination),
@@ -31,12 +36,8 @@
             ),
             str(each.address),
         )
-        for each in plan.endpoints
-    ]
-
-
-def listing(plan: Plan) -> Listing:
-    return {entry.name: (entry, dial) for entry, dial in entries(plan)}
+        for each in endpoints
+    }
 
 
 def owner(entry: Entry) -> tuple[int | str, str]:
@@ -51,16 +52,24 @@
         self.core.news(list(self.held.values()), True)
 
     def reread(self, fresh: Listing) -> None:
+        """All anew; what differs is told."""
+        self.change(fresh, [name for name in self.held if name not in fresh])
+
+    def change(self, put: Listing, removed: Iterable[str]) -> None:
         """Tell what differs. What is listed no more drains: what is out there runs on, nothing new goes."""
-        before, self.held = self.held, fresh
-        gone = [
-            (replace(entry, listed=face.Listed.REMOVED), dial)
-            for name, (entry, dial) in before.items()
-            if name not in fresh or owner(fresh[name][0]) != owner(entry)
-        ]
-        told = [each for name, each in fresh.items() if before.get(name) != each]
+        gone = [self.held.pop(name) for name in removed]
+        told = []
+        for name, each in put.items():
+            before = self.held.get(name)
+            if before == each:
+                continue
+            if before is not None and owner(before[0]) != owner(each[0]):
+                gone.append(before)
+            self.held[name] = each
+            told.append(each)
+        removals = [(replace(entry, listed=face.Listed.REMOVED), dial) for entry, dial in gone]
         # Guards mails against a name that moved: its route is the old destination's until it is gone.
-        for news in (gone, told):
+        for news in (removals, told):
             if news:
                 self.core.guard(self.core.news, news, False)
 
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -5,15 +5,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from laureldock import interface as face
-from laureldock.setup.entries import kind_of, spots, term_book
+from laureldock.setup.entries import kind_of, number_of, spots, term_book
 from laureldock.setup.plan import Plan
 from laureldock.setup.plan import QueueClass as Sort
-from laureldock.setup.terms import TermBook
+from laureldock.setup.terms import Level, TermBook
+
+if TYPE_CHECKING:  # of a source of kind "controller" alone
+    from laureldock.setup.catalog import AppliedChange, Catalog, Selection
+
+# Settings that destinations and routes are told; the others are looked up for each mail.
+TOLD_SETTINGS = {"window", "time_out"}
 
 
 def queue_class(sort: Sort, halving: bool) -> face.QueueClass:
@@ -76,7 +83,7 @@
 class Book:
     """The names at the door: queue classes, customers, destinations, the routes listed, and their terms."""
 
-    def __init__(self, plan: Plan, sockets: bool = False) -> None:
+    def __init__(self, plan: Plan, sockets: bool = False, terms: TermBook | None = None) -> None:
         self.plan = plan
         self.tariff = tariff(plan, sockets)
         self.names: dict[face.QueueClass, str] = {}  # of earlier settings too
@@ -86,22 +93,80 @@
         self.destinations: dict[Any, face.Destination] = {}
         self.kind_names: dict[Any, str] = {}  # of destinations, as listed or as the plan has them
         self.routes: dict[str, face.Route] = {}
-        self.term_book = term_book(plan)[0]
-        self.terms: dict[tuple[face.QueueClass, Any], face.Terms | None] = {}
+        self.term_book = terms or term_book(plan)[0]
+        self.terms: dict[Any, dict[face.QueueClass, face.Terms | None]] = {}  # by destination, as looked up
 
     def retell(self, plan: Plan, terms: TermBook) -> None:
         """Other terms from now on; what is out and what waits keeps its own."""
         same = terms.entries == self.term_book.entries and plan.destinations == self.plan.destinations
         self.plan, self.term_book = plan, terms
+        self.customers = {name: self.customer(name) for name in plan.customers}
         if same:  # as in most reloads: thousands of routes need no look
             return
         self.terms.clear()
+        self.kind_names.clear()  # the plan has them
         for number, destination in self.destinations.items():
             self.tell_destination(number, destination)
         numbers = {owner: number for number, owner in self.destinations.items()}
         for name, route in self.routes.items():
             self.tell_route(name, numbers[route.destination], route)
 
+    def change(self, applied: AppliedChange, catalog: Catalog) -> None:
+        """Likewise, where the plan and the terms held here are a catalog's, changed in place."""
+        for name in applied.customers:
+            if name in self.plan.customers:
+                self.customers[name] = self.customer(name)
+            else:
+                self.customers.pop(name, None)
+        for removed in applied.endpoints_removed:
+            self.left(removed.before.destination, catalog)
+        for put in applied.endpoints_put:
+            if put.before is not None:
+                self.left(put.before.destination, catalog)
+                self.retell_routes(put.value.destination, [put.name])
+        for destination in applied.destinations:
+            self.kind_names.pop(number_of(destination), None)  # the plan has it
+            self.retell_destination(destination, catalog)
+        for selection in applied.selections:
+            self.reselect(selection, catalog)
+
+    def left(self, destination: str, catalog: Catalog) -> None:
+        """By an endpoint: nothing is kept that can be worked out again where there is none any more."""
+        if destination not in catalog.endpoint_names:
+            self.terms.pop(number_of(destination), None)
+            self.kind_names.pop(number_of(destination), None)
+
+    def retell_destination(self, destination: str, catalog: Catalog) -> None:
+        number = number_of(destination)
+        self.terms.pop(number, None)
+        if (owner := self.destinations.get(number)) is not None:
+            self.tell_destination(number, owner)
+            self.retell_routes(destination, catalog.endpoint_names.get(destination, ()))
+
+    def retell_routes(self, destination: str, names: Iterable[str]) -> None:
+        """Those of them that are its routes by now; the others are told once they are."""
+        number = number_of(destination)
+        owner = self.destinations.get(number)
+        for name in names:
+            route = self.routes.get(name)
+            if route is not None and route.destination is owner:
+                self.tell_route(name, number, route)
+
+    def reselect(self, selection: Selection, catalog: Catalog) -> None:
+        """Settings of [[terms]] or of a queue class that hold anew, or no more, where they select."""
+        level, name = selection.spot
+        if level is Level.ROUTE:
+            if (endpoint := catalog.endpoints.get(name)) is not None:
+                self.retell_routes(endpoint.destination, [name])
+        elif level is Level.DESTINATION:
+            self.retell_destination(name, catalog)
+        elif not selection.settings & TOLD_SETTINGS:
+            self.terms.clear()  # worked out again as mails come
+        else:
+            for destination in catalog.endpoint_names:
+                if level is Level.ANY or kind_of(self.plan, destination) == name:
+                    self.retell_destination(destination, catalog)
+
     def reclass(self, plan: Plan) -> None:
         """Other queue classes and limits from now on; mails taken on keep the class that they had."""
         self.plan, self.tariff = plan, tariff(plan, self.tariff.notices)
@@ -115,6 +180,12 @@
         self.names.update({kind: name for name, kind in self.classes.items()})
         self.customers = {name: face.Customer(each.quota) for name, each in plan.customers.items()}
 
+    def customer(self, name: str) -> face.Customer:
+        """By the plan; the same as before if it has the same quota."""
+        quota = self.plan.customers[name].quota
+        known = self.customers.get(name)
+        return known if known is not None and known.quota == quota else face.Customer(quota)
+
     def name_of(self, kind: face.QueueClass) -> str:
         return self.names.get(kind, "")
 
@@ -144,11 +215,11 @@
     def mail(
         self, kind: face.QueueClass, number: Any, left: float, customer: str = "", key: str | None = None
     ) -> face.Mail:
-        at = (kind, number)
-        if at not in self.terms:
-            self.terms[at] = self.terms_of(kind, number)
+        known = self.terms.setdefault(number, {})
+        if kind not in known:
+            known[kind] = self.terms_of(kind, number)
         owner = self.destination(number)
-        return face.Mail(kind, owner, left, self.customers.get(customer), key, terms=self.terms[at])
+        return face.Mail(kind, owner, left, self.customers.get(customer), key, terms=known[kind])
 
     def terms_of(self, kind: face.QueueClass, number: Any) -> face.Terms | None:
         """What was set for a queue class at a destination beyond its own importance."""
@@ -169,12 +240,14 @@
     def listed(self, entries: list[Entry], whole: bool) -> list[face.Route]:
         """The routes named, brought up to date; what is gone is forgotten."""
         named = [self.route(entry) for entry in entries]
-        known = set(named)
-        for name, route in list(self.routes.items()):
-            if whole and route not in known:
-                route.listed = face.Listed.REMOVED
+        if whole:
+            known = set(named)
+            for route in self.routes.values():
+                if route not in known:
+                    route.listed = face.Listed.REMOVED
+        for route in list(self.routes.values()) if whole else named:
             if route.listed is face.Listed.REMOVED:
-                del self.routes[name]
+                self.routes.pop(route.name, None)
         return named
 
     def route(self, entry: Entry) -> face.Route:
