A change of the list costs its own size: the routes are counted as they come and go

Cause: news counted the routes of all destinations at every change (known, from which seldom follows), and walked all routes of a destination once for each of its routes that was named; whoever changes one route paid for all.

Change: a counter of the routes that are listed as up, moved where a route comes or goes; of a partial change only the routes named are looked at (only they can have changed), of a whole list all that are held. No decision differs.

The two new tests fail without the change (no counter).

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -92,6 +92,7 @@
         # What a cold route bears, for each call that it takes when warm; the rest is for trials and chance.
         self.cold = 0.6 * tariff.tip_multiple
         self.rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(tariff.rates, 0.0)  # may be half too high
+        self.known = 0  # routes that are listed as up, of all destinations
         self.lines: dict[face.Destination, Line] = {}
         self.busy: dict[Line, None] = {}  # those with mails that wait: a turn looks at no others
         self.calls: dict[Call, None] = {}  # all that are out
@@ -116,22 +117,20 @@
 
     def news(self, now: float, routes: list[Route], whole: bool) -> None:
         self.ask_backoff = 0.0
-        for line in self.lines.values() if whole else [self.line(route.destination) for route in routes]:
-            # Nothing new to the others; what is out runs on.
-            for lane in line.lanes.values():
-                if lane.route.listed is not face.Listed.UP:
-                    lane.drained = now
-            line.lanes = {route: lane for route, lane in line.lanes.items() if route.listed is face.Listed.UP}
+        held = (route for line in self.lines.values() for route in line.lanes)
+        for route in list(held) if whole else routes:  # nothing new to the others; what is out runs on
+            gone = route.listed is not face.Listed.UP
+            if gone and (lane := self.line(route.destination).lanes.pop(route, None)):
+                lane.drained, self.known = now, self.known - 1
         for route in routes:
             line = self.line(route.destination)
             if route.listed is face.Listed.UP and route not in line.lanes:
                 line.batch = route.kind.batch
                 route.notes = line.lanes[route] = Lane(route, line, State.LIVE, Tally())
-
+                self.known += 1
         # Where instances outnumber routes, places at receivers are scarce: idle connections close at once, a
         # attempt that never comes up has met a full table, and what was refused is earned.
-        known = sum(len(line.lanes) for line in self.lines.values())
-        self.seldom = self.many and self.instances <= 1.5 * known
+        self.seldom = self.many and self.instances <= 1.5 * self.known
         self.keep = 0.1 if self.many and not self.seldom else self.keep
 
     def list_failed(self, now: float) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -571,3 +571,26 @@
             sent.append("x" if full else ".")
             dock.end(each, "no connection" if full else "served", report=(0.9, 60.0))
     assert len(sent) > 40, "".join(sent)  # 22 before
+
+
+def test_news_of_one_destination_walk_the_routes_of_no_other() -> None:
+    dock = Dock(instances=9)
+    dock.listed(*(f"north/{place}" for place in range(3)), "south/1")
+    south = dock.routes["south/1"].notes.line
+    south.lanes = None  # whoever counts or walks them fails
+    dock.listed("north/1", state="draining")
+    assert dock.routes["north/1"].notes.drained == dock.now
+    dock.listed("north/3", "east/1")
+    dock.listed("north/0", "north/0", state="removed")
+    dock.listed("north/1")  # back
+    assert dock.control.known == 5  # north 1, 2 and 3, south, east
+
+
+def test_whole_news_forget_what_they_do_not_name() -> None:
+    dock = Dock(instances=9)
+    dock.listed("north/1", "north/2", "south/1")
+    dock.routes["north/2"].listed = dock.routes["south/1"].listed = face.Listed.REMOVED
+    dock.control.news(dock.now, [dock.routes["north/1"]], True)
+    assert dock.control.known == 1
+    assert [len(line.lanes) for line in dock.control.lines.values()] == [1, 0]
+    assert dock.routes["south/1"].notes.drained == dock.now
