--- a/laureldock/replication/change_log.py
+++ b/laureldock/replication/change_log.py
@@ -207,6 +207,7 @@
         self.size = LOG_HEADER.size
         self.versions = array("Q")
         self.offsets = array("Q")
+        self.digests = array("Q")
 
     def scan(self) -> Iterator[Record]:
         """Each whole record; afterwards `size` is where the last one ends. SpoiltLogError."""
@@ -217,17 +218,24 @@
             except msgspec.DecodeError as fault:
                 raise SpoiltLogError(self.path, self.size, f"not a record: {fault}") from None
             yield Record(stored.position, stored.digest, stored.accepted_at, stored.body)
-            self.add(stored.position.version, frames.offset - self.size)
+            self.add(stored.position.version, stored.digest, frames.offset - self.size)
 
     @property
     def last_version(self) -> int:
         return self.versions[-1] if self.versions else self.base.version
 
-    def add(self, version: int, length: int) -> None:
+    def add(self, version: int, digest: int, length: int) -> None:
         self.versions.append(version)
+        self.digests.append(digest)
         self.offsets.append(self.size)
         self.size += length
 
+    def digest_at(self, version: int) -> int | None:
+        if version == self.base.version:
+            return self.base_digest
+        place = bisect_right(self.versions, version) - 1
+        return self.digests[place] if place >= 0 and self.versions[place] == version else None
+
     def offset_after(self, version: int) -> int:
         """Where the first record behind that version begins."""
         place = bisect_right(self.versions, version)
@@ -377,7 +385,7 @@
             with contextlib.suppress(OSError):
                 os.ftruncate(segment.file.fileno(), segment.size)
             raise
-        segment.add(record.position.version, len(data))
+        segment.add(record.position.version, record.digest, len(data))
         self.position, self.digest = record.position, record.digest
 
     def _writable(self) -> _Segment:
@@ -482,6 +490,13 @@
                 return found
         return self._segment.records_after(version, max_records)
 
+    def digest_at(self, version: int) -> int | None:
+        """Of all entries at that version; None where it is compacted away or not there."""
+        for segment in (self._segment, self._previous):
+            if segment is not None and (digest := segment.digest_at(version)) is not None:
+                return digest
+        return None
+
     def snapshot_file(self) -> SnapshotReader | None:
         """The present snapshot, to be read part by part; None where there is none yet."""
         return self._reader(self._snapshot) if self._snapshot is not None else None
--- a/tests/test_change_log.py
+++ b/tests/test_change_log.py
@@ -128,9 +128,11 @@
         records = log.records_after(version, 1)
         assert records is not None
         assert [each.position.version for each in records] == [version + 1][: newest - version]
+        assert [each.digest for each in records] == [log.digest_at(version + 1)][: newest - version]
     assert log.records_after(newest + 1) is None
     compact_in_slices(log, state, lambda: None)
     assert log.oldest_version == 5 and log.records_after(4) is None
+    assert log.digest_at(4) is None is log.digest_at(newest + 1) and log.digest_at(newest) == log.digest
     assert [each.position.version for each in log.records_after(5) or []] == list(range(6, newest + 1))
     log.close()
     log, state = opened(tmp_path)
