laureldock controller FILE: accepts changes, keeps them on disk and carries them

Need: changes reach dispatchers as files and signals alone; a controller is to accept, number, keep and carry them.

--- a/laureldock/cli/__init__.py
+++ b/laureldock/cli/__init__.py
@@ -9,7 +9,7 @@
 from laureldock import __version__
 
 # Each is imported when it is asked for: `serve` stays small.
-COMMANDS = ("serve", "config", "info", "spool", "fleet", "rehearse", "version")
+COMMANDS = ("serve", "controller", "config", "info", "spool", "fleet", "rehearse", "version")
 
 
 class Lazy(click.Group):
--- /dev/null
+++ b/laureldock/cli/controller.py
@@ -0,0 +1,56 @@
+"""laureldock controller"""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+
+import click
+from twisted.internet.main import installReactor
+
+from laureldock.cli.config import refuse
+from laureldock.controller.service import ControllerService
+from laureldock.logs import Logs
+from laureldock.replication.change_log import SpoiltLogError
+from laureldock.setup.catalog import RefusedChangeError
+from laureldock.setup.faults import Fault, Placed, RefusedError
+from laureldock.setup.reading import load
+from laureldock.sockets.reactor import SteadyReactor
+
+
+@click.command("controller")
+@click.argument("file")
+def command(file: str) -> None:
+    """Run a controller by the configuration FILE, which has a [controller] table and no entries.
+
+    It accepts changes (`laureldock config apply`), keeps them in its state folder, and carries them to the
+    dispatchers that name it in [source]. SIGUSR1 logs the counters, SIGTERM ends it in order.
+    """
+    try:
+        plan = load(file).plan
+        if plan.controller is None:
+            raise RefusedError(
+                [Placed(file, 0, Fault(("controller",), "is missing", "a table [controller]"))]
+            )
+    except RefusedError as refused:
+        refuse(refused)
+        return
+    reactor = SteadyReactor()
+    installReactor(reactor)
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)  # until there are counters
+    try:
+        Logs(plan.log)
+        service = ControllerService(plan, Path(file).parent / plan.controller.state, reactor)
+        service.start()
+    except RefusedChangeError as refused_state:
+        found = [Placed(f"{file}: state", 0, fault) for fault in refused_state.faults]
+        click.echo("what was accepted does not fit this file any more:", err=True)
+        refuse(RefusedError(found))
+    except (SpoiltLogError, OSError, ValueError) as fault:
+        raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(service.log_counters))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(service.stop))
+    reactor.run(installSignalHandlers=False)
+    sys.exit(0)
--- a/laureldock/replication/change_log.py
+++ b/laureldock/replication/change_log.py
@@ -401,6 +401,10 @@
     def snapshot_bytes(self) -> int:
         return os.fstat(self._snapshot.fileno()).st_size if self._snapshot else 0
 
+    @property
+    def snapshot_version(self) -> int:
+        return self._reader(self._snapshot).position.version if self._snapshot else 0
+
     # Compacting
 
     def compact(self, position: Position, digest: int, parts: Iterable[bytes], entries: int = 0) -> None:
--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -259,15 +259,15 @@
             subscriber.paused = False
             self._wake(subscriber, now)
 
-    def restored(self, record: StoredRecord, at: float) -> None:
+    def restored(self, version: int, body_bytes: int, at: float) -> None:
         """A record that was read at the start; accepted at `at` by the clock of `now`."""
-        self._note(record, at)
+        self._note(version, body_bytes, at)
 
     def accepted(self, now: float, record: StoredRecord) -> None:
         """A change that is in the history."""
         self.position, self.digest = record.position, record.digest
         self._heartbeat = messages.encode(Heartbeat(self.position))
-        self._note(record, now)
+        self._note(record.position.version, len(record.body), now)
         if len(record.body) <= MAX_CHANGE_BYTES:
             self._keep_payload(record.position.version, messages.encode(change_message(record)))
         for subscriber in self.streams.values():
@@ -279,10 +279,10 @@
             if subscriber.waits_for_compaction:
                 self._wake(subscriber, now)
 
-    def _note(self, record: StoredRecord, at: float) -> None:
+    def _note(self, version: int, body_bytes: int, at: float) -> None:
         self._accept_times.append(at)
-        if len(record.body) > MAX_CHANGE_BYTES:
-            self.newest_large_version = record.position.version
+        if body_bytes > MAX_CHANGE_BYTES:
+            self.newest_large_version = version
 
     def _detach(self, stream: int) -> Subscriber | None:
         subscriber = self.streams.pop(stream, None)
