A dispatcher follows a controller: [source] kind = "controller"

Need: changes of the configuration reach dispatchers as they are accepted. The source of that kind serves what it kept, follows the controllers of the file, and shows configuration_version, configuration_epoch, configuration_age_s and configuration_refused in INFO and /_vars. A dispatcher of another kind imports nothing of it. What a later format adds to a change was ignored, that is half applied: it cannot be read now. An empty catalog counted as none.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -32,8 +32,13 @@
 
 if TYPE_CHECKING:
     from laureldock.fleet.rim import Rim
+    from laureldock.replication.subscriber import SubscriberEvent
     from laureldock.setup.catalog import AppliedChange, Catalog
-    from laureldock.setup.changes import CatalogEntry, Change
+    from laureldock.setup.changes import CatalogEntry, Change, EntryKey
+    from laureldock.sources.controlled import Controlled
+
+
+CONFIGURATION_FOLDER = "configuration"  # of the state folder; what a controller told
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +69,7 @@
         self.catalog = catalog_of(plan)
         book = (
             Book(self.catalog.live, True, self.catalog.term_book)
-            if self.catalog
+            if self.catalog is not None
             else Book(plan, sockets=True)
         )
         self.core = core = Dispatcher(plan.name, book, store, reactor, ended_for)
@@ -81,7 +86,8 @@
         fronts: list[Front] = [*self.clients]
         self.receivers = Receivers(core, reactor, self.room)
         self.listed = None if plan.source.kind == "platform" else Listed(core, listing(plan))
-        self.source = self.source_of(plan)
+        self.controlled: Controlled | None = None
+        self.source = self.source_of(plan, state)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
         self.rim = self.rim_of(plan, state) if plan.fleet else None
@@ -99,12 +105,34 @@
             self.door = Door(reactor, plan.management, operated)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
 
-    def source_of(self, plan: Plan) -> Source:
+    def source_of(self, plan: Plan, state: Path) -> Source:
         if plan.source.address:
             return Directory(self.core, self.reactor, plan.source.address, plan.source.known)
+        if plan.source.kind == "controller":
+            self.controlled = self.controlled_source(plan, state)
+            self.core.configuration_figures = self.controlled.figures
+            return self.controlled
         assert self.listed is not None
         return self.listed
 
+    def controlled_source(self, plan: Plan, state: Path) -> Controlled:
+        # A dispatcher without a controller imports none of it.
+        from laureldock.replication.configuration_store import ConfigurationStore
+        from laureldock.sources.controlled import Controlled, ControllerStream
+
+        core = self.core
+
+        def on_event(event: SubscriberEvent) -> None:
+            core.counters[f"configuration: {event.event}"] += 1
+            log = core.log.warning if event.serious else core.log.info
+            log(f"configuration: {event.event}", **event.fields)
+
+        store = ConfigurationStore(state / CONFIGURATION_FOLDER)
+        stream = ControllerStream(
+            self.reactor, plan.source.controllers, plan.name, plan.seed, self, store, on_event
+        )
+        return Controlled(core, stream, store)
+
     def outlet_of(self, plan: Plan, state: Path) -> Outlet:
         if plan.outlet.address:
             return Notices(self.core, self.reactor, plan.outlet.address)
@@ -198,7 +226,7 @@
             self.unread([f"{name} cannot change while it runs" for name in barred])
             return barred
         changed = changes(self.plan, plan)
-        if self.catalog:
+        if self.catalog is not None:
             if faults := self.rebase(plan):
                 self.unread(faults)
                 return faults
@@ -207,11 +235,13 @@
         self.plan = plan
         if self.rim and plan.fleet:
             self.rim.reseed(plan.fleet)
-        if self.listed and not self.catalog:
+        if self.listed and self.catalog is None:
             self.listed.reread(fresh.listing)
         self.move_to(plan.source.address, plan.outlet.address)
         self.core.counters["configurations read"] += 1
         self.core.log.info("configuration read", changed=changed, routes=len(self.core.book.routes))
+        if self.controlled:
+            self.controlled.stream.try_again()
         return []
 
     def rebase(self, plan: Plan) -> list[str]:
@@ -231,6 +261,17 @@
 
     # A controller's changes
 
+    @property
+    def digest(self) -> int:
+        """Of all entries that are in force."""
+        return self.catalog.digest if self.catalog is not None else 0
+
+    def holds(self, key: EntryKey) -> bool:
+        return self.catalog is not None and self.catalog.get(key) is not None
+
+    def entries(self) -> Iterable[CatalogEntry]:
+        return self.catalog.entries() if self.catalog is not None else ()
+
     def apply_change(self, change: Change) -> None:
         """Take it over whole, in the size of the change. RefusedChangeError, then nothing has changed."""
         assert self.catalog is not None
--- a/laureldock/replication/subscriber.py
+++ b/laureldock/replication/subscriber.py
@@ -223,7 +223,7 @@
         """The connect that was asked for is up."""
         self._link = LinkState.OPEN
         self._heard_at = now
-        self._asked = False
+        self._report("controller reached", {"version": self.position.version})
         self._ask(now)
 
     def lost(self, now: float, reason: str) -> None:
--- a/laureldock/setup/changes.py
+++ b/laureldock/setup/changes.py
@@ -31,7 +31,7 @@
     CLASS = "class"
 
 
-class EntryKey(Struct, frozen=True, array_like=True, order=True):
+class EntryKey(Struct, frozen=True, array_like=True, order=True, forbid_unknown_fields=True):
     """What one entry is known by."""
 
     kind: EntryKind
@@ -45,7 +45,7 @@
     """What a reload may change of a queue class: settings, which replace those of the dispatcher's file."""
 
 
-class EndpointEntry(Struct, tag="endpoint", array_like=True, frozen=True):
+class EndpointEntry(Struct, tag="endpoint", array_like=True, frozen=True, forbid_unknown_fields=True):
     name: str
     value: plan.Endpoint
 
@@ -54,7 +54,7 @@
         return EntryKey(EntryKind.ENDPOINT, self.name)
 
 
-class DestinationEntry(Struct, tag="destination", array_like=True, frozen=True):
+class DestinationEntry(Struct, tag="destination", array_like=True, frozen=True, forbid_unknown_fields=True):
     name: str
     value: plan.Destination
 
@@ -63,7 +63,7 @@
         return EntryKey(EntryKind.DESTINATION, self.name)
 
 
-class TermsEntry(Struct, tag="terms", array_like=True, frozen=True):
+class TermsEntry(Struct, tag="terms", array_like=True, frozen=True, forbid_unknown_fields=True):
     name: str  # `terms_name`: as given, else made of what it selects
     value: plan.Entry
 
@@ -72,7 +72,7 @@
         return EntryKey(EntryKind.TERMS, self.name)
 
 
-class CustomerEntry(Struct, tag="customer", array_like=True, frozen=True):
+class CustomerEntry(Struct, tag="customer", array_like=True, frozen=True, forbid_unknown_fields=True):
     name: str
     value: plan.Customer
 
@@ -81,7 +81,7 @@
         return EntryKey(EntryKind.CUSTOMER, self.name)
 
 
-class ClassEntry(Struct, tag="class", array_like=True, frozen=True):
+class ClassEntry(Struct, tag="class", array_like=True, frozen=True, forbid_unknown_fields=True):
     name: str
     value: ClassSettings
 
@@ -107,7 +107,7 @@
 CatalogEntry = EndpointEntry | DestinationEntry | TermsEntry | CustomerEntry | ClassEntry
 
 
-class Change(Struct, array_like=True, frozen=True):
+class Change(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
     """Applied as a whole or not at all; a key stands in it once. The order within it means nothing."""
 
     puts: tuple[CatalogEntry, ...] = ()
--- a/tests/daemon.py
+++ b/tests/daemon.py
@@ -62,10 +62,17 @@
         fresh.rename(self.file)
 
     async def launch(self, *flags: str) -> None:
+        await self.spawn(*flags)
+        await self.ready()
+
+    async def spawn(self, *flags: str) -> None:
         command = [sys.executable, "-m", "laureldock", "serve", str(self.file), *flags]
         log = (self.folder / "log").open("ab")
         self.process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
         log.close()
+
+    async def ready(self) -> None:
+        assert self.process
         async with asyncio.timeout(20):
             while True:
                 with contextlib.suppress(OSError, redis.RedisError):
--- /dev/null
+++ b/tests/followers.py
@@ -0,0 +1,214 @@
+"""Dispatchers that follow a controller, as processes, and a controller in this process that does as told."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+from collections.abc import AsyncIterator, Iterable
+from pathlib import Path
+from typing import Any
+
+from daemon import HEAD, Daemon
+from replication_rig import MemoryController
+
+from laureldock.rehearsal.account import Account
+from laureldock.rehearsal.play import free_port
+from laureldock.rehearsal.standins import Receiver
+from laureldock.replication import messages
+from laureldock.replication.messages import InForce, Message, Refused, Subscribe
+from laureldock.setup import plan
+from laureldock.setup.changes import Change, EndpointEntry, EntryKey, EntryKind
+from laureldock.setup.units import Address
+
+SOURCE = """\
+[source]
+kind = "controller"
+controllers = [{controllers}]
+"""
+
+
+class Follower(Daemon):
+    """A dispatcher by a file without entries. `controllers`: where they listen, or relays before them."""
+
+    def __init__(self, folder: Path, name: str, account: Account, controllers: Iterable[str]) -> None:
+        folder.mkdir(exist_ok=True)
+        super().__init__(folder, {}, 0.0, 0.0)
+        self.name, self.account = name, account
+        self.controllers = [*controllers]
+        self.extra = ""
+        self.write_file()
+
+    def write_file(self) -> None:
+        controllers = ", ".join(f'"{each}"' for each in self.controllers)
+        text = HEAD.format(port=self.port).replace('name = "dock"', f'name = "{self.name}"')
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(text + SOURCE.format(controllers=controllers) + self.extra)
+        fresh.rename(self.file)
+
+    @property
+    def configuration(self) -> Path:
+        return self.folder / "state" / "configuration"
+
+    async def version(self) -> int:
+        return int((await self.figures()).get("configuration_version", -1))
+
+    async def until_version(self, version: int, seconds: float = 15.0) -> float:
+        """How long it took until that version, or a later one, was in force."""
+        began = time.monotonic()
+        while (seen := await self.version()) < version:
+            assert time.monotonic() < began + seconds, f"{self.name} is at {seen}, not {version}"
+            await asyncio.sleep(0.02)
+        return time.monotonic() - began
+
+    def send_signal(self, number: signal.Signals) -> None:
+        assert self.process
+        self.process.send_signal(number)
+
+    async def end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.send_signal(number)
+            await self.process.wait()
+
+    def logged(self) -> str:
+        return (self.folder / "log").read_text()
+
+
+class Receivers:
+    """Stand-ins of receivers with one account, and the entries that name them."""
+
+    def __init__(self, names: dict[str, str], pace: float = 0.02, rate: float = 400.0) -> None:
+        self.account = Account()
+        self.by_name = {
+            name: Receiver(name, owner, self.account, 1, rate, pace) for name, owner in names.items()
+        }
+
+    async def start(self) -> None:
+        for receiver in self.by_name.values():
+            await receiver.start(time.time())
+
+    async def stop(self) -> None:
+        for receiver in self.by_name.values():
+            await receiver.stop()
+
+    def entry(self, name: str, destination: str = "", **more: Any) -> EndpointEntry:
+        here = self.by_name[name]
+        address = Address(f"127.0.0.1:{here.port}")
+        owner = destination or str(here.destination)
+        value = plan.Endpoint(name=name, destination=owner, address=address, **more)
+        return EndpointEntry(name, value)
+
+    def puts(self, *names: str) -> Change:
+        return Change(puts=tuple(self.entry(name) for name in names or self.by_name))
+
+
+def removal(*names: str) -> Change:
+    return Change(removals=tuple(EntryKey(EntryKind.ENDPOINT, name) for name in names))
+
+
+class StandInController:
+    """Speaks to dispatchers as a controller does; what it sends can be spoilt by `wire`."""
+
+    def __init__(self) -> None:
+        self.state = MemoryController()
+        self.port = free_port()
+        self.streams: dict[str, asyncio.StreamWriter] = {}
+        self.heard: list[tuple[str, Message]] = []
+        self.wire: Any = lambda name, message: [message]
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        beats = asyncio.create_task(self.beat())
+        self.tasks.add(beats)
+
+    async def stop(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+        if self.server:
+            self.server.close()
+        for writer in self.streams.values():
+            writer.transport.abort()
+        self.streams.clear()
+
+    async def beat(self) -> None:
+        while True:
+            await asyncio.sleep(2.0)
+            for name in list(self.streams):
+                self.send(name, self.state.heartbeat())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self.tasks.add(task)
+        name = ""
+        try:
+            while True:
+                length = int.from_bytes(await reader.readexactly(4), "big")
+                message = messages.decode(await reader.readexactly(length))
+                if isinstance(message, Subscribe):
+                    name = message.dispatcher
+                    self.streams[name] = writer
+                self.heard.append((name, message))
+                if isinstance(message, Subscribe):
+                    for each in self.state.answer(message):
+                        self.send(name, each)
+                    self.send(name, self.state.heartbeat())
+        except (OSError, EOFError):
+            pass
+        finally:
+            if self.streams.get(name) is writer:
+                del self.streams[name]
+            writer.transport.abort()
+            self.tasks.discard(task)
+
+    def send(self, name: str, message: Message) -> None:
+        for each in self.wire(name, message):
+            data = each if isinstance(each, bytes) else messages.encode(each)
+            self.streams[name].write(len(data).to_bytes(4, "big") + data)
+
+    def accept(self, change: Change, body: bytes | None = None) -> int:
+        """The version that it leads to."""
+        message = self.state.accept(change, body)
+        for name in list(self.streams):
+            self.send(name, message)
+        return self.state.position.version
+
+    def versions(self, name: str) -> list[int]:
+        """That a dispatcher told in force."""
+        return [
+            each.position.version for who, each in self.heard if who == name and isinstance(each, InForce)
+        ]
+
+    def refusals(self, name: str) -> list[Refused]:
+        return [each for who, each in self.heard if who == name and isinstance(each, Refused)]
+
+
+@contextlib.asynccontextmanager
+async def followers(
+    folder: Path, names: dict[str, str], controllers: Iterable[str], count: int = 1, pace: float = 0.02
+) -> AsyncIterator[tuple[Receivers, list[Follower]]]:
+    """Receivers and dispatchers that are not started yet; all end with the block."""
+    receivers = Receivers(names, pace)
+    await receivers.start()
+    addresses = [*controllers]
+    here = [
+        Follower(folder / f"d{place}", f"d{place}", receivers.account, addresses)
+        for place in range(1, count + 1)
+    ]
+    try:
+        yield receivers, here
+    finally:
+        for each in here:
+            await each.client.aclose()
+            await each.end()
+        await receivers.stop()
--- a/tests/replication_rig.py
+++ b/tests/replication_rig.py
@@ -190,7 +190,8 @@
             case ReplaceEntries(entries=entries):
                 self.apply(effect, lambda: self.sink.replace_entries(entries))
             case SubscriberEvent(event=event):
-                self.happened.append(event)
+                if event != "controller reached":
+                    self.happened.append(event)
             case Disconnect():
                 pass
 
--- a/tests/test_controller_stream.py
+++ b/tests/test_controller_stream.py
@@ -351,7 +351,7 @@
     rig.turns()
     assert source.settled and rig.sink.by_key == rig.controller.state.by_key
     assert not [each for each in rig.sent() if isinstance(each, InForce)]
-    assert {"not kept", "spoilt on disk"} >= {each.event for each in rig.happened}
+    assert {each.event for each in rig.happened} == {"not kept", "spoilt on disk", "controller reached"}
     source.close()
 
 
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -28,7 +28,7 @@
 )
 from laureldock.replication.pending import MAX_PENDING_CHANGES
 from laureldock.replication.subscriber import Connect, Disconnect
-from laureldock.setup.changes import CatalogEntry, Change, entry_digest
+from laureldock.setup.changes import CatalogEntry, Change, UnreadableChangeError, decode_change, entry_digest
 
 
 def following(changes: int = 3) -> Rig:
@@ -539,3 +539,14 @@
 
 def digest_of(entries: Iterable[CatalogEntry]) -> int:
     return functools.reduce(operator.xor, map(entry_digest, entries), 0)
+
+
+def test_what_a_later_format_adds_is_not_ignored() -> None:
+    """A change with a third part, an entry with another field: half of each would be in force."""
+    for body in (
+        b"\x93\x90\x90\x90",
+        b"\x92\x91\x94\xa8customer\xa1a\x80\x01\x90",
+        b"\x92\x90\x91\x93\xa8customer\xa1a\x01",
+    ):
+        with pytest.raises(UnreadableChangeError):
+            decode_change(body)
