CHANGES.toml is read into a change, with the lines of its faults

Tables of the configuration say what is put, `remove` what is removed. All faults of form are told at once; those of a refused change are placed in the file, also where what is at fault is held elsewhere and an entry of the file is its cause, as an endpoint that is removed and still named.

--- a/laureldock/setup/catalog.py
+++ b/laureldock/setup/catalog.py
@@ -231,8 +231,8 @@
             value = None if entry is None else entry.value
             for each in (self._held[key.kind].get(key.name), value):
                 if isinstance(each, model.Endpoint):
-                    touched.destinations[each.destination] = None
-                    touched.routes[key.name] = None
+                    touched.destinations[each.destination] = (str(key.kind), key.name)
+                    touched.routes[key.name] = (str(key.kind), key.name)
                 elif isinstance(each, model.Entry):
                     for queue_class, spot in named(each):
                         touched.select(queue_class, spot)
@@ -241,7 +241,8 @@
             elif key.kind is EntryKind.CLASS and key.name in self.base.classes:
                 touched.select(key.name, class_pairs(key.name)[0][1])
         for destination in touched.selected_destinations:
-            touched.routes |= dict.fromkeys(self.places.own_routes(destination))
+            for route in self.places.own_routes(destination):
+                touched.routes.setdefault(route)
         return touched
 
     def _destination_place(self, destination: str) -> tuple[str, Place, bool] | None:
--- a/laureldock/setup/catalog_rules.py
+++ b/laureldock/setup/catalog_rules.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from laureldock.setup.changes import (
@@ -45,8 +45,9 @@
 class Touched:
     """What a change names, and by it selects: places whose cells may have become other ones."""
 
-    destinations: dict[str, None] = field(default_factory=dict)
-    routes: dict[str, None] = field(default_factory=dict)
+    # With the entry by which they may be listed no more.
+    destinations: dict[str, Path | None] = field(default_factory=dict)
+    routes: dict[str, Path | None] = field(default_factory=dict)
     # Destinations whose settings or kind change, which binds their routes too.
     selected_destinations: dict[str, None] = field(default_factory=dict)
     selected_kinds: dict[str, Classes] = field(default_factory=dict)
@@ -59,9 +60,10 @@
         elif level is Level.KIND:
             self.selected_kinds[name] = joined(self.selected_kinds.get(name, set()), queue_class)
         elif level is Level.DESTINATION:
-            self.destinations[name] = self.selected_destinations[name] = None
+            self.destinations.setdefault(name)
+            self.selected_destinations[name] = None
         else:
-            self.routes[name] = None
+            self.routes.setdefault(name)
 
 
 def joined(known: Classes, queue_class: str) -> Classes:
@@ -131,17 +133,19 @@
 
 def left_behind(catalog: Catalog, touched: Touched, known: Known) -> Iterator[Fault]:
     """What names a destination or a route that is not listed, or no more."""
-    for name in touched.destinations:
-        if name in catalog.endpoint_names:
-            continue
-        if name in catalog.live.destinations:
-            yield from known.unknown(("destination", name), "destination", name)
-        for terms in catalog.terms_naming.get((Level.DESTINATION, name), ()):
-            yield from known.unknown(("terms", terms, "destination"), "destination", name)
-    for name in touched.routes:
+    for name, cause in touched.destinations.items():
+        if name not in catalog.endpoint_names:
+            paths: list[Path] = [("destination", name)] if name in catalog.live.destinations else []
+            naming = catalog.terms_naming.get((Level.DESTINATION, name), ())
+            paths += [("terms", terms, "destination") for terms in naming]
+            for path in paths:
+                for fault in known.unknown(path, "destination", name):
+                    yield replace(fault, also=cause)
+    for name, cause in touched.routes.items():
         if name not in catalog.endpoints:
             for terms in catalog.terms_naming.get((Level.ROUTE, name), ()):
-                yield from known.unknown(("terms", terms, "route"), "route", name)
+                for fault in known.unknown(("terms", terms, "route"), "route", name):
+                    yield replace(fault, also=cause)
 
 
 def cells(catalog: Catalog, touched: Touched) -> Iterator[Fault]:
--- a/laureldock/setup/faults.py
+++ b/laureldock/setup/faults.py
@@ -39,7 +39,8 @@
         where = f"{at}: {dotted(fault.path)}: " if fault.path else f"{at}: "
         text = where + fault.reason
         if fault.also:
-            text += f" ({dotted(fault.also)}, line {self.also_line})"
+            line = f", line {self.also_line}" if self.also_line else ""
+            text += f" ({dotted(fault.also)}{line})"
         return text + (f"; allowed: {fault.allowed}" if fault.allowed else "")
 
     def fields(self) -> dict[str, object]:
--- /dev/null
+++ b/tests/test_changes_file.py
@@ -0,0 +1,105 @@
+"""CHANGES.toml: read into a change, and refused with the lines of what is wrong."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from test_catalog import BASE, destination, endpoint, put, terms
+
+from laureldock.setup.catalog import Catalog, RefusedChangeError
+from laureldock.setup.changes import EntryKey, EntryKind
+from laureldock.setup.changes_file import placed_faults, read_changes
+from laureldock.setup.faults import RefusedError
+from laureldock.setup.units import Seconds
+
+GOOD = """\
+remove = ["endpoint.old", "terms.class=news,route=x.y"]
+[[endpoint]]
+name = "n1"
+destination = "north"
+address = "127.0.0.1:9001"
+time_out = "2s"
+[destination.north]
+kind = "shop"
+[[terms]]
+class = "news"
+destination = "north"
+connects = 2
+[customer.acme]
+quota = 5.0
+[class.charge]
+connects = 3
+"""
+
+
+def written(folder: Path, text: str) -> str:
+    path = folder / "changes.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def refusal(folder: Path, text: str) -> list[str]:
+    with pytest.raises(RefusedError) as refused:
+        read_changes(written(folder, text))
+    return [str(fault).partition("changes.toml:")[2] for fault in refused.value.faults]
+
+
+def test_a_file_is_read_into_what_it_puts_and_removes(tmp_path: Path) -> None:
+    change, _ = read_changes(written(tmp_path, GOOD))
+    assert [str(entry.key) for entry in change.puts] == [
+        "endpoint.n1",
+        "destination.north",
+        "terms.class=news,destination=north",
+        "customer.acme",
+        "class.charge",
+    ]
+    assert change.puts[0] == endpoint("n1", "north", time_out=Seconds(2))
+    assert change.removals == (
+        EntryKey(EntryKind.ENDPOINT, "old"),
+        EntryKey(EntryKind.TERMS, "class=news,route=x.y"),
+    )
+    assert Catalog(BASE).apply(change, missing_ok=True)
+
+
+def test_all_faults_of_form_are_told_with_their_lines(tmp_path: Path) -> None:
+    text = GOOD.replace('"2s"', "2").replace("quota = 5.0", "quotas = 5.0").replace("endpoint.old", "olds")
+    found = refusal(tmp_path, text + "[limits]\nslots = 3\n")
+    assert [line.partition(":")[0] for line in found] == ["1", "6", "14", "17"]
+    assert "remove:" in found[0] and "'quota' is meant?" in found[2] and "limits" in found[3]
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (GOOD.replace("endpoint.old", "endpoint.n1"), "1: remove[0]: endpoint.n1 is put and removed"),
+        ('remove = ["class.a",\n"class.a"]', "2: remove[1]: class.a is removed twice"),
+        (GOOD + "[[terms]]\nclass='news'\ndestination='north'\ncopies=1\n", "17: terms[1]: terms.class=news"),
+        ("", "1: changes nothing"),
+        ("[[endpoint]", "1: not TOML"),
+    ],
+)
+def test_what_cannot_be_one_change_is_refused_before_it_is_sent(tmp_path: Path, text: str, told: str) -> None:
+    found = refusal(tmp_path, text)
+    assert len(found) == 1 and found[0].startswith(told), found
+
+
+def test_faults_of_a_refused_change_stand_at_their_lines(tmp_path: Path) -> None:
+    catalog = Catalog(BASE)
+    catalog.apply(put(endpoint("old", "west"), endpoint("x", "east"), terms(destination="west", connects=2)))
+    catalog.apply(
+        put(endpoint("y", "south"), destination("south", "office"), terms(kind="office", connects=3))
+    )
+    text = GOOD.replace('kind = "shop"', 'kind = "shpo"').replace(', "terms.class=news,route=x.y"', "")
+    change, where = read_changes(
+        written(tmp_path, text + '[destination.south]\nkind = "shop"\nwindow = 50\n')
+    )
+    with pytest.raises(RefusedChangeError) as refused:
+        catalog.apply(change)
+    found = placed_faults(refused.value.faults, where)
+    assert [(each.line, ".".join(map(str, each.fault.path))) for each in found] == [
+        (1, "terms.destination=west.destination"),
+        (8, "destination.north.kind"),
+        (19, "destination.south.window"),
+    ]
+    assert str(found[0]).endswith("(endpoint.old, line 1); allowed: east, north, south")
