--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -67,11 +67,8 @@
         sockets = plan.limits.sockets // (2 if store.sharing else 1)
         self.room = Room.of(sockets)
         self.catalog = catalog_of(plan)
-        book = (
-            Book(self.catalog.live, True, self.catalog.term_book)
-            if self.catalog is not None
-            else Book(plan, sockets=True)
-        )
+        known, terms = (plan, None) if self.catalog is None else (self.catalog.live, self.catalog.term_book)
+        book = Book(known, sockets=True, terms=terms)
         self.core = core = Dispatcher(plan.name, book, store, reactor, ended_for)
         # Half of the sockets for clients at most, shared by the fronts.
         most = sockets // 2 // len(plan.front)
--- a/laureldock/setup/catalog_rules.py
+++ b/laureldock/setup/catalog_rules.py
@@ -4,9 +4,11 @@
 
 import re
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from itertools import islice
 from typing import TYPE_CHECKING
 
+from laureldock.setup.catalog_index import Alike
 from laureldock.setup.changes import (
     CatalogEntry,
     ClassEntry,
@@ -17,7 +19,7 @@
     TermsEntry,
     terms_name,
 )
-from laureldock.setup.entries import kind_of, name_of, spots
+from laureldock.setup.entries import name_of, spots
 from laureldock.setup.faults import Fault, Path
 from laureldock.setup.rules import (
     Cells,
@@ -35,6 +37,8 @@
 
 # Among more known names the nearest is not looked for: a change may have a thousand faults.
 MOST_SEARCHED = 500
+# Of settings that do not fit together: a queue class may disagree with every destination.
+MOST_FAULTS = 10_000
 CUSTOMER_NAME = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_.-]{0,63}")  # `plan.Name`
 
 # Queue classes whose cells are to be checked; None: all, and what they share.
@@ -45,8 +49,9 @@
 class Touched:
     """What a change names, and by it selects: places whose cells may have become other ones."""
 
-    destinations: dict[str, None] = field(default_factory=dict)
-    routes: dict[str, None] = field(default_factory=dict)
+    # With the entry by which they may be listed no more.
+    destinations: dict[str, Path | None] = field(default_factory=dict)
+    routes: dict[str, Path | None] = field(default_factory=dict)
     # Destinations whose settings or kind change, which binds their routes too.
     selected_destinations: dict[str, None] = field(default_factory=dict)
     selected_kinds: dict[str, Classes] = field(default_factory=dict)
@@ -59,9 +64,10 @@
         elif level is Level.KIND:
             self.selected_kinds[name] = joined(self.selected_kinds.get(name, set()), queue_class)
         elif level is Level.DESTINATION:
-            self.destinations[name] = self.selected_destinations[name] = None
+            self.destinations.setdefault(name)
+            self.selected_destinations[name] = None
         else:
-            self.routes[name] = None
+            self.routes.setdefault(name)
 
 
 def joined(known: Classes, queue_class: str) -> Classes:
@@ -101,7 +107,7 @@
     for entry in values.values():
         if entry is not None:
             faults |= {(fault.path, fault.reason): fault for fault in entry_faults(catalog, entry, known)}
-    for fault in (*left_behind(catalog, touched, known), *cells(catalog, touched)):
+    for fault in (*left_behind(catalog, touched, known), *islice(cells(catalog, touched), MOST_FAULTS)):
         faults.setdefault((fault.path, fault.reason), fault)
     return list(faults.values())
 
@@ -131,48 +137,51 @@
 
 def left_behind(catalog: Catalog, touched: Touched, known: Known) -> Iterator[Fault]:
     """What names a destination or a route that is not listed, or no more."""
-    for name in touched.destinations:
-        if name in catalog.endpoint_names:
-            continue
-        if name in catalog.live.destinations:
-            yield from known.unknown(("destination", name), "destination", name)
-        for terms in catalog.terms_naming.get((Level.DESTINATION, name), ()):
-            yield from known.unknown(("terms", terms, "destination"), "destination", name)
-    for name in touched.routes:
+    for name, cause in touched.destinations.items():
+        if name not in catalog.endpoint_names:
+            paths: list[Path] = [("destination", name)] if name in catalog.live.destinations else []
+            naming = catalog.terms_naming.get((Level.DESTINATION, name), ())
+            paths += [("terms", terms, "destination") for terms in naming]
+            for path in paths:
+                for fault in known.unknown(path, "destination", name):
+                    yield replace(fault, also=cause)
+    for name, cause in touched.routes.items():
         if name not in catalog.endpoints:
             for terms in catalog.terms_naming.get((Level.ROUTE, name), ()):
-                yield from known.unknown(("terms", terms, "route"), "route", name)
+                for fault in known.unknown(("terms", terms, "route"), "route", name):
+                    yield replace(fault, also=cause)
 
 
 def cells(catalog: Catalog, touched: Touched) -> Iterator[Fault]:
-    """Of the places touched, and of one that stands for those without settings of their own."""
-    checked = Cells(catalog.live, catalog.bounds, catalog.term_book)
+    """What does not fit together at the places touched. Of places that are alike one is checked."""
     if not catalog.term_book.settings:
         return
-    for where, classes in places(catalog, touched):
-        yield from checked.at(where, classes)
-
-
-def places(catalog: Catalog, touched: Touched) -> Iterator[tuple[list[Spot], Classes]]:
-    live, index = catalog.live, catalog.places
-    if not index:
-        yield [], None
-    for name in touched.destinations:
-        if name in catalog.endpoint_names or name in live.destinations:
-            yield spots(kind_of(live, name), name), None
-    for name in touched.routes:
-        endpoint = catalog.endpoints.get(name)
-        if endpoint is not None and (Level.ROUTE, name) in catalog.term_book.spots:
-            yield spots(kind_of(live, endpoint.destination), endpoint.destination, name), None
-    if touched.everywhere != set():
-        for kind in index.kinds():
-            yield from of_kind(catalog, kind, touched.everywhere)
+    checked = Cells(catalog.live, catalog.bounds, catalog.term_book)
+    if not catalog.places:
+        yield from checked.at([])
+    states = (
+        *map(catalog.destination_state, touched.destinations),
+        *map(catalog.route_state, touched.routes),
+    )
+    clean: set[Alike] = set()
+    for state in states:
+        if state is None or state.alike in clean:
+            continue
+        faults = checked.at(spots(state.kind, *state.place))
+        if not faults:
+            clean.add(state.alike)
+        yield from faults
+    for kind in catalog.places.kinds() if touched.everywhere != set() else ():
+        yield from of_kind(catalog, checked, kind, touched.everywhere)
     for kind, classes in touched.selected_kinds.items():
-        yield from of_kind(catalog, kind, classes)
+        yield from of_kind(catalog, checked, kind, classes)
 
 
-def of_kind(catalog: Catalog, kind: str, classes: Classes) -> Iterator[tuple[list[Spot], Classes]]:
-    if catalog.places.has_plain(kind):
-        yield spots(kind, ""), classes
-    for destination, route in catalog.places.own(kind):
-        yield spots(kind, destination, route), classes
+def of_kind(catalog: Catalog, checked: Cells, kind: str, classes: Classes) -> Iterator[Fault]:
+    """Of all places of a kind; of those alike, each only where one has a fault that names it."""
+    for alike in catalog.places.groups(kind):
+        for place in alike:
+            faults = checked.at(spots(kind, *place), classes)
+            if not faults:
+                break
+            yield from faults
