--- a/laureldock/replication/subscriber.py
+++ b/laureldock/replication/subscriber.py
@@ -151,6 +151,7 @@
         self.refusal: Refusal | None = None
         self.pending = PendingChanges()
         self.current_at: float | None = None  # when the controller last had nothing newer
+        self._newest, self._newest_at = NO_POSITION, -inf  # what it last named, and when
         self._received = NO_POSITION  # the newest change received in order, applied or pending
         self._snapshot: IncomingSnapshot | None = None
         self._snapshot_wanted = False
@@ -322,10 +323,10 @@
     # What the controller tells
 
     def _heartbeat(self, now: float, position: Position) -> None:
+        self._newest, self._newest_at = position, now
         if position == self._received and not self._snapshot_wanted and self._snapshot is None:
             self._asked, self._patience, self._behind_since = False, SHORTEST_PATIENCE, inf
-            if position == self.position:
-                self.current_at = now
+            self._note_current()
             return
         # It may be on its way, or wait for the controller's pace.
         self._behind_since = min(now, self._behind_since)
@@ -333,6 +334,12 @@
         if now - max(self._progress_at, self._behind_since) >= patience:
             self._ask_again(now, "the controller has what did not come")
 
+    def _note_current(self) -> None:
+        """All that the controller named last is in force: it was the newest one when it was named."""
+        named, here = self._newest, self.position
+        if here.epoch == named.epoch and here.version >= named.version and self._newest_at > -inf:
+            self.current_at = self._newest_at
+
     def _change(self, now: float, message: ChangeMessage) -> None:
         position, received = message.position, self._received
         if self._snapshot is not None:
@@ -453,6 +460,7 @@
             self._ask_for_snapshot(now, "digest differs")
             return
         self._patience, self._snapshot_retry = SHORTEST_PATIENCE, SHORTEST_SNAPSHOT_RETRY
+        self._note_current()
         if isinstance(effect, ReplaceEntries):
             self._snapshot_wanted = self._distrusted = False
         if on_disk:
--- a/tests/followers.py
+++ b/tests/followers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import os
 import signal
+import sys
 import time
 from collections.abc import AsyncIterator, Iterable
 from pathlib import Path
@@ -17,9 +19,18 @@
 from laureldock.rehearsal.play import free_port
 from laureldock.rehearsal.standins import Receiver
 from laureldock.replication import messages
-from laureldock.replication.messages import InForce, Message, Refused, Subscribe
+from laureldock.replication.messages import (
+    Accepted,
+    InForce,
+    Message,
+    Propose,
+    Refused,
+    Status,
+    StatusRequest,
+    Subscribe,
+)
 from laureldock.setup import plan
-from laureldock.setup.changes import Change, EndpointEntry, EntryKey, EntryKind
+from laureldock.setup.changes import Change, EndpointEntry, EntryKey, EntryKind, encode_change
 from laureldock.setup.units import Address
 
 SOURCE = """\
@@ -163,7 +174,7 @@
                     for each in self.state.answer(message):
                         self.send(name, each)
                     self.send(name, self.state.heartbeat())
-        except (OSError, EOFError):
+        except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
             if self.streams.get(name) is writer:
@@ -212,3 +223,152 @@
             await each.client.aclose()
             await each.end()
         await receivers.stop()
+
+
+CONTROLLER_FILE = """\
+name = "c1"
+[controller]
+listen = "127.0.0.1:{port}"
+[class.news]
+effect = "redeliverable"
+target_delay = "5s"
+lifetime = "30s"
+[class.charge]
+effect = "once-only"
+target_delay = "5s"
+lifetime = "30s"
+"""
+
+
+class RejectedError(Exception):
+    """The controller did not accept a change."""
+
+
+class ControllerProcess:
+    """`laureldock controller`; or one that kills itself where `crashing_controller` is told to."""
+
+    def __init__(self, folder: Path, extra: str = "") -> None:
+        folder.mkdir(exist_ok=True)
+        self.folder, self.port = folder, free_port()
+        self.file = folder / "controller.toml"
+        self.file.write_text(CONTROLLER_FILE.format(port=self.port) + extra)
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def launch(self, *crash: str) -> None:
+        here = Path(__file__).parent
+        program = [str(here / "crashing_controller.py"), *crash] if crash else ["-m", "laureldock"]
+        command = [sys.executable, *program, "controller", str(self.file)]
+        with (self.folder / "log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *command, stdout=log, stderr=log, cwd=here.parent, env={**os.environ, "PYTHONPATH": "."}
+            )
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(OSError, EOFError):
+                    await self.status()
+                    return
+                assert self.process.returncode is None, (self.folder / "log").read_text()
+                await asyncio.sleep(0.05)
+
+    async def ask(self, message: Message) -> Message:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            data = messages.encode(message)
+            writer.write(len(data).to_bytes(4, "big") + data)
+            length = int.from_bytes(await reader.readexactly(4), "big")
+            return messages.decode(await reader.readexactly(length))
+        finally:
+            writer.transport.abort()
+
+    async def status(self) -> Status:
+        answer = await self.ask(StatusRequest())
+        assert isinstance(answer, Status)
+        return answer
+
+    async def accept(self, change: Change) -> int:
+        """The version that it leads to. RejectedError; EOFError or OSError where it died meanwhile."""
+        answer = await self.ask(Propose(encode_change(change), True))
+        if not isinstance(answer, Accepted):
+            raise RejectedError(answer)
+        return answer.position.version
+
+    async def in_force(self, dispatchers: int, seconds: float = 15.0) -> float:
+        """How long it took until all of them told the newest version in force."""
+        began = time.monotonic()
+        while True:
+            status = await self.status()
+            level = [each for each in status.versions if each.version == status.position.version]
+            if level and level[0].dispatchers >= dispatchers:
+                return time.monotonic() - began
+            assert time.monotonic() < began + seconds, status
+            await asyncio.sleep(0.05)
+
+    async def ended(self) -> None:
+        """It has killed itself."""
+        assert self.process
+        async with asyncio.timeout(10):
+            await self.process.wait()
+
+    async def kill(self, number: signal.Signals = signal.SIGKILL) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+            await self.process.wait()
+
+
+class CuttableRelay:
+    """A relay before a controller. Cut as a pulled cable does it: nothing passes, nothing is refused."""
+
+    def __init__(self, to: int) -> None:
+        self.to, self.port = to, free_port()
+        self.cut = False
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
+    async def stop(self) -> None:
+        if self.server:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self.tasks.add(task)
+        with contextlib.suppress(OSError, EOFError, asyncio.CancelledError, ExceptionGroup):
+            await self.pass_on(reader, writer)
+        writer.transport.abort()
+        self.tasks.discard(task)
+
+    async def pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Until either end closes."""
+        await self.open()
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.to)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.pump(reader, far_writer))
+                group.create_task(self.pump(far_reader, writer))
+        finally:
+            far_writer.transport.abort()
+
+    async def open(self) -> None:
+        while self.cut:
+            await asyncio.sleep(0.02)
+
+    async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            await self.open()
+            writer.write(data)
+            await writer.drain()
+        raise EOFError
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -132,6 +132,23 @@
     assert rig.level  # it goes on with what it has
 
 
+def test_the_age_is_known_once_what_was_named_first_is_in_force() -> None:
+    rig = Rig()
+    for number in range(9):
+        rig.controller.accept(put(customer(f"c{number}", 1.0)))
+    held: list[Message] = []
+    rig.wire = lambda message: held.append(message) or ()  # type: ignore[func-returns-value]
+    rig.start()
+    rig.after(0.5)
+    rig.subscriber.received(rig.now, rig.controller.heartbeat())
+    rig.now += 3.0
+    assert rig.subscriber.age(rig.now) is None
+    rig.wire = lambda message: [message]
+    rig.tell(*held)
+    age = rig.subscriber.age(rig.now)
+    assert rig.level and age is not None and 2.9 < age < 3.1
+
+
 def test_after_a_restart_it_goes_on_with_what_it_kept_and_asks_for_the_rest() -> None:
     old = following()
     old.controller.accept(put(customer("missed", 1.0)))
