--- a/laureldock/cli/config.py
+++ b/laureldock/cli/config.py
@@ -9,6 +9,7 @@
 
 import click
 
+from laureldock.cli.config_changes import apply, status
 from laureldock.setup.faults import Path, RefusedError, dotted
 from laureldock.setup.reading import Loaded, load
 
@@ -17,19 +18,28 @@
 
 @click.group("config")
 def command() -> None:
-    """Check, show and describe configuration files."""
+    """Check, show and describe configuration files; propose changes to a controller."""
 
 
-def refuse(refused: RefusedError, as_json: bool = False) -> None:
-    """Every fault on a line, and exit 2."""
+command.add_command(apply)
+command.add_command(status)
+
+
+def refuse(
+    refused: RefusedError, as_json: bool = False, most_shown: int = MOST_SHOWN, count: int = 0
+) -> None:
+    """Every fault on a line, and exit 2. `count`: of all, where not all were told."""
+    count = max(count, len(refused.faults))
     if as_json:
-        click.echo(json.dumps({"ok": False, "faults": [each.fields() for each in refused.faults]}))
+        told = {"ok": False, "faults": [each.fields() for each in refused.faults]}
+        click.echo(json.dumps(told if count == len(refused.faults) else {**told, "count": count}))
     else:
-        for fault in refused.faults[:MOST_SHOWN]:
+        shown = refused.faults[:most_shown]
+        for fault in shown:
             click.echo(str(fault), err=True)
-        if len(refused.faults) > MOST_SHOWN:
-            click.echo(f"and {len(refused.faults) - MOST_SHOWN} more", err=True)
-        click.echo(f"{len(refused.faults)} faults", err=True)
+        if count > len(shown):
+            click.echo(f"and {count - len(shown)} more", err=True)
+        click.echo(f"{count} faults", err=True)
     raise SystemExit(2)
 
 
--- a/laureldock/controller/server.py
+++ b/laureldock/controller/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 from typing import Any, Protocol
 
@@ -46,6 +47,7 @@
 MAX_DISPATCHER_FRAME = 64 << 10
 # What a dispatcher may send: it tells of each change, and beats.
 RECEIVED_BYTES_PER_SECOND, RECEIVED_BURST = 64 << 10, 256 << 10
+SEND_BUFFER_BYTES = 64 << 10  # of the system, for each dispatcher
 CLOSING_LIMIT = 5.0  # seconds in which an answer must be taken
 BACKLOG = 1024
 
@@ -82,7 +84,7 @@
         self.removals += part.removals
 
 
-class ControllerStream(Int32StringReceiver):
+class ServerStream(Int32StringReceiver):
     """One connection: it says by its first frame what it is."""
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -99,6 +101,7 @@
     # Connection
 
     def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
         if not self.server.admit(self):
             self.drop("too many streams")
             return
@@ -164,6 +167,7 @@
         now = self.server.reactor.seconds()
         self.received = TokenBucket(now, RECEIVED_BYTES_PER_SECOND, RECEIVED_BURST)
         self.set_timer(None)  # the publisher watches it
+        self.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.transport.registerProducer(WriteMonitor(self), True)
         self.server.tell(self, message)
 
@@ -214,7 +218,7 @@
 class WriteMonitor:
     """Tells the publisher where a dispatcher reads more slowly than it is sent to."""
 
-    def __init__(self, stream: ControllerStream) -> None:
+    def __init__(self, stream: ServerStream) -> None:
         self.stream, self.server = stream, stream.server
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -245,9 +249,9 @@
     def __init__(self, controller: Controller) -> None:
         self.controller, self.reactor = controller, controller.reactor
         self.numbers = 0
-        self.unnamed: dict[int, ControllerStream] = {}
-        self.commands: dict[int, ControllerStream] = {}
-        self.dispatchers: dict[int, ControllerStream] = {}
+        self.unnamed: dict[int, ServerStream] = {}
+        self.commands: dict[int, ServerStream] = {}
+        self.dispatchers: dict[int, ServerStream] = {}
         self.port: Any = None
 
     @property
@@ -266,18 +270,18 @@
             for stream in list(group.values()):
                 stream.transport.abortConnection()
 
-    def buildProtocol(self, addr: IAddress | None) -> ControllerStream:  # noqa: N802
+    def buildProtocol(self, addr: IAddress | None) -> ServerStream:  # noqa: N802
         self.numbers += 1
-        return ControllerStream(self, self.numbers)
+        return ServerStream(self, self.numbers)
 
-    def admit(self, stream: ControllerStream) -> bool:
+    def admit(self, stream: ServerStream) -> bool:
         """A new one, unless too many have not said yet what they are."""
         if len(self.unnamed) >= MAX_UNNAMED_STREAMS:
             return False
         self.unnamed[stream.number] = stream
         return True
 
-    def admit_command(self, stream: ControllerStream) -> bool:
+    def admit_command(self, stream: ServerStream) -> bool:
         if len(self.commands) >= MAX_COMMANDS:
             return False
         stream.named = True
@@ -285,7 +289,7 @@
         self.commands[stream.number] = stream
         return True
 
-    def forget(self, stream: ControllerStream) -> None:
+    def forget(self, stream: ServerStream) -> None:
         self.unnamed.pop(stream.number, None)
         self.commands.pop(stream.number, None)
         if self.dispatchers.pop(stream.number, None) is not None:
@@ -307,7 +311,7 @@
 
     # Dispatchers
 
-    def tell(self, stream: ControllerStream, message: Message) -> None:
+    def tell(self, stream: ServerStream, message: Message) -> None:
         """A dispatcher's message to the publisher."""
         self.unnamed.pop(stream.number, None)
         self.dispatchers[stream.number] = stream
--- a/laureldock/controller/state.py
+++ b/laureldock/controller/state.py
@@ -7,6 +7,7 @@
 
 from laureldock.replication.change_log import ChangeLog, Record, SnapshotWriter, SpoiltLogError
 from laureldock.replication.messages import NO_POSITION, Position
+from laureldock.replication.parts import grouped
 from laureldock.setup.catalog import Catalog
 from laureldock.setup.changes import (
     CatalogEntry,
@@ -111,17 +112,7 @@
 
 def snapshot_parts(entries: Iterable[CatalogEntry]) -> Iterator[bytes]:
     """Entries encoded in parts of some 16 KiB."""
-    held: list[CatalogEntry] = []
-    size = 0
-    for entry in entries:
-        length = len(encode_entries([entry]))
-        if held and size + length > SNAPSHOT_PART_BYTES:
-            yield encode_entries(held)
-            held, size = [], 0
-        held.append(entry)
-        size += length
-    if held:
-        yield encode_entries(held)
+    return map(encode_entries, grouped(entries, SNAPSHOT_PART_BYTES))
 
 
 class SnapshotCancelledError(Exception):
--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -253,6 +253,7 @@
         """The stream takes nothing until `resumed`."""
         if (subscriber := self.streams.get(stream)) is not None:
             subscriber.paused = True
+            self.counters["streams paused"] += 1
 
     def resumed(self, now: float, stream: int) -> None:
         if (subscriber := self.streams.get(stream)) is not None:
