--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -403,3 +403,57 @@
     pairs = [line.split(" = ") for line in commented if " = " in line]
     told = {name: json.loads(value) for name, value in pairs if name in limits}
     assert len(told) >= 6 and all(limits[name] == value for name, value in told.items())
+
+
+# Files without entries: a controller's, and those of dispatchers that follow one
+
+ENTRIES = BASE.index("[destination.north]")
+FOLLOWING = '[source]\nkind = "controller"\ncontrollers = ["127.0.0.1:7000"]\n'
+CONTROLLER = '[controller]\nlisten = "127.0.0.1:7000"\n'
+
+
+@pytest.mark.parametrize("text", [BASE[:ENTRIES] + FOLLOWING, "front = []\n" + BASE[:ENTRIES] + CONTROLLER])
+def test_a_file_whose_entries_come_by_changes_has_none(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "laureldock.toml"
+    assert faults(path, text) == []
+    entries = BASE[ENTRIES:] + '[[terms]]\nclass = "news"\nconnects = 2\n[customer.x]\nquota = 1.0\n'
+    found = faults(path, text + entries)
+    for table in ("endpoint", "destination", "terms", "customer"):
+        assert any(f": {table}: entries come by a controller's changes" in fault for fault in found), found
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        (BASE[:ENTRIES] + '[source]\nkind = "controller"\n', "source.controllers"),
+        (BASE + '[source]\ncontrollers = ["127.0.0.1:7000"]\n', "source.controllers"),
+        (BASE[:ENTRIES] + FOLLOWING + 'address = "127.0.0.1:5"\n', "source.address"),
+        (BASE[:ENTRIES] + FOLLOWING + CONTROLLER, "source.kind"),
+        (BASE[:ENTRIES] + FOLLOWING.replace("7000", "70000"), "source.controllers"),
+        (BASE[:ENTRIES] + CONTROLLER.replace("7000", ""), "controller.listen"),
+    ],
+)
+def test_controllers_are_named_where_they_are_followed_and_only_there(
+    tmp_path: Path, text: str, place: str
+) -> None:
+    assert any(f": {place}" in fault for fault in faults(tmp_path / "laureldock.toml", text))
+
+
+def test_a_reload_takes_customers_over_and_an_endpoint_of_another_zone_anew(tmp_path: Path) -> None:
+    """Neither was taken before, and both ways to one configuration have to meet."""
+    from assembled import Assembled
+
+    path = tmp_path / "laureldock.toml"
+    customers = "[customer.kept]\nquota = 2.0\n[customer.other]\nquota = {quota}\n"
+    path.write_text(BASE + customers.format(quota=1.0))
+    dispatcher = Assembled(load(str(path)).plan, tmp_path / "state")
+    try:
+        book = dispatcher.core.book
+        kept, route = book.customers["kept"], book.routes["s1"]
+        path.write_text(BASE + 'zone = "b"\n' + customers.format(quota=3.0))
+        dispatcher.reloaded(load(str(path)).plan)
+        assert book.customers["kept"] is kept and book.customers["other"].quota == 3.0
+        assert book.routes["s1"].zone == "b" and route.listed.value == "removed"
+        assert not dispatcher.core.counters["configurations refused"]
+    finally:
+        dispatcher.close()
