A dispatcher that was lost for long is served again; one reader of CHANGES.toml

Two modules read CHANGES.toml.

Result: lost for 2.5, 10 and 1,000 s failed before and pass; the random test now loses streams and waits for longer, and fails without the mend.

--- a/laureldock/cli/config_changes.py
+++ b/laureldock/cli/config_changes.py
@@ -31,21 +31,21 @@
     from laureldock.cli.config import refuse
     from laureldock.controller.client import UnreachableError, propose
     from laureldock.replication.messages import Rejected
-    from laureldock.setup.change_file import read_changes
+    from laureldock.setup.changes_file import placed_faults, read_changes
     from laureldock.setup.faults import Fault, RefusedError
 
     try:
-        found = read_changes(changes)
+        change, places = read_changes(changes)
     except RefusedError as refused:
         refuse(refused, as_json)
         return
     try:
-        answer = propose(address, found.change, -1 if expect is None else expect)
+        answer = propose(address, change, -1 if expect is None else expect)
     except UnreachableError as fault:
         raise click.ClickException(str(fault)) from None
     if isinstance(answer, Rejected):
         faults = [Fault(each.path, each.reason, each.allowed, each.also or None) for each in answer.faults]
-        refuse(RefusedError(found.placed(faults)), as_json, MAX_TOLD, answer.count)
+        refuse(RefusedError(placed_faults(faults, places)), as_json, MAX_TOLD, answer.count)
         return
     position = answer.position
     if as_json:
--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -308,8 +308,10 @@
     def turn(self, now: float) -> list[Effect]:
         while self._schedule and self._schedule[0][0] <= now:
             due, _, subscriber = heappop(self._schedule)
-            if subscriber.stream is not None and due == subscriber.due:
-                subscriber.due = inf
+            if due != subscriber.due:
+                continue  # it was woken earlier since
+            subscriber.due = inf
+            if subscriber.stream is not None:
                 self._serve(now, subscriber, subscriber.stream)
         effects, self._effects = self._effects, []
         return effects
--- a/tests/test_changes_file.py
+++ b/tests/test_changes_file.py
@@ -10,7 +10,7 @@
 from laureldock.setup.catalog import Catalog, RefusedChangeError
 from laureldock.setup.changes import EntryKey, EntryKind
 from laureldock.setup.changes_file import placed_faults, read_changes
-from laureldock.setup.faults import RefusedError
+from laureldock.setup.faults import Fault, RefusedError
 from laureldock.setup.units import Seconds
 
 GOOD = """\
@@ -103,3 +103,27 @@
         (19, "destination.south.window"),
     ]
     assert str(found[0]).endswith("(endpoint.old, line 1); allowed: east, north, south")
+
+
+def test_faults_of_entries_are_placed_at_their_own_lines(tmp_path: Path) -> None:
+    _, places = read_changes(written(tmp_path, GOOD))
+    faults = [
+        Fault(("endpoint", "n1", "address"), "listed twice", "", ("endpoint", "elsewhere")),
+        Fault(("endpoint", "n1", "zone"), "not there, so of its table"),
+        Fault(("terms", "class=news,destination=north", "connects"), "too many"),
+        Fault(("endpoint", "old"), "cannot be removed"),
+        Fault(("class", "charge", "connects"), "too many of them"),
+        Fault(("terms", "elsewhere", "route"), "names what is removed", "", ("endpoint", "old")),
+        Fault((), "version 3 is the newest"),
+    ]
+    found = placed_faults(faults, places)
+    assert {each.fault.reason: (each.line, each.also_line) for each in found} == {
+        "listed twice": (5, 0),
+        "not there, so of its table": (2, 0),
+        "too many": (12, 0),
+        "cannot be removed": (1, 0),
+        "too many of them": (16, 0),
+        "names what is removed": (1, 1),
+        "version 3 is the newest": (0, 0),
+    }
+    assert str(found[-1]).endswith("changes.toml:16: class.charge.connects: too many of them")
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -391,7 +391,7 @@
 
 def test_where_no_controller_answers_the_exit_code_is_one(tmp_path: Path) -> None:
     changes = tmp_path / "changes.toml"
-    changes.write_text("")
+    changes.write_text('remove = ["endpoint.a"]\n')
     with socket.socket() as taken:  # bound, and nothing listens there
         taken.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{taken.getsockname()[1]}"
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -312,6 +312,23 @@
     assert world.closed == [1]
 
 
+@pytest.mark.parametrize("away", [0.5, 2.5, 10.0, 1000.0])
+def test_one_who_was_lost_for_any_time_is_served_again(away: float) -> None:
+    world = World(1)
+    world.subscribe(1, 1, name="one")
+    world.subscribe(2, 1)
+    world.run(0.5, (1, 2))
+    world.publisher.lost(1)
+    world.accept()
+    world.run(away, (2,))
+    world.subscribe(3, 1, name="one")
+    assert world.versions(3) == [2]
+    world.accept()
+    assert world.versions(3) == [2, 3]
+    world.run(20.0, (2, 3))
+    assert world.closed == [] and len(world.sent[3]) > 10  # heartbeats
+
+
 def test_the_later_stream_of_one_name_holds() -> None:
     world = World(1)
     world.subscribe(1, 1, name="one")
@@ -387,8 +404,8 @@
     followers: dict[int, Follower] = {}  # by stream
     streams: dict[str, int] = {}
     for number in range(60):
-        world.now += chance.choice((0.0, 0.01, 0.5, 1.5))
-        match chance.randrange(6):
+        world.now += chance.choice((0.0, 0.01, 0.5, 1.5, 4.0))
+        match chance.randrange(7):
             case 0 | 1:
                 world.accept(chance.choice((10, 3000, MAX_CHANGE_BYTES + 5)))
             case 2:
@@ -402,6 +419,8 @@
                 world.publisher.compacted(world.now)
             case 4 if streams:
                 world.publisher.paused(chance.choice(list(streams.values())))
+            case 5 if streams:
+                world.publisher.lost(chance.choice(list(streams.values())))
             case _:
                 for stream in streams.values():
                     world.publisher.resumed(world.now, stream)
@@ -412,8 +431,10 @@
             follower.take(world.sent.pop(stream, []))
     world.history.compact([b"p"])
     world.publisher.compacted(world.now)
-    for stream in streams.values():
-        world.publisher.resumed(world.now, stream)
+    for place, name in enumerate(streams):  # those that were lost come back, and those that were not
+        follower = Follower(followers[streams[name]].version)
+        streams[name], followers[100 + place] = 100 + place, follower
+        world.subscribe(100 + place, follower.version, name=name)
     world.run(100.0, tuple(streams.values()))
     for stream in streams.values():
         followers[stream].take(world.sent.pop(stream, []))
