--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -253,6 +253,7 @@
         """The stream takes nothing until `resumed`."""
         if (subscriber := self.streams.get(stream)) is not None:
             subscriber.paused = True
+            self.counters["streams paused"] += 1
 
     def resumed(self, now: float, stream: int) -> None:
         if (subscriber := self.streams.get(stream)) is not None:
@@ -307,8 +308,10 @@
     def turn(self, now: float) -> list[Effect]:
         while self._schedule and self._schedule[0][0] <= now:
             due, _, subscriber = heappop(self._schedule)
-            if subscriber.stream is not None and due == subscriber.due:
-                subscriber.due = inf
+            if due != subscriber.due:
+                continue  # it was woken earlier since
+            subscriber.due = inf
+            if subscriber.stream is not None:
                 self._serve(now, subscriber, subscriber.stream)
         effects, self._effects = self._effects, []
         return effects
