--- a/laureldock/controller/service.py
+++ b/laureldock/controller/service.py
@@ -187,9 +187,12 @@
     # Compacting
 
     def _compaction_due(self) -> bool:
-        log = self.state.log
-        awaited = self.publisher.newest_large_version > log.snapshot_version
-        return awaited or log.log_bytes > max(MIN_COMPACTED_BYTES, log.snapshot_bytes)
+        log, publisher = self.state.log, self.publisher
+        if publisher.newest_large_version > log.snapshot_version:
+            return True
+        if publisher.compaction_wanted and self.state.position.version > log.snapshot_version:
+            return True
+        return log.log_bytes > max(MIN_COMPACTED_BYTES, log.snapshot_bytes)
 
     def _compact_soon(self) -> None:
         if self._compacting or self.stopping or not self._compaction_due():
@@ -261,6 +264,8 @@
             return
         for effect in self.publisher.turn(self.reactor.seconds()):
             self._carry_out(effect)
+        if self.publisher.compaction_wanted:
+            self._compact_soon()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self.publisher.due < inf:
@@ -273,5 +278,6 @@
                 self.server.send(stream, payload)
             case Close(stream):
                 self.server.abort(stream)
-            case Report(event, dispatcher, fields):
-                self.log.info(event, dispatcher=dispatcher, **fields)
+            case Report(event, dispatcher, fields, serious):
+                write = self.log.warning if serious else self.log.info
+                write(event, dispatcher=dispatcher, **fields)
--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -94,11 +94,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """For the log: an event of one dispatcher."""
+    """For the log: an event of one dispatcher. `serious`: a person may have to look."""
 
     event: str
     dispatcher: str
     fields: dict[str, Any] = field(default_factory=dict)
+    serious: bool = False
 
 
 Effect = Send | Close | Report
@@ -147,6 +148,7 @@
         self.subscribers: dict[str, Subscriber] = {}  # by name, known ones
         self.streams: dict[int, Subscriber] = {}
         self.newest_large_version = 0  # the last change that is too large to be sent as one
+        self.compaction_wanted = False  # somebody waits for a later snapshot
         self._accept_times: deque[float] = deque(maxlen=KNOWN_ACCEPT_TIMES)  # up to the newest version
         self._heartbeat = messages.encode(Heartbeat(position))
         self._payloads: OrderedDict[int, bytes] = OrderedDict()  # of the last changes sent
@@ -195,7 +197,7 @@
             self._drop(known.stream, "name taken by a later stream")
         if current is None and len(self.streams) >= self.max_subscribers:
             self.counters["subscribers refused"] += 1
-            self._effects += [Report("dispatcher refused: too many", name), Close(stream)]
+            self._effects += [Report("dispatcher refused: too many", name, serious=True), Close(stream)]
             return None
         if known is None:
             self._forget_one()
@@ -238,7 +240,7 @@
         self.counters["changes refused by dispatchers"] += 1
         reason = message.faults[0].reason if message.faults else ""
         fields = {"version": message.position.version, "reason": reason, "faults": len(message.faults)}
-        self._effects.append(Report("change refused by a dispatcher", subscriber.name, fields))
+        self._effects.append(Report("change refused by a dispatcher", subscriber.name, fields, serious=True))
 
     def heartbeat(self, now: float, stream: int) -> None:
         if (subscriber := self.streams.get(stream)) is not None:
@@ -276,6 +278,7 @@
 
     def compacted(self, now: float) -> None:
         """There is a later snapshot: those who wait for one go on."""
+        self.compaction_wanted = False
         for subscriber in self.streams.values():
             if subscriber.waits_for_compaction:
                 self._wake(subscriber, now)
@@ -377,8 +380,10 @@
 
     def _begin_snapshot(self, subscriber: Subscriber) -> bytes | None:
         snapshot = self.history.snapshot_file()
-        if snapshot is None or snapshot.position.version < self.newest_large_version:
+        wanted = max(self.newest_large_version, self._least_snapshot_version(subscriber))
+        if snapshot is None or snapshot.position.version < wanted:
             subscriber.waits_for_compaction = True
+            self.compaction_wanted = self.position.version >= wanted
             return None
         subscriber.snapshot = snapshot
         subscriber.wants_snapshot = subscriber.waits_for_compaction = False
@@ -386,6 +391,11 @@
         begin = SnapshotBegin(snapshot.position, snapshot.digest, snapshot.entries, snapshot.parts)
         return messages.encode(begin)
 
+    @staticmethod
+    def _least_snapshot_version(subscriber: Subscriber) -> int:
+        """A controller that began with an empty folder takes nobody's entries away before it is filled."""
+        return 0 if subscriber.told.epoch == 0 else 1
+
     def _next_part(self, subscriber: Subscriber, snapshot: StoredSnapshot) -> bytes | None:
         number, body = snapshot.parts_read, snapshot.next_part()
         if body is None:
--- a/tests/test_change_log.py
+++ b/tests/test_change_log.py
@@ -256,6 +256,26 @@
         assert opened(folder, durable=False)[0].position.version == 9
 
 
+def test_a_copy_of_the_log_and_then_of_the_snapshot_is_a_backup(tmp_path: Path) -> None:
+    """Whatever happens between the two: nothing, changes, or a compaction."""
+    log, state = begun(tmp_path / "live")
+    for step in range(12):
+        append(log, state)
+        copy = tmp_path / f"copy-{step}"
+        copy.mkdir()
+        shutil.copy(tmp_path / "live" / LOG_NAME, copy)
+        newest = log.position.version
+        if step % 3:
+            append(log, state)
+        if step % 4 == 0:
+            compact_in_slices(log, state, lambda: append(log, state))
+        shutil.copy(tmp_path / "live" / SNAPSHOT_NAME, copy)
+        again, restored = opened(copy)
+        assert newest <= again.position.version <= log.position.version
+        append(again, restored)
+        again.close()
+
+
 @pytest.mark.parametrize("name", [LOG_NAME, SNAPSHOT_NAME])
 def test_a_lost_file_is_no_empty_folder(tmp_path: Path, name: str) -> None:
     filled(tmp_path, 3)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -25,6 +25,7 @@
 from laureldock.controller.state import AcceptedState
 from laureldock.replication.change_log import LOG_NAME, ChangeLog, Record
 from laureldock.replication.messages import (
+    NO_POSITION,
     Accepted,
     InForce,
     Position,
@@ -140,6 +141,20 @@
         assert found.status().position.version == version and found.status().digest == follower.digest
 
 
+def test_a_controller_with_a_new_folder_takes_nobodys_entries_away_before_it_is_filled(
+    tmp_path: Path,
+) -> None:
+    with controller(tmp_path) as found:
+        before = Follower(found.port, "d", Position(5, 40))
+        time.sleep(0.5)
+        assert before.kinds == [] and found.propose(puts("a1")) == 1
+        before.position = NO_POSITION
+        before.follow(1)
+        assert before.kinds == ["SnapshotBegin", "SnapshotPart"] and len(before.entries) == 1
+        assert found.propose(puts("a2")) == 2
+        before.follow(2)
+
+
 # Nothing accepted is lost
 
 
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -210,6 +210,21 @@
     assert world.versions(1) == [1]
 
 
+def test_a_controller_that_began_empty_takes_nobodys_entries_away_before_it_is_filled() -> None:
+    world = World()
+    world.subscribe(1, 40, epoch=EPOCH + 1)
+    world.run(3.0, (1,))
+    assert world.told(1) == [] and not world.publisher.compaction_wanted
+    world.accept()
+    world.run(3.0, (1,))
+    assert world.told(1) == [] and world.publisher.compaction_wanted
+    world.history.compact([b"filled"])
+    world.publisher.compacted(world.now)
+    world.accept()
+    assert [type(each) for each in world.told(1)] == [SnapshotBegin, SnapshotPart, ChangeMessage]
+    assert not world.publisher.compaction_wanted
+
+
 def test_subscribed_again_on_one_stream_it_begins_anew_from_there() -> None:
     world = World(6)
     world.subscribe(1, 6)
