--- a/laureldock/cli/config.py
+++ b/laureldock/cli/config.py
@@ -4,25 +4,35 @@
 
 import json
 from functools import partial
+from importlib import import_module
 from importlib.resources import files
 from typing import Any
 
 import click
 
-from laureldock.cli.config_changes import apply, status
 from laureldock.setup.faults import Path, RefusedError, dotted
 from laureldock.setup.reading import Loaded, load
 
+CONTROLLER_COMMANDS = ("apply", "status")  # of config_changes.py
 MOST_SHOWN = 200  # faults; a file that repeats one is shown the rest by number
 
 
-@click.group("config")
-def command() -> None:
-    """Check, show and describe configuration files; propose changes to a controller."""
+class ConfigGroup(click.Group):
+    """Commands that talk to a controller are imported when they are asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *CONTROLLER_COMMANDS])
 
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in CONTROLLER_COMMANDS:
+            return super().get_command(ctx, name)
+        command: click.Command = getattr(import_module("laureldock.cli.config_changes"), name)
+        return command
 
-command.add_command(apply)
-command.add_command(status)
+
+@click.group("config", cls=ConfigGroup)
+def command() -> None:
+    """Check, show and describe configuration files; propose changes to a controller."""
 
 
 def refuse(
--- a/laureldock/controller/server.py
+++ b/laureldock/controller/server.py
@@ -134,8 +134,14 @@
             self.received.take(now, len(data))
             if self.received.level(now) < 0:
                 self.drop("too much")
-        if not self.closed:
+        if self.closed:
+            return
+        try:
             super().dataReceived(data)
+        except Exception:  # a defect costs the stream that met it
+            self.server.controller.counters["faults"] += 1
+            self.server.controller.log.exception("fault", call="dataReceived")
+            self.drop("fault")
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         self.drop("frame too long")
--- a/laureldock/controller/service.py
+++ b/laureldock/controller/service.py
@@ -28,6 +28,7 @@
 # A change of more entries is checked beside the reactor, which goes on meanwhile.
 MAX_INLINE_ENTRIES = 500
 MIN_COMPACTED_BYTES = 1 << 20
+MIN_TURN_INTERVAL = 0.001  # seconds, between turns that only the clock asks for
 COMPACTION_RETRY = 60.0  # seconds after one that failed
 MAX_TOLD_FAULTS, MAX_TEXT = 1000, 512
 
@@ -212,6 +213,8 @@
 
     def _begin_snapshot(self) -> SnapshotJob:
         """In a thread, while no change is made. OSError."""
+        if self.stopping:
+            raise SnapshotCancelledError
         state = self.state
         entries = list(state.catalog.entries())
         writer = state.log.begin_compaction(state.position, state.digest, len(entries))
@@ -236,10 +239,10 @@
         self._compact_soon()
 
     def _snapshot_failed(self, failure: Failure) -> None:
-        failure.trap(OSError, SnapshotCancelledError)
         self._job, self._compacting = None, False
         if self.stopping:
             return
+        failure.trap(OSError)
         self.counters["snapshots failed"] += 1
         self.log.error("snapshot cannot be written", fault=str(failure.value))
         self._no_compaction_until = self.reactor.seconds() + COMPACTION_RETRY
@@ -262,14 +265,18 @@
         self._turning = False
         if self.stopping:
             return
-        for effect in self.publisher.turn(self.reactor.seconds()):
-            self._carry_out(effect)
+        try:
+            for effect in self.publisher.turn(self.reactor.seconds()):
+                self._carry_out(effect)
+        except Exception:  # a defect ends no other stream: what is due is looked at again
+            self.counters["faults"] += 1
+            self.log.exception("fault", call="turn")
         if self.publisher.compaction_wanted:
             self._compact_soon()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self.publisher.due < inf:
-            wait = max(0.0, self.publisher.due - self.reactor.seconds())
+            wait = max(MIN_TURN_INTERVAL, self.publisher.due - self.reactor.seconds())
             self._timer = self.reactor.callLater(wait, self.turn_soon)
 
     def _carry_out(self, effect: Effect) -> None:
--- a/laureldock/controller/state.py
+++ b/laureldock/controller/state.py
@@ -79,11 +79,12 @@
         """
         keys = [*(entry.key for entry in change.puts), *change.removals]
         before = {key: self.catalog.get(key) for key in keys}
+        body = encode_change(change)  # lest a fault of it leave the catalog ahead of the log
         if not self.catalog.apply(change):
             return None
         puts = tuple(entry for entry in before.values() if entry is not None)
         removals = tuple(key for key, entry in before.items() if entry is None)
-        return encode_change(change), Change(puts, removals)
+        return body, Change(puts, removals)
 
     def commit(self, body: bytes, undo: Change, accepted_at: float) -> Record:
         """On disk as the next version. OSError: undone, as if it had not been proposed."""
@@ -91,7 +92,7 @@
         record = Record(position, self.catalog.digest, accepted_at, body)
         try:
             self.log.append(record)
-        except OSError:
+        except Exception:
             self.catalog.apply(undo)
             raise
         self.accepted_at = accepted_at
