--- a/laureldock/controller/service.py
+++ b/laureldock/controller/service.py
@@ -28,6 +28,7 @@
 # A change of more entries is checked beside the reactor, which goes on meanwhile.
 MAX_INLINE_ENTRIES = 500
 MIN_COMPACTED_BYTES = 1 << 20
+MIN_TURN_INTERVAL = 0.001  # seconds, between turns that only the clock asks for
 COMPACTION_RETRY = 60.0  # seconds after one that failed
 MAX_TOLD_FAULTS, MAX_TEXT = 1000, 512
 
@@ -187,9 +188,12 @@
     # Compacting
 
     def _compaction_due(self) -> bool:
-        log = self.state.log
-        awaited = self.publisher.newest_large_version > log.snapshot_version
-        return awaited or log.log_bytes > max(MIN_COMPACTED_BYTES, log.snapshot_bytes)
+        log, publisher = self.state.log, self.publisher
+        if publisher.newest_large_version > log.snapshot_version:
+            return True
+        if publisher.compaction_wanted and self.state.position.version > log.snapshot_version:
+            return True
+        return log.log_bytes > max(MIN_COMPACTED_BYTES, log.snapshot_bytes)
 
     def _compact_soon(self) -> None:
         if self._compacting or self.stopping or not self._compaction_due():
@@ -209,6 +213,8 @@
 
     def _begin_snapshot(self) -> SnapshotJob:
         """In a thread, while no change is made. OSError."""
+        if self.stopping:
+            raise SnapshotCancelledError
         state = self.state
         entries = list(state.catalog.entries())
         writer = state.log.begin_compaction(state.position, state.digest, len(entries))
@@ -233,10 +239,10 @@
         self._compact_soon()
 
     def _snapshot_failed(self, failure: Failure) -> None:
-        failure.trap(OSError, SnapshotCancelledError)
         self._job, self._compacting = None, False
         if self.stopping:
             return
+        failure.trap(OSError)
         self.counters["snapshots failed"] += 1
         self.log.error("snapshot cannot be written", fault=str(failure.value))
         self._no_compaction_until = self.reactor.seconds() + COMPACTION_RETRY
@@ -259,12 +265,18 @@
         self._turning = False
         if self.stopping:
             return
-        for effect in self.publisher.turn(self.reactor.seconds()):
-            self._carry_out(effect)
+        try:
+            for effect in self.publisher.turn(self.reactor.seconds()):
+                self._carry_out(effect)
+        except Exception:  # a defect ends no other stream: what is due is looked at again
+            self.counters["faults"] += 1
+            self.log.exception("fault", call="turn")
+        if self.publisher.compaction_wanted:
+            self._compact_soon()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self.publisher.due < inf:
-            wait = max(0.0, self.publisher.due - self.reactor.seconds())
+            wait = max(MIN_TURN_INTERVAL, self.publisher.due - self.reactor.seconds())
             self._timer = self.reactor.callLater(wait, self.turn_soon)
 
     def _carry_out(self, effect: Effect) -> None:
@@ -273,5 +285,6 @@
                 self.server.send(stream, payload)
             case Close(stream):
                 self.server.abort(stream)
-            case Report(event, dispatcher, fields):
-                self.log.info(event, dispatcher=dispatcher, **fields)
+            case Report(event, dispatcher, fields, serious):
+                write = self.log.warning if serious else self.log.info
+                write(event, dispatcher=dispatcher, **fields)
