--- a/laureldock/replication/subscriber.py
+++ b/laureldock/replication/subscriber.py
@@ -201,10 +201,13 @@
 
     # The life of the stream
 
-    def start(self, now: float, position: Position, digest: int, age: float | None = None) -> None:
-        """With what was kept on disk. `age`: seconds since that was last known to be the newest."""
+    def restore(self, now: float, position: Position, digest: int, age: float | None = None) -> None:
+        """What was kept on disk is in force. `age`: seconds since that was last known to be the newest."""
         self.position, self.digest, self._received = position, digest, position
         self.current_at = None if age is None else now - age
+
+    def start(self, now: float) -> None:
+        """Follow a controller from here on."""
         self._connect_at = now + SHORTEST_BACKOFF * self._chance()
 
     def distrust(self) -> None:
--- a/laureldock/sources/controlled.py
+++ b/laureldock/sources/controlled.py
@@ -108,10 +108,12 @@
 
     # Its life
 
-    def start(self, kept: KeptConfiguration | None = None) -> None:
-        """`kept`: what is in force already."""
-        kept = kept or KeptConfiguration()
-        self.subscriber.start(self._now(), kept.position, kept.digest, kept.age)
+    def restore(self, kept: KeptConfiguration) -> None:
+        """What was kept is in force already."""
+        self.subscriber.restore(self._now(), kept.position, kept.digest, kept.age)
+
+    def start(self) -> None:
+        self.subscriber.start(self._now())
         self._turn()
 
     def stop(self) -> None:
@@ -295,14 +297,13 @@
         stream.on_applied = self._applied
         self.settled = False
         self._closed = False
-        self._kept: KeptConfiguration | None = None
 
     def start(self) -> None:
         """Serve what was kept on disk, before any controller is reached."""
         following = self._acquire()
         self._restore()
         if following:
-            self._follow()
+            self.stream.start()
         else:
             self.core.later(LOCK_INTERVAL, self._wait_for_lock)
 
@@ -327,7 +328,7 @@
             reasons = [str(fault.reason) for fault in refused.faults[:MAX_REPORTED_FAULTS]]
             self.stream.on_event(SubscriberEvent("refused from disk", {"faults": reasons}, serious=True))
             return
-        self._kept = kept
+        self.stream.restore(kept)
         self.core.news([], False)
 
     def _load(self) -> KeptConfiguration:
@@ -343,10 +344,7 @@
             self.core.later(LOCK_INTERVAL, self._wait_for_lock)
             return
         self._restore()  # the process before may have gone on
-        self._follow()
-
-    def _follow(self) -> None:
-        self.stream.start(self._kept)
+        self.stream.start()
 
     def _applied(self) -> None:
         if not self.settled:
