--- a/tests/test_controlled.py
+++ b/tests/test_controlled.py
@@ -110,6 +110,7 @@
             await controller.stop()
             await asyncio.sleep(1.0)
             assert await here.put("before") == b"OK"
+            await here.until("held", 0)  # killed before its end it would be sent again
             for number in (signal.SIGKILL, signal.SIGTERM):
                 await here.end(number)
                 began = time.monotonic()
@@ -117,8 +118,8 @@
                 assert time.monotonic() - began < 5
                 figures = await here.figures()
                 assert figures["configuration_version"] == 7 and figures["configuration_age_s"] >= 1.0
-                assert await here.put(f"after {number.name}".replace(" ", "-"), to="south") == b"OK"
-            await here.until("held", 0)
+                assert await here.put(f"after-{number.name}", to="south") == b"OK"
+                await here.until("held", 0)
             await controller.start()
             controller.accept(removal("n2"))
             await here.until_version(8)
