--- a/laureldock/setup/catalog.py
+++ b/laureldock/setup/catalog.py
@@ -214,23 +214,20 @@
         Faults of settings that cannot stand where they do are added to those handed in.
         """
         touched = self._touched(values)
-        # Places are taken out of their index as they are, and put in as they become.
-        for destination in touched.destinations:
-            if state := self.destination_state(destination):
-                self.places.discard(state)
-        for route in touched.routes:
-            if state := self.route_state(route):
-                self.places.discard(state)
+        before = self._states(touched)
         for key, entry in values.items():
             self._set(key, entry, faults)
-        for destination in touched.destinations:
-            if state := self.destination_state(destination):
-                self.places.add(state)
-        for route in touched.routes:
-            if state := self.route_state(route):
-                self.places.add(state)
+        for old, new in zip(before, self._states(touched), strict=True):
+            if old != new:
+                self.places.move(old, new)
         return touched
 
+    def _states(self, touched: Touched) -> list[PlaceState | None]:
+        return [
+            *map(self.destination_state, touched.destinations),
+            *map(self.route_state, touched.routes),
+        ]
+
     def _touched(self, values: Values) -> Touched:
         """Before it is made: what the change names, what that selects, and what it did name."""
         touched = Touched()
@@ -273,15 +270,18 @@
         held = self._held[key.kind]
         before = held.get(key.name)
         path: Path = (str(key.kind), key.name)
+        owner_before = self._settings(key, before)
         if before is not None:
             self.digest ^= entry_digest(self._entry(key, before))
-            self._unlink(key, before)
-            del held[key.name]
-        owner_before = self._settings(key, before)
-        if entry is not None:
+        if entry is None:
+            held.pop(key.name, None)
+        else:
             self.digest ^= entry_digest(entry)
             held[key.name] = entry.value
-            self._link(key, entry.value)
+        if key.kind is EntryKind.ENDPOINT:
+            self._move_endpoint(key.name, before, held.get(key.name))
+        elif key.kind is EntryKind.TERMS:
+            self._rename_terms(key.name, before, held.get(key.name))
         owner_after = self._settings(key, held.get(key.name))
         if key.kind is EntryKind.CLASS and owner_after is not None:
             self.live.classes[key.name] = owner_after  # type: ignore[assignment]
@@ -310,24 +310,24 @@
         }
         return pairs[key.kind](key.name)
 
-    def _link(self, key: EntryKey, value: Any) -> None:
-        """Put an entry in the indexes, those of places aside."""
-        if isinstance(value, model.Endpoint):
-            put_in(self.endpoint_names, value.destination, key.name)
-            self.addresses.add(value.destination, value.address, key.name)
-        elif isinstance(value, model.Entry):
-            for _, spot in named(value):
-                if spot[0] >= Level.DESTINATION:
-                    put_in(self.terms_naming, spot, key.name)
-
-    def _unlink(self, key: EntryKey, value: Any) -> None:
-        if isinstance(value, model.Endpoint):
-            take_out(self.endpoint_names, value.destination, key.name)
-            self.addresses.discard(value.destination, value.address, key.name)
-        elif isinstance(value, model.Entry):
-            for _, spot in named(value):
+    def _move_endpoint(self, name: str, before: model.Endpoint | None, after: model.Endpoint | None) -> None:
+        """In the indexes by destination and address; nothing is touched where it stays."""
+        stays = before is not None and after is not None and before.destination == after.destination
+        if before is not None and not stays:
+            take_out(self.endpoint_names, before.destination, name)
+        if after is not None and not stays:
+            put_in(self.endpoint_names, after.destination, name)
+        if before is not None:
+            self.addresses.discard(before.destination, before.address, name)
+        if after is not None:
+            self.addresses.add(after.destination, after.address, name)
+
+    def _rename_terms(self, name: str, before: model.Entry | None, after: model.Entry | None) -> None:
+        """In the index by what they name."""
+        for entry, change in ((before, take_out), (after, put_in)):
+            for _, spot in named(entry) if entry is not None else ():
                 if spot[0] >= Level.DESTINATION:
-                    take_out(self.terms_naming, spot, key.name)
+                    change(self.terms_naming, spot, name)
 
     @staticmethod
     def _entry(key: EntryKey, value: Any) -> CatalogEntry:
--- a/laureldock/setup/catalog_index.py
+++ b/laureldock/setup/catalog_index.py
@@ -98,6 +98,13 @@
         if route:
             take_out(self._own_routes, destination, route)
 
+    def move(self, before: PlaceState | None, after: PlaceState | None) -> None:
+        """None: no place."""
+        if before is not None:
+            self.discard(before)
+        if after is not None:
+            self.add(after)
+
     def __bool__(self) -> bool:
         """Whether there is any place."""
         return bool(self._groups)
