--- a/laureldock/setup/catalog.py
+++ b/laureldock/setup/catalog.py
@@ -365,9 +365,13 @@
     return found
 
 
-def selections(*entries: CatalogEntry | None) -> Iterator[Selection]:
-    for entry in entries:
+def selections(before: CatalogEntry | None, after: CatalogEntry | None) -> Iterator[Selection]:
+    """Of one entry, as it was and as it is: each place once."""
+    found: dict[tuple[str, Spot], frozenset[str]] = {}
+    for entry in (before, after):
         if isinstance(entry, TermsEntry | ClassEntry):
             settings = frozenset(setting for setting, _ in settings_of(entry.value))
-            pairs = class_pairs(entry.name) if isinstance(entry, ClassEntry) else named(entry.value)
-            yield from (Selection(queue_class, spot, settings) for queue_class, spot in pairs)
+            for pair in class_pairs(entry.name) if isinstance(entry, ClassEntry) else named(entry.value):
+                found[pair] = found.get(pair, frozenset()) | settings
+    for (queue_class, spot), settings in found.items():
+        yield Selection(queue_class, spot, settings)
--- a/laureldock/tariff.py
+++ b/laureldock/tariff.py
@@ -163,9 +163,35 @@
         elif not selection.settings & TOLD_SETTINGS:
             self.terms.clear()  # worked out again as mails come
         else:
-            for destination in catalog.endpoint_names:
-                if level is Level.ANY or kind_of(self.plan, destination) == name:
-                    self.retell_destination(destination, catalog)
+            self.terms.clear()
+            kind = name if level is Level.KIND else None
+            self.retell_many(
+                (each for each in catalog.endpoint_names if kind in (None, kind_of(self.plan, each))), catalog
+            )
+
+    def retell_many(self, destinations: Iterable[str], catalog: Catalog) -> None:
+        """Of destinations, and of routes, that are alike one is worked out; the others get the same."""
+        windows: dict[object, float] = {}
+        known: dict[object, face.Route] = {}
+        for destination in destinations:
+            number = number_of(destination)
+            owner, state = self.destinations.get(number), catalog.destination_state(destination)
+            if owner is None or state is None:
+                continue
+            if state.alike not in windows:
+                self.tell_destination(number, owner)
+                windows[state.alike] = owner.window
+            owner.window = windows[state.alike]
+            for name in catalog.endpoint_names[destination]:
+                route = self.routes.get(name)
+                if route is None or route.destination is not owner:
+                    continue
+                alike = *state.alike, catalog.term_book.set_at((Level.ROUTE, name))
+                if (other := known.get(alike)) is None:
+                    self.tell_route(name, number, route)
+                    known[alike] = route
+                else:
+                    route.window, route.time_outs = other.window, other.time_outs
 
     def reclass(self, plan: Plan) -> None:
         """Other queue classes and limits from now on; mails taken on keep the class that they had."""
