--- a/tests/test_changes_in_flight.py
+++ b/tests/test_changes_in_flight.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 from assembled import Assembled
+from msgspec import structs
 from test_catalog import BASE, CHANGES, calls_of, destination, endpoint, put, removal, terms
 
 from laureldock import interface as face
+from laureldock.assembly import Prepared
 from laureldock.setup.catalog import RefusedChangeError
-from laureldock.setup.changes import Change, CustomerEntry
+from laureldock.setup.changes import Change, ClassEntry, ClassSettings, CustomerEntry
 from laureldock.setup.plan import Customer
 from laureldock.setup.units import Seconds
 
@@ -115,3 +119,54 @@
         dispatcher.replace_entries([endpoint(f"e{number}", f"d{number}") for number in range(size)])
         counts.append(calls_of(lambda: dispatcher.apply_change(CHANGES[name])))  # noqa: B023
     assert counts[0] == counts[1] < 5000
+
+
+def test_a_file_read_again_keeps_what_the_controller_told(start: Start) -> None:
+    dispatcher = start("one")
+    dispatcher.apply_change(put(endpoint("n1", "north", time_out=Seconds(2)), destination("north", "shop")))
+    route = dispatcher.core.book.routes["n1"]
+    assert route.window == 4
+    kinds = {**BASE.kinds, "shop": structs.replace(BASE.kinds["shop"], window=5)}
+    assert dispatcher.reload(Prepared.of(structs.replace(BASE, kinds=kinds))) == []
+    assert route.window == 5 and dispatcher.core.book.routes == {"n1": route}
+    dispatcher.apply_change(put(endpoint("n2", "north", 9002), destination("north", "shop", window=3)))
+    assert [each.window for each in dispatcher.core.book.routes.values()] == [3, 3]
+
+
+def test_a_file_read_again_that_disagrees_with_what_was_told_is_not_taken(start: Start) -> None:
+    dispatcher = start("one")
+    dispatcher.apply_change(put(endpoint("n1", "north", time_out=Seconds(2))))
+    before = dispatcher.state()
+    news = structs.replace(BASE.classes["news"], time_out=Seconds(3))
+    told = dispatcher.reload(Prepared.of(structs.replace(BASE, classes=BASE.classes | {"news": news})))
+    assert told and "equally specific" in told[0] and dispatcher.state() == before
+    assert dispatcher.core.counters["configurations refused"] == 1
+    dispatcher.apply_change(removal("endpoint.n1"))
+
+
+def test_a_dispatcher_that_follows_no_controller_loads_nothing_of_it() -> None:
+    parts = ("laureldock.setup.catalog", "laureldock.setup.changes", "laureldock.replication", "xxhash")
+    code = f"import sys, laureldock.cli.serve; sys.exit(any(part in sys.modules for part in {parts}))"
+    assert subprocess.run([sys.executable, "-c", code], timeout=60).returncode == 0
+
+
+def test_a_time_out_of_a_class_is_told_to_each_route_as_its_own_settings_have_it(start: Start) -> None:
+    dispatcher = start("one")
+    dispatcher.replace_entries(
+        [
+            *(endpoint(f"e{number}", f"d{number % 3}", 9000 + number) for number in range(12)),
+            endpoint("own", "d1", 9100, window=2),
+            destination("d2", "shop"),
+            terms(queue_class="news", destination="d2", time_out=Seconds(7)),
+        ]
+    )
+    book = dispatcher.core.book
+    news = book.classes["news"]
+    for seconds in (3.0, 4.0):
+        dispatcher.apply_change(put(ClassEntry("news", ClassSettings(time_out=Seconds(seconds)))))
+        found = {name: route.time_outs.get(news) for name, route in book.routes.items()}
+        expected = {name: 7.0 if int(name[1:]) % 3 == 2 else seconds for name in found if name != "own"}
+        assert found == {**expected, "own": seconds}
+    assert {name: route.window for name, route in book.routes.items() if route.window < 9} == {
+        "own": 2, "e2": 4, "e5": 4, "e8": 4, "e11": 4
+    }  # fmt: skip
