--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -18,19 +18,27 @@
 from laureldock.outlets.lines import Lines
 from laureldock.outlets.platform import Notices
 from laureldock.setup.entries import term_book
+from laureldock.setup.faults import dotted
 from laureldock.setup.plan import Plan
 from laureldock.setup.reload import changes, refused
 from laureldock.setup.terms import TermBook
 from laureldock.setup.units import Address
 from laureldock.sockets.reactor import SteadyReactor
 from laureldock.sockets.room import Room
-from laureldock.sources.listed import Listed, Listing, listing
+from laureldock.sources.listed import Listed, Listing, listing, listing_of
 from laureldock.sources.platform import Directory
 from laureldock.stores.spool import Spool
 from laureldock.tariff import Book
 
 if TYPE_CHECKING:
     from laureldock.fleet.transport import FleetTransport
+    from laureldock.replication.subscriber import SubscriberEvent
+    from laureldock.setup.catalog import AppliedChange, Catalog
+    from laureldock.setup.changes import CatalogEntry, Change, EntryKey
+    from laureldock.sources.controlled import Controlled
+
+
+CONFIGURATION_FOLDER = "configuration"  # of the state folder; what a controller told
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +66,10 @@
         # Two processes of one dispatcher, while one hands over to the next, hold half of the sockets each.
         sockets = plan.limits.sockets // (2 if store.sharing else 1)
         self.room = Room.of(sockets)
-        self.core = core = Dispatcher(plan.name, Book(plan, sockets=True), store, reactor, ended_for)
+        self.catalog = catalog_of(plan)
+        known, terms = (plan, None) if self.catalog is None else (self.catalog.live, self.catalog.term_book)
+        book = Book(known, sockets=True, terms=terms)
+        self.core = core = Dispatcher(plan.name, book, store, reactor, ended_for)
         # Half of the sockets for clients at most, shared by the fronts.
         most = sockets // 2 // len(plan.front)
         self.clients = [
@@ -71,7 +82,9 @@
         core.handed_down = plan.passed >= 0
         fronts: list[Front] = [*self.clients]
         self.receivers = Receivers(core, reactor, self.room)
-        self.source = self.source_of(plan)
+        self.listed = None if plan.source.kind == "platform" else Listed(core, listing(plan))
+        self.controlled: Controlled | None = None
+        self.source = self.source_of(plan, state)
         self.outlet = self.outlet_of(plan, state)
         core.attach(fronts, self.receivers, self.source, self.outlet)
         self.fleet = self.fleet_transport(plan, state) if plan.fleet else None
@@ -89,10 +102,33 @@
             self.door = Door(reactor, plan.management, operated)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
 
-    def source_of(self, plan: Plan) -> Source:
+    def source_of(self, plan: Plan, state: Path) -> Source:
         if plan.source.address:
             return Directory(self.core, self.reactor, plan.source.address, plan.source.known)
-        return Listed(self.core, listing(plan))
+        if plan.source.kind == "controller":
+            self.controlled = self.controlled_source(plan, state)
+            self.core.configuration_figures = self.controlled.figures
+            return self.controlled
+        assert self.listed is not None
+        return self.listed
+
+    def controlled_source(self, plan: Plan, state: Path) -> Controlled:
+        # A dispatcher without a controller imports none of it.
+        from laureldock.replication.configuration_store import ConfigurationStore
+        from laureldock.sources.controlled import Controlled, ControllerStream
+
+        core = self.core
+
+        def on_event(event: SubscriberEvent) -> None:
+            core.counters[f"configuration: {event.event}"] += 1
+            log = core.log.warning if event.serious else core.log.info
+            log(f"configuration: {event.event}", **event.fields)
+
+        store = ConfigurationStore(state / CONFIGURATION_FOLDER)
+        stream = ControllerStream(
+            self.reactor, plan.source.controllers, plan.name, plan.seed, self, store, on_event
+        )
+        return Controlled(core, stream, store)
 
     def outlet_of(self, plan: Plan, state: Path) -> Outlet:
         if plan.outlet.address:
@@ -190,13 +226,88 @@
             self.unread([f"{name} cannot change while it runs" for name in barred])
             return barred
         changed = changes(self.plan, plan)
+        if self.catalog is not None:
+            if faults := self.rebase(plan):
+                self.unread(faults)
+                return faults
+        else:
+            self.core.book.retell(plan, fresh.terms)
         self.plan = plan
-        self.core.book.retell(plan, fresh.terms)
         if self.fleet and plan.fleet:
             self.fleet.set_seeds(plan.fleet)
-        if isinstance(self.source, Listed):
-            self.source.reread(fresh.listing)
+        if self.listed and self.catalog is None:
+            self.listed.reread(fresh.listing)
         self.move_to(plan.source.address, plan.outlet.address)
         self.core.counters["configurations read"] += 1
         self.core.log.info("configuration read", changed=changed, routes=len(self.core.book.routes))
+        if self.controlled:
+            self.controlled.stream.try_again()
+        return []
+
+    def rebase(self, plan: Plan) -> list[str]:
+        """The entries that a controller told, above another file; or nothing, and why not."""
+        from laureldock.setup.catalog import RefusedChangeError
+
+        assert self.catalog is not None
+        fresh = catalog_of(plan)
+        assert fresh is not None  # a reload changes no kind of source
+        try:
+            fresh.replace(self.catalog.entries())
+        except RefusedChangeError as refusal:
+            return [f"{dotted(fault.path)}: {fault.reason}" for fault in refusal.faults]
+        self.catalog = fresh
+        self.core.book.retell(fresh.live, fresh.term_book)
         return []
+
+    # A controller's changes
+
+    @property
+    def digest(self) -> int:
+        """Of all entries that are in force."""
+        return self.catalog.digest if self.catalog is not None else 0
+
+    def holds(self, key: EntryKey) -> bool:
+        return self.catalog is not None and self.catalog.get(key) is not None
+
+    def entries(self) -> Iterable[CatalogEntry]:
+        return self.catalog.entries() if self.catalog is not None else ()
+
+    def apply_change(self, change: Change) -> None:
+        """Take it over whole, in the size of the change. RefusedChangeError, then nothing has changed."""
+        assert self.catalog is not None
+        self.take_over(self.catalog.apply(change, missing_ok=True))
+
+    def replace_entries(self, entries: Iterable[CatalogEntry]) -> None:
+        """All entries anew; what differs is taken over. RefusedChangeError, then nothing has changed."""
+        assert self.catalog is not None
+        self.take_over(self.catalog.replace(entries))
+
+    def take_over(self, applied: AppliedChange) -> None:
+        """What changed in the catalog, told to the book and to the list; as a reload does it."""
+        assert self.catalog is not None and self.listed is not None
+        if not applied:
+            return
+        catalog, core = self.catalog, self.core
+        core.book.change(applied, catalog)
+        names = {put.name: None for put in applied.endpoints_put}
+        for destination in applied.rekinded:
+            names |= dict.fromkeys(catalog.endpoint_names.get(destination, ()))
+        put = listing_of(catalog.live, [catalog.endpoints[name] for name in names])
+        self.listed.change(put, [removed.name for removed in applied.endpoints_removed])
+        core.counters["configuration changes"] += 1
+        core.log.info(
+            "configuration changed",
+            endpoints=len(applied.endpoints_put) + len(applied.endpoints_removed),
+            destinations=len(applied.destinations),
+            settings=len(applied.selections),
+            customers=len(applied.customers),
+        )
+
+
+def catalog_of(plan: Plan) -> Catalog | None:
+    """For what a controller tells; no other dispatcher imports it."""
+    if plan.source.kind != "controller":
+        return None
+    from laureldock.setup.catalog import Catalog
+
+    return Catalog(plan)
--- a/laureldock/cli/config.py
+++ b/laureldock/cli/config.py
@@ -4,6 +4,7 @@
 
 import json
 from functools import partial
+from importlib import import_module
 from importlib.resources import files
 from typing import Any
 
@@ -12,24 +13,43 @@
 from laureldock.setup.faults import Path, RefusedError, dotted
 from laureldock.setup.reading import Loaded, load
 
+CONTROLLER_COMMANDS = ("apply", "status")  # of config_changes.py
 MOST_SHOWN = 200  # faults; a file that repeats one is shown the rest by number
 
 
-@click.group("config")
+class ConfigGroup(click.Group):
+    """Commands that talk to a controller are imported when they are asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *CONTROLLER_COMMANDS])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in CONTROLLER_COMMANDS:
+            return super().get_command(ctx, name)
+        command: click.Command = getattr(import_module("laureldock.cli.config_changes"), name)
+        return command
+
+
+@click.group("config", cls=ConfigGroup)
 def command() -> None:
-    """Check, show and describe configuration files."""
+    """Check, show and describe configuration files; propose changes to a controller."""
 
 
-def refuse(refused: RefusedError, as_json: bool = False) -> None:
-    """Every fault on a line, and exit 2."""
+def refuse(
+    refused: RefusedError, as_json: bool = False, most_shown: int = MOST_SHOWN, count: int = 0
+) -> None:
+    """Every fault on a line, and exit 2. `count`: of all, where not all were told."""
+    count = max(count, len(refused.faults))
     if as_json:
-        click.echo(json.dumps({"ok": False, "faults": [each.fields() for each in refused.faults]}))
+        told = {"ok": False, "faults": [each.fields() for each in refused.faults]}
+        click.echo(json.dumps(told if count == len(refused.faults) else {**told, "count": count}))
     else:
-        for fault in refused.faults[:MOST_SHOWN]:
+        shown = refused.faults[:most_shown]
+        for fault in shown:
             click.echo(str(fault), err=True)
-        if len(refused.faults) > MOST_SHOWN:
-            click.echo(f"and {len(refused.faults) - MOST_SHOWN} more", err=True)
-        click.echo(f"{len(refused.faults)} faults", err=True)
+        if count > len(shown):
+            click.echo(f"and {count - len(shown)} more", err=True)
+        click.echo(f"{count} faults", err=True)
     raise SystemExit(2)
 
 
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -73,6 +73,8 @@
         self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
         self.handed_down = False  # the listening socket is the platform's, shared with the next process
         self.verbose = False  # whether each mail's steps are logged
+        # Figures of the configuration in force, where it comes from a controller.
+        self.configuration_figures: Callable[[], dict[str, float]] = dict
         self.fresh: list[HeldMessage] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
@@ -399,14 +401,18 @@
     # The list
 
     def news(self, hosts: list[tuple[Entry, str]], whole: bool) -> None:
-        up = [route for route in self.book.routes.values() if route.listed is face.Listed.UP]
+        known = self.book.routes
+        named = known.keys() if whole else (entry.name for entry, _ in hosts)
+        before = {name: known[name] for name in named if name in known}
+        up = [route for route in before.values() if route.listed is face.Listed.UP]
         routes = self.book.listed([entry for entry, _ in hosts], whole)
         for route, (_, dial) in zip(routes, hosts, strict=True):
             self.carrier.listed(route, dial)
         drained = [route.name for route in up if route.listed is not face.Listed.UP]
         if drained:
             self.log.info("drained or gone", routes=drained)
-        self.carrier.forget()
+        touched = dict.fromkeys([*before.values(), *routes])
+        self.carrier.forget([route for route in touched if route.listed is face.Listed.REMOVED])
         self.tell(self.control.news, routes, whole)
         self.recover()
 
@@ -446,12 +452,13 @@
             "reloads_failed": self.counters["configurations refused"],
             "ready": self.takes_clients(),
             "lameduck": self.lameduck,
+            **self.configuration_figures(),
         }
 
     def log_counters(self) -> None:
         self.log.info("counters", **self.figures())
 
-    def figures(self) -> dict[str, int]:
+    def figures(self) -> dict[str, float]:
         held = {"held": len(self.held), "out": self.carrier.out}
         held["clients"] = sum(front.busy for front in self.fronts)
-        return {**held, **dict(sorted(self.counters.items()))}
+        return {**held, **self.configuration_figures(), **dict(sorted(self.counters.items()))}
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 from laureldock import interface as face
@@ -59,8 +59,8 @@
 
     def listed(self, route: face.Route, dial: str) -> None: ...
 
-    def forget(self) -> None:
-        """Close what leads to routes that are gone from the list."""
+    def forget(self, routes: Iterable[face.Route]) -> None:
+        """Close what leads to them: they are gone from the list."""
 
     def attempt(self, attempt: face.Attempt, message: HeldMessage) -> None: ...
 
@@ -94,7 +94,7 @@
     def owes(self, name: bytes) -> bool: ...
 
     def put(self, name: bytes, line: bytes) -> None:
-        """Take a notice; `noticed` follows once it will not be lost. Its line is `letters.notice_of`'s."""
+        """Take a notice; `noticed` follows once it will not be lost. Its line is `messages.encode_notice`'s."""
 
     def close(self) -> None: ...
 
@@ -171,7 +171,7 @@
     def short(self) -> None:
         """The process is out of descriptors before the limit on clients is reached."""
 
-    def figures(self) -> dict[str, int]: ...
+    def figures(self) -> dict[str, float]: ...
 
 
 class Outcomes(Timing, Protocol):
