--- a/tests/followers.py
+++ b/tests/followers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import sys
@@ -229,6 +230,7 @@
 name = "c1"
 [controller]
 listen = "127.0.0.1:{port}"
+pace = "{pace}"
 [class.news]
 effect = "redeliverable"
 target_delay = "5s"
@@ -247,11 +249,11 @@
 class ControllerProcess:
     """`laureldock controller`; or one that kills itself where `crashing_controller` is told to."""
 
-    def __init__(self, folder: Path, extra: str = "") -> None:
+    def __init__(self, folder: Path, extra: str = "", pace: str = "4kB") -> None:
         folder.mkdir(exist_ok=True)
         self.folder, self.port = folder, free_port()
         self.file = folder / "controller.toml"
-        self.file.write_text(CONTROLLER_FILE.format(port=self.port) + extra)
+        self.file.write_text(CONTROLLER_FILE.format(port=self.port, pace=pace) + extra)
         self.process: asyncio.subprocess.Process | None = None
 
     @property
@@ -296,6 +298,14 @@
             raise RejectedError(answer)
         return answer.position.version
 
+    def versions_subscribed(self, name: str) -> list[tuple[int, bool]]:
+        """With which version a dispatcher came, and whether it was to get a snapshot."""
+        lines = map(json.loads, (self.folder / "log").read_text().splitlines())
+        mine = (line for line in lines if line.get("dispatcher") == name)
+        return [
+            (line["version"], line["snapshot"]) for line in mine if line["event"] == "dispatcher subscribed"
+        ]
+
     async def in_force(self, dispatchers: int, seconds: float = 15.0) -> float:
         """How long it took until all of them told the newest version in force."""
         began = time.monotonic()
--- a/tests/test_controlled_faults.py
+++ b/tests/test_controlled_faults.py
@@ -29,7 +29,9 @@
 from test_controlled import FRESH_CLASS, NAMES, counted, refused_at_one, run, until
 
 from laureldock.rehearsal.play import free_port
-from laureldock.setup.changes import Change
+from laureldock.setup import plan
+from laureldock.setup.changes import Change, EndpointEntry
+from laureldock.setup.units import Address
 
 IN_TIME = 15.0  # seconds in which a change is in force on all that are up, or after a heal
 
@@ -295,6 +297,45 @@
     run(scenario())
 
 
+def many(rate: float) -> Change:
+    """Some 50 KB of endpoints that nobody sends to."""
+    names = [f"one-of-many-endpoints-with-a-long-name-{number}" for number in range(400)]
+    addresses = (Address(f"127.0.0.1:{30000 + number}") for number in range(400))
+    return Change(
+        puts=tuple(
+            EndpointEntry(name, plan.Endpoint(name=name, destination="far", address=address, rate=rate))
+            for name, address in zip(names, addresses, strict=True)
+        )
+    )
+
+
+def test_a_dispatcher_too_far_behind_gets_the_snapshot_and_what_follows(tmp_path: Path) -> None:
+    """What it missed is no longer in the controller's log."""
+
+    async def scenario() -> None:
+        controller = ControllerProcess(tmp_path / "c", pace="1MB")
+        async with followers(tmp_path, NAMES, [controller.address], 2) as (receivers, [up, away]):
+            await started(controller, receivers, [up, away])
+            await away.end()
+            for number in range(40):
+                await controller.accept(many(1.0 + number))
+                if "snapshot written" in (controller.folder / "log").read_text():
+                    break
+            assert number > 10
+            version = await controller.accept(removal("n1"))
+            await controller.kill()  # while it runs it keeps the log before the last snapshot, too
+            await controller.launch()
+            await away.launch()
+            assert await away.until_version(version) < IN_TIME
+            assert controller.versions_subscribed(away.name)[-1] == (1, True)
+            assert await controller.in_force(2) < IN_TIME
+            await served([up, away], receivers, "m")
+            assert {call.receiver for call in receivers.account.calls} == {"n2"}
+            await controller.kill()
+
+    run(scenario())
+
+
 def vars_of(port: int) -> Any:
     with urllib.request.urlopen(f"http://127.0.0.1:{port}/_vars", timeout=5) as answer:
         return json.loads(answer.read())
