--- a/laureldock/controller/server.py
+++ b/laureldock/controller/server.py
@@ -4,7 +4,7 @@
 
 import socket
 from collections import Counter
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IAddress, IPushProducer
@@ -39,6 +39,8 @@
     encode_entries,
 )
 
+T = TypeVar("T")
+
 MAX_UNNAMED_STREAMS = 64  # that have sent no whole frame yet
 MAX_COMMANDS = 16  # operators' commands at once
 FIRST_FRAME_LIMIT = 5.0  # seconds; also between the parts of a change
@@ -110,6 +112,8 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         self.closed = True
         self.set_timer(None)
+        if self.proposal is not None and not self.decided:
+            self.release(None, self.proposal)
         self.server.forget(self)
 
     def set_timer(self, seconds: float | None) -> None:
@@ -199,8 +203,15 @@
         self.proposal.puts, self.proposal.removals = [], []
         self.decided = True
         decided = self.server.controller.propose(change, message.expected_version)
+        decided.addBoth(self.release, self.proposal)
         decided.addCallbacks(self.answer, self.defect)
 
+    def release(self, result: T, proposal: Proposal) -> T:
+        """Its bytes are held until it is decided, also where the command has gone meanwhile."""
+        self.server.proposed_bytes -= proposal.bytes
+        proposal.bytes = 0
+        return result
+
     def refuse(self, reason: str) -> None:
         self.answer(Rejected((FaultReport((), reason),), 1))
 
@@ -259,6 +270,7 @@
         self.commands: dict[int, ServerStream] = {}
         self.dispatchers: dict[int, ServerStream] = {}
         self.port: Any = None
+        self.proposed_bytes = 0  # of changes that are not decided yet
 
     @property
     def streams(self) -> int:
@@ -309,10 +321,10 @@
         )
 
     def room_for(self, proposal: Proposal, size: int) -> bool:
-        held = sum(each.proposal.bytes for each in self.commands.values() if each.proposal)
-        if held + size > MAX_PROPOSAL_BYTES:
+        if self.proposed_bytes + size > MAX_PROPOSAL_BYTES:
             return False
         proposal.bytes += size
+        self.proposed_bytes += size
         return True
 
     # Dispatchers
--- a/laureldock/controller/service.py
+++ b/laureldock/controller/service.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import structlog
-from twisted.internet.defer import Deferred, DeferredLock
+from twisted.internet.defer import Deferred, DeferredLock, succeed
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.failure import Failure
 
@@ -27,6 +27,7 @@
 
 # A change of more entries is checked beside the reactor, which goes on meanwhile.
 MAX_INLINE_ENTRIES = 500
+MAX_WAITING_CHANGES = 16
 MIN_COMPACTED_BYTES = 1 << 20
 MIN_TURN_INTERVAL = 0.001  # seconds, between turns that only the clock asks for
 COMPACTION_RETRY = 60.0  # seconds after one that failed
@@ -104,10 +105,16 @@
         if self._job is not None:
             self._job.cancelled = True
         self.server.close()
-        self.state.log.close()
-        self.log.info("controller stopped", version=self.state.position.version, **self.figures())
+        self.reactor.addSystemEventTrigger("after", "shutdown", self._stopped)
         self.reactor.callLater(0, self.reactor.stop)
 
+    def _stopped(self) -> None:
+        """No thread runs any more."""
+        if self._job is not None:
+            self._job.writer.discard()
+        self.log.info("controller stopped", version=self.state.position.version, **self.figures())
+        self.state.log.close()
+
     def figures(self) -> dict[str, int]:
         sums = self.counters + self.publisher.counters
         held = {"dispatchers": len(self.publisher.streams), "streams": self.server.streams}
@@ -128,6 +135,9 @@
 
     def propose(self, change: Change, expected_version: int) -> Deferred[Answer]:
         """Accepted: it is on disk and told from now on. Rejected: nothing was changed."""
+        if len(self._lock.waiting) >= MAX_WAITING_CHANGES:
+            self.counters["changes refused: busy"] += 1
+            return succeed(rejected(Fault((), "too many changes wait", "propose it again later")))
         return self._lock.run(self._accept, change, expected_version)
 
     def _accept(self, change: Change, expected_version: int) -> Any:
--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -105,6 +105,14 @@
 Effect = Send | Close | Report
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Of a change, by a dispatcher."""
+
+    position: Position
+    reason: str
+
+
 @dataclass(slots=True, eq=False)
 class Subscriber:
     """A dispatcher that follows, or that followed and was lost (`stream` is None)."""
@@ -114,7 +122,7 @@
     stream: int | None = None
     told: Position = messages.NO_POSITION
     in_force: Position = messages.NO_POSITION
-    refusal: Refused | None = None
+    refusal: Refusal | None = None
     last_heard: float = -inf
     last_heartbeat: float = -inf
     due: float = inf
@@ -236,9 +244,9 @@
         subscriber = self.streams.get(stream)
         if subscriber is None:
             return
-        subscriber.last_heard, subscriber.refusal = now, message
-        self.counters["changes refused by dispatchers"] += 1
         reason = message.faults[0].reason if message.faults else ""
+        subscriber.last_heard, subscriber.refusal = now, Refusal(message.position, reason)
+        self.counters["changes refused by dispatchers"] += 1
         fields = {"version": message.position.version, "reason": reason, "faults": len(message.faults)}
         self._effects.append(Report("change refused by a dispatcher", subscriber.name, fields, serious=True))
 
@@ -447,7 +455,7 @@
             silent_seconds=max(0.0, now - subscriber.last_heard),
             behind_seconds=self._behind(now, subscriber.in_force),
             refused_version=refusal.position.version if refusal else 0,
-            refused_reason=refusal.faults[0].reason if refusal and refusal.faults else "",
+            refused_reason=refusal.reason if refusal else "",
         )
 
     def _behind(self, now: float, position: Position) -> float:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -19,9 +19,11 @@
 import pytest
 from click.testing import CliRunner, Result
 from controlled import BASE, Controller, Follower, Stream, controller, endpoint, puts, removal
+from twisted.internet.testing import MemoryReactorClock
 
 from laureldock.cli import main
 from laureldock.controller import client
+from laureldock.controller.service import MAX_WAITING_CHANGES, ControllerService
 from laureldock.controller.state import AcceptedState
 from laureldock.replication.change_log import LOG_NAME, ChangeLog, Record
 from laureldock.replication.messages import (
@@ -264,6 +266,25 @@
     }
 
 
+def test_changes_that_wait_for_another_are_bounded(tmp_path: Path) -> None:
+    file = tmp_path / "controller.toml"
+    file.write_text(BASE.format(port=7, pace="1kB"))
+    reactor = MemoryReactorClock()  # type: ignore[no-untyped-call]
+    service = ControllerService(load(str(file)).plan, tmp_path / "state", reactor)
+    service.start()
+    answers: list[Accepted | Rejected] = []
+    service._lock.acquire()  # as a long check holds it
+    for number in range(MAX_WAITING_CHANGES + 5):
+        service.propose(puts(f"a{number}"), -1).addCallback(answers.append)
+    assert [answer.faults[0].reason for answer in answers if isinstance(answer, Rejected)] == [
+        "too many changes wait"
+    ] * 5
+    service._lock.release()
+    accepted = sorted(answer.position.version for answer in answers if isinstance(answer, Accepted))
+    assert accepted == list(range(1, MAX_WAITING_CHANGES + 1))
+    service.state.log.close()
+
+
 def test_a_process_whose_disk_is_full_refuses_and_goes_on(tmp_path: Path) -> None:
     def little_room() -> None:  # no file may become longer
         resource.setrlimit(resource.RLIMIT_FSIZE, (6000, 6000))
--- a/tests/test_controller_faults.py
+++ b/tests/test_controller_faults.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 import socket
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -141,6 +142,28 @@
     assert good.position.version == 1
 
 
+def test_changes_that_are_proposed_and_left_are_bounded(found: Controller) -> None:
+    """Commands that do not wait for their answer hold room until their changes are decided."""
+    good = Follower(found.port, "good")
+    large = threading.Thread(target=found.propose, args=(puts(*(f"a{number}" for number in range(20_000))),))
+    large.start()
+    time.sleep(0.5)
+    for number in range(300):
+        stream = Stream(found.port)
+        stream.send(Propose(encode_change(puts(f"b{number}")), True))
+        stream.close()
+    large.join(9)
+    found.until(lambda: comes_through(found))
+    assert found.process
+    found.process.send_signal(signal.SIGUSR1)
+    found.until(lambda: bool(found.events("counters")))
+    counters = found.events("counters")[0]
+    assert 1 <= counters["changes accepted"] <= 301 and counters["dispatchers"] == 1
+    version = found.status().position.version
+    good.follow(version)
+    assert found.status().digest == good.digest and not found.events("fault")
+
+
 def test_faults_with_long_names_fit_the_answer(found: Controller) -> None:
     change = removal(*("n" * 5000 + str(number) for number in range(900)))
     answer = client.propose(found.address, change)
