--- a/laureldock/cli/controller.py
+++ b/laureldock/cli/controller.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import click
+from twisted.internet.error import CannotListenError
 from twisted.internet.main import installReactor
 
 from laureldock.cli.config import refuse
@@ -47,7 +48,7 @@
         found = [Placed(f"{file}: state", 0, fault) for fault in refused_state.faults]
         click.echo("what was accepted does not fit this file any more:", err=True)
         refuse(RefusedError(found))
-    except (SpoiltLogError, OSError, ValueError) as fault:
+    except (SpoiltLogError, CannotListenError, OSError, ValueError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(service.log_counters))
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -324,6 +324,16 @@
     assert f"{path}: byte " in third.stderr and "wrong checksum" in third.stderr
 
 
+def test_an_address_that_is_taken_is_told_at_the_start(tmp_path: Path) -> None:
+    found = Controller(tmp_path)
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", found.port))
+        taken.listen()
+        command = [sys.executable, "-m", "laureldock", "controller", str(found.file)]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=9)
+    assert ended.returncode == 1 and "cannot start: CannotListenError" in ended.stderr
+
+
 def test_what_was_accepted_must_fit_the_file_of_the_next_start(tmp_path: Path) -> None:
     with controller(tmp_path) as found:
         shop = DestinationEntry("south", Destination(kind="shop"))
