--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -19,9 +19,11 @@
 import pytest
 from click.testing import CliRunner, Result
 from controlled import BASE, Controller, Follower, Stream, controller, endpoint, puts, removal
+from twisted.internet.testing import MemoryReactorClock
 
 from laureldock.cli import main
 from laureldock.controller import client
+from laureldock.controller.service import MAX_WAITING_CHANGES, ControllerService
 from laureldock.controller.state import AcceptedState
 from laureldock.replication.change_log import LOG_NAME, ChangeLog, Record
 from laureldock.replication.messages import (
@@ -264,6 +266,25 @@
     }
 
 
+def test_changes_that_wait_for_another_are_bounded(tmp_path: Path) -> None:
+    file = tmp_path / "controller.toml"
+    file.write_text(BASE.format(port=7, pace="1kB"))
+    reactor = MemoryReactorClock()  # type: ignore[no-untyped-call]
+    service = ControllerService(load(str(file)).plan, tmp_path / "state", reactor)
+    service.start()
+    answers: list[Accepted | Rejected] = []
+    service._lock.acquire()  # as a long check holds it
+    for number in range(MAX_WAITING_CHANGES + 5):
+        service.propose(puts(f"a{number}"), -1).addCallback(answers.append)
+    assert [answer.faults[0].reason for answer in answers if isinstance(answer, Rejected)] == [
+        "too many changes wait"
+    ] * 5
+    service._lock.release()
+    accepted = sorted(answer.position.version for answer in answers if isinstance(answer, Accepted))
+    assert accepted == list(range(1, MAX_WAITING_CHANGES + 1))
+    service.state.log.close()
+
+
 def test_a_process_whose_disk_is_full_refuses_and_goes_on(tmp_path: Path) -> None:
     def little_room() -> None:  # no file may become longer
         resource.setrlimit(resource.RLIMIT_FSIZE, (6000, 6000))
@@ -303,6 +324,16 @@
     assert f"{path}: byte " in third.stderr and "wrong checksum" in third.stderr
 
 
+def test_an_address_that_is_taken_is_told_at_the_start(tmp_path: Path) -> None:
+    found = Controller(tmp_path)
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", found.port))
+        taken.listen()
+        command = [sys.executable, "-m", "laureldock", "controller", str(found.file)]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=9)
+    assert ended.returncode == 1 and "cannot start: CannotListenError" in ended.stderr
+
+
 def test_what_was_accepted_must_fit_the_file_of_the_next_start(tmp_path: Path) -> None:
     with controller(tmp_path) as found:
         shop = DestinationEntry("south", Destination(kind="shop"))
