--- a/tests/assembled.py
+++ b/tests/assembled.py
@@ -26,6 +26,8 @@
         super().__init__(plan, folder, self.clock, self.faults.append)  # type: ignore[arg-type]
         self.core.log = structlog.wrap_logger(None, processors=[unheard])
         assert self.listed is not None
+        if self.controlled is not None:  # as if a controller's first snapshot had come, of no entry
+            self.controlled.settled = True
         self.listed.start()
 
     def reloaded(self, plan: Plan) -> None:
