--- a/laureldock/sources/controlled.py
+++ b/laureldock/sources/controlled.py
@@ -328,8 +328,13 @@
             reasons = [str(fault.reason) for fault in refused.faults[:MAX_REPORTED_FAULTS]]
             self.stream.on_event(SubscriberEvent("refused from disk", {"faults": reasons}, serious=True))
             return
+        except Exception as defect:  # keeps no dispatcher from starting
+            self.settled = before
+            self.stream.subscriber.distrust()
+            self.stream.on_event(SubscriberEvent("fault", {"fault": repr(defect)}, serious=True))
+            return
         self.stream.restore(kept)
-        self.core.news([], False)
+        self.core.guard(self.core.news, [], False)
 
     def _load(self) -> KeptConfiguration:
         try:
@@ -349,7 +354,7 @@
     def _applied(self) -> None:
         if not self.settled:
             self.settled = True
-            self.core.news([], False)  # clients may come now
+            self.core.guard(self.core.news, [], False)  # clients may come now
 
     def ask(self, asked: AskList) -> None:
         """The controller tells what there is by itself."""
--- a/tests/test_controller_stream.py
+++ b/tests/test_controller_stream.py
@@ -257,6 +257,9 @@
     def later(self, after: float, call: Any, *args: Any) -> Any:
         return self.rig.reactor.callLater(after, call, *args)
 
+    def guard(self, call: Any, *args: Any) -> Any:
+        return call(*args)
+
     def news(self, hosts: list[tuple[Entry, str]], whole: bool) -> None:
         self.told.append((len(hosts), whole))
 
@@ -320,6 +323,29 @@
     source.close()
 
 
+def test_a_defect_in_taking_what_was_kept_keeps_no_dispatcher_from_starting(tmp_path: Path) -> None:
+    old = following(tmp_path)
+    old.stream.stop()
+    assert old.store
+    old.store.close()
+    rig = Rig(tmp_path)
+    replace = rig.sink.replace_entries
+
+    def fail(entries: object) -> None:
+        raise ZeroDivisionError
+
+    rig.sink.replace_entries = fail  # type: ignore[method-assign]
+    source, _ = controlled(rig)
+    assert not source.settled
+    rig.sink.replace_entries = replace  # type: ignore[method-assign]
+    rig.connect()
+    assert rig.sent() == [Subscribe("d1", NO_POSITION, 0)]
+    rig.tell(*old.controller.snapshot())
+    rig.turns()
+    assert source.settled and rig.sink.by_key == old.sink.by_key
+    source.close()
+
+
 def test_a_process_beside_another_serves_what_is_kept_and_follows_once_it_is_alone(tmp_path: Path) -> None:
     old = following(tmp_path)
     rig = Rig(tmp_path)
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -25,10 +25,23 @@
     SnapshotBegin,
     SnapshotPart,
     Subscribe,
+    checksum,
 )
 from laureldock.replication.pending import MAX_PENDING_CHANGES
 from laureldock.replication.subscriber import Connect, Disconnect
-from laureldock.setup.changes import CatalogEntry, Change, UnreadableChangeError, decode_change, entry_digest
+from laureldock.setup.changes import (
+    CatalogEntry,
+    Change,
+    UnreadableChangeError,
+    decode_change,
+    encode_change,
+    encode_entries,
+    entry_digest,
+)
+
+
+def digest_of(entries: Iterable[CatalogEntry]) -> int:
+    return functools.reduce(operator.xor, map(entry_digest, entries), 0)
 
 
 def following(changes: int = 3) -> Rig:
@@ -554,8 +567,46 @@
         assert digest_of(state.values()) in accepted
 
 
-def digest_of(entries: Iterable[CatalogEntry]) -> int:
-    return functools.reduce(operator.xor, map(entry_digest, entries), 0)
+BODIES = [
+    encode_change(put(customer("a", 1.0))),
+    encode_change(remove("a")),
+    encode_entries([customer("a", 1.0)]),
+    b"",
+    b"\x92\x90",
+]
+POSITIONS = st.builds(Position, st.integers(0, 2), st.integers(0, 4))
+DIGESTS = st.sampled_from([0, digest_of([customer("a", 1.0)]), 5])
+ANY_BODY = st.sampled_from(BODIES)
+ANY_MESSAGE = st.one_of(
+    st.builds(
+        lambda position, digest, body, wrong: ChangeMessage(
+            position, digest, 0.0, checksum(body) ^ wrong, body
+        ),
+        POSITIONS, DIGESTS, ANY_BODY, st.booleans(),
+    ),
+    st.builds(SnapshotBegin, POSITIONS, DIGESTS, st.integers(0, 2), st.integers(0, 2)),
+    st.builds(lambda number, body: SnapshotPart(number, checksum(body), body), st.integers(0, 2), ANY_BODY),
+    st.builds(Heartbeat, POSITIONS),
+)  # fmt: skip
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(ANY_MESSAGE, max_size=30))
+def test_any_messages_in_any_order_break_nothing(told: list[Message]) -> None:
+    """Nobody answers: what is told in force is what its digest says, and it is followed on afterwards."""
+    rig = Rig()
+    answer, rig.controller.answer = rig.controller.answer, lambda asked: []  # type: ignore[method-assign]
+    rig.start()
+    rig.after(0.5)
+    for message in told:
+        before = len(rig.effects)
+        rig.tell(message)
+        assert len(rig.effects) < before + 12
+        assert all(not isinstance(each, InForce) or each.digest == rig.sink.digest for each in rig.sent[-1:])
+    rig.controller.accept(put(customer("b", 2.0)))
+    rig.controller.answer = answer  # type: ignore[method-assign]
+    rig.after(140.0)
+    assert rig.level
 
 
 def test_what_a_later_format_adds_is_not_ignored() -> None:
