Split the RESP2 front: connections, commands, the listening side

fronts/resp.py (471 lines) held all three. resp.py keeps a client's connection, resp_commands.py has the commands, resp_server.py accepts clients and has some give way; constants have the field's names (READ_TIMEOUT, DRAIN_TIMEOUT, CHECK_INTERVAL).

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -14,7 +14,7 @@
 from laureldock.carriers.http import Receivers
 from laureldock.core.dispatcher import Dispatcher
 from laureldock.core.seams import Front, Outlet, Source
-from laureldock.fronts.resp import Clients
+from laureldock.fronts.resp_server import Clients
 from laureldock.outlets.lines import Lines
 from laureldock.outlets.platform import Notices
 from laureldock.setup.entries import term_book
