Split the dispatcher: recovery and handing over, counts by queue class

core/recovery.py takes over what an earlier process owed, or one that hands over; core/class_counters.py counts by class for operators.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -12,6 +12,7 @@
 
 from laureldock import interface as face
 from laureldock.control import Control
+from laureldock.core.class_counters import ClassCounters
 from laureldock.core.ends import OUTCOMES, End
 from laureldock.core.messages import (
     ACCEPTED,
@@ -22,24 +23,16 @@
     Submitter,
     encode_notice,
 )
+from laureldock.core.recovery import Recovery
 from laureldock.core.seams import Carrier, Clock, Front, NotAMailError, Outlet, Source, Store, Timer
 from laureldock.tariff import Book, Entry
 
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 DOOR_STAYS, ALL_OVER = 0.6, 3.3
 
-# While a process hands over: its end, and a wait told to it, are seen within half of the tenth of a second
-# for which calls under way are let through.
-ADOPT_EVERY = 0.05
-
-LONG_AGO = 1e9  # seconds
-
 # A mail's lifetime ends sooner by its client's clock than by ours: by the way here, and what timers round.
 ROUNDING = 0.01
 
-# Of queue classes counted apart: those of the settings and some that clients name wrongly.
-MOST_CLASSES = 256
-
 NOT_RUN = face.Ending.FULL, face.Ending.NO_CONNECTION, face.Ending.MOOT
 
 
@@ -63,7 +56,7 @@
         self.ended_for, self.wall = ended_for, wall or time.time
         self.log = structlog.get_logger().bind(dispatcher=name)
         self.counters: Counter[str] = Counter()
-        self.by_class: dict[str, Counter[str]] = {}  # of each queue class: relayed, deferred, bounced, sent
+        self.class_counters = ClassCounters()
         self.store.open()
         self.held: dict[face.Mail, HeldMessage] = {}
         self.by_name: dict[bytes, HeldMessage] = {}
@@ -76,6 +69,7 @@
         self.fresh: list[HeldMessage] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
+        self.recovery = Recovery(self)
 
     def attach(self, fronts: list[Front], carrier: Carrier, source: Source, outlet: Outlet) -> None:
         self.fronts, self.carrier, self.source, self.outlet = fronts, carrier, source, outlet
@@ -88,9 +82,7 @@
 
     def start(self) -> None:
         self.log.info("starting", owed=len(self.store.owed), torn_bytes=self.store.torn)
-        for stored in list(self.store.owed.values()):
-            if stored.notice:
-                self.outlet.put(stored.name, stored.notice)
+        self.recovery.send_notices(list(self.store.owed.values()))
         self.source.start()
         self.recover()
 
@@ -102,50 +94,9 @@
         if self.recovered or self.stopped_at or not self.source.settled:
             return
         self.recovered = True
-        self.revive(list(self.store.owed.values()))
+        self.recovery.revive(list(self.store.owed.values()))
         self.open_door()
-        self.adopt()
-
-    def adopt(self) -> None:
-        """Where processes hand over, what one leaves is taken over once it has ended, and a key that another
-        still owes waits here."""
-        if not self.running or not (self.handed_down or self.store.sharing):
-            return
-        found: list[StoredMessage] = []
-        try:
-            found = [] if self.stopped_at else self.store.adopt()
-        except OSError as fault:
-            self.log.error("spool cannot be written", fault=str(fault))
-        if found:
-            self.log.info("taken over", owed=len(found))
-            for stored in found:
-                if stored.notice:
-                    self.outlet.put(stored.name, stored.notice)
-            self.revive(found, earlier=True)
-        if self.handed_down:
-            self.tell(self.control.elsewhere, self.store.keys_elsewhere())
-            clock = self.wall()
-            for name, until in self.store.waits_elsewhere().items():
-                if until > clock and (route := self.book.routes.get(name)) is not None:
-                    self.tell(self.control.told_to_wait, route, until - clock)
-        self.later(ADOPT_EVERY, self.adopt)
-
-    def revive(self, found: list[StoredMessage], earlier: bool = False) -> None:
-        clock = self.wall()
-        for stored in found:
-            kind = self.book.classes.get(stored.queue_class)
-            if kind is None:  # the settings have changed since
-                if not stored.notice:
-                    self.end_by_notice(stored.name, handed_back=False)
-                continue
-            starts = [at for at in (stored.ran, stored.out) if at is not None]
-            mail = self.book.mail(kind, stored.destination, stored.end - clock, stored.customer, stored.key)
-            ran = clock - min(starts) if starts else None
-            # A wall clock that was set back meanwhile tells nothing of how long ago it was: no tag is known.
-            mail.attempts, mail.ran = stored.attempts, LONG_AGO if ran is not None and ran < 0 else ran
-            mail.earlier, mail.ended = earlier, bool(stored.notice)
-            self.hold(HeldMessage(stored.name, stored.tag, stored.body, mail, self.now() + mail.left))
-            self.tell(self.control.taken, mail)
+        self.recovery.adopt()
 
     def open_door(self) -> None:
         for front in self.fronts:
@@ -422,23 +373,14 @@
         self.count(self.book.name_of(message.mail.queue_class), word)
 
     def count(self, queue_class: str, word: str) -> None:
-        found = self.by_class.get(queue_class)
-        if found is None:
-            if len(self.by_class) >= MOST_CLASSES and queue_class not in self.book.classes:
-                return  # names that clients make up take no room
-            found = self.by_class[queue_class] = Counter()
-        found[word] += 1
+        self.class_counters.count(queue_class, word, self.book.classes)
 
     def operators_figures(self) -> dict[str, Any]:
         """What `/_vars` shows: counts since the start of the process, and what is held now."""
-        words = {"served": "relayed", "refused": "deferred", "failed": "bounced", "attempts": "sent"}
         routes = self.book.routes.values()
         draining = sum(route.listed is not face.Listed.UP for route in routes)
         return {
-            "requests": {
-                name: {shown: counts[word] for shown, word in words.items()}
-                for name, counts in sorted(self.by_class.items())
-            },
+            "requests": self.class_counters.shown(),
             "in_flight": len(self.held),
             "endpoints_known": len(routes),
             "endpoints_excluded": draining + self.control.excluded(self.now()),
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -77,7 +77,7 @@
     beside.open()
     store: Any = quay.dispatcher.store
     store.held.append(beside.path)  # as if it had been there at the start
-    quay.dispatcher.adopt()
+    quay.dispatcher.recovery.adopt()
     quay.dispatcher.wall = lambda: 1e9 + quay.reactor.seconds()
     beside.wait("r1", quay.dispatcher.wall() + 0.5, now=0.0)
     quay.after(0.1)
