Name the spool's parts by what they are, with docstrings that say units and errors

left -> ended_files, watched -> peers, most -> max_size, take_left -> absorb_ended and so on; the file's bytes are untouched. tests/test_handover.py, test_net.py, test_crossing_exit.py without the one of thirty processes at once: 88 passed.

--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -1,4 +1,4 @@
-"""What was taken on and is still owed, in files that outlive the process.
+"""The spool: messages that were accepted and are still owed, in files that outlive the process.
 
 One file of records (`spool_records.py`), appended to. Before it is full it is written anew with only what is
 still owed. What was written outlives a kill; no sync is needed.
@@ -30,81 +30,85 @@
 
 
 class Spool:
-    """`writes`: this process is to write the folder, else it only reads what all its files owe."""
+    """A `Store` of the core in a folder. `disk` is the limit on the folder, in bytes.
+
+    With `writes` this process is to write the folder, else it only reads what all its files owe.
+    """
 
     def __init__(self, folder: Path, disk: float, writes: bool = True) -> None:
         self.folder = folder
         file: int | None = -1
-        place, self.held = 0, []  # the files that other living processes write
-        while writes and (file := open_locked(self.named(place))) is None:
-            self.held.append(self.named(place))
-            place += 1
+        number, self.held = 0, []  # files that other living processes write
+        while writes and (file := open_locked(self.numbered_path(number))) is None:
+            self.held.append(self.numbered_path(number))
+            number += 1
         self.file = file if file is not None and writes else -1
-        self.path = self.named(place)
+        self.path = self.numbered_path(number)
         # Two files stand side by side while one is written anew: a third of the room for what is owed, two
         # for the file that grows; one block of each is lost to the way of counting. A process beside another
         # has half of that.
-        self.most_owed = int(disk / (6 if self.held else 3)) - 2 * BLOCK
-        self.most = 2 * self.most_owed
+        self.max_owed = int(disk / (6 if self.held else 3)) - 2 * BLOCK
+        self.max_size = 2 * self.max_owed
         self.owed: dict[bytes, StoredMessage] = {}
-        self.room = 0
+        self.room = 0  # bytes reserved for what is owed
         self.waits: dict[str, float] = {}  # told to this process, or to one whose file it took
         data = self.path.read_bytes() if self.path.exists() else b""
         self.size = 0
-        for place, fields, body in decode_records(data):
-            self.size = place
+        for offset, fields, body in decode_records(data):
+            self.size = offset
             self.replay(fields, body)
         self.torn = len(data) - self.size
-        self.left: list[tuple[Path, int]] = []  # files of ended processes, to be taken over at `open`
-        self.watched: dict[Path, PeerSpool] = {}
-        for path in self.others():
+        self.ended_files: list[tuple[Path, int]] = []  # with their locked descriptors
+        self.peers: dict[Path, PeerSpool] = {}
+        for path in self.unknown_files():
             file = open_locked(path) if writes else -1
             if file is None:
                 self.held.append(path)
             else:
-                self.take_file(path, file)
+                self.read_ended(path, file)
 
     @property
-    def fresh(self) -> Path:
+    def renewed_path(self) -> Path:
         """Where the file is written anew."""
         return self.path.with_name(self.path.name + ".new")
 
-    def others(self) -> list[Path]:
+    def unknown_files(self) -> list[Path]:
         """Files of other processes in the folder that this one does not know of yet."""
-        found = (path for path in self.folder.glob("spool*") if not path.name.endswith(".new"))
-        return sorted(path for path in found if path != self.path and path not in self.held)
+        files = (path for path in self.folder.glob("spool*") if not path.name.endswith(".new"))
+        return sorted(path for path in files if path != self.path and path not in self.held)
 
-    def take_file(self, path: Path, file: int) -> None:
-        """What an ended process's file owes is owed by this one; the file goes at the next `take_left`."""
-        self.left.append((path, file))
+    def read_ended(self, path: Path, file: int) -> None:
+        """What an ended process's file owes is owed by this one; the file goes at the next `absorb_ended`."""
+        self.ended_files.append((path, file))
         for _, fields, body in decode_records(path.read_bytes()):
             self.replay(fields, body)
 
     def keys_elsewhere(self) -> list[str]:
-        """Keys of mails that other living processes owe; a file that has come is watched from now on."""
-        self.held += self.others()
+        """Keys of messages that other living processes owe; new files are watched from now on."""
+        self.held += self.unknown_files()
         keys: dict[str, None] = {}
         for path in self.held:
-            watch = self.watched.get(path) or PeerSpool()
-            self.watched[path] = watch
-            keys.update(dict.fromkeys(watch.keys(path)))
-        for path in list(self.watched):
+            peer = self.peers.get(path) or PeerSpool()
+            self.peers[path] = peer
+            keys.update(dict.fromkeys(peer.keys(path)))
+        for path in list(self.peers):
             if path not in self.held:
-                del self.watched[path]
+                del self.peers[path]
         return list(keys)
 
     def waits_elsewhere(self) -> dict[str, float]:
         """Routes that told another process to wait, by what `keys_elsewhere` has read, and until when."""
-        return {name: until for watch in self.watched.values() for name, until in watch.waits.items()}
+        return {name: until for peer in self.peers.values() for name, until in peer.waits.items()}
 
     def wait(self, route: str, until: float, now: float) -> None:
-        """Told to this process, for the others to read."""
+        """A route told this process to wait until then, by the wall clock; others read it. OSError."""
         self.waits = {name: end for name, end in self.waits.items() if end > now}
         self.waits[route] = until
         self.write(encode_record(["wait", route, until]))
 
-    def named(self, place: int) -> Path:
-        return self.folder / ("spool" if place == 0 else f"spool.{place}")
+    def numbered_path(self, number: int) -> Path:
+        """The file of the process that found `number` others in the folder."""
+        return self.folder / ("spool" if number == 0 else f"spool.{number}")
 
     @property
     def sharing(self) -> bool:
@@ -112,138 +116,149 @@
         return bool(self.held)
 
     def open(self) -> None:
-        """From here on the folder is written to; what was torn or half renewed is dropped."""
-        self.fresh.unlink(missing_ok=True)
+        """Begin to write the folder; what was torn or half renewed is dropped. OSError."""
+        self.renewed_path.unlink(missing_ok=True)
         os.ftruncate(self.file, self.size)
         os.lseek(self.file, 0, os.SEEK_END)
-        self.take_left()
+        self.absorb_ended()
 
-    def take_left(self) -> None:
-        """Files of ended processes, once what they owe is in this one's, go."""
-        if not self.left:
+    def absorb_ended(self) -> None:
+        """Remove the files of ended processes, once what they owe is in this one's. OSError."""
+        if not self.ended_files:
             return
         self.renew()
-        for path, file in self.left:
+        for path, file in self.ended_files:
             path.unlink(missing_ok=True)
             os.close(file)
-        self.left = []
+        self.ended_files = []
 
     def adopt(self) -> list[StoredMessage]:
-        """What processes that have ended since owe, now owed by this one."""
-        found: list[StoredMessage] = []
+        """What processes that have ended since owe, now owed by this one. OSError."""
+        adopted: list[StoredMessage] = []
         for path in list(self.held):
             file = open_locked(path)
             if file is None:
                 continue
             self.held.remove(path)
             before = set(self.owed)
-            self.take_file(path, file)
-            found += [mail for name, mail in self.owed.items() if name not in before]
-        self.take_left()
-        if not self.held and self.path != self.named(0):  # the file of the dispatcher is this one's now
-            os.rename(self.path, self.named(0))
-            self.path = self.named(0)
-        return found
+            self.read_ended(path, file)
+            adopted += [message for name, message in self.owed.items() if name not in before]
+        self.absorb_ended()
+        first_path = self.numbered_path(0)
+        if not self.held and self.path != first_path:  # no other process is left
+            os.rename(self.path, first_path)
+            self.path = first_path
+        return adopted
 
     def replay(self, fields: list[Any], body: bytes) -> None:
-        sort, name, *rest = fields
+        """Apply a record that was read."""
+        kind, name, *rest = fields
         name = name.encode()
-        if sort == "mail":
-            mail = decode_message(fields[1:], body)
-            self.add(mail, encode_message(mail))
-        elif sort == "wait":
+        if kind == "mail":
+            message = decode_message(fields[1:], body)
+            self.add(message, encode_message(message))
+        elif kind == "wait":
             self.waits[name.decode()] = rest[0]
         elif name in self.owed:
-            self.apply(sort, self.owed[name], rest)
+            self.apply(kind, self.owed[name], rest)
 
     @staticmethod
-    def room_for(mail: StoredMessage, record: bytes) -> int:
-        """Besides the mail: its notice, and the record that it is over."""
-        return len(record) + 8 * len(mail.name) + 256
-
-    def add(self, mail: StoredMessage, record: bytes) -> None:
-        mail.room = self.room_for(mail, record)
-        self.room += mail.room
-        self.owed[mail.name] = mail
-
-    def apply(self, sort: str, mail: StoredMessage, rest: list[Any]) -> None:
-        match sort:
+    def reserved_for(message: StoredMessage, record: bytes) -> int:
+        """Bytes to reserve: besides the message its notice, and the record that it is over."""
+        return len(record) + 8 * len(message.name) + 256
+
+    def add(self, message: StoredMessage, record: bytes) -> None:
+        """Owe a message, whose record is given."""
+        message.room = self.reserved_for(message, record)
+        self.room += message.room
+        self.owed[message.name] = message
+
+    def apply(self, kind: str, message: StoredMessage, rest: list[Any]) -> None:
+        """Apply a change of a message that is owed."""
+        match kind:
             case "out":
-                if mail.ran is None:
-                    mail.ran = mail.out
-                mail.attempts, mail.out = mail.attempts + 1, rest[0]
+                if message.ran is None:
+                    message.ran = message.out
+                message.attempts, message.out = message.attempts + 1, rest[0]
             case "back":
-                mail.out = None
+                message.out = None
             case "notice":
-                mail.notice = rest[0].encode()
+                message.notice = rest[0].encode()
             case "over":
-                self.room -= mail.room
-                del self.owed[mail.name]
+                self.room -= message.room
+                del self.owed[message.name]
 
-    def take(self, mail: StoredMessage) -> bool:
-        """Whether there was room for it."""
-        data = encode_message(mail)
-        if self.room + self.room_for(mail, data) > self.most_owed:
+    def take(self, message: StoredMessage) -> bool:
+        """Owe a message from now on; False where there is no room for it."""
+        data = encode_message(message)
+        if self.room + self.reserved_for(message, data) > self.max_owed:
             return False
         try:
             self.write(data)
         except OSError:
             return False
-        self.add(mail, data)
+        self.add(message, data)
         return True
 
     def out(self, name: bytes, at: float) -> None:
-        self.tell("out", name, at)
+        """An attempt begins, at a time of the wall clock. OSError."""
+        self.append("out", name, at)
 
     def back(self, name: bytes) -> None:
-        """Its last attempt has not run."""
-        self.tell("back", name)
+        """Its last attempt has not run. OSError."""
+        self.append("back", name)
 
     def notice(self, name: bytes, line: bytes) -> None:
-        self.tell("notice", name, line.decode())
+        """It ends by this notice, once that is taken. OSError."""
+        self.append("notice", name, line.decode())
 
     def over(self, name: bytes) -> None:
-        self.tell("over", name)
+        """It is owed no more. OSError."""
+        self.append("over", name)
 
-    def tell(self, sort: str, name: bytes, *rest: Any) -> None:
+    def append(self, kind: str, name: bytes, *rest: Any) -> None:
+        """Record a change of a message, if it is owed. OSError; the change holds all the same."""
         if name in self.owed:
             try:
-                self.write(encode_record([sort, name.decode(), *rest]))
-            finally:  # true all the same, and in the file once that is written anew
-                self.apply(sort, self.owed[name], list(rest))
+                self.write(encode_record([kind, name.decode(), *rest]))
+            finally:  # in the file once that is written anew
+                self.apply(kind, self.owed[name], list(rest))
 
     def write(self, record: bytes) -> None:
-        if self.size + len(record) > self.most:
+        """Append a record whole, or not at all. OSError."""
+        if self.size + len(record) > self.max_size:
             self.renew()
-        done = os.write(self.file, record)
-        if done < len(record):
+        written = os.write(self.file, record)
+        if written < len(record):
             os.ftruncate(self.file, self.size)
             os.lseek(self.file, self.size, os.SEEK_SET)
             raise OSError("the spool's disk is full")
-        self.size += done
+        self.size += written
 
     def renew(self) -> None:
+        """Write the file anew with what is still owed. OSError; the old file stays then."""
         parts = []
-        for mail in self.owed.values():
-            parts.append(encode_message(mail))
-            if mail.notice:
-                parts.append(encode_record(["notice", mail.name.decode(), mail.notice.decode()]))
+        for message in self.owed.values():
+            parts.append(encode_message(message))
+            if message.notice:
+                parts.append(encode_record(["notice", message.name.decode(), message.notice.decode()]))
         parts += [encode_record(["wait", route, until]) for route, until in self.waits.items()]
         data = b"".join(parts)
-        file = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        file = os.open(self.renewed_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
             with contextlib.suppress(OSError):  # before its name is the spool's
                 fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
             if os.write(file, data) < len(data):
                 raise OSError("the spool's disk is full")
-            os.rename(self.fresh, self.path)
+            os.rename(self.renewed_path, self.path)
         except OSError:
             os.close(file)
-            self.fresh.unlink(missing_ok=True)
+            self.renewed_path.unlink(missing_ok=True)
             raise
         os.close(self.file)
         self.file, self.size = file, len(data)
 
     def close(self) -> None:
+        """Close the file, and with it release its lock."""
         os.close(self.file)
         self.file = -1
