Split the fleet's rehearsal: member processes, mails, configuration

Tests and a benchmark call a member's process where they called the fleet; every assertion is as strict.

--- a/benchmarks/fleet_processes.py
+++ b/benchmarks/fleet_processes.py
@@ -19,7 +19,9 @@
 import click
 
 from benchmarks.throughput import BODY, Receivers, command, cpu, memory
-from laureldock.rehearsal.fleet.processes import FRONT, Member, ProcessFleet
+from laureldock.rehearsal.fleet.configuration import FRONT_PORT
+from laureldock.rehearsal.fleet.member_process import MemberProcess
+from laureldock.rehearsal.fleet.processes import ProcessFleet
 from laureldock.rehearsal.fleet.script import Script, Step, load, shipped
 
 
@@ -32,7 +34,7 @@
     return [int(each) for each in text.split(",")]
 
 
-def pid(member: Member) -> int:
+def pid(member: MemberProcess) -> int:
     assert member.process
     return member.process.pid
 
@@ -82,7 +84,7 @@
     served = receivers.served
 
     def client(number: int) -> None:
-        with socket.create_connection((host, FRONT)) as link:
+        with socket.create_connection((host, FRONT_PORT)) as link:
             while (now := time.monotonic()) < end:
                 if sum(counts) - (receivers.served - served) > 4 * clients:
                     time.sleep(0.0005)
@@ -133,9 +135,9 @@
                 )
                 path = member.folder / "laureldock.toml"
                 path.write_text(path.read_text() + told)
-                await fleet.launch(member)
+                await member.launch()
             for member in fleet.members.values():
-                await fleet.up(member)
+                await member.wait_ready()
         try:
             await fleets[True].settle(100.0)
             rates: list[float] = []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -371,7 +371,7 @@
                 asyncio.to_thread(told, "watch", door, "--json", "--every", "0.5", "--count", "12")
             )
             await asyncio.sleep(0.6)
-            await fleet.kill(fleet.members["d2"], signal.SIGKILL)
+            await fleet.members["d2"].kill(signal.SIGKILL)
             lines = [json.loads(line) for line in (await watching).splitlines()]
             states = [line["state"] for line in lines if line["member"] == "d2" and "state" in line]
             assert states[0] == "alive" and states[-1] == "failed"
@@ -392,7 +392,7 @@
     fleet = ProcessFleet(script, 1, tmp_path, net=18)
 
     async def members(name: str) -> int:
-        view = await fleet.ask(fleet.members[name], "/_fleet")
+        view = await fleet.members[name].ask("/_fleet")
         return len(view["members"]) if view else 0
 
     async def run() -> None:
@@ -403,9 +403,9 @@
             for member, seed in ((first, "d1"), (second, "d2")):  # each knows itself alone
                 await fleet.place(member)
                 fleet.configure(member, [seed])
-                await fleet.launch(member)
+                await member.launch()
             for member in (first, second):
-                await fleet.up(member)
+                await member.wait_ready()
             await asyncio.sleep(2.0)
             assert [await members("d1"), await members("d2")] == [1, 1]
             fleet.configure(second, ["d1"])
