--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -94,7 +94,7 @@
     def owes(self, name: bytes) -> bool: ...
 
     def put(self, name: bytes, line: bytes) -> None:
-        """Take a notice; `noticed` follows once it will not be lost. Its line is `messages.encode_notice`'s."""
+        """Take a notice (`messages.encode_notice`); `noticed` follows once it will not be lost."""
 
     def close(self) -> None: ...
 
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -275,7 +275,7 @@
     kept = Kept(tmp_path / "configuration")
     kept.snapshot(5, *(f"name{number}" for number in range(2000)))
     beside, alone = Spool(tmp_path, 1e5), Spool(tmp_path / "configuration", 1e5)
-    assert beside.others() == [] and not beside.sharing
+    assert beside.unknown_files() == [] and not beside.sharing
 
     def room(spool: Spool) -> int:
         spool.open()
