docs/CAPACITY.md, worked out from the slopes by a script; a test holds it to them

Rows tell measured, reckoned and assumed apart, with the slope, its range, the budget, the ratio and the module that carries it. What is missing is ranked by need over budget.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -14,7 +14,7 @@
 
 import click
 
-from benchmarks.slopes import configuration, fleet, mails, owed, thin_load
+from benchmarks.slopes import configuration, controlled, fleet, mails, owed, thin_load
 from benchmarks.slopes.model import FOLDER, Experiment, Readings, Slope, fit, load, point, readings, save
 
 EXPERIMENTS = [
@@ -23,6 +23,7 @@
     *fleet.EXPERIMENTS,
     *mails.EXPERIMENTS,
     *thin_load.EXPERIMENTS,
+    *controlled.EXPERIMENTS,
 ]
 
 
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,122 @@
+"""docs/CAPACITY.md against the readings that it is worked out from."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity import roles
+from benchmarks.capacity.full_size import FullSize
+from benchmarks.capacity.mechanisms import MECHANISMS, PLACEMENT, module_exists
+from benchmarks.capacity.missing import missing, over_budget
+from benchmarks.capacity.page import all_rows, rendered
+from benchmarks.capacity.rows import Basis, Row, Slopes, assumed
+from benchmarks.slopes.model import Fit, Machine, Point, Readings, Slope, fit, kept, load, point, save
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+SIZE = FullSize()
+KEPT = kept()
+
+
+def line(name: str = "a", slope: float = 2.0, intercept: float = 10.0) -> tuple[Readings, Slope]:
+    points = [point(size, [intercept + slope * size]) for size in (1, 10, 100, 1000)]
+    found = Slope(name, "B", "things", points, fit(points))
+    return Readings("2026-01-01T00:00:00Z", "abc", Machine(1, "3.11"), [found]), found
+
+
+def test_page_is_what_the_readings_give() -> None:
+    assert PAGE.read_text() == rendered(Slopes(KEPT), SIZE), (
+        "python -m benchmarks.capacity --write docs/CAPACITY.md"
+    )
+
+
+def test_page_changes_with_any_slope() -> None:
+    page = rendered(Slopes(KEPT), SIZE)
+    for name, (readings, slope) in KEPT.items():
+        steeper = Fit(slope.fit.intercept, slope.fit.slope * 2 + 1, slope.fit.residual, slope.fit.interval)
+        changed = Slope(slope.name, slope.unit, slope.varied, slope.points, steeper)
+        assert rendered(Slopes({**KEPT, name: (readings, changed)}), SIZE) != page, name
+
+
+@pytest.mark.parametrize("name", KEPT)
+def test_kept_slopes_are_whole(name: str) -> None:
+    """At least four sizes; medians, spreads and the line are those of the values."""
+    readings, slope = KEPT[name]
+    assert len(slope.points) >= 4
+    assert readings.commit and not readings.commit.endswith("-dirty") and readings.date
+    assert slope.points == [point(each.size, each.values) for each in slope.points]
+    again = fit(slope.points)
+    assert slope.fit.slope == pytest.approx(again.slope)
+    assert slope.fit.intercept == pytest.approx(again.intercept)
+    assert slope.fit.residual == pytest.approx(again.residual)
+
+
+def test_every_slope_that_rows_name_is_kept_or_said_not_to_be_measured() -> None:
+    for row in all_rows(Slopes(KEPT), SIZE):
+        if row.estimate.basis is Basis.NOT_MEASURED:
+            assert row.estimate.source in roles.BY_CONTROLLER, row.quantity
+        elif row.estimate.basis is not Basis.ASSUMED:
+            assert row.estimate.source in KEPT, row.quantity
+
+
+def test_modules_that_the_page_names_exist_unless_it_says_missing() -> None:
+    for text in PAGE.read_text().splitlines():
+        for marked, module in re.findall(r"(missing \()?`(laureldock/[\w/]+\.py)`", text):
+            assert module_exists(module) is not bool(marked), text
+
+
+def test_ranges_hold_their_values() -> None:
+    for row in all_rows(Slopes(KEPT), SIZE):
+        each = row.estimate
+        if each.value is not None and each.low is not None and each.high is not None:
+            assert each.low <= each.value * (1 + 1e-9) + 1e-9, row.quantity
+            assert each.value <= each.high * (1 + 1e-9) + 1e-9, row.quantity
+
+
+def test_needs_are_ranked_by_need_over_budget() -> None:
+    rows = [
+        Row("a", "B", assumed(30, ""), 10),
+        Row("b", "B", assumed(5, ""), 10),
+        Row("c", "B", assumed(90, ""), 10),
+    ]
+    assert [row.quantity for row in over_budget(rows)] == ["c", "a"]
+    assert [row.ratio for row in rows] == [3, 0.5, 9]
+
+
+def test_mechanisms_are_ranked_by_their_greatest_need() -> None:
+    found = missing(all_rows(Slopes(KEPT), SIZE))
+    assert [need.ratio for need in found] == sorted((need.ratio for need in found), reverse=True)
+    assert {need.mechanism.name for need in found} == {each.name for each in MECHANISMS if not each.exists}
+    placement = next(need for need in found if need.mechanism is PLACEMENT)
+    assert placement.ratio == max(row.ratio or 0 for row in placement.rows) > 50
+
+
+def test_a_line_is_measured_within_its_sizes_and_reckoned_beyond_them() -> None:
+    slopes = Slopes({"a": line()})
+    within, beyond = slopes.at("a", 500), slopes.at("a", 370_000)
+    assert within.basis is Basis.MEASURED and within.value == pytest.approx(1010)
+    assert beyond.basis is Basis.RECKONED and beyond.value == pytest.approx(740_010)
+    assert slopes.at("b", 1).basis is Basis.NOT_MEASURED and slopes.at("b", 1).times(2).value is None
+
+
+def test_a_bend_shows_in_residual_and_interval() -> None:
+    straight = fit([Point(size, [size], size, 0.0) for size in (1.0, 10.0, 100.0, 1000.0)])
+    bent = fit([Point(size, [size**2], size**2, 0.0) for size in (1.0, 10.0, 100.0, 1000.0)])
+    assert straight.residual == pytest.approx(0) and straight.interval == pytest.approx((1, 1))
+    assert bent.residual > 0.01 and bent.interval and bent.interval[1] > 2 * bent.interval[0]
+
+
+def test_readings_are_kept_and_read_again(tmp_path: Path) -> None:
+    readings, _ = line()
+    save(tmp_path / "a.json", readings)
+    assert load(tmp_path / "a.json") == readings
+
+
+def test_full_size_follows_from_the_operators_figures() -> None:
+    assert SIZE.events_each == 240
+    assert SIZE.down == pytest.approx(6_660)
+    assert SIZE.between_events / 60 == pytest.approx(25.7, abs=0.1)
+    assert SIZE.owed_each == pytest.approx(19.3e6, rel=0.01)
