--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -131,7 +131,7 @@
     cores, bytes_ = size.control_core, size.control_bytes
     memory = slopes.at(FOLLOWER_MEMORY, size.destinations)
     start = slopes.at(FOLLOWER_START, size.destinations)
-    every, budget = "every dispatcher follows all of them", size.control_memory
+    every = "every dispatcher follows all of them"
     return [
         Row(
             "memory, all destinations, at the start",
