Each member of a fleet probes in an order of its own, whatever its counter

Line at fault: SeededRandom.shuffled drew by counter and name alone, so that members whose counters are equal went through the fleet in step and probed one and the same member in each period. Change: its seed and own name are drawn with.

--- a/laureldock/fleet/randomness.py
+++ b/laureldock/fleet/randomness.py
@@ -22,5 +22,7 @@
         return 0.75 + 0.5 * self.fraction()
 
     def shuffled(self, names: list[str]) -> list[str]:
-        """The names in a random order."""
-        return sorted(names, key=lambda name: zlib.crc32(f"{next(self._counter)}:{name}".encode()))
+        """The names in a random order, which differs between members whose counters are equal."""
+        return sorted(
+            names, key=lambda name: zlib.crc32(f"{self._prefix}{next(self._counter)}:{name}".encode())
+        )
