Another kind of a destination is checked at its routes with settings of their own: tested

The random sequences fail a copy that leaves those routes out, and so does this plain test, which says why at once.

--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -190,6 +190,16 @@
     assert place in paths(refusal(catalog, change))
 
 
+def test_another_kind_of_a_destination_is_checked_at_its_routes_too(catalog: Catalog) -> None:
+    settled = terms(queue_class="charge", route="e1", time_out=Seconds(2))
+    catalog.apply(put(endpoint("e1", "east", 9005, time_out=Seconds(2)), settled, destination("east")))
+    catalog.apply(put(terms(queue_class="news", kind="office", time_out=Seconds(3))))
+    faults = refusal(catalog, put(destination("east", "office")))
+    assert paths(faults) & {"endpoint.e1.time_out", "terms.class=news,kind=office.time_out"}
+    catalog.apply(put(destination("east", "shop")))
+    assert vars(catalog.places) == vars(of_entries(catalog).places)
+
+
 def test_two_that_swap_their_addresses_in_one_change_never_share_one(catalog: Catalog) -> None:
     catalog.apply(put(endpoint("n2", "north", 9003)))
     catalog.apply(put(endpoint("n1", "north", 9003), endpoint("n2", "north", 9001)))
@@ -229,6 +239,13 @@
     return count
 
 
+def of_entries(catalog: Catalog) -> Catalog:
+    """The same, filled at once."""
+    found = Catalog(BASE)
+    found.replace(list(catalog.entries()))
+    return found
+
+
 def of_size(count: int) -> Catalog:
     found = Catalog(BASE)
     found.replace([endpoint(f"e{number}", f"d{number}", 9001) for number in range(count)])
