--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -3,7 +3,9 @@
     python -m benchmarks.capacity_slopes [--only NAME] [--quick] [--to benchmarks/slopes]
 
 Processor time is read from the kernel's clock of each process, so that a busy machine spoils it less than
-wall time. `--quick` measures each size once and leaves the largest out; its figures belong on no page.
+wall time. All experiments one after the other took some 40 minutes beside 20 to 50 other processes; on a free
+machine the time was not measured. `--quick` measures each size once and leaves the largest out; its figures
+belong on no page.
 """
 
 from __future__ import annotations
