The check of the way of changes writes no log and ends where calls follow calls without time

Cause: a sabotaged controller logged each defect with its trace, which took minutes to lay out on a busy machine.

--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+import structlog
+from assembled import unheard
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
@@ -45,6 +47,7 @@
 DISPATCHER = 'name = "d"\n[source]\nkind = "controller"\ncontrollers = ["127.0.0.1:1"]\n' + CLASSES
 TRANSIT = 0.01  # seconds from one end of a stream to the other
 STEP = 0.05
+MAX_CALLS = 20_000  # in one step
 IN_TIME = 15.0  # seconds in which a change is in force on all that are up
 
 
@@ -135,8 +138,19 @@
     pauseProducing = resumeProducing = nothing  # noqa: N815
 
 
+class EndlessError(Exception):
+    """Calls follow calls and no time passes."""
+
+
 class WorldReactor(MemoryReactorClock):
     world: World
+    calls_made = 0  # asked for since the clock went on
+
+    def callLater(self, delay, callable, *args, **kw):  # type: ignore[no-untyped-def]  # noqa: N802
+        self.calls_made += 1
+        if self.calls_made > MAX_CALLS:
+            raise EndlessError
+        return super().callLater(delay, callable, *args, **kw)
 
     def connectTCP(  # type: ignore[no-untyped-def]  # noqa: N802
         self,
@@ -147,7 +161,7 @@
         bindAddress=None,  # noqa: N803
     ):
         connector = Connector()
-        self.callLater(TRANSIT, self.world.connect, host, factory, connector)
+        self.callLater(TRANSIT, self.world.connect, host, factory, connector)  # type: ignore[no-untyped-call]
         return connector
 
 
@@ -193,6 +207,7 @@
 
     def start_controller(self) -> None:
         service = self.service_class(load(str(self.file)).plan, self.folder / "state", self.reactor)
+        service.log = structlog.wrap_logger(None, processors=[unheard])
         service.start()
         self.service = service
         append = service.state.log.append
@@ -257,6 +272,7 @@
 
     def after(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP)):
+            self.reactor.calls_made = 0
             self.reactor.advance(STEP)
             self.look()
 
