laureldock rehearse scale: hollow and real members, a controller, modelled delays

What control costs at the size that is aimed at was only known from a simulation without sockets. Hollow members run the view and follow the configuration as a dispatcher does, over real sockets, many in one process; real dispatchers and a controller stand beside them as processes of their own. Six regions with fifteen zones, delays, loss and cuts are modelled at the sender by a seed. Phases: start, quiet, changes, burst, 2 lost, 340 restarts, rack, zone, impaired links, regions apart, changes while one region is cut off. Printed beside the three budgets, failed ones as `over`, and kept as JSON with a plot.

--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import os
 import tempfile
 from pathlib import Path
 
@@ -108,3 +110,66 @@
         for each in verdict.broken:
             click.echo(f"  {each}")
     raise SystemExit(0 if verdict.held else 1)
+
+
+@command.command()
+@click.option("--members", default=100, show_default=True, help="Hollow and real together.")
+@click.option(
+    "--real", default=24, show_default=True, help="Of them, real dispatchers as processes of their own."
+)
+@click.option("--script", default="all", show_default=True, help="Phases in their order, divided by commas.")
+@click.option("--seed", default=1, show_default=True, help="Of what is drawn: victims, losses, jitter.")
+@click.option("--period", default=1.0, show_default=True, help="Seconds between probes of the view.")
+@click.option("--delays", default=1.0, show_default=True, help="Times the modelled delays; 0: none.")
+@click.option("--in-process", default=64, show_default=True, help="Hollow members in a process, at most.")
+@click.option("--filled", is_flag=True, help="Hollow members know each other at the start.")
+@click.option("--controller/--no-controller", default=True, show_default=True, help="Follow a configuration.")
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="The results, kept as JSON.")
+@click.option("--plot", "plot_file", type=click.Path(path_type=Path), help="The results as a picture.")
+@click.option("--folder", type=click.Path(path_type=Path), help="Kept afterwards; else a temporary one.")
+def scale(
+    members: int, real: int, script: str, seed: int, period: float, delays: float, in_process: int,
+    filled: bool, controller: bool, json_file: Path | None, plot_file: Path | None, folder: Path | None,
+) -> None:  # fmt: skip
+    """Measure what control costs a fleet of many members on loopback, beside its budgets.
+
+    Most members are hollow: they run the view and follow the configuration over real sockets, and take no
+    mails. They stand in regions and zones with modelled delays. A budget that is failed is printed as `over`.
+    """
+    from laureldock.rehearsal.scale import report
+    from laureldock.rehearsal.scale.runner import ScaleRun
+    from laureldock.rehearsal.scale.script import PHASES, Timing
+    from laureldock.rehearsal.scale.settings import RunSettings
+    from laureldock.rehearsal.scale.topology import World
+
+    phases = list(PHASES) if script == "all" else script.split(",")
+    world = World(members - real, real, net=16 + os.getpid() % 200, seed=seed, delay_factor=delays)
+    with tempfile.TemporaryDirectory() as temporary:
+        settings = RunSettings(
+            world,
+            Timing(period, filled=filled),
+            phases,
+            folder or Path(temporary),
+            in_process,
+            controller=controller,
+        )
+        settings.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            run = ScaleRun(settings, lambda line: click.echo(line, err=True))
+        except ValueError as fault:
+            raise click.UsageError(str(fault)) from None
+        try:
+            result = asyncio.run(run.play())
+        except* (OSError, TimeoutError, RuntimeError) as faults:
+            raise click.ClickException(str(faults.exceptions[0])) from None
+    click.echo("\n".join(report.table(result)))
+    if json_file:
+        json_file.write_bytes(report.as_json(result))
+    if plot_file:
+        try:
+            from laureldock.rehearsal.scale.plot import plot
+
+            plot([report.document(result)], plot_file)
+        except ImportError as fault:
+            hint = "pip install 'laureldock[plots]'"
+            raise click.ClickException(f"{fault}; a plot needs its extra: {hint}") from None
--- /dev/null
+++ b/laureldock/rehearsal/scale/plot.py
@@ -0,0 +1,58 @@
+"""Scale runs as a picture. Needs matplotlib, the extra `plots`."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from laureldock.rehearsal.scale.measures import CPU_BUDGET, MEMORY_BUDGET, TRAFFIC_BUDGET
+
+
+def plot(documents: list[dict[str, Any]], path: Path) -> None:
+    """One bar a phase and run: median, and a line up to the worst, beside the budget. ImportError."""
+    import matplotlib
+
+    matplotlib.use("agg")
+    from matplotlib import pyplot
+
+    panels = (
+        ("cpu_share", "processor, % of a core", 100.0, CPU_BUDGET, True),
+        ("bytes_per_second", "kB/s, both ways", 1e-3, TRAFFIC_BUDGET, True),
+        ("memory_bytes", "memory, MB", 1e-6, MEMORY_BUDGET, False),
+    )
+    names = list(dict.fromkeys(phase["name"] for told in documents for phase in told["phases"]))
+    figure, axes = pyplot.subplots(len(panels), 1, figsize=(9, 8), sharex=True, layout="constrained")
+    width = 0.8 / len(documents)
+    for axis, (field, label, unit, budget, is_rate) in zip(axes, panels, strict=True):
+        for number, told in enumerate(documents):
+            factor = unit * (told["timing"]["period"] if is_rate else 1.0)
+            phases = [phase for phase in told["phases"] if phase[field] and not phase["not_run"]]
+            places = [
+                names.index(phase["name"]) + (number - (len(documents) - 1) / 2) * width for phase in phases
+            ]
+            medians = [phase[field]["median"] * factor for phase in phases]
+            above = [
+                phase[field]["worst"] * factor - median for phase, median in zip(phases, medians, strict=True)
+            ]
+            members = told["world"]["hollow"] + told["world"]["real"]
+            axis.bar(
+                places,
+                medians,
+                width,
+                yerr=[[0.0] * len(above), above],
+                capsize=2,
+                label=f"{members} members",
+            )
+        axis.axhline(budget * unit, linestyle=":", color="black", label="budget")
+        axis.set_ylabel(label)
+        axis.set_yscale("log")
+    axes[0].legend(fontsize=7)
+    axes[0].set_title("median and worst of hollow members, mean over a phase, at a period of 1 s", fontsize=9)
+    axes[-1].set_xticks(range(len(names)), names, rotation=45, ha="right")
+    figure.savefig(path, dpi=80)
+
+
+def plot_files(paths: list[Path], path: Path) -> None:
+    """Of runs kept as JSON."""
+    plot([json.loads(each.read_bytes()) for each in paths], path)
