--- a/tests/test_fleet_trace.py
+++ b/tests/test_fleet_trace.py
@@ -60,7 +60,7 @@
 
 
 def test_members_whose_counters_are_equal_probe_in_orders_of_their_own() -> None:
-    """All went through the fleet in step: of 400, nobody suspected one that had crashed for 42 periods."""
+    """They went through the fleet in step, and all of a period probed one and the same member."""
     names = [f"d{number}" for number in range(50)]
     orders = [SeededRandom(7, name, count(1)).shuffled(names) for name in names]
     assert len({tuple(order) for order in orders}) == len(orders)
