A test of proposals that are left: its follower stays heard, and sums up its entries in time

Seen (whole suite beside other work): test_changes_that_are_proposed_and_left_are_bounded failed once. Its follower said nothing for over six seconds while 20,000 entries and 300 proposals were decided, which the controller rightly takes for silent; and it hashed all entries anew for each change, 0.25 s each.

--- a/tests/controlled.py
+++ b/tests/controlled.py
@@ -183,6 +183,7 @@
     def __init__(self, port: int, name: str, position: Position = NO_POSITION) -> None:
         super().__init__(port)
         self.entries: dict[EntryKey, CatalogEntry] = {}
+        self.digests: dict[EntryKey, tuple[CatalogEntry, int]] = {}  # of entries as they were last summed up
         self.position, self.digest = position, 0
         self.kinds: list[str] = []
         self.send(Subscribe(name, position, 0))
@@ -222,7 +223,9 @@
 
     def reach(self, position: Position, digest: int) -> None:
         own = 0
-        for entry in self.entries.values():
-            own ^= entry_digest(entry)
+        for key, entry in self.entries.items():
+            if key not in self.digests or self.digests[key][0] is not entry:
+                self.digests[key] = entry, entry_digest(entry)
+            own ^= self.digests[key][1]
         assert own == digest
         self.position, self.digest = position, digest
--- a/tests/test_controller_faults.py
+++ b/tests/test_controller_faults.py
@@ -148,20 +148,37 @@
     large = threading.Thread(target=found.propose, args=(puts(*(f"a{number}" for number in range(20_000))),))
     large.start()
     time.sleep(0.5)
+
+    def beat() -> None:  # what is silent for six seconds is closed, and a busy machine takes as long
+        good.send(Heartbeat(good.position))
+
     for number in range(300):
         stream = Stream(found.port)
         stream.send(Propose(encode_change(puts(f"b{number}")), True))
         stream.close()
-    large.join(9)
-    found.until(lambda: comes_through(found))
+        beat()
+    end = time.monotonic() + 20.0
+    while large.is_alive() and time.monotonic() < end:
+        large.join(0.5)
+        beat()
+
+    def decided() -> bool:
+        beat()
+        return comes_through(found)
+
+    def level() -> bool:
+        """Those that are still decided upon come after one another."""
+        good.follow(found.status().position.version)
+        return found.status().digest == good.digest
+
+    found.until(decided)
+    found.until(level)
     assert found.process
     found.process.send_signal(signal.SIGUSR1)
     found.until(lambda: bool(found.events("counters")))
     counters = found.events("counters")[0]
     assert 1 <= counters["changes accepted"] <= 301 and counters["dispatchers"] == 1
-    version = found.status().position.version
-    good.follow(version)
-    assert found.status().digest == good.digest and not found.events("fault")
+    assert not found.events("fault")
 
 
 def test_faults_with_long_names_fit_the_answer(found: Controller) -> None:
