What both sides of a stream share stands once: heartbeats, silence, refusals, reports of faults

Cause: publisher and subscriber each had their own heartbeat interval and limit of silence, which must agree, their own Refusal, and controller and dispatcher each cut faults to what a message holds. Change: all four stand beside the messages.

--- a/benchmarks/slopes/controlled.py
+++ b/benchmarks/slopes/controlled.py
@@ -16,6 +16,7 @@
 from laureldock.replication import messages
 from laureldock.replication.change_log import ChangeLog
 from laureldock.replication.messages import (
+    HEARTBEAT_INTERVAL,
     ChangeMessage,
     Heartbeat,
     InForce,
@@ -23,7 +24,6 @@
     Position,
     SnapshotPart,
 )
-from laureldock.replication.publisher import HEARTBEAT_INTERVAL
 from laureldock.setup.changes import Change, EndpointEntry, encode_change, entry_digest
 from laureldock.setup.plan import Endpoint
 from laureldock.setup.units import Address
--- a/laureldock/controller/service.py
+++ b/laureldock/controller/service.py
@@ -18,7 +18,7 @@
 
 from laureldock.controller.server import Server
 from laureldock.controller.state import AcceptedState, SnapshotCancelledError, SnapshotJob
-from laureldock.replication.messages import Accepted, FaultReport, Rejected, Status
+from laureldock.replication.messages import MAX_TEXT_LENGTH, Accepted, Rejected, Status, fault_report
 from laureldock.replication.publisher import Close, Effect, Publisher, Report, Send
 from laureldock.setup.catalog import RefusedChangeError
 from laureldock.setup.changes import Change
@@ -31,17 +31,11 @@
 MIN_COMPACTED_BYTES = 1 << 20
 MIN_TURN_INTERVAL = 0.001  # seconds, between turns that only the clock asks for
 COMPACTION_RETRY = 60.0  # seconds after one that failed
-MAX_TOLD_FAULTS, MAX_TEXT = 1000, 512
+MAX_TOLD_FAULTS = 1000
 
 Answer = Accepted | Rejected
 
 
-def fault_report(fault: Fault) -> FaultReport:
-    """As it travels: texts cut to what a message may hold."""
-    path, also = fault.path[:8], (fault.also or ())[:8]
-    return FaultReport(path, fault.reason[:MAX_TEXT], fault.allowed[:MAX_TEXT], also)
-
-
 def rejected(*faults: Fault) -> Rejected:
     return Rejected(tuple(map(fault_report, faults[:MAX_TOLD_FAULTS])), len(faults))
 
@@ -165,7 +159,7 @@
 
     def _refuse(self, refused: RefusedChangeError) -> Rejected:
         self.counters["changes refused"] += 1
-        self.log.info("change refused", faults=len(refused.faults), first=str(refused)[:MAX_TEXT])
+        self.log.info("change refused", faults=len(refused.faults), first=str(refused)[:MAX_TEXT_LENGTH])
         return rejected(*refused.faults)
 
     def _accept_prepared(self, change: Change, prepared: tuple[bytes, Change] | None) -> Answer:
--- a/laureldock/replication/messages.py
+++ b/laureldock/replication/messages.py
@@ -17,14 +17,21 @@
 from msgspec import Meta, Struct
 from xxhash import xxh3_64_intdigest
 
+from laureldock.setup.faults import Fault
+
 MAGIC = b"lc"
 PROTOCOL_VERSION = 1
 # Bytes of one frame, and of the encoded change or snapshot part in it.
 MAX_FRAME_BYTES = 1 << 20
 MAX_BODY_BYTES = MAX_FRAME_BYTES - 4096
+# Seconds: each side sends at least a heartbeat so often, and gives up a stream that was silent for so long.
+HEARTBEAT_INTERVAL = 2.0
+SILENCE_LIMIT = 6.0
+MAX_TEXT_LENGTH, MAX_PATH_LENGTH = 512, 8
 
 Name = Annotated[str, Meta(pattern=r"^[!-~]{1,64}$")]
-Text = Annotated[str, Meta(max_length=512)]
+Text = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]
+Path = Annotated[tuple[str | int, ...], Meta(max_length=MAX_PATH_LENGTH)]  # as `setup.faults.Path`
 Number = Annotated[int, Meta(ge=0, lt=1 << 62)]
 Digest = Annotated[int, Meta(ge=0, lt=1 << 62)]  # msgspec takes no larger bound
 Body = Annotated[bytes, Meta(max_length=MAX_BODY_BYTES)]
@@ -46,12 +53,25 @@
 
 
 class FaultReport(Struct, array_like=True, frozen=True):
-    """One fault of a refused change: where, why, and what would be allowed. `path` as `setup.faults.Path`."""
+    """One fault of a refused change: where, why, and what would be allowed."""
 
-    path: Annotated[tuple[str | int, ...], Meta(max_length=8)]
+    path: Path
     reason: Text
     allowed: Text = ""
-    also: Annotated[tuple[str | int, ...], Meta(max_length=8)] = ()
+    also: Path = ()
+
+
+def fault_report(fault: Fault) -> FaultReport:
+    """A fault as it travels: cut to what a message may hold."""
+    path, also = fault.path[:MAX_PATH_LENGTH], (fault.also or ())[:MAX_PATH_LENGTH]
+    return FaultReport(path, fault.reason[:MAX_TEXT_LENGTH], fault.allowed[:MAX_TEXT_LENGTH], also)
+
+
+class Refusal(Struct, frozen=True):
+    """The newest change or snapshot that a dispatcher did not take, as either side remembers it."""
+
+    position: Position
+    reason: str
 
 
 # From a dispatcher to the controller
--- a/laureldock/replication/publisher.py
+++ b/laureldock/replication/publisher.py
@@ -15,11 +15,14 @@
 
 from laureldock.replication import messages
 from laureldock.replication.messages import (
+    HEARTBEAT_INTERVAL,
+    SILENCE_LIMIT,
     ChangeMessage,
     Heartbeat,
     InForce,
     Message,
     Position,
+    Refusal,
     Refused,
     SnapshotBegin,
     SnapshotPart,
@@ -30,8 +33,6 @@
 )
 from laureldock.replication.pacing import TokenBucket
 
-HEARTBEAT_INTERVAL = 2.0  # seconds, each way
-SILENCE_LIMIT = 6.0  # seconds after which a stream is closed
 BURST_BYTES = 32 << 10
 MAX_CHANGE_BYTES = 64 << 10  # of one change that is sent; a larger one is carried by a snapshot
 CACHED_PAYLOADS, CACHED_BYTES = 64, 1 << 20
@@ -105,14 +106,6 @@
 Effect = Send | Close | Report
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Of a change, by a dispatcher."""
-
-    position: Position
-    reason: str
-
-
 @dataclass(slots=True, eq=False)
 class Subscriber:
     """A dispatcher that follows, or that followed and was lost (`stream` is None)."""
--- a/laureldock/replication/subscriber.py
+++ b/laureldock/replication/subscriber.py
@@ -17,13 +17,17 @@
 
 from laureldock.replication.incoming_snapshot import IncomingSnapshot, PartOutcome
 from laureldock.replication.messages import (
+    HEARTBEAT_INTERVAL,
+    MAX_TEXT_LENGTH,
     NO_POSITION,
+    SILENCE_LIMIT,
     ChangeMessage,
     FaultReport,
     Heartbeat,
     InForce,
     Message,
     Position,
+    Refusal,
     Refused,
     SnapshotBegin,
     SnapshotPart,
@@ -41,8 +45,6 @@
 )
 
 # Seconds.
-HEARTBEAT_INTERVAL = 2.0
-SILENCE_LIMIT = 6.0
 CONNECT_TIMEOUT = 3.0
 SHORTEST_BACKOFF, LONGEST_BACKOFF = 0.25, 4.0
 # A question to the controller is repeated after so long without an answer, twice as long each time.
@@ -130,12 +132,6 @@
     OPEN = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    position: Position
-    reason: str
-
-
 class Subscriber:
     """Follows one of `controllers` (host:port, tried in turn) under `name`.
 
@@ -374,7 +370,9 @@
             change = decode_change(message.body)
         except UnreadableChangeError as fault:
             self._add_unreadable(now)
-            self._refuse(now, message.position, [FaultReport((), f"cannot be read: {fault}"[:512])])
+            self._refuse(
+                now, message.position, [FaultReport((), f"cannot be read: {fault}"[:MAX_TEXT_LENGTH])]
+            )
             return
         body = message.body
         if self.pending.count:
@@ -413,7 +411,7 @@
         except UnreadableChangeError as fault:
             self._snapshot = None
             self._refuse_snapshot(
-                now, snapshot.begin.position, [FaultReport((), f"cannot be read: {fault}"[:512])]
+                now, snapshot.begin.position, [FaultReport((), f"cannot be read: {fault}"[:MAX_TEXT_LENGTH])]
             )
             return
         match outcome:
--- a/laureldock/sources/controlled.py
+++ b/laureldock/sources/controlled.py
@@ -17,7 +17,7 @@
 from laureldock.replication import messages
 from laureldock.replication.change_log import Record
 from laureldock.replication.configuration_store import ConfigurationStore, KeptConfiguration
-from laureldock.replication.messages import NO_POSITION, FaultReport
+from laureldock.replication.messages import MAX_TEXT_LENGTH, NO_POSITION, FaultReport, fault_report
 from laureldock.replication.subscriber import (
     CONNECT_TIMEOUT,
     MAX_REPORTED_FAULTS,
@@ -32,14 +32,12 @@
     SubscriberEvent,
 )
 from laureldock.setup.catalog import RefusedChangeError
-from laureldock.setup.faults import Fault
 
 # Frames that were read and wait for their turn: above so many the stream is not read for a while.
 MAX_WAITING_FRAMES = 64
 # Seconds.
 CONFIRM_INTERVAL = 10.0
 LOCK_INTERVAL = 0.5
-MAX_TEXT = 512
 
 
 class _Frames(Int32StringReceiver):
@@ -234,12 +232,12 @@
         try:
             apply()
         except RefusedChangeError as refused:
-            self.subscriber.refused(self._now(), [report_of(fault) for fault in refused.faults])
+            self.subscriber.refused(self._now(), [fault_report(fault) for fault in refused.faults])
             return
         except Exception as defect:  # ends this change, not the process; what is in force now is not known
             self.on_event(SubscriberEvent("fault", {"fault": repr(defect)}, serious=True))
             self.subscriber.distrust()
-            self.subscriber.refused(self._now(), [FaultReport((), f"fault: {defect!r}"[:MAX_TEXT])])
+            self.subscriber.refused(self._now(), [FaultReport((), f"fault: {defect!r}"[:MAX_TEXT_LENGTH])])
             return
         right = self.sink.digest == effect.digest
         on_disk = right and self._keep(effect)
@@ -280,11 +278,6 @@
             self._turn()
 
 
-def report_of(fault: Fault) -> FaultReport:
-    path, also = fault.path[:8], (fault.also or ())[:8]
-    return FaultReport(path, fault.reason[:MAX_TEXT], fault.allowed[:MAX_TEXT], also)
-
-
 class Controlled:
     """The source of a dispatcher that follows a controller.
 
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -13,7 +13,9 @@
 from laureldock.replication import messages
 from laureldock.replication.change_log import Record
 from laureldock.replication.messages import (
+    HEARTBEAT_INTERVAL,
     NO_POSITION,
+    SILENCE_LIMIT,
     ChangeMessage,
     FaultReport,
     Heartbeat,
@@ -29,9 +31,7 @@
 from laureldock.replication.pacing import TokenBucket
 from laureldock.replication.publisher import (
     BURST_BYTES,
-    HEARTBEAT_INTERVAL,
     MAX_CHANGE_BYTES,
-    SILENCE_LIMIT,
     Close,
     Publisher,
     Report,
