One record, one replay and one way to group entries for controller and dispatcher

Cause: the change log had its record twice (as kept and as told); controller and dispatcher each put a log together again, each with a sum of its own, each cut entries into parts and each had the limit at which a log is compacted; keys were grouped by a copy of what groups entries. Change: Record is what the log holds; replication/replay.py, ChangeLog.compaction_due and parts.snapshot_parts serve both; grouped takes a size.

--- a/benchmarks/slopes/controlled.py
+++ b/benchmarks/slopes/controlled.py
@@ -12,7 +12,6 @@
 from benchmarks.slopes.model import Experiment, Measured, Values
 from benchmarks.slopes.process import MOST_START, Process, address_of, free_port, processor_time, resident
 from laureldock.controller.client import UnreachableError, status
-from laureldock.controller.state import snapshot_parts
 from laureldock.replication import messages
 from laureldock.replication.change_log import ChangeLog
 from laureldock.replication.messages import (
@@ -24,6 +23,7 @@
     Position,
     SnapshotPart,
 )
+from laureldock.replication.parts import snapshot_parts
 from laureldock.setup.changes import Change, EndpointEntry, encode_change, entry_digest
 from laureldock.setup.plan import Endpoint
 from laureldock.setup.units import Address
--- a/laureldock/controller/client.py
+++ b/laureldock/controller/client.py
@@ -17,7 +17,7 @@
     Status,
     StatusRequest,
 )
-from laureldock.replication.parts import grouped
+from laureldock.replication.parts import encoded_size, grouped
 from laureldock.setup.changes import Change, EntryKey, encode_change
 
 CONNECT_LIMIT = 5.0  # seconds
@@ -33,26 +33,17 @@
 
 def parts(change: Change) -> Iterator[bytes]:
     """A change as bodies of `Propose`, one at least."""
-    for group in grouped(change.puts, PART_BYTES):
-        yield encode_change(Change(tuple(group)))
-    for keys in grouped_keys(change.removals):
-        yield encode_change(Change((), keys))
+    for entries in grouped(change.puts, encoded_size, PART_BYTES):
+        yield encode_change(Change(tuple(entries)))
+    for keys in grouped(change.removals, key_size, PART_BYTES):
+        yield encode_change(Change((), tuple(keys)))
     if not change.puts and not change.removals:
         yield encode_change(change)
 
 
-def grouped_keys(keys: tuple[EntryKey, ...]) -> Iterator[tuple[EntryKey, ...]]:
-    group: list[EntryKey] = []
-    size = 0
-    for key in keys:
-        length = len(key.name.encode()) + KEY_BYTES
-        if group and size + length > PART_BYTES:
-            yield tuple(group)
-            group, size = [], 0
-        group.append(key)
-        size += length
-    if group:
-        yield tuple(group)
+def key_size(key: EntryKey) -> int:
+    """Bytes of an encoded key, at most."""
+    return len(key.name.encode()) + KEY_BYTES
 
 
 def propose(address: str, change: Change, expected_version: int = -1) -> Accepted | Rejected:
--- a/laureldock/controller/service.py
+++ b/laureldock/controller/service.py
@@ -28,7 +28,6 @@
 # A change of more entries is checked beside the reactor, which goes on meanwhile.
 MAX_INLINE_ENTRIES = 500
 MAX_WAITING_CHANGES = 16
-MIN_COMPACTED_BYTES = 1 << 20
 MIN_TURN_INTERVAL = 0.001  # seconds, between turns that only the clock asks for
 COMPACTION_RETRY = 60.0  # seconds after one that failed
 MAX_TOLD_FAULTS = 1000
@@ -197,7 +196,7 @@
             return True
         if publisher.compaction_wanted and self.state.position.version > log.snapshot_version:
             return True
-        return log.log_bytes > max(MIN_COMPACTED_BYTES, log.snapshot_bytes)
+        return log.compaction_due
 
     def _compact_soon(self) -> None:
         if self._compacting or self.stopping or not self._compaction_due():
--- a/laureldock/controller/state.py
+++ b/laureldock/controller/state.py
@@ -2,27 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
 from laureldock.replication.change_log import ChangeLog, Record, SnapshotWriter, SpoiltLogError
 from laureldock.replication.messages import NO_POSITION, Position
-from laureldock.replication.parts import grouped
+from laureldock.replication.parts import snapshot_parts
+from laureldock.replication.replay import ReplayedEntries
 from laureldock.setup.catalog import Catalog
-from laureldock.setup.changes import (
-    CatalogEntry,
-    Change,
-    EntryKey,
-    UnreadableChangeError,
-    decode_change,
-    decode_entries,
-    encode_change,
-    encode_entries,
-    entry_digest,
-)
+from laureldock.setup.changes import CatalogEntry, Change, UnreadableChangeError, encode_change
 from laureldock.setup.plan import Plan
 
-SNAPSHOT_PART_BYTES = 16 << 10  # of encoded entries, one large entry aside; what the pace lets through in 4 s
 MAX_ENTRY_BYTES = 64 << 10
 
 
@@ -48,22 +38,18 @@
 
         SpoiltLogError; RefusedChangeError where the entries do not fit the file any more; OSError.
         """
-        entries: dict[EntryKey, CatalogEntry] = {}
-        digest = 0
+        replayed = ReplayedEntries()
         for found in self.log.load():
             try:
-                if isinstance(found, Record):
-                    digest ^= merge(entries, decode_change(found.body))
-                    self.accepted_at = found.accepted_at
-                else:
-                    digest ^= merge(entries, Change(decode_entries(found)))
+                replayed.add(found)
             except UnreadableChangeError as fault:
                 raise SpoiltLogError(self.log.folder, 0, f"of a later program? {fault}") from None
             if isinstance(found, Record):
-                self._compare(digest, found.digest, found.position)
+                self.accepted_at = found.accepted_at
+                self._compare(replayed.digest, found.digest, found.position)
                 yield found
-        self._compare(digest, self.log.digest, self.log.position)
-        self.catalog.replace(entries.values())
+        self._compare(replayed.digest, self.log.digest, self.log.position)
+        self.catalog.replace(replayed.by_key.values())
         if self.log.position == NO_POSITION:
             self.log.compact(Position(new_epoch, 0), 0, [])
 
@@ -99,23 +85,6 @@
         return record
 
 
-def merge(entries: dict[EntryKey, CatalogEntry], change: Change) -> int:
-    """Put and remove unchecked; what that adds to the digest."""
-    digest = 0
-    for key in (*change.removals, *(entry.key for entry in change.puts)):
-        if (before := entries.pop(key, None)) is not None:
-            digest ^= entry_digest(before)
-    for entry in change.puts:
-        entries[entry.key] = entry
-        digest ^= entry_digest(entry)
-    return digest
-
-
-def snapshot_parts(entries: Iterable[CatalogEntry]) -> Iterator[bytes]:
-    """Entries encoded in parts of some 16 KiB."""
-    return map(encode_entries, grouped(entries, SNAPSHOT_PART_BYTES))
-
-
 class SnapshotCancelledError(Exception):
     """The process ends, or the disk failed: the old snapshot and log hold."""
 
--- a/laureldock/replication/change_log.py
+++ b/laureldock/replication/change_log.py
@@ -18,7 +18,6 @@
 from array import array
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from io import FileIO
 from pathlib import Path
 from struct import Struct
@@ -37,6 +36,8 @@
 LENGTH = Struct(">I")
 CHECKSUM = Struct(">Q")
 FILE_MODE = 0o600
+# Bytes: a log is compacted when it is longer than this, and than the snapshot.
+MIN_COMPACTED_BYTES = 1 << 20
 
 
 class SpoiltLogError(Exception):
@@ -51,9 +52,8 @@
     """Another process holds the folder."""
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
-    """One accepted change: it leads from the version before `position` to it."""
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """One accepted change, as the log holds it: it leads from the version before `position` to it."""
 
     position: Position
     digest: int  # of all entries after it
@@ -61,15 +61,8 @@
     body: bytes  # `setup.changes.encode_change`
 
 
-class _StoredRecord(msgspec.Struct, array_like=True, frozen=True):
-    position: Position
-    digest: int
-    accepted_at: float
-    body: bytes
-
-
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(_StoredRecord)
+_decoder = msgspec.msgpack.Decoder(Record)
 
 
 def frame(payload: bytes) -> bytes:
@@ -79,8 +72,7 @@
 
 def encode_record(record: Record) -> bytes:
     """The frame of one record, as the log holds it."""
-    stored = _StoredRecord(record.position, record.digest, record.accepted_at, record.body)
-    return frame(_encoder.encode(stored))
+    return frame(_encoder.encode(record))
 
 
 def sealed(header: Struct, *fields: int | bytes) -> bytes:
@@ -214,11 +206,11 @@
         frames = _Frames(self.path, self.file, self.size)
         while (payload := frames.next()) is not None:
             try:
-                stored = _decoder.decode(payload)
+                record = _decoder.decode(payload)
             except msgspec.DecodeError as fault:
                 raise SpoiltLogError(self.path, self.size, f"not a record: {fault}") from None
-            yield Record(stored.position, stored.digest, stored.accepted_at, stored.body)
-            self.add(stored.position.version, stored.digest, frames.offset - self.size)
+            yield record
+            self.add(record.position.version, record.digest, frames.offset - self.size)
 
     @property
     def last_version(self) -> int:
@@ -246,13 +238,13 @@
         place = bisect_right(self.versions, version)
         if place == len(self.versions):
             return []
-        frames, found = _Frames(self.path, self.file, self.offsets[place]), []
+        frames = _Frames(self.path, self.file, self.offsets[place])
+        found: list[Record] = []
         for _ in range(min(max_records, len(self.versions) - place)):
             payload = frames.next()
             if payload is None:
                 raise frames.spoilt("a record is missing")
-            stored = _decoder.decode(payload)
-            found.append(Record(stored.position, stored.digest, stored.accepted_at, stored.body))
+            found.append(_decoder.decode(payload))
         return found
 
 
@@ -407,6 +399,11 @@
 
     # Compacting
 
+    @property
+    def compaction_due(self) -> bool:
+        """Whether the log has become so long that a snapshot is to take its place."""
+        return self.log_bytes > max(MIN_COMPACTED_BYTES, self.snapshot_bytes)
+
     def compact(self, position: Position, digest: int, parts: Iterable[bytes], entries: int = 0) -> None:
         """Replace all by a snapshot and an empty log. OSError: the old ones hold.
 
--- a/laureldock/replication/configuration_store.py
+++ b/laureldock/replication/configuration_store.py
@@ -12,27 +12,17 @@
 import fcntl
 import os
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from itertools import islice
 from pathlib import Path
 
 from laureldock.replication.change_log import ChangeLog, Record, SpoiltLogError
 from laureldock.replication.messages import NO_POSITION, Position
-from laureldock.setup.changes import (
-    CatalogEntry,
-    EntryKey,
-    UnreadableChangeError,
-    decode_change,
-    decode_entries,
-    encode_entries,
-    entry_digest,
-)
+from laureldock.replication.parts import snapshot_parts
+from laureldock.replication.replay import ReplayedEntries
+from laureldock.setup.changes import CatalogEntry, UnreadableChangeError
 
 LOCK_NAME, CONFIRMED_NAME = "following.lock", "confirmed"
-PART_ENTRIES = 500
-# The log is compacted when it is longer than the snapshot, and than this.
-SHORTEST_COMPACTED_LOG = 1 << 20
 
 Entries = Callable[[], Iterable[CatalogEntry]]
 
@@ -75,40 +65,34 @@
     def load(self) -> KeptConfiguration:
         """What was in force; nothing where that is spoilt: then it is dropped. OSError."""
         log = self._log = ChangeLog(self.folder, durable=False, writes=self.writes)
-        by_key: dict[EntryKey, CatalogEntry] = {}
-        fault = ""
+        replayed = ReplayedEntries()
         try:
-            for each in log.load():
-                fault = fault or _replay(by_key, each)
-            if log.spoilt_bytes:
-                fault = fault or f"{log.spoilt_bytes} spoilt bytes at the end"
-                if _digest(by_key.values()) == log.digest:
-                    return self._kept(log, by_key, fault)
+            for found in log.load():
+                replayed.add(found)
         except SpoiltLogError as spoilt:
-            fault = str(spoilt)
-        if not fault and _digest(by_key.values()) != log.digest:
-            fault = "the entries are not those that were kept"
-        if fault:
-            self._behind = True
-            if self.writes:
-                log.clear()
-            return KeptConfiguration(fault=fault)
-        return self._kept(log, by_key)
-
-    def _kept(
-        self, log: ChangeLog, by_key: dict[EntryKey, CatalogEntry], fault: str = ""
-    ) -> KeptConfiguration:
-        entries = tuple(by_key.values())
+            return self._dropped(log, str(spoilt))
+        except UnreadableChangeError as unreadable:
+            return self._dropped(log, f"cannot be read: {unreadable}")
+        fault = f"{log.spoilt_bytes} spoilt bytes at the end" if log.spoilt_bytes else ""
+        if replayed.digest != log.digest:
+            return self._dropped(log, fault or "the entries are not those that were kept")
+        entries = tuple(replayed.by_key.values())
         return KeptConfiguration(log.position, log.digest, entries, self._age(), fault)
 
+    def _dropped(self, log: ChangeLog, fault: str) -> KeptConfiguration:
+        """Nothing of it can be used: the folder begins anew. OSError."""
+        self._behind = True
+        if self.writes:
+            log.clear()
+        return KeptConfiguration(fault=fault)
+
     # Writing
 
     def keep(self, record: Record, entries: Entries) -> None:
         """A change that is in force; `entries` gives all with it. OSError: it is not on disk yet."""
         log = self._writable()
-        full = log.log_bytes > max(SHORTEST_COMPACTED_LOG, log.snapshot_bytes)
-        if self._behind or full:
-            self.replace(record.position, record.digest, _parts(entries()))
+        if self._behind or log.compaction_due:
+            self.replace(record.position, record.digest, snapshot_parts(entries()))
             return
         self._behind = True
         log.append(record)
@@ -124,7 +108,7 @@
         """Write what an earlier failure left out, if any; whether all is on disk."""
         if self._behind:
             with contextlib.suppress(OSError):
-                self.replace(position, digest, _parts(entries()))
+                self.replace(position, digest, snapshot_parts(entries()))
         return not self._behind
 
     def confirm(self, age: float) -> None:
@@ -153,31 +137,3 @@
             return max(0.0, self.wall() - (self.folder / CONFIRMED_NAME).stat().st_mtime)
         except OSError:
             return None
-
-
-def _replay(by_key: dict[EntryKey, CatalogEntry], part: bytes | Record) -> str:
-    """Enter a part of a snapshot or a change; why it cannot be, if so."""
-    try:
-        if isinstance(part, bytes):
-            by_key.update((entry.key, entry) for entry in decode_entries(part))
-            return ""
-        change = decode_change(part.body)
-    except UnreadableChangeError as fault:
-        return f"cannot be read: {fault}"
-    for key in change.removals:
-        by_key.pop(key, None)
-    by_key.update((entry.key, entry) for entry in change.puts)
-    return ""
-
-
-def _digest(entries: Iterable[CatalogEntry]) -> int:
-    found = 0
-    for entry in entries:
-        found ^= entry_digest(entry)
-    return found
-
-
-def _parts(entries: Iterable[CatalogEntry]) -> Iterator[bytes]:
-    rest = iter(entries)
-    while part := list(islice(rest, PART_ENTRIES)):
-        yield encode_entries(part)
--- /dev/null
+++ b/laureldock/replication/replay.py
@@ -0,0 +1,33 @@
+"""What a change log holds, put together again to the entries at its newest version. No I/O."""
+
+from __future__ import annotations
+
+from laureldock.replication.change_log import Record
+from laureldock.setup.changes import (
+    CatalogEntry,
+    Change,
+    EntryKey,
+    decode_change,
+    decode_entries,
+    entry_digest,
+)
+
+
+class ReplayedEntries:
+    """Entries by key, unchecked by any rule, and the digest of all."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[EntryKey, CatalogEntry] = {}
+        self.digest = 0
+
+    def add(self, found: bytes | Record) -> None:
+        """A part of a snapshot, or a record behind it. UnreadableChangeError: nothing was added."""
+        self._merge(decode_change(found.body) if isinstance(found, Record) else Change(decode_entries(found)))
+
+    def _merge(self, change: Change) -> None:
+        for key in (*change.removals, *(entry.key for entry in change.puts)):
+            if (before := self.by_key.pop(key, None)) is not None:
+                self.digest ^= entry_digest(before)
+        for entry in change.puts:
+            self.by_key[entry.key] = entry
+            self.digest ^= entry_digest(entry)
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -9,7 +9,7 @@
 from replication_rig import MemorySink, customer, put, remove
 
 from laureldock.core.messages import StoredMessage
-from laureldock.replication import configuration_store as module
+from laureldock.replication import change_log
 from laureldock.replication.change_log import ChangeLog, Record
 from laureldock.replication.configuration_store import ConfigurationStore
 from laureldock.replication.messages import NO_POSITION, Position
@@ -77,7 +77,7 @@
 
 
 def test_the_log_is_compacted(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(module, "SHORTEST_COMPACTED_LOG", 2000)
+    monkeypatch.setattr(change_log, "MIN_COMPACTED_BYTES", 2000)
     kept = Kept(tmp_path)
     for number in range(500):
         kept.change(put(customer(f"c{number % 7}", float(number))))
