Locked files, a catalog under a stream, and operators' answers stand once

Cause: three places opened and locked a file (the spool had a function for it, in a layer above the two new ones); the scale run and the test world each had a catalog as the sink of a stream; both rehearsals asked a management address by the same lines.

--- /dev/null
+++ b/laureldock/file_locks.py
@@ -0,0 +1,28 @@
+"""Files that one process at a time holds locked."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+
+FILE_MODE = 0o600
+
+
+def open_locked(path: Path, required: bool = False) -> int | None:
+    """A descriptor of the file, locked for this process alone; None while another process holds the lock.
+
+    Where the file system has no locks, a process is taken to be alone with its folder, unless the lock is
+    `required`: then OSError.
+    """
+    file = os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(file)
+        return None
+    except OSError:
+        if required:
+            os.close(file)
+            raise
+    return file
--- a/laureldock/rehearsal/fleet/member_process.py
+++ b/laureldock/rehearsal/fleet/member_process.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import json
 import signal
 import sys
 import time
@@ -13,6 +11,7 @@
 from typing import Any
 
 from laureldock.rehearsal.fleet.configuration import OPERATORS_PORT
+from laureldock.rehearsal.management import get_json
 
 READY_TIMEOUT = 30.0  # seconds in which all processes must be up: forty of them start on one core or two
 READY_INTERVAL = 0.05  # seconds between looks whether one is up
@@ -69,17 +68,7 @@
 
     async def ask(self, path: str) -> dict[str, Any] | None:
         """What its operators' address answers; None where it does not."""
-        with contextlib.suppress(OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
-            async with asyncio.timeout(REQUEST_TIMEOUT):
-                reader, writer = await asyncio.open_connection(self.host, OPERATORS_PORT)
-                try:
-                    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-                    body = (await reader.read(-1)).partition(b"\r\n\r\n")[2]
-                    answer: dict[str, Any] = json.loads(body)
-                    return answer
-                finally:
-                    writer.transport.abort()
-        return None
+        return await get_json(self.host, OPERATORS_PORT, path, REQUEST_TIMEOUT)
 
     async def kill(self, sign: signal.Signals) -> None:
         """Send a signal that ends the process, and wait for its end."""
--- /dev/null
+++ b/laureldock/rehearsal/management.py
@@ -0,0 +1,23 @@
+"""What a dispatcher's management address answers, asked over a connection of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+
+async def get_json(host: str, port: int, path: str, timeout: float) -> dict[str, Any] | None:
+    """The answer to `GET path`; None where there is none within `timeout` seconds."""
+    with contextlib.suppress(OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(host, port)
+            try:
+                writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+                body = (await reader.read(-1)).partition(b"\r\n\r\n")[2]
+                answer: dict[str, Any] = json.loads(body)
+                return answer
+            finally:
+                writer.transport.abort()
+    return None
--- a/laureldock/rehearsal/scale/configuration_part.py
+++ b/laureldock/rehearsal/scale/configuration_part.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import cache
 from typing import cast
 
@@ -14,8 +14,7 @@
 from twisted.internet.posixbase import PosixReactorBase
 
 from laureldock.rehearsal.scale.shaping import MemberReactor
-from laureldock.setup.catalog import Catalog
-from laureldock.setup.changes import CatalogEntry, Change, EntryKey
+from laureldock.replication.catalog_sink import CatalogSink
 from laureldock.setup.plan import Plan
 from laureldock.setup.units import decode
 from laureldock.sources.controlled import ControllerStream
@@ -34,31 +33,6 @@
     return msgspec.convert(tomllib.loads(BASE_CLASSES), Plan, dec_hook=decode)
 
 
-class CatalogSink:
-    """What a `ControllerStream` applies to."""
-
-    def __init__(self) -> None:
-        self.catalog = Catalog(base_plan())
-
-    @property
-    def digest(self) -> int:
-        return self.catalog.digest
-
-    def holds(self, key: EntryKey) -> bool:
-        return self.catalog.get(key) is not None
-
-    def entries(self) -> Iterable[CatalogEntry]:
-        return self.catalog.entries()
-
-    def apply_change(self, change: Change) -> None:
-        """RefusedChangeError."""
-        self.catalog.apply(change, missing_ok=True)
-
-    def replace_entries(self, entries: Iterable[CatalogEntry]) -> None:
-        """RefusedChangeError."""
-        self.catalog.replace(entries)
-
-
 class ConfigurationPart:
     """One start of a member's following of the configuration, from nothing."""
 
@@ -70,7 +44,7 @@
         on_applied: Callable[[int], None],
     ) -> None:
         """`on_applied` is told the version that is in force."""
-        self.sink = CatalogSink()
+        self.sink = CatalogSink(base_plan())
         self.stream = ControllerStream(
             cast(PosixReactorBase, reactor),
             controllers,
--- a/laureldock/rehearsal/scale/real.py
+++ b/laureldock/rehearsal/scale/real.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import json
 import signal
 import sys
 import time
@@ -13,6 +11,7 @@
 
 from msgspec import Struct
 
+from laureldock.rehearsal.management import get_json
 from laureldock.rehearsal.scale.process_usage import cpu_seconds, resident_bytes
 
 MANAGEMENT_PORT = 9100
@@ -101,17 +100,7 @@
 
     async def ask(self, path: str) -> dict[str, Any] | None:
         """What its management address answers; None where it does not."""
-        with contextlib.suppress(OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
-            async with asyncio.timeout(ASK_TIMEOUT):
-                reader, writer = await asyncio.open_connection(self.host, MANAGEMENT_PORT)
-                try:
-                    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-                    body = (await reader.read(-1)).partition(b"\r\n\r\n")[2]
-                    answer: dict[str, Any] = json.loads(body)
-                    return answer
-                finally:
-                    writer.transport.abort()
-        return None
+        return await get_json(self.host, MANAGEMENT_PORT, path, ASK_TIMEOUT)
 
     def usage(self) -> tuple[float, int]:
         """Processor seconds and resident bytes. OSError where it has ended."""
--- a/laureldock/replication/change_log.py
+++ b/laureldock/replication/change_log.py
@@ -13,7 +13,6 @@
 
 import contextlib
 import errno
-import fcntl
 import os
 from array import array
 from bisect import bisect_right
@@ -25,6 +24,7 @@
 import msgspec
 from xxhash import xxh3_64_intdigest, xxh32_intdigest
 
+from laureldock.file_locks import FILE_MODE, open_locked
 from laureldock.replication.messages import NO_POSITION, Position
 
 LOG_NAME, SNAPSHOT_NAME, LOCK_NAME = "changes.log", "snapshot", "lock"
@@ -35,7 +35,6 @@
 FRAME_HEAD = Struct(">IIQ")  # length, checksum of the length, checksum of what follows
 LENGTH = Struct(">I")
 CHECKSUM = Struct(">Q")
-FILE_MODE = 0o600
 # Bytes: a log is compacted when it is longer than this, and than the snapshot.
 MIN_COMPACTED_BYTES = 1 << 20
 
@@ -276,13 +275,10 @@
         return self.folder / name
 
     def _locked(self) -> FileIO:
-        file = FileIO(os.open(self._path(LOCK_NAME), os.O_RDWR | os.O_CREAT, FILE_MODE), "r+")
-        try:
-            fcntl.flock(file.fileno(), fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            file.close()
-            raise LogInUseError(errno.EAGAIN, "another process holds the folder", str(self.folder)) from None
-        return file
+        descriptor = open_locked(self._path(LOCK_NAME), required=True)
+        if descriptor is None:
+            raise LogInUseError(errno.EAGAIN, "another process holds the folder", str(self.folder))
+        return FileIO(descriptor, "r+")
 
     # Loading
 
--- a/laureldock/replication/configuration_store.py
+++ b/laureldock/replication/configuration_store.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import contextlib
-import fcntl
 import os
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
+from laureldock.file_locks import open_locked
 from laureldock.replication.change_log import ChangeLog, Record, SpoiltLogError
 from laureldock.replication.messages import NO_POSITION, Position
 from laureldock.replication.parts import snapshot_parts
@@ -51,14 +51,9 @@
         if self.writes:
             return True
         self.folder.mkdir(parents=True, exist_ok=True)
-        lock = os.open(self.folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            os.close(lock)
+        lock = open_locked(self.folder / LOCK_NAME)
+        if lock is None:
             return False
-        except OSError:  # where locks are not to be had, a process is alone with its folder
-            pass
         self._lock, self.writes = lock, True
         return True
 
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -17,13 +17,13 @@
 from typing import Any
 
 from laureldock.core.messages import StoredMessage
+from laureldock.file_locks import open_locked
 from laureldock.stores.peer_spool import PeerSpool
 from laureldock.stores.spool_records import (
     decode_message,
     decode_records,
     encode_message,
     encode_record,
-    open_locked,
 )
 
 BLOCK = 512  # bytes, in which the folder's limit is counted
--- a/laureldock/stores/spool_records.py
+++ b/laureldock/stores/spool_records.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import fcntl
 import json
-import os
 import zlib
 from collections.abc import Iterator
-from pathlib import Path
 from struct import Struct
 from typing import Any
 
@@ -50,16 +47,3 @@
             return
         line, _, body = payload.partition(b"\n")
         yield offset, json.loads(line), body
-
-
-def open_locked(path: Path) -> int | None:
-    """A descriptor of the file, locked for this process alone; None while another process holds the lock."""
-    file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-    try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        os.close(file)
-        return None
-    except OSError:
-        pass  # where the file system has no locks, a process is taken to be alone with its folder
-    return file
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -20,10 +20,10 @@
 from twisted.python.failure import Failure
 
 from laureldock.controller.service import ControllerService
+from laureldock.replication.catalog_sink import CatalogSink
 from laureldock.replication.change_log import Record
 from laureldock.replication.subscriber import Subscriber
 from laureldock.setup import plan as model
-from laureldock.setup.catalog import Catalog
 from laureldock.setup.changes import (
     CatalogEntry,
     Change,
@@ -51,23 +51,13 @@
 IN_TIME = 15.0  # seconds in which a change is in force on all that are up
 
 
-class CatalogSink:
+class RecordingSink(CatalogSink):
     """A dispatcher's catalog; `digests` are of all states that were ever in force."""
 
     def __init__(self, base: model.Plan) -> None:
-        self.catalog = Catalog(base)
+        super().__init__(base)
         self.digests: list[int] = []
 
-    @property
-    def digest(self) -> int:
-        return self.catalog.digest
-
-    def holds(self, key: EntryKey) -> bool:
-        return self.catalog.get(key) is not None
-
-    def entries(self) -> Iterable[CatalogEntry]:
-        return self.catalog.entries()
-
     def apply_change(self, change: Change) -> None:
         try:
             self.apply(change)
@@ -75,10 +65,10 @@
             self.digests.append(self.digest)
 
     def apply(self, change: Change) -> None:
-        self.catalog.apply(change, missing_ok=True)
+        super().apply_change(change)
 
     def replace_entries(self, entries: Iterable[CatalogEntry]) -> None:
-        self.catalog.replace(entries)
+        super().replace_entries(entries)
         self.digests.append(self.digest)
 
 
@@ -174,7 +164,7 @@
 
 @dataclass
 class Follower:
-    sink: CatalogSink
+    sink: RecordingSink
     stream: ControllerStream
 
 
@@ -186,7 +176,7 @@
     seed: int
     service_class: type[ControllerService] = ControllerService
     subscriber_class: type[Subscriber] = Subscriber
-    sink_class: type[CatalogSink] = CatalogSink
+    sink_class: type[RecordingSink] = RecordingSink
     cut: set[str] = field(default_factory=set)
     lossy: bool = False
     faults: list[str] = field(default_factory=list)
--- a/tests/test_replication_world.py
+++ b/tests/test_replication_world.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from replication_world import CatalogSink, World, play
+from replication_world import RecordingSink, World, play
 
 from laureldock.controller.service import Answer, ControllerService
 from laureldock.replication.change_log import Record
@@ -47,7 +47,7 @@
         super()._change(now, message)
 
 
-class HalfApplied(CatalogSink):
+class HalfApplied(RecordingSink):
     """Entry by entry, with what was applied left in force where one is refused."""
 
     def apply(self, change: Change) -> None:
