--- a/tests/followers.py
+++ b/tests/followers.py
@@ -226,6 +226,21 @@
         await receivers.stop()
 
 
+@contextlib.asynccontextmanager
+async def one_follower(
+    folder: Path, names: dict[str, str], pace: float = 0.02
+) -> AsyncIterator[tuple[StandInController, Receivers, Follower]]:
+    """A dispatcher that has all receivers as version 1 from a stand-in controller."""
+    controller = StandInController()
+    async with followers(folder, names, [controller.address], pace=pace) as (receivers, [here]):
+        controller.state.accept(receivers.puts())
+        await controller.start()
+        await here.launch()
+        await here.until_version(1)
+        yield controller, receivers, here
+        await controller.stop()
+
+
 CONTROLLER_FILE = """\
 name = "c1"
 [controller]
--- a/tests/test_controlled.py
+++ b/tests/test_controlled.py
@@ -16,7 +16,7 @@
 import pytest
 import redis.asyncio as redis
 from daemon import daemon
-from followers import Receivers, StandInController, followers, removal
+from followers import Receivers, StandInController, followers, one_follower, removal
 from msgspec import structs
 from test_process import Process, platform
 
@@ -135,11 +135,7 @@
 
 def test_an_endpoint_moved_under_load_loses_no_mail_and_doubles_none(tmp_path: Path) -> None:
     async def scenario() -> None:
-        controller = StandInController()
-        async with followers(tmp_path, NAMES, [controller.address], pace=0.05) as (receivers, [here]):
-            controller.state.accept(receivers.puts())
-            await controller.start()
-            await here.launch()
+        async with one_follower(tmp_path, NAMES, pace=0.05) as (controller, receivers, here):
             names = [f"m{number}" for number in range(1200)]
 
             async def load() -> None:
@@ -163,7 +159,6 @@
             assert moves >= 4 and moved
             assert counted(receivers) == Counter(names)
             assert not (here.folder / "state" / "undelivered.jsonl").exists()
-            await controller.stop()
 
     run(scenario())
 
@@ -233,12 +228,7 @@
 
 def test_garbage_on_the_stream_costs_the_stream_alone(tmp_path: Path) -> None:
     async def scenario() -> None:
-        controller = StandInController()
-        async with followers(tmp_path, NAMES, [controller.address]) as (receivers, [here]):
-            controller.state.accept(receivers.puts())
-            await controller.start()
-            await here.launch()
-            await here.until_version(1)
+        async with one_follower(tmp_path, NAMES) as (controller, _, here):
             for bad in (b"garbage", b"lc\x09\x00\x00", b"lc\x01\xc1\xc1\xc1", os.urandom(3000)):
                 await until(lambda: "d1" in controller.streams)
                 writer = controller.streams["d1"]
@@ -250,7 +240,6 @@
             assert (await here.figures())["configuration_malformed_message"] == 4
             assert await here.put("m1") == b"OK"
             await here.until("held", 0)
-            await controller.stop()
 
     run(scenario())
 
@@ -301,11 +290,7 @@
 
 def test_a_refused_change_passes_once_the_own_file_allows_it(tmp_path: Path) -> None:
     async def scenario() -> None:
-        controller = StandInController()
-        async with followers(tmp_path, NAMES, [controller.address]) as (receivers, [here]):
-            controller.state.accept(receivers.puts())
-            await controller.start()
-            await here.launch()
+        async with one_follower(tmp_path, NAMES) as (controller, receivers, here):
             controller.accept(refused_at_one(receivers))
             await until(lambda: controller.refusals("d1"))
             assert await here.version() == 1
@@ -315,7 +300,6 @@
             await here.launch()
             await here.until_version(2)
             assert (await here.figures())["configuration_refused"] == 0
-            await controller.stop()
 
     run(scenario())
 
@@ -350,12 +334,7 @@
 
 def test_a_change_of_a_later_format_is_told_and_a_dispatcher_goes_on(tmp_path: Path) -> None:
     async def scenario() -> None:
-        controller = StandInController()
-        async with followers(tmp_path, NAMES, [controller.address]) as (receivers, [here]):
-            controller.state.accept(receivers.puts())
-            await controller.start()
-            await here.launch()
-            await here.until_version(1)
+        async with one_follower(tmp_path, NAMES) as (controller, _, here):
             controller.accept(removal("n2"), body=b"\x94\x90\x90\xa3new\xa3new")
             await until(lambda: controller.refusals("d1"))
             assert "cannot be read" in controller.refusals("d1")[0].faults[0].reason
@@ -365,7 +344,6 @@
             await here.end()
             await here.launch()  # not on disk, either
             assert await here.version() == 1
-            await controller.stop()
 
     run(scenario())
 
@@ -446,12 +424,7 @@
     monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
 
     async def scenario() -> None:
-        controller = StandInController()
-        async with followers(tmp_path, NAMES, [controller.address]) as (receivers, [here]):
-            controller.state.accept(receivers.puts())
-            await controller.start()
-            await here.launch()
+        async with one_follower(tmp_path, NAMES) as (_, _, here):
             assert "laureldock.replication.subscriber" in imported(here.logged())
-            await controller.stop()
 
     run(scenario())
