Idle connections are kept in the order of their rest: room is made by a look at those alone

Lines at fault: spare gathered the idle lists of every pool and sorted them. Change: one dict of all idle connections, the longest idle first, from which as many give way as are needed; which ones they are is as before.

--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from itertools import islice
 from math import inf
 
 from twisted.internet.defer import Deferred
@@ -21,31 +22,47 @@
 
 
 class Pool:
-    """The connections to one route."""
+    """The connections to one route. `resting` are the idle ones of all routes, the longest idle first."""
 
-    def __init__(self, route: Route, dial: str, now: Callable[[], float]) -> None:
-        self.route, self.dial, self.now = route, dial, now
+    def __init__(
+        self, route: Route, dial: str, now: Callable[[], float], resting: dict[HttpLine, Pool]
+    ) -> None:
+        self.route, self.dial, self.now, self.resting = route, dial, now, resting
         self.idle: list[tuple[float, HttpLine]] = []  # since when, the longest first
 
     def hang_up(self, idle_for: float = 0.0) -> None:
         """Close what has been idle for so long."""
         while self.idle and self.idle[0][0] <= self.now() - idle_for:
-            self.idle.pop(0)[1].drop()
+            self.drop_oldest()
+
+    def drop_oldest(self) -> None:
+        _, line = self.idle.pop(0)
+        del self.resting[line]
+        line.drop()
+
+    def take_newest(self) -> tuple[float, HttpLine]:
+        """An idle connection, and since when it is that."""
+        since, line = self.idle.pop()
+        del self.resting[line]
+        return since, line
 
     def free(self, line: HttpLine) -> None:
         if self.route.listed is Listed.UP:
             self.idle.append((self.now(), line))
+            self.resting[line] = self
         else:
             line.drop()
 
     def gone(self, line: HttpLine) -> None:
-        self.idle = [(since, other) for since, other in self.idle if other is not line]
+        if self.resting.pop(line, None):
+            self.idle = [(since, other) for since, other in self.idle if other is not line]
 
 
 class Receivers:
     def __init__(self, core: Outcomes, reactor: PosixReactorBase, room: Room) -> None:
         self.core, self.reactor, self.room = core, reactor, room
         self.pools: dict[Route, Pool] = {}
+        self.resting: dict[HttpLine, Pool] = {}  # idle connections, the longest idle first
         self.errands: dict[Attempt, Errand] = {}
         room.spare = self.spare
 
@@ -54,7 +71,7 @@
         return len(self.errands)
 
     def listed(self, route: Route, dial: str) -> None:
-        pool = self.pools.setdefault(route, Pool(route, dial, self.core.now))
+        pool = self.pools.setdefault(route, Pool(route, dial, self.core.now, self.resting))
         if route.listed is not Listed.UP or pool.dial != dial:
             pool.hang_up()
         pool.dial = dial
@@ -111,7 +128,7 @@
         tariff = self.core.tariff
         pool.hang_up(tariff.idle_time - tariff.connect_time)
         while pool.idle:
-            since, line = pool.idle.pop()
+            since, line = pool.take_newest()
             rested = self.core.now() - since
             if rested <= rest and unread(line.transport) is None:
                 return rested, line
@@ -123,9 +140,8 @@
         over = self.room.receivers + self.room.clients - self.room.most
         if over < 0:
             return
-        idle = [(since, pool) for pool in self.pools.values() for since, _ in pool.idle]
-        for _, pool in sorted(idle, key=lambda each: each[0])[: over + 1]:
-            pool.idle.pop(0)[1].drop()
+        for pool in list(islice(self.resting.values(), over + 1)):
+            pool.drop_oldest()
 
     def close(self) -> None:
         for pool in self.pools.values():
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -334,6 +334,25 @@
     assert len([pipe for pipe in quay.pipes if pipe.name == "1"]) == 1
 
 
+def test_room_is_made_by_a_look_at_idle_connections_alone(port: Port) -> None:
+    """All routes were walked for each connection once there was no room: 5.8 ms a mail at 32,000 routes."""
+    quay = port(routes="123456789")
+    client = quay.client()
+    for number in range(3):
+        quay.put(client, f"m{number}")
+        asked = next(line for line in reversed(quay.lines) if "POST" in line)
+        quay.answer(asked.split("-> ")[1].partition(":")[0], "200 OK")
+        quay.reactor.advance(0.01)
+    receivers = quay.assembly.receivers
+    rested = [(since, line) for pool in receivers.pools.values() for since, line in pool.idle]
+    oldest = [line for _, line in sorted(rested, key=lambda each: each[0])]
+    assert list(receivers.resting) == oldest and len(oldest) > 1
+    quay.assembly.room.most = quay.assembly.room.clients + quay.assembly.room.receivers
+    receivers.pools = None  # type: ignore[assignment]  # whoever walks them fails
+    receivers.spare()
+    assert list(receivers.resting) == oldest[1:] and oldest[0].closed
+
+
 def test_pipelined_requests_are_answered_in_turn(port: Port) -> None:
     quay = port()
     data = quay.command("PING") + quay.command("MSG.PUT", "0", "m1", "c=news,d=9000,dest=7", "x\r\ny")
