A member that joins is put into the present round of probes, at a random place

SWIM (4.3) puts it at a random place. Change: ProbeRound, to which the merger adds who becomes present; once each, so that one which returns often takes no room.

--- a/laureldock/fleet/merging.py
+++ b/laureldock/fleet/merging.py
@@ -64,6 +64,8 @@
         member = self._state.members.put(now, record)
         self._dissemination.enqueue(now, record)
         self._state.note_change(now)
+        if record.state in PRESENT_STATES and (known is None or known.state not in PRESENT_STATES):
+            self._state.probe_round.add(record.name)
         if record.state == SUSPECT:
             self.suspicion.start_timer(now, member)
         if event := transition_event(record, known):
--- a/laureldock/fleet/probing.py
+++ b/laureldock/fleet/probing.py
@@ -37,7 +37,6 @@
 
     def __init__(self, state: ViewState, sender: DatagramSender, suspicion: Suspicion) -> None:
         self._state, self._sender, self._suspicion = state, sender, suspicion
-        self._round: list[str] = []  # members still to be probed in this round
         self.probes: dict[int, Probe] = {}  # by sequence number
 
     def start(self, now: float, delay: float) -> None:
@@ -68,14 +67,14 @@
     def _next_target(self) -> Member | None:
         """The next member of the round, or the first of a new one; None where nobody else is present."""
         for _ in range(2):
-            while self._round:
-                member = self._state.members.get(self._round.pop())
+            while (name := self._state.probe_round.take()) is not None:
+                member = self._state.members.get(name)
                 if member and member is not self._state.local and member.record.state in PRESENT_STATES:
                     return member
             present = [
                 each.record.name for each in self._state.members if each.record.state in PRESENT_STATES
             ]
-            self._round = self._state.random.shuffled(present)
+            self._state.probe_round.begin(present)
         return None
 
     def _request_indirect_probes(self, now: float, sequence: int) -> None:
--- a/laureldock/fleet/state.py
+++ b/laureldock/fleet/state.py
@@ -12,6 +12,7 @@
 from laureldock.fleet.local_health import LocalHealth
 from laureldock.fleet.members import PRESENT_STATES, Member, MemberTable
 from laureldock.fleet.messages import ALIVE, MemberRecord
+from laureldock.fleet.probe_round import ProbeRound
 from laureldock.fleet.randomness import SeededRandom
 from laureldock.fleet.reachability import ReachabilityTracker
 from laureldock.fleet.settings import ViewSettings, ViewStatus
@@ -47,6 +48,7 @@
         self.random = SeededRandom(settings.random_seed, settings.name, self.counter)
         self.timers = TimerQueue(self.counter)
         self.members = MemberTable(settings.max_members)
+        self.probe_round = ProbeRound(self.random)
         self.gossip_queue = GossipQueue()
         self.reachability = ReachabilityTracker(settings.period)
         self.local_health = LocalHealth()
