--- a/laureldock/sources/controlled.py
+++ b/laureldock/sources/controlled.py
@@ -17,7 +17,7 @@
 from laureldock.replication import messages
 from laureldock.replication.change_log import Record
 from laureldock.replication.configuration_store import ConfigurationStore, KeptConfiguration
-from laureldock.replication.messages import MAX_TEXT_LENGTH, NO_POSITION, FaultReport, fault_report
+from laureldock.replication.messages import MAX_TEXT_LENGTH, NO_POSITION, FaultReport, Position, fault_report
 from laureldock.replication.subscriber import (
     CONNECT_TIMEOUT,
     MAX_REPORTED_FAULTS,
@@ -278,6 +278,11 @@
             self._turn()
 
 
+def is_filled(position: Position) -> bool:
+    """Whether a controller had accepted anything by then: before, nobody could be served."""
+    return position.version > 0
+
+
 class Controlled:
     """The source of a dispatcher that follows a controller.
 
@@ -313,7 +318,7 @@
             self.stream.on_event(SubscriberEvent("spoilt on disk", {"fault": kept.fault}, serious=True))
         if kept.position == NO_POSITION:
             return
-        before, self.settled = self.settled, True
+        before, self.settled = self.settled, self.settled or is_filled(kept.position)
         try:
             self.stream.sink.replace_entries(kept.entries)
         except RefusedChangeError as refused:  # the dispatcher's own file has changed since
@@ -345,7 +350,7 @@
         self.stream.start()
 
     def _applied(self) -> None:
-        if not self.settled:
+        if not self.settled and is_filled(self.stream.subscriber.position):
             self.settled = True
             self.core.guard(self.core.news, [], False)  # clients may come now
 
--- a/tests/test_controlled.py
+++ b/tests/test_controlled.py
@@ -21,7 +21,7 @@
 from test_process import Process, platform
 
 from laureldock.rehearsal.play import free_port
-from laureldock.replication.messages import ChangeMessage, Subscribe
+from laureldock.replication.messages import ChangeMessage, InForce, Subscribe
 from laureldock.setup import plan
 from laureldock.setup.changes import Change, TermsEntry
 from laureldock.setup.units import Seconds
@@ -92,6 +92,33 @@
     run(scenario())
 
 
+def test_a_dispatcher_takes_no_clients_before_its_controller_is_filled(tmp_path: Path) -> None:
+    """It was ready with no destination, and failed all that came; a restart in between changes nothing."""
+
+    async def scenario() -> None:
+        controller = StandInController()
+        async with followers(tmp_path, NAMES, [controller.address]) as (receivers, [here]):
+            await controller.start()
+            for _ in range(2):
+                await here.spawn()
+                await until(lambda: "d1" in controller.streams)
+                await asyncio.sleep(0.5)
+                with pytest.raises((OSError, redis.RedisError)):
+                    await here.client.ping()
+                await here.end()
+                await until(lambda: "d1" not in controller.streams)
+            assert any(isinstance(message, InForce) for _, message in controller.heard)
+            await here.spawn()
+            await until(lambda: "d1" in controller.streams)
+            controller.accept(receivers.puts())
+            await here.ready()
+            assert await here.put("m1") == b"OK"
+            await here.until("held", 0)
+            await controller.stop()
+
+    run(scenario())
+
+
 def test_without_its_controller_a_dispatcher_goes_on_also_after_a_restart_and_tells_the_age(
     tmp_path: Path,
 ) -> None:
