--- a/tests/test_controller_stream.py
+++ b/tests/test_controller_stream.py
@@ -280,11 +280,15 @@
     assert not source.settled and core.told == []
     rig.tell(*rig.controller.snapshot(), rig.controller.heartbeat())
     rig.turns()
-    assert source.settled and core.told == [(0, False)]
+    assert not source.settled and core.told == []  # of a controller that nothing was proposed to yet
     assert source.figures() == {
         "configuration_version": 0, "configuration_epoch": 7, "configuration_refused": 0,
         "configuration_age_s": 0.0,
     }  # fmt: skip
+    rig.tell(rig.controller.accept(put(customer("first", 1.0))), rig.controller.heartbeat())
+    rig.turns()
+    assert source.settled and core.told == [(0, False)]
+    assert source.figures()["configuration_version"] == 1
     source.close()
 
 
