Failing first: the spool while the disk fails, and while the wall clock is set

Cause: replies and notices leave before their record is in the spool; times in it are of the wall clock; a half record in the middle of the file hides all that follows.

--- /dev/null
+++ b/tests/test_store_faults.py
@@ -0,0 +1,121 @@
+"""What was accepted is still owed, and what was refused is not, while the disk fails or the clock is set."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from math import inf
+from pathlib import Path
+from typing import Any
+
+import pytest
+from dock import Quay
+
+from laureldock.core.messages import StoredMessage
+from laureldock.rehearsal.soak.system_calls import Fault, SystemCalls, Window
+from laureldock.stores.spool import Spool
+
+HOUR = 3600.0
+
+
+@contextmanager
+def failing(folder: Path, fault: Fault, seed: int = 1, share: float = 1.0) -> Iterator[SystemCalls]:
+    """The disk below a folder fails."""
+    calls = SystemCalls(folder, seed, [Window(fault, -inf, inf, share)])
+    calls.install()
+    try:
+        yield calls
+    finally:
+        calls.remove()
+
+
+def kill(quay: Quay) -> None:
+    """The process ends as by SIGKILL: its timers and its lock go, its folder stays."""
+    store: Any = quay.dispatcher.store
+    store.close()
+    timers: Any = quay.reactor.getDelayedCalls()
+    for timer in timers:
+        timer.cancel()
+
+
+def hooks(quay: Quay) -> list[str]:
+    """Names of the messages that receivers were sent, in turn."""
+    return [line.partition("X-Call-Id: ")[2].split(" ")[0] for line in quay.lines if "POST /hook" in line]
+
+
+def notices(quay: Quay) -> list[str]:
+    """Names of the messages that ended by a notice, in turn."""
+    posts = [line for line in quay.lines if "POST /v1/notices" in line]
+    return [part.split('"')[3] for line in posts for part in line.split(" | ") if '"message"' in part]
+
+
+def test_a_stepped_wall_clock_between_two_lives_moves_no_deadline(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An hour forward once gave up all that was owed untried; an hour back, and none ended in its time."""
+    for number, step in enumerate((HOUR, -HOUR)):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        quay = Quay(folder, monkeypatch)
+        quay.late = {"1"}
+        quay.put(quay.client(), "m1", "charge")
+        kill(quay)
+        monkeypatch.setattr("time.time", lambda quay=quay, step=step: 1e9 + quay.reactor.seconds() + step)
+        quay.lines.clear()
+        quay.start()
+        quay.after(0.5)
+        assert not notices(quay), step
+        quay.after(9.0)
+        assert notices(quay) == ["m1"], step
+        quay.late = set()
+        quay.after(1.0)
+        assert not hooks(quay), step
+
+
+def test_what_was_told_busy_while_writes_failed_never_runs_nor_ends_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Half of the writes fail, then the process is killed. What it told stays true in the next life."""
+    for seed in range(12):
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        quay = Quay(folder, monkeypatch)
+        quay.late = {"1"}
+        told = {}
+        with failing(quay.state, Fault.DISK_ERROR, seed, 0.5):
+            for number in range(140):
+                client = quay.client(f"client-{number}")
+                quay.put(client, f"m{number:03}", "charge", left=3000)
+                said = [line for line in quay.lines if f"client-{number}:" in line]
+                told[f"m{number:03}"] = said[-1].split()[-1] if said else ""
+            quay.after(0.2)
+        kill(quay)
+        ended = notices(quay)
+        quay.late = set()
+        quay.start()
+        for _ in range(80):
+            quay.after(0.05)
+            for pipe in list(quay.pipes):
+                if pipe.name == "1" and pipe.asked:
+                    quay.answer("1", "200 OK")
+        refused = [name for name, word in told.items() if word == "-BUSY" or word.isdigit()]
+        taken = [name for name, word in told.items() if word == "+OK"]
+        assert refused and taken
+        ran, ends = hooks(quay), [*hooks(quay), *notices(quay)]
+        assert not set(refused) & {*ran, *ends}, (seed, "told BUSY, and more came of it")
+        assert not set(ended) & set(ran), (seed, "ended by a notice, and ran in the next life")
+        assert sorted(ends) == sorted(taken), (seed, "not one end for each that was accepted")
+
+
+def test_short_writes_whose_truncation_fails_lose_nothing_that_was_accepted(tmp_path: Path) -> None:
+    """A half record in the middle of the file once hid all that was written behind it."""
+    spool = Spool(tmp_path, 1e6)
+    spool.open()
+    taken = []
+    with failing(tmp_path, Fault.DISK_SHORT, share=0.5):
+        for number in range(100):
+            name = b"m%d" % number
+            if spool.take(StoredMessage(name, None, "news", "x", b"", 7, 1e12, bytes(50 + number))):
+                taken.append(name)
+    spool.close()
+    assert taken and list(Spool(tmp_path, 1e6, writes=False).owed) == taken
