Nothing is told before its record is in the spool, and its times are of the monotonic clock

Cause: a refusal or notice left though its record had failed, so the next life sent the message; a short write whose truncation failed stayed in the middle of the file; lifetimes and windows were of the wall clock. An attempt held back by the store took one of its message's attempts. Change: refusals, notices and attempts are written at once or not at all; a refusal whose record fails becomes an acceptance that ends by a notice; what holds in any case is queued and tried again. Records are written at the end of the last whole one, with checksums that go on from one to the next. Times are of the monotonic clock, with the boot and the wall clock beside them for a reboot.

--- a/benchmarks/slopes/owed.py
+++ b/benchmarks/slopes/owed.py
@@ -22,7 +22,7 @@
 def hand_over(folder: Path, count: int) -> int:
     """Write a spool that owes so many mails; its bytes."""
     folder.mkdir()
-    store, end = Spool(folder, DISK_MB << 20), time.time() + LIFETIME
+    store, end = Spool(folder, DISK_MB << 20), time.monotonic() + LIFETIME
     store.open()
     for number in range(count):
         destination = f"d{number % DESTINATIONS}"
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -260,7 +260,8 @@
         wait = number(headers.get(b"x-ratelimit-wait-ms", b"")) if ending is Ending.FULL else None
         wait, took = (wait or 0.0) / 1000, self.receivers.core.now() - self.began
         limit, left = told.get("x1"), told.get("x0", 1.0)
-        self.ended(end, Outcome(ending, took, finished, wait, limit, left, self.rested))
+        begun = end is not End.HELD_BACK
+        self.ended(end, Outcome(ending, took, finished, wait, limit, left, begun, self.rested))
 
 
 def number(text: bytes) -> float | None:
--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -109,6 +109,7 @@
         self.idle, self.tally = deque[tuple[float, Lane]](), Tally()  # of all calls, where a route's are few
         self.rest, self.broke = inf, now  # for how long a connection may have rested when one last broke
         self.held, self.ask_backoff, self.asked, self.ticking, self.close_at = 0, 0.0, now, False, inf
+        self.sends_held = False  # nothing new is sent now: it could not be recorded
         self.effects: list[face.Effect] = []
         if tariff.must_ask:
             self.timer(now, "ask")
@@ -190,6 +191,7 @@
                     each.cost += (0.1 if each.cost else 1.0) * (took - each.cost)
         self.judge(now, call, outcome)
         case.out -= 1
+        case.attempts -= not outcome.begun  # what never began takes no attempt from its mail
         if case.turns and outcome.ending in (Ending.TIME_OUT, Ending.RESET, Ending.CANCELLED):
             case.turns.rest = now + self.key_rest
         if not case.doubt and outcome.ending not in (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT):
@@ -235,6 +237,10 @@
     def closing(self, now: float, left: float) -> None:
         self.close_at = now + left / 2  # what is sent by then has as long again to end; others take the rest
 
+    def hold_sends(self, now: float, hold: bool) -> None:
+        """Nothing new is sent while what is sent cannot be recorded; what waits keeps its attempts."""
+        self.sends_held = hold
+
     def retell(self, now: float, tariff: face.Tariff) -> None:
         """Other settings from now on: the limits on attempts and waits bind every mail from here."""
         self.most_attempts, self.most_retry_after = tariff.most_attempts, tariff.most_retry_after
@@ -526,7 +532,8 @@
         self.fresh.clear()
         ready: list[tuple[float, int, Line, Case]] = []
         aside: list[Case] = []
-        misses, may = [0] * len(self.busy), len(self.calls) < self.slots and now < self.close_at
+        may = len(self.calls) < self.slots and now < self.close_at and not self.sends_held
+        misses = [0] * len(self.busy)
         for place, line in enumerate(list(self.busy) if may else []):
             if now >= line.until:
                 for each in line.lanes.values():
@@ -650,6 +657,7 @@
         most = min(self.most_attempts, case.terms.most_attempts)  # those that are out count too
         spare = 2 * len(self.calls) < self.slots and case.out < case.terms.copies and now < self.close_at
         may = case.attempts < most and now >= case.line.until and self.may_go(now, case)
+        may = may and not self.sends_held
         if case.stage is Stage.OUT and spare and may:
             lane = self.draw(now, case)
             if lane and lane is not case.last:
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -23,6 +22,7 @@
     Submitter,
     encode_notice,
 )
+from laureldock.core.record_keeping import RecordKeeping
 from laureldock.core.recovery import Recovery
 from laureldock.core.seams import Carrier, Clock, Front, NotAMailError, Outlet, Source, Store, Timer
 from laureldock.tariff import Book, Entry
@@ -50,10 +50,9 @@
         store: Store,
         clock: Clock,
         ended_for: Callable[[str], None],
-        wall: Callable[[], float] | None = None,
     ) -> None:
         self.name, self.book, self.store, self.clock = name, book, store, clock
-        self.ended_for, self.wall = ended_for, wall or time.time
+        self.ended_for = ended_for
         self.log = structlog.get_logger().bind(dispatcher=name)
         self.counters: Counter[str] = Counter()
         self.class_counters = ClassCounters()
@@ -72,6 +71,7 @@
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
         self.recovery = Recovery(self)
+        self.records = RecordKeeping(self)
 
     def attach(self, fronts: list[Front], carrier: Carrier, source: Source, outlet: Outlet) -> None:
         self.fronts, self.carrier, self.source, self.outlet = fronts, carrier, source, outlet
@@ -84,6 +84,7 @@
 
     def start(self) -> None:
         self.log.info("starting", owed=len(self.store.owed), torn_bytes=self.store.torn)
+        self.records.retry_if_behind()
         self.recovery.send_notices(list(self.store.owed.values()))
         self.source.start()
         self.recover()
@@ -241,6 +242,7 @@
         if message.name in self.by_name and not self.outlet.owes(message.name):
             self.counters["withdrawn"] += 1
             message.submitter = None
+            self.records.withdraw(message.name)
             self.tell(self.control.withdrawn, message.mail)
             self.forget(message)
 
@@ -266,19 +268,10 @@
         self.held[message.mail] = self.by_name[message.name] = message
 
     def forget(self, message: HeldMessage) -> None:
-        self.keep(self.store.over, message.name)
+        self.records.write(self.store.over, message.name)
         self.by_name.pop(message.name, None)
         self.held.pop(message.mail, None)
 
-    def keep(self, record: Callable[..., None], *args: Any) -> bool:
-        """Put it down in the spool."""
-        try:
-            record(*args)
-            return True
-        except OSError as fault:
-            self.log.error("spool cannot be written", fault=str(fault))
-            return False
-
     # Ends
 
     def over(self, message: HeldMessage, word: str) -> None:
@@ -290,17 +283,17 @@
         self.over(message, word)
         self.counters[word] += 1
         self.count_of(message, word)
-        if message.submitter:  # it has had no answer yet
+        if not message.submitter:
+            self.end_by_notice(message.name, handed_back, retry_after)
+        elif self.records.write(self.store.refuse, message.name):  # it has had no answer yet
             message.refusal = Reply(ReplyKind.BUSY if handed_back else ReplyKind.FAILED, retry_after)
             self.forget(message)
             self.tell(self.control.noticed, message.mail)
-        else:
-            self.end_by_notice(message.name, handed_back, retry_after)
+        else:  # the store owes it still, and the next life would send it: accepted, and ended by a notice
+            self.records.delay_notice(message.name, encode_notice(message.name, handed_back, retry_after))
 
     def end_by_notice(self, name: bytes, handed_back: bool, retry_after: float = 0.0) -> None:
-        line = encode_notice(name, handed_back, retry_after)
-        self.keep(self.store.notice, name, line)
-        self.outlet.put(name, line)
+        self.records.end_by_notice(name, encode_notice(name, handed_back, retry_after))
 
     def noticed(self, name: bytes) -> None:
         message = self.by_name.get(name)
@@ -308,7 +301,7 @@
             self.forget(message)
             self.tell(self.control.noticed, message.mail)
         else:  # ended in an earlier life
-            self.keep(self.store.over, name)
+            self.records.write(self.store.over, name)
 
     # Carriers
 
@@ -316,8 +309,10 @@
         """Asked when the connection is up: what was told meanwhile may forbid it; and the spool must know."""
         if message.name not in self.by_name or not self.control.may_begin(self.now(), attempt):
             return False
+        if not self.records.write(self.store.out, message.name, self.now()):
+            return False
         message.recorded_attempt = attempt
-        return self.keep(self.store.out, message.name, self.wall())
+        return True
 
     def sent(self, message: HeldMessage) -> None:
         self.count_of(message, "sent")
@@ -340,10 +335,10 @@
                 self.over(message, end.value)
             self.forget(message)
         elif message.recorded_attempt is attempt and outcome.ending in NOT_RUN:
-            self.keep(self.store.back, message.name)
+            self.records.write(self.store.back, message.name)
         if outcome.wait and self.handed_down:  # binds both processes: to the rules they are one dispatcher
-            clock = self.wall()
-            self.keep(self.store.wait, attempt.route.name, clock + outcome.wait, clock)
+            now = self.now()
+            self.records.write(self.store.wait, attempt.route.name, now + outcome.wait, now)
         self.tell(self.control.ended, attempt, outcome)
 
     def probed(self, route: face.Route, outcome: face.Outcome) -> None:
--- a/laureldock/core/messages.py
+++ b/laureldock/core/messages.py
@@ -12,7 +12,7 @@
 
 @dataclass(eq=False, slots=True)
 class StoredMessage:
-    """A message as the store knows it. Times are of the wall clock, which goes on between two processes."""
+    """A message as the store knows it. Times are of the monotonic clock, which goes on between processes."""
 
     name: bytes
     key: str | None
--- a/laureldock/core/recovery.py
+++ b/laureldock/core/recovery.py
@@ -13,7 +13,7 @@
 # for which calls under way are let through.
 ADOPT_INTERVAL = 0.05  # seconds
 
-UNKNOWN_AGE = 1e9  # seconds; for an attempt whose age a wall clock that was set back cannot tell
+UNKNOWN_AGE = 1e9  # seconds; for an attempt whose age cannot be told: a reboot, and the wall clock set back
 
 
 class Recovery:
@@ -30,9 +30,9 @@
 
     def revive(self, messages: list[StoredMessage], earlier: bool = False) -> None:
         """Hold messages again; `earlier`: they are older than all that this process accepted."""
-        wall = self._dispatcher.wall()
+        now = self._dispatcher.now()
         for message in messages:
-            self._revive(message, earlier, wall)
+            self._revive(message, earlier, now)
 
     def adopt(self) -> None:
         """Where processes hand over, take over what one leaves once it has ended; again and again.
@@ -42,11 +42,8 @@
         core = self._dispatcher
         if not core.running or not (core.handed_down or core.store.sharing):
             return
-        adopted: list[StoredMessage] = []
-        try:
-            adopted = [] if core.stopped_at else core.store.adopt()
-        except OSError as error:
-            core.log.error("spool cannot be written", fault=str(error))
+        adopted = [] if core.stopped_at else core.store.adopt()
+        core.records.retry_if_behind()
         if adopted:
             core.log.info("taken over", owed=len(adopted))
             self.send_notices(adopted)
@@ -55,33 +52,33 @@
             self._heed_other_processes()
         core.later(ADOPT_INTERVAL, self.adopt)
 
-    def _revive(self, message: StoredMessage, earlier: bool, wall: float) -> None:
+    def _revive(self, message: StoredMessage, earlier: bool, now: float) -> None:
         core = self._dispatcher
         queue_class = core.book.classes.get(message.queue_class)
         if queue_class is None:  # the settings have changed since
             if not message.notice:
                 core.end_by_notice(message.name, handed_back=False)
             return
-        left = message.end - wall
+        left = message.end - now
         mail = core.book.mail(queue_class, message.destination, left, message.customer, message.key)
-        mail.attempts, mail.ran = message.attempts, age_of_first_run(message, wall)
+        mail.attempts, mail.ran = message.attempts, age_of_first_run(message, now)
         mail.earlier, mail.ended = earlier, bool(message.notice)
-        core.hold(HeldMessage(message.name, message.tag, message.body, mail, core.now() + mail.left))
+        core.hold(HeldMessage(message.name, message.tag, message.body, mail, now + mail.left))
         core.tell(core.control.taken, mail)
 
     def _heed_other_processes(self) -> None:
         core = self._dispatcher
         core.tell(core.control.elsewhere, core.store.keys_elsewhere())
-        wall = core.wall()
+        now = core.now()
         for name, until in core.store.waits_elsewhere().items():
-            if until > wall and (route := core.book.routes.get(name)) is not None:
-                core.tell(core.control.told_to_wait, route, until - wall)
+            if until > now and (route := core.book.routes.get(name)) is not None:
+                core.tell(core.control.told_to_wait, route, until - now)
 
 
-def age_of_first_run(message: StoredMessage, wall: float) -> float | None:
+def age_of_first_run(message: StoredMessage, now: float) -> float | None:
     """Seconds since the first attempt that may have run was sent; None if there was none."""
     starts = [at for at in (message.ran, message.out) if at is not None]
     if not starts:
         return None
-    age = wall - min(starts)
+    age = now - min(starts)
     return age if age >= 0 else UNKNOWN_AGE
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -100,7 +100,12 @@
 
 
 class Store(Protocol):
-    """Each call that writes raises OSError if it cannot; `take` says so."""
+    """What is owed, beyond the life of the process. Times are seconds of the monotonic clock.
+
+    A call that writes raises OSError if it cannot write now. `out`, `notice` and `refuse` have changed
+    nothing then; `back`, `over` and `wait` hold all the same, and `flush` writes them later. `take` says
+    whether it did.
+    """
 
     @property
     def owed(self) -> Mapping[bytes, StoredMessage]: ...
@@ -109,19 +114,32 @@
     def torn(self) -> int:
         """Bytes at its end that could not be read."""
 
+    @property
+    def behind(self) -> bool:
+        """Whether something waits for `flush`."""
+
     def open(self) -> None: ...
 
+    def flush(self) -> None:
+        """Write what failed before."""
+
     def take(self, mail: StoredMessage) -> bool:
-        """Whether there was room for it."""
+        """Whether it is owed from now on: there was room for it, and it is written."""
 
-    def out(self, name: bytes, at: float) -> None: ...
+    def out(self, name: bytes, at: float) -> None:
+        """An attempt begins."""
 
     def back(self, name: bytes) -> None:
         """Its last attempt has not run."""
 
-    def notice(self, name: bytes, line: bytes) -> None: ...
+    def notice(self, name: bytes, line: bytes) -> None:
+        """It ends by this notice, once that is taken."""
+
+    def refuse(self, name: bytes) -> None:
+        """It is owed no more: its sender is told so next."""
 
-    def over(self, name: bytes) -> None: ...
+    def over(self, name: bytes) -> None:
+        """It is owed no more."""
 
     @property
     def sharing(self) -> bool:
@@ -154,9 +172,6 @@
 class Intake(Timing, Protocol):
     """The core as fronts see it."""
 
-    def wall(self) -> float:
-        """The wall clock, by which lifetimes are kept over a restart."""
-
     def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage:
         """Take a mail on: its answer, or the letter whose waiter is told later. NotAMailError."""
 
--- a/laureldock/fronts/resp_commands.py
+++ b/laureldock/fronts/resp_commands.py
@@ -67,7 +67,7 @@
     waited = RECONNECT_WINDOW if waited == inf else min(CLIENT_TIMEOUT, waited)
     left = max(0.0, int(lifetime) / 1000 - waited)
     core = client.clients.core
-    end = core.wall() + left
+    end = core.now() + left
     message = StoredMessage(name, order, queue_class, customer, tag, destination, end, body)
     if unread(client.transport) == b"":  # the client has given up, as after a stall of this process
         client.leaving = True  # the reactor reads the close
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -18,6 +18,7 @@
     withdrawn(now, mail)                       nobody wants this mail any more
     noticed(now, mail)                         its notice was answered (where the tariff has notices)
     may_begin(now, attempt) -> bool            whether an attempt, put off by its door, may still be sent
+    hold_sends(now, hold)                      nothing new may be sent for now, or may again
     closing(now, left)                         the process ends in so many seconds; what waits is kept
     turn(now) -> list[Effect]                  all effects of the turn, in the order to be carried out
 """
@@ -168,6 +169,7 @@
     wait: float = 0.0
     limit: float | None = None  # of the route, in calls a second; 0 where it has none, None where not told
     left: float = 1.0  # of the limit, what is left as a share
+    begun: bool = True  # not where it was held back before its first byte
     rested: float = 0.0  # for how long its connection had been unused; 0 where it was new, or is not known
 
 
--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -5,7 +5,8 @@
 import os
 from pathlib import Path
 
-from laureldock.stores.spool_records import decode_records
+from laureldock.clocks import read_clocks
+from laureldock.stores.spool_records import RecordReader
 
 
 class PeerSpool:
@@ -15,9 +16,10 @@
     """
 
     def __init__(self) -> None:
-        self._inode, self._size = -1, 0
+        self._inode = -1
+        self._reader = RecordReader(read_clocks())
         self._keys: dict[str, str] = {}  # by name of the message
-        self.waits: dict[str, float] = {}  # by route: until when, by the wall clock
+        self.waits: dict[str, float] = {}  # by route: until when, by the monotonic clock
 
     def keys(self, path: Path) -> list[str]:
         """Keys of messages that are owed now; none if the file cannot be read."""
@@ -25,22 +27,21 @@
             data = self._read_appended(path)
         except OSError:
             return []
-        start = self._size
-        for offset, fields, _ in decode_records(data):
-            self._size = start + offset
+        for fields, _ in self._reader.read(data):
             kind, name, *rest = fields
             if kind == "mail" and rest[0]:
                 self._keys[name] = rest[0]
             elif kind == "over":
                 self._keys.pop(name, None)
             elif kind == "wait":
-                self.waits[name] = rest[0]
+                self.waits[name] = rest[0] + self._reader.shift
         return list(self._keys.values())
 
     def _read_appended(self, path: Path) -> bytes:
         with path.open("rb") as file:
             inode = os.fstat(file.fileno()).st_ino
             if inode != self._inode:
-                self._inode, self._size, self._keys = inode, 0, {}
-            file.seek(self._size)
+                self._inode, self._keys = inode, {}
+                self._reader = RecordReader(read_clocks())
+            file.seek(self._reader.size)
             return file.read()
--- /dev/null
+++ b/laureldock/stores/record_file.py
@@ -0,0 +1,67 @@
+"""A file that records are added to, whole or not at all, on a disk whose writes may fail or end early."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+from collections.abc import Iterable
+
+from laureldock.stores.spool_records import encode_record
+
+# Tries of a write that fails, one right after another: a fault of a moment is over by then.
+WRITE_TRIES = 4
+
+
+def write_whole(descriptor: int, data: bytes, offset: int) -> None:
+    """Write all of it at an offset, in as many calls as it takes. OSError; part of it may be there then."""
+    rest = memoryview(data)
+    failures = 0
+    while rest:
+        try:
+            written = os.pwrite(descriptor, rest, offset)
+            if not written:
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        except OSError:
+            failures += 1
+            if failures == WRITE_TRIES:
+                raise
+            continue
+        rest = rest[written:]
+        offset += written
+
+
+class RecordFile:
+    """An open file of records. Bytes behind `size` are of a write that failed, and are written over."""
+
+    def __init__(self, descriptor: int, size: int = 0, checksum: int = 0) -> None:
+        self.descriptor = descriptor
+        self.size = size
+        self.checksum = checksum  # of the last record
+
+    def append(self, payload: bytes) -> None:
+        """Add a record. OSError: it is not in the file, and never will be."""
+        self.append_all([payload])
+
+    def append_all(self, payloads: Iterable[bytes]) -> None:
+        """Add records, all or none of them, as `append` does."""
+        records = []
+        checksum = self.checksum
+        for payload in payloads:
+            record, checksum = encode_record(payload, checksum)
+            records.append(record)
+        data = b"".join(records)
+        write_whole(self.descriptor, data, self.size)
+        self.size += len(data)
+        self.checksum = checksum
+
+    def drop_torn_end(self) -> None:
+        """Cut off what a write that failed has left, where the disk allows it; nothing depends on it."""
+        with contextlib.suppress(OSError):
+            os.ftruncate(self.descriptor, self.size)
+
+    def close(self) -> None:
+        """Close the file, and with it release its lock."""
+        if self.descriptor >= 0:
+            os.close(self.descriptor)
+        self.descriptor = -1
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -3,6 +3,9 @@
 One file of records (`spool_records.py`), appended to. Before it is full it is written anew with only what is
 still owed. What was written outlives a kill; no sync is needed.
 
+Writes may fail for a while. What has to be in the file before somebody is told of it is written at once or
+not at all (OSError). What holds in any case is queued, and written before all that follows.
+
 Two processes of one dispatcher may share the folder while one hands over to the next. Each holds a lock on
 the file it writes (`spool`, else `spool.1`, ...); a file whose lock is free belongs to a process that has
 ended, and what it owes is taken over whole, then the file goes.
@@ -13,17 +16,23 @@
 import contextlib
 import fcntl
 import os
+from collections import deque
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+from laureldock.clocks import read_clocks
 from laureldock.core.messages import StoredMessage
-from laureldock.file_locks import open_locked
+from laureldock.file_locks import FILE_MODE, open_locked
 from laureldock.stores.peer_spool import PeerSpool
+from laureldock.stores.record_file import RecordFile
 from laureldock.stores.spool_records import (
+    RECORD_HEADER,
+    RecordReader,
     decode_message,
-    decode_records,
+    encode_clocks,
     encode_message,
-    encode_record,
+    encode_payload,
 )
 
 BLOCK = 512  # bytes, in which the folder's limit is counted
@@ -32,56 +41,98 @@
 class Spool:
     """A `Store` of the core in a folder. `disk` is the limit on the folder, in bytes.
 
-    With `writes` this process is to write the folder, else it only reads what all its files owe.
+    With `writes` this process is to write the folder, else it only reads what all its files owe. Times are
+    seconds of the monotonic clock. OSError where the folder cannot be read or a file cannot be made.
     """
 
     def __init__(self, folder: Path, disk: float, writes: bool = True) -> None:
         self.folder = folder
-        file: int | None = -1
-        number, self.held = 0, []  # files that other living processes write
-        while writes and (file := open_locked(self.numbered_path(number))) is None:
-            self.held.append(self.numbered_path(number))
-            number += 1
-        self.file = file if file is not None and writes else -1
-        self.path = self.numbered_path(number)
+        self.held: list[Path] = []  # files that other living processes write
+        self.owed: dict[bytes, StoredMessage] = {}
+        self.room = 0  # bytes reserved for what is owed
+        self.waits: dict[str, float] = {}  # told to this process, or to one whose file it took
+        self.ended_files: list[tuple[Path, int]] = []  # with their locked descriptors
+        self.peers: dict[Path, PeerSpool] = {}
+        self.torn = 0  # bytes at the end of the file that are no whole record
+        self._queued: deque[bytes] = deque()  # payloads that a failed write has left out
+        self._renewal_due = True  # nothing is added to the file as it is
+        self._file = RecordFile(-1)
+        self.path = self.numbered_path(0)
+        try:
+            self._load(writes)
+        except OSError:
+            self.close()
+            raise
         # Two files stand side by side while one is written anew: a third of the room for what is owed, two
         # for the file that grows; one block of each is lost to the way of counting. A process beside another
         # has half of that.
         self.max_owed = int(disk / (6 if self.held else 3)) - 2 * BLOCK
         self.max_size = 2 * self.max_owed
-        self.owed: dict[bytes, StoredMessage] = {}
-        self.room = 0  # bytes reserved for what is owed
-        self.waits: dict[str, float] = {}  # told to this process, or to one whose file it took
+
+    def _load(self, writes: bool) -> None:
+        number, file = 0, -1
+        while writes and (locked := open_locked(self.numbered_path(number))) is None:
+            self.held.append(self.numbered_path(number))
+            number += 1
+        if writes:
+            assert locked is not None
+            file = locked
+        self._file = RecordFile(file)
+        self.path = self.numbered_path(number)
         data = self.path.read_bytes() if self.path.exists() else b""
-        self.size = 0
-        for offset, fields, body in decode_records(data):
-            self.size = offset
-            self.replay(fields, body)
-        self.torn = len(data) - self.size
-        self.ended_files: list[tuple[Path, int]] = []  # with their locked descriptors
-        self.peers: dict[Path, PeerSpool] = {}
+        reader = self._replay_all(data)
+        self._file = RecordFile(file, reader.size, reader.checksum)
+        self._renewal_due = not reader.current
+        self.torn = len(data) - reader.size
         for path in self.unknown_files():
-            file = open_locked(path) if writes else -1
-            if file is None:
+            if not writes:
+                self._replay_all(path.read_bytes())
+            elif not self._take_over(path):
                 self.held.append(path)
-            else:
-                self.read_ended(path, file)
+
+    @property
+    def file(self) -> int:
+        """The descriptor of the file that this process writes; negative once it is closed."""
+        return self._file.descriptor
+
+    @property
+    def size(self) -> int:
+        """Bytes of whole records in the file."""
+        return self._file.size
 
     @property
     def renewed_path(self) -> Path:
         """Where the file is written anew."""
         return self.path.with_name(self.path.name + ".new")
 
+    @property
+    def behind(self) -> bool:
+        """Whether something is not in the files as it should be; `flush` tries again."""
+        return bool(self._queued or self.ended_files)
+
     def unknown_files(self) -> list[Path]:
         """Files of other processes in the folder that this one does not know of yet."""
         files = (path for path in self.folder.glob("spool*") if not path.name.endswith(".new"))
-        return sorted(path for path in files if path != self.path and path not in self.held)
+        known = {self.path, *self.held, *(path for path, _ in self.ended_files)}
+        return sorted(path for path in files if path not in known)
+
+    def _take_over(self, path: Path) -> bool:
+        """What an ended process's file owes is owed by this one; the file goes once that is written here.
 
-    def read_ended(self, path: Path, file: int) -> None:
-        """What an ended process's file owes is owed by this one; the file goes at the next `absorb_ended`."""
+        False while its process lives. OSError: it cannot be read now.
+        """
+        file = open_locked(path)
+        if file is None:
+            return False
+        try:
+            data = path.read_bytes()
+        except OSError:
+            os.close(file)
+            raise
+        self._replay_all(data)
         self.ended_files.append((path, file))
-        for _, fields, body in decode_records(path.read_bytes()):
-            self.replay(fields, body)
+        self._renewal_due = True
+        return True
 
     def keys_elsewhere(self) -> list[str]:
         """Keys of messages that other living processes owe; new files are watched from now on."""
@@ -101,10 +152,11 @@
         return {name: until for peer in self.peers.values() for name, until in peer.waits.items()}
 
     def wait(self, route: str, until: float, now: float) -> None:
-        """A route told this process to wait until then, by the wall clock; others read it. OSError."""
+        """A route told this process to wait until then; others read it. OSError: it is queued."""
         self.waits = {name: end for name, end in self.waits.items() if end > now}
         self.waits[route] = until
-        self.write(encode_record(["wait", route, until]))
+        self._queued.append(encode_payload(["wait", route, until]))
+        self.flush()
 
     def numbered_path(self, number: int) -> Path:
         """The file of the process that found `number` others in the folder."""
@@ -116,60 +168,62 @@
         return bool(self.held)
 
     def open(self) -> None:
-        """Begin to write the folder; what was torn or half renewed is dropped. OSError."""
-        self.renewed_path.unlink(missing_ok=True)
-        os.ftruncate(self.file, self.size)
-        os.lseek(self.file, 0, os.SEEK_END)
-        self.absorb_ended()
-
-    def absorb_ended(self) -> None:
-        """Remove the files of ended processes, once what they owe is in this one's. OSError."""
-        if not self.ended_files:
-            return
-        self.renew()
-        for path, file in self.ended_files:
-            path.unlink(missing_ok=True)
-            os.close(file)
-        self.ended_files = []
+        """Begin to write the folder. What cannot be written now is made up for by the next write."""
+        with contextlib.suppress(OSError):
+            self.renewed_path.unlink(missing_ok=True)
+        self._file.drop_torn_end()
+        with contextlib.suppress(OSError):
+            self.flush()
 
     def adopt(self) -> list[StoredMessage]:
-        """What processes that have ended since owe, now owed by this one. OSError."""
-        adopted: list[StoredMessage] = []
+        """What processes that have ended since owe, now owed by this one. What cannot be read waits."""
+        before = set(self.owed)
         for path in list(self.held):
-            file = open_locked(path)
-            if file is None:
-                continue
-            self.held.remove(path)
-            before = set(self.owed)
-            self.read_ended(path, file)
-            adopted += [message for name, message in self.owed.items() if name not in before]
-        self.absorb_ended()
+            with contextlib.suppress(OSError):
+                if self._take_over(path):
+                    self.held.remove(path)
+        adopted = [message for name, message in self.owed.items() if name not in before]
+        with contextlib.suppress(OSError):
+            self.flush()
+            self._take_first_path()
+        return adopted
+
+    def _take_first_path(self) -> None:
+        """Once no other process is left. OSError."""
         first_path = self.numbered_path(0)
-        if not self.held and self.path != first_path:  # no other process is left
+        if not self.held and not self.ended_files and self.path != first_path:
             os.rename(self.path, first_path)
             self.path = first_path
-        return adopted
 
-    def replay(self, fields: list[Any], body: bytes) -> None:
-        """Apply a record that was read."""
+    def _replay_all(self, data: bytes) -> RecordReader:
+        reader = RecordReader(read_clocks())
+        for fields, body in reader.read(data):
+            self._replay(fields, body, reader.shift)
+        return reader
+
+    def _replay(self, fields: list[Any], body: bytes, shift: float) -> None:
+        """Apply a record that was read; `shift` is added to its times."""
         kind, name, *rest = fields
-        name = name.encode()
         if kind == "mail":
-            message = decode_message(fields[1:], body)
+            message = decode_message(fields[1:], body, shift)
             self.add(message, encode_message(message))
         elif kind == "wait":
-            self.waits[name.decode()] = rest[0]
-        elif name in self.owed:
-            self.apply(kind, self.owed[name], rest)
+            self.waits[name] = rest[0] + shift
+        elif (message_of := self.owed.get(name.encode())) is not None:
+            if kind == "out":
+                rest = [rest[0] + shift]
+            self.apply(kind, message_of, rest)
 
     @staticmethod
-    def reserved_for(message: StoredMessage, record: bytes) -> int:
+    def reserved_for(message: StoredMessage, payload: bytes) -> int:
         """Bytes to reserve: besides the message its notice, and the record that it is over."""
-        return len(record) + 8 * len(message.name) + 256
+        return RECORD_HEADER.size + len(payload) + 8 * len(message.name) + 256
 
-    def add(self, message: StoredMessage, record: bytes) -> None:
-        """Owe a message, whose record is given."""
-        message.room = self.reserved_for(message, record)
+    def add(self, message: StoredMessage, payload: bytes) -> None:
+        """Owe a message, whose payload is given."""
+        if before := self.owed.get(message.name):
+            self.room -= before.room
+        message.room = self.reserved_for(message, payload)
         self.room += message.room
         self.owed[message.name] = message
 
@@ -189,76 +243,105 @@
                 del self.owed[message.name]
 
     def take(self, message: StoredMessage) -> bool:
-        """Owe a message from now on; False where there is no room for it."""
-        data = encode_message(message)
-        if self.room + self.reserved_for(message, data) > self.max_owed:
+        """Owe a message from now on; False where there is no room for it, or it cannot be written."""
+        payload = encode_message(message)
+        if self.room + self.reserved_for(message, payload) > self.max_owed:
             return False
         try:
-            self.write(data)
+            self._write(payload)
         except OSError:
             return False
-        self.add(message, data)
+        self.add(message, payload)
         return True
 
     def out(self, name: bytes, at: float) -> None:
-        """An attempt begins, at a time of the wall clock. OSError."""
-        self.append("out", name, at)
-
-    def back(self, name: bytes) -> None:
-        """Its last attempt has not run. OSError."""
-        self.append("back", name)
+        """An attempt begins. OSError: it is not written, and the attempt may not begin."""
+        self._change_now("out", name, at)
 
     def notice(self, name: bytes, line: bytes) -> None:
-        """It ends by this notice, once that is taken. OSError."""
-        self.append("notice", name, line.decode())
+        """It ends by this notice, once that is taken. OSError: it is not written, and may not be sent."""
+        self._change_now("notice", name, line.decode())
+
+    def refuse(self, name: bytes) -> None:
+        """It is owed no more. OSError: it is not written, and the message is owed still."""
+        self._change_now("over", name)
+
+    def back(self, name: bytes) -> None:
+        """Its last attempt has not run. OSError: it is queued."""
+        self._change("back", name)
 
     def over(self, name: bytes) -> None:
-        """It is owed no more. OSError."""
-        self.append("over", name)
-
-    def append(self, kind: str, name: bytes, *rest: Any) -> None:
-        """Record a change of a message, if it is owed. OSError; the change holds all the same."""
-        if name in self.owed:
-            try:
-                self.write(encode_record([kind, name.decode(), *rest]))
-            finally:  # in the file once that is written anew
-                self.apply(kind, self.owed[name], list(rest))
-
-    def write(self, record: bytes) -> None:
-        """Append a record whole, or not at all. OSError."""
-        if self.size + len(record) > self.max_size:
-            self.renew()
-        written = os.write(self.file, record)
-        if written < len(record):
-            os.ftruncate(self.file, self.size)
-            os.lseek(self.file, self.size, os.SEEK_SET)
-            raise OSError("the spool's disk is full")
-        self.size += written
-
-    def renew(self) -> None:
-        """Write the file anew with what is still owed. OSError; the old file stays then."""
-        parts = []
-        for message in self.owed.values():
-            parts.append(encode_message(message))
-            if message.notice:
-                parts.append(encode_record(["notice", message.name.decode(), message.notice.decode()]))
-        parts += [encode_record(["wait", route, until]) for route, until in self.waits.items()]
-        data = b"".join(parts)
-        file = os.open(self.renewed_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        """It is owed no more. OSError: it is queued."""
+        self._change("over", name)
+
+    def _change_now(self, kind: str, name: bytes, *rest: Any) -> None:
+        """Record a change of a message, if it is owed, and apply it; or neither. OSError."""
+        if (message := self.owed.get(name)) is not None:
+            self._write(encode_payload([kind, name.decode(), *rest]))
+            self.apply(kind, message, list(rest))
+
+    def _change(self, kind: str, name: bytes, *rest: Any) -> None:
+        """Apply a change of a message, if it is owed, and record it, sooner or later. OSError: later."""
+        if (message := self.owed.get(name)) is not None:
+            self.apply(kind, message, list(rest))
+            self._queued.append(encode_payload([kind, name.decode(), *rest]))
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what is not in the files as it should be. OSError: some of it is not yet."""
+        if self._renewal_due or self._size_with(self._queued) > self.max_size:
+            self._renew()
+        while self._queued:
+            self._file.append(self._queued[0])
+            self._queued.popleft()
+        while self.ended_files:
+            path, file = self.ended_files[0]
+            path.unlink(missing_ok=True)
+            os.close(file)
+            self.ended_files.pop(0)
+
+    def _write(self, payload: bytes) -> None:
+        """Add a record behind all that is queued, or not at all. OSError."""
+        self.flush()
+        if self._size_with([payload]) > self.max_size:
+            self._renew()
+        self._file.append(payload)
+
+    def _size_with(self, payloads: deque[bytes] | list[bytes]) -> int:
+        return self._file.size + sum(RECORD_HEADER.size + len(payload) for payload in payloads)
+
+    def _renew(self) -> None:
+        """Write the file anew with what is still owed, queued changes too. OSError: the old one stays."""
+        descriptor = os.open(self.renewed_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, FILE_MODE)
+        renewed = RecordFile(descriptor)
         try:
             with contextlib.suppress(OSError):  # before its name is the spool's
-                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            if os.write(file, data) < len(data):
-                raise OSError("the spool's disk is full")
+                fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            renewed.append_all(self._all_payloads())
             os.rename(self.renewed_path, self.path)
         except OSError:
-            os.close(file)
-            self.renewed_path.unlink(missing_ok=True)
+            renewed.close()
+            with contextlib.suppress(OSError):
+                self.renewed_path.unlink(missing_ok=True)
             raise
-        os.close(self.file)
-        self.file, self.size = file, len(data)
+        self._file.close()
+        self._file = renewed
+        self._queued.clear()
+        self._renewal_due = False
+
+    def _all_payloads(self) -> Iterator[bytes]:
+        """Of a file that holds what is owed, and nothing else."""
+        yield encode_clocks(read_clocks())
+        for message in self.owed.values():
+            yield encode_message(message)
+            if message.notice:
+                yield encode_payload(["notice", message.name.decode(), message.notice.decode()])
+        for route, until in self.waits.items():
+            yield encode_payload(["wait", route, until])
 
     def close(self) -> None:
-        """Close the file, and with it release its lock."""
-        os.close(self.file)
-        self.file = -1
+        """Close the files, and with them release their locks."""
+        self._file.close()
+        for _, file in self.ended_files:
+            os.close(file)
+        self.ended_files = []
