--- a/tests/daemon.py
+++ b/tests/daemon.py
@@ -71,6 +71,11 @@
         self.process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
         log.close()
 
+    async def kill(self) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
     async def ready(self) -> None:
         assert self.process
         async with asyncio.timeout(20):
@@ -114,8 +119,6 @@
         yield found
     finally:
         await found.client.aclose()
-        if found.process and found.process.returncode is None:
-            found.process.kill()
-            await found.process.wait()
+        await found.kill()
         for receiver in found.receivers.values():
             await receiver.stop()
