A start waits out disk and socket errors of a moment; a stop accepts who still waits

Cause: any OSError of the spool, the reactor or the listening socket ended the process at its start; at a stop one failed accept ended the last look, and the close reset those behind it. Change: errors that pass by themselves are named in one module; a start waits for them, a front that cannot listen tries again, and a door that closes looks again while somebody waits, for a second.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -56,13 +56,21 @@
 
 
 class Assembly:
-    """`state` is the folder of the store; `ended_for` is called with a fault that ends the process."""
+    """`state` is the folder of the store, which is opened there unless it is given.
+
+    `ended_for` is called with a fault that ends the process.
+    """
 
     def __init__(
-        self, plan: Plan, state: Path, reactor: PosixReactorBase, ended_for: Callable[[str], None]
+        self,
+        plan: Plan,
+        state: Path,
+        reactor: PosixReactorBase,
+        ended_for: Callable[[str], None],
+        store: Spool | None = None,
     ) -> None:
         self.plan, self.reactor = plan, reactor
-        store = Spool(state, plan.limits.disk)
+        store = store or Spool(state, plan.limits.disk)
         # Two processes of one dispatcher, while one hands over to the next, hold half of the sockets each.
         sockets = plan.limits.sockets // (2 if store.sharing else 1)
         self.room = Room.of(sockets)
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -5,10 +5,13 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import click
+import structlog
 from twisted.internet.main import installReactor
 
 from laureldock.assembly import Assembly, Prepared
@@ -20,6 +23,8 @@
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.rules import Bounds, check
 from laureldock.sockets.reactor import Reread, SteadyReactor
+from laureldock.stores.spool import Spool
+from laureldock.transient_errors import wait_for
 
 
 def faults_of(plan: Plan, bounds: Bounds) -> list[str]:
@@ -27,6 +32,15 @@
     return [f"{dotted(fault.path)}: {fault.reason}" for fault in check(plan, bounds)]
 
 
+def waits_for(what: str) -> Callable[[OSError], None]:
+    """Logs that a start waits for something which cannot be opened now."""
+
+    def log(error: OSError) -> None:
+        structlog.get_logger().warning("start waits", waits_for=what, fault=str(error))
+
+    return log
+
+
 @click.command("serve", context_settings={"auto_envvar_prefix": "LAURELDOCK"})
 @click.argument("file", required=False)
 @click.option("--name", show_envvar=True, help="Of this dispatcher.")
@@ -69,7 +83,7 @@
         else:
             loaded = load(file, overrides)
             plan, state = loaded.plan, loaded.state
-            state.mkdir(parents=True, exist_ok=True)
+            wait_for(partial(state.mkdir, parents=True, exist_ok=True), waits_for("folder"))
     except RefusedError as refused:
         refuse(refused)
         return
@@ -77,7 +91,7 @@
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
 
     ended: list[str] = []
-    reactor = SteadyReactor()
+    reactor = wait_for(SteadyReactor, waits_for("reactor"))
     installReactor(reactor)
 
     def end(fault: str) -> None:
@@ -85,8 +99,9 @@
         reactor.callLater(0, reactor.stop)
 
     try:
-        logs = Logs(plan.log, file is None)
-        assembly = Assembly(plan, state, reactor, end)
+        logs = wait_for(partial(Logs, plan.log, file is None), waits_for("log"))
+        store = wait_for(partial(Spool, state, plan.limits.disk), waits_for("spool"))
+        assembly = Assembly(plan, state, reactor, end, store)
         if doubts:  # a platform's word holds all the same: no dispatcher stays down for it
             assembly.core.log.warning("settings questionable", faults=doubts[:20], count=len(doubts))
         assembly.core.verbose = plan.log.level == "debug"
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -24,12 +24,24 @@
 )
 from laureldock.core.record_keeping import RecordKeeping
 from laureldock.core.recovery import Recovery
-from laureldock.core.seams import Carrier, Clock, Front, NotAMailError, Outlet, Source, Store, Timer
+from laureldock.core.seams import (
+    Carrier,
+    Clock,
+    Front,
+    ListenError,
+    NotAMailError,
+    Outlet,
+    Source,
+    Store,
+    Timer,
+)
 from laureldock.tariff import Book, Entry
 
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 DOOR_STAYS, ALL_OVER = 0.6, 3.3
 
+LISTEN_RETRY = 0.1  # seconds, until a front that could not listen for a moment tries again
+
 # A mail's lifetime ends sooner by its client's clock than by ours: by the way here, and what timers round.
 ROUNDING = 0.01
 
@@ -102,11 +114,19 @@
         self.recovery.adopt()
 
     def open_door(self) -> None:
-        for front in self.fronts:
-            if fault := front.open():
-                self.log.error("cannot listen", fault=fault)
-                self.ended_for(f"cannot listen: {fault}")
-                return
+        """All fronts listen, or none; what fails for a moment is tried again."""
+        if self.stopped_at:
+            return
+        try:
+            for front in self.fronts:
+                front.open()
+        except ListenError as error:
+            self.log.error("cannot listen", fault=str(error))
+            if error.transient:
+                self.later(LISTEN_RETRY, self.open_door)
+            else:
+                self.ended_for(f"cannot listen: {error}")
+            return
         self.ready = True
         self.log.info("ready", routes=len(self.book.routes), owed=len(self.held))
 
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -20,6 +20,14 @@
     """What was handed in is whole, and names something that there is not. The text may be shown."""
 
 
+class ListenError(Exception):
+    """A front cannot listen; `transient` where a later try may succeed."""
+
+    def __init__(self, reason: str, transient: bool) -> None:
+        super().__init__(reason)
+        self.transient = transient
+
+
 class Timer(Protocol):
     def active(self) -> bool: ...
 
@@ -42,8 +50,8 @@
     def busy(self) -> int:
         """Connections that are open."""
 
-    def open(self) -> str:
-        """Listen; nought, or why that cannot be."""
+    def open(self) -> None:
+        """Listen. ListenError."""
 
     def shut(self) -> None:
         """Listen no more, and close connections once they are answered."""
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -11,13 +11,16 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.tcp import Port
 
-from laureldock.core.seams import Intake
+from laureldock.core.seams import Intake, ListenError
 from laureldock.fronts.resp import CHECK_INTERVAL, IDLE_GRACE, Client
 from laureldock.sockets.flush import unread
 from laureldock.sockets.reactor import Door
 from laureldock.sockets.room import Room
+from laureldock.transient_errors import is_transient
 
 BACKLOG = 512  # connections that wait to be accepted
+# Seconds: for so long those that wait at a door that closes are accepted while that fails; between two tries.
+LAST_ACCEPTS, LAST_ACCEPT_INTERVAL = 1.0, 0.02
 
 
 class Clients(Factory):
@@ -35,37 +38,57 @@
         self.clients: dict[Client, None] = {}
         self.numbers = 0
         self.full = self.looking = self.lameduck = False
+        self.shutting = False  # the last clients are accepted
         self.port: Port | None = None
         self.unread: Callable[[], float] = lambda: 0.0  # for how long what is read now may have lain
         self.passed = -1  # a descriptor that listens already
 
     @property
     def busy(self) -> int:
-        return len(self.clients)
+        return len(self.clients) + bool(self.shutting and self.port)
 
-    def open(self) -> str:
+    def open(self) -> None:
+        """Listen, unless it does already. ListenError."""
+        if self.port:
+            return
         if self.passed >= 0:  # the platform listens, and every process of this dispatcher accepts
             try:
                 self.port = self.reactor.adopt(self.passed, self)  # type: ignore[attr-defined]
-            except OSError as fault:
-                return f"descriptor {self.passed}: {fault}"
-            return ""
+            except OSError as error:
+                raise ListenError(f"descriptor {self.passed}: {error}", is_transient(error)) from None
+            return
         host, _, port = self.listen.rpartition(":")
         try:
             self.port = self.reactor.listenTCP(int(port), self, backlog=BACKLOG, interface=host)
-        except CannotListenError as fault:
-            return str(fault)
-        return ""
+        except CannotListenError as error:
+            raise ListenError(str(error), is_transient(error.socketError)) from None
+        except OSError as error:
+            raise ListenError(str(error), is_transient(error)) from None
 
     def shut(self) -> None:
-        if self.port:
-            # Closing the door would reset those that wait at it, their requests unread.
-            while isinstance(self.port, Door) and len(self.clients) < self.most and self.port.accept_some():
-                pass
-            self.port.stopListening()
-            self.port = None
+        if self.port and not self.shutting:
+            self.shutting = True
+            self._accept_last(self.core.now() + LAST_ACCEPTS)
+        for client in list(self.clients):
+            client.finish()
+
+    def _accept_last(self, until: float) -> None:
+        """Closing the door resets those that wait at it, their requests unread: they are accepted before."""
+        port = self.port
+        while isinstance(port, Door) and len(self.clients) < self.most and port.accept_some():
+            pass
         for client in list(self.clients):
             client.finish()
+        if self._somebody_waits() and self.core.now() < until:  # an accept has failed
+            self.core.later(LAST_ACCEPT_INTERVAL, self._accept_last, until)
+        elif port:
+            self.port = None
+            port.stopListening()
+
+    def _somebody_waits(self) -> bool:
+        # A socket that the platform holds resets nobody when it is closed here.
+        own = isinstance(self.port, Door) and self.passed < 0
+        return own and len(self.clients) < self.most and self.port.somebody_waits()  # type: ignore[union-attr]
 
     def set_lameduck(self, on: bool) -> None:
         """Connections close once answered; those between requests at once. New ones are still served."""
--- a/laureldock/rehearsal/soak/faulty_process.py
+++ b/laureldock/rehearsal/soak/faulty_process.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import runpy
 import sys
 from pathlib import Path
 
@@ -29,9 +30,8 @@
     """Install the faults, then run the program's own command line."""
     plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=FaultPlan)
     SystemCalls(Path(plan.folder), plan.seed, plan.windows).install()
-    from laureldock.cli import main as command
-
-    command(sys.argv[2:], prog_name="laureldock")
+    sys.argv = ["laureldock", *sys.argv[2:]]
+    runpy.run_module("laureldock", run_name="__main__")
 
 
 if __name__ == "__main__":
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -55,6 +56,12 @@
         if self.connected and not getattr(self.factory, "full", False):
             self.startReading()
 
+    def somebody_waits(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        poll = select.poll()
+        poll.register(self.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def accept_some(self) -> bool:
         """A few of those that wait; whether there was one."""
         before = self.sessionno
