A soak of real processes under troubles that overlap; failing first: an id that comes again

Cause: what crosses in time was looked for one trouble at a time. Change: laureldock rehearse soak: real dispatchers, each with clients, stand-ins behind relays, signals, a stepped clock and system calls that fail, drawn by a seed and judged by the account and by the invariants. Its first find: a client whose connection breaks before its answer sends its request once more, and a message that may run once runs twice beside itself. An accept error that Linux documents, and the reactor's own door does not know, is no longer a traceback each time.

--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -112,6 +112,44 @@
     raise SystemExit(0 if verdict.held else 1)
 
 
+@command.command()
+@click.option("--seed", default=1, show_default=True, help="Of the first dispatcher; the others count on.")
+@click.option("--dispatchers", default=24, show_default=True, help="Real processes, all at once.")
+@click.option("--seconds", default=60.0, show_default=True, help="Of load and troubles.")
+@click.option("--rate", default=6.0, show_default=True, help="Mails a second, for each dispatcher.")
+@click.option("--folder", type=click.Path(path_type=Path), help="Kept afterwards; else a temporary one.")
+def soak(seed: int, dispatchers: int, seconds: float, rate: float, folder: Path | None) -> None:
+    """Soak real dispatchers on loopback under troubles that overlap, drawn by seeds.
+
+    Kills, planned stops, reloads, drains; receivers and connections that fail; clients that misbehave; system
+    calls that fail; a wall clock that is stepped. Exit 1 if a rule or an invariant was broken for any mail.
+    """
+    try:
+        from laureldock.rehearsal.soak.run import soak as play
+        from laureldock.rehearsal.soak.soaked import Findings
+    except ImportError as fault:
+        hint = "pip install 'laureldock[rehearse]'"
+        raise click.ClickException(f"{fault}; the rehearsal needs its extra: {hint}") from None
+
+    def say(found: Findings) -> None:
+        word = "BROKEN" if found.broken else "held"
+        click.echo(
+            f"seed {found.seed}: {word}; {found.handed_in} handed in, {found.accepted} accepted,"
+            f" {found.delivered} delivered, {found.restarts} restarts, {len(found.troubles)} troubles"
+        )
+        for each in found.broken:
+            click.echo(f"  {each}")
+        for each in [*found.stories, *found.troubles] if found.broken else []:
+            click.echo(f"    {each}")
+
+    with tempfile.TemporaryDirectory() as temporary:
+        seeds = range(seed, seed + dispatchers)
+        found = asyncio.run(play(folder or Path(temporary), seeds, seconds, rate, say))
+    broken = [each.seed for each in found if each.broken]
+    click.echo(f"{len(found) - len(broken)} of {len(found)} held" + (f"; broken: {broken}" if broken else ""))
+    raise SystemExit(1 if broken else 0)
+
+
 @command.command()
 @click.option("--members", default=100, show_default=True, help="Hollow and real together.")
 @click.option(
--- /dev/null
+++ b/laureldock/rehearsal/soak/run.py
@@ -0,0 +1,27 @@
+"""A soak: many dispatchers at once, each with its own seed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from laureldock.rehearsal.soak.soaked import Findings, SoakedDispatcher
+
+START_GAP = 0.1  # seconds between two starts, lest all begin in one instant
+
+
+async def soak(
+    folder: Path, seeds: range, length: float, rate: float, say: Callable[[Findings], None]
+) -> list[Findings]:
+    """Soak one dispatcher for each seed, all at once; `say` hears of each as it is through."""
+
+    async def one(place: int, seed: int) -> Findings:
+        await asyncio.sleep(place * START_GAP)
+        own = folder / f"seed-{seed}"
+        own.mkdir(parents=True)
+        findings = await SoakedDispatcher(own, f"dock-{seed}", seed, length, rate).play()
+        say(findings)
+        return findings
+
+    return await asyncio.gather(*(one(place, seed) for place, seed in enumerate(seeds)))
--- /dev/null
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -0,0 +1,420 @@
+"""One soaked dispatcher: its process, the stand-ins, relays and clients round it, and its troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from functools import partial
+from importlib.resources import files
+from pathlib import Path
+from typing import Any
+
+import redis.asyncio as redis
+import tomlkit
+from redis.asyncio.retry import Retry
+from redis.backoff import NoBackoff
+
+from laureldock.rehearsal.account import TAKEN, Account, Restart, Told, Verdict, judge
+from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines
+from laureldock.rehearsal.soak import troubles
+from laureldock.rehearsal.soak.clients import Load, misbehave
+from laureldock.rehearsal.soak.faulty_process import FaultPlan
+from laureldock.rehearsal.soak.relay import Relay
+from laureldock.rehearsal.soak.system_calls import Fault, Window
+from laureldock.rehearsal.soak.troubles import Signal, Trouble
+from laureldock.rehearsal.standins import Fault as ReceiverFault
+from laureldock.rehearsal.standins import Receiver
+
+READY_TIMEOUT = 30.0  # seconds
+STOP_TIMEOUT = 3.7  # seconds from SIGTERM to SIGKILL, by the platform's protocol
+DOWN_TIME = 0.6  # seconds from the end of a process to its next start
+PAUSE_TIME = 0.15  # seconds for which a process is held up
+RELOADS = 3  # in a row
+SETTLE_TIME = LIFETIME + 3.0  # seconds in which all that was accepted has its end
+UNREAD_ANSWERS = 0.5  # seconds before a kill: answers of that time may never have been read or recorded
+
+
+@dataclass(slots=True)
+class Findings:
+    """What a soak of one dispatcher has shown."""
+
+    name: str
+    seed: int
+    handed_in: int = 0
+    accepted: int = 0
+    delivered: int = 0
+    restarts: int = 0
+    troubles: list[str] = field(default_factory=list)
+    verdicts: list[Verdict] = field(default_factory=list)
+    violations: int = 0  # of invariants, as the process counted them
+    defects: list[str] = field(default_factory=list)  # crashes, exceptions, ends that came late
+    stories: list[str] = field(default_factory=list)  # of each message for which a rule was broken
+
+    @property
+    def broken(self) -> list[str]:
+        """All that should not have been seen."""
+        found = [f"{each.rule}: {case}" for each in self.verdicts for case in each.broken]
+        if self.violations:
+            found.append(f"{self.violations} invariant violations; see the log")
+        return found + self.defects
+
+
+class SoakedDispatcher:
+    """Plays `length` seconds of load and troubles, and judges them."""
+
+    def __init__(self, folder: Path, name: str, seed: int, length: float, rate: float) -> None:
+        self.folder, self.name, self.seed, self.length = folder, name, seed, length
+        self.account = Account()
+        self.findings = Findings(name, seed)
+        self.receivers = {
+            each: Receiver(each, owner, self.account, seed + place)
+            for place, (each, owner) in enumerate(RECEIVERS.items())
+        }
+        self.troubles = troubles.draw(seed, length, list(RECEIVERS))
+        self.relays = {each: Relay(partial(self.relay_trouble, each)) for each in RECEIVERS}
+        self.file = folder / "laureldock.toml"
+        self.notices, self.notices_read = folder / "state" / "undelivered.jsonl", 0
+        self.log = folder / "log"
+        # An address of its own: no port there is taken by a connection that goes out.
+        self.host, self.port = f"127.77.{seed // 250 % 250}.{seed % 250 + 1}", free_port()
+        self.load = Load(
+            self.account,
+            (self.host, self.port),
+            seed,
+            rate,
+            sorted(set(RECEIVERS.values())),
+            self.may_be_unanswered,
+        )
+        self.process: asyncio.subprocess.Process | None = None
+        self.began = 0.0  # of the monotonic clock, as `troubles` count from it
+        self.ends_at: list[float] = []  # of the wall clock, when a process was killed or died
+
+    # What the troubles say now
+
+    def elapsed(self) -> float:
+        return time.monotonic() - self.began
+
+    def relay_trouble(self, receiver: str) -> troubles.Path | None:
+        now = self.elapsed()
+        for each in self.troubles:
+            if (
+                isinstance(each.kind, troubles.Path)
+                and each.target == receiver
+                and each.at <= now < each.until
+            ):
+                return each.kind
+        return None
+
+    def may_be_unanswered(self) -> bool:
+        """Whether its connections break just now: it was killed, or its reads and writes fail."""
+        now = self.elapsed()
+        breaking = [each for each in self.troubles if each.kind is Fault.BROKEN]
+        if any(each.at - 0.5 <= now < each.until + 0.5 for each in breaking):
+            return True
+        return any(abs(time.time() - at) < 1.0 for at in self.ends_at)
+
+    def windows(self) -> list[Window]:
+        """Of the system calls of a process, on the monotonic clock."""
+        return [
+            Window(each.kind, self.began + each.at, self.began + each.until, each.share, each.step)
+            for each in self.troubles
+            if isinstance(each.kind, Fault)
+        ]
+
+    # The process
+
+    def configure(self, without: str = "") -> None:
+        """Write its file: the example, with the relays as receivers."""
+        told = tomlkit.parse(files("laureldock.setup").joinpath("example.toml").read_text())
+        told["name"] = self.name
+        told["front"][0]["listen"] = f"{self.host}:{self.port}"
+        listed = tomlkit.aot()
+        for name, receiver in self.receivers.items():
+            if name != without:
+                entry = tomlkit.table()
+                entry.update(name=name, destination=receiver.destination, rate=receiver.rate)
+                entry["address"] = f"127.0.0.1:{self.relays[name].port}"
+                listed.append(entry)
+        told["endpoint"] = listed
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(tomlkit.dumps(told))
+        fresh.rename(self.file)
+
+    async def launch(self) -> None:
+        """Start the process, and wait until it takes clients. TimeoutError, RuntimeError."""
+        plan = self.folder / "faults.json"
+        FaultPlan(str(self.folder / "state"), self.seed, self.windows()).write(plan)
+        module = "laureldock.rehearsal.soak.faulty_process"
+        command = [sys.executable, "-m", module, str(plan), "serve", str(self.file)]
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
+        until = time.monotonic() + READY_TIMEOUT
+        while time.monotonic() < until:
+            if self.process.returncode is not None:
+                raise RuntimeError(f"{self.name} ended at its start with {self.process.returncode}")
+            with contextlib.suppress(OSError, redis.RedisError):
+                async with self.asker() as client:
+                    if await client.ping():
+                        return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{self.name} was not ready in {READY_TIMEOUT:g} s")
+
+    def asker(self) -> redis.Redis:
+        return redis.Redis(
+            host=self.host, port=self.port, protocol=2, retry=Retry(NoBackoff(), 0), socket_timeout=2
+        )
+
+    async def figures(self) -> dict[str, Any] | None:
+        """Its counters; None where it does not answer now."""
+        try:
+            async with self.asker() as client:
+                found: dict[str, Any] = await client.info()
+                return found
+        except (OSError, redis.RedisError):
+            return None
+
+    # The soak
+
+    async def play(self) -> Findings:
+        """Play, and judge."""
+        (self.folder / "state").mkdir(parents=True, exist_ok=True)
+        self.began = time.monotonic() + 3600.0  # no trouble yet
+        for name, receiver in self.receivers.items():
+            await receiver.start(time.time())
+            await self.relays[name].start(receiver.port)
+        self.configure()
+        first = self.troubles
+        try:
+            self.troubles = []
+            await self.launch()
+            await self.stop_process(signal.SIGKILL)
+            self.troubles, self.began = first, time.monotonic()
+            self.tell_receivers()
+            await self.launch()
+            self.ends_at.clear()
+            await self.run()
+        except (RuntimeError, TimeoutError) as defect:
+            self.findings.defects.append(str(defect))
+        finally:
+            await self.close()
+        self.judge()
+        return self.findings
+
+    def tell_receivers(self) -> None:
+        wall = time.time() - self.elapsed()
+        for receiver in self.receivers.values():
+            receiver.began = wall
+        for each in self.troubles:
+            if isinstance(each.kind, troubles.Receiver):
+                fault = ReceiverFault(each.kind.value, each.at, each.until)
+                self.receivers[each.target].faults.append(fault)
+
+    async def run(self) -> None:
+        helpers = [asyncio.create_task(self.watch_notices())]
+        helpers += [asyncio.create_task(each.run()) for each in self.receivers.values()]
+        helpers += [asyncio.create_task(self.misbehave(each)) for each in self.troubles]
+        signals = asyncio.create_task(self.send_signals())
+        try:
+            await self.load.run(max(0.0, self.length - self.elapsed()))
+            await signals
+            await self.settle()
+        finally:
+            for task in [*helpers, signals]:
+                task.cancel()
+            done = await asyncio.gather(*helpers, signals, return_exceptions=True)
+        defects = [each for each in done if isinstance(each, Exception)]
+        self.findings.defects += [f"the soak itself: {defect!r}" for defect in defects]
+
+    async def misbehave(self, trouble: Trouble) -> None:
+        if isinstance(trouble.kind, troubles.Client):
+            await self.wait_until(trouble.at)
+            await misbehave(trouble.kind, (self.host, self.port), trouble.until - trouble.at)
+
+    async def wait_until(self, at: float) -> None:
+        await asyncio.sleep(max(0.0, at - self.elapsed()))
+
+    async def send_signals(self) -> None:
+        acts = {
+            Signal.KILL: self.kill,
+            Signal.TERMINATE: self.terminate,
+            Signal.RELOAD: self.reload,
+            Signal.DRAIN: self.drain,
+            Signal.PAUSE: self.pause,
+        }
+        for trouble in self.troubles:
+            if isinstance(trouble.kind, Signal):
+                await self.wait_until(trouble.at)
+                act: Coroutine[Any, Any, None] = acts[trouble.kind](trouble)
+                await act
+
+    async def kill(self, trouble: Trouble) -> None:
+        await self.restart(signal.SIGKILL)
+
+    async def terminate(self, trouble: Trouble) -> None:
+        await self.restart(signal.SIGTERM)
+
+    async def restart(self, sign: signal.Signals) -> None:
+        down = time.time()
+        await self.note_figures()
+        await self.stop_process(sign)
+        await asyncio.sleep(DOWN_TIME)
+        await self.launch()
+        self.findings.restarts += 1
+        self.account.restarts.append(Restart(down, time.time(), sign is signal.SIGKILL))
+
+    async def stop_process(self, sign: signal.Signals) -> None:
+        """End the process: by SIGTERM, then by SIGKILL where it is late; or by SIGKILL alone."""
+        assert self.process
+        if self.process.returncode is not None:
+            raise RuntimeError(f"{self.name} had ended with {self.process.returncode}")
+        self.process.send_signal(sign)
+        if sign is signal.SIGTERM:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT)
+            if self.process.returncode is None:
+                self.findings.defects.append("a planned stop took too long")
+                self.process.kill()
+            elif self.process.returncode:
+                self.findings.defects.append(f"a planned stop ended with {self.process.returncode}")
+        self.ends_at.append(time.time())
+        await self.process.wait()
+        recent = time.time() - UNREAD_ANSWERS
+        self.account.killed |= {call.mail for call in self.account.calls if call.ended > recent}
+
+    async def reload(self, trouble: Trouble) -> None:
+        for _ in range(RELOADS):
+            self.signal(signal.SIGHUP)
+            await asyncio.sleep(0.03)
+
+    async def drain(self, trouble: Trouble) -> None:
+        """A receiver less, once that has been read; and all of them again."""
+        self.configure(without=trouble.target)
+        if await self.read_again():
+            told = Told(trouble.target, time.time())
+            self.account.drains.append(told)
+            await self.wait_until(trouble.until)
+            told.until = time.time()
+        self.configure()
+        await self.read_again()
+
+    async def read_again(self) -> bool:
+        """SIGHUP; whether the file was surely read since."""
+        before = await self.figures()
+        self.signal(signal.SIGHUP)
+        until = time.monotonic() + 3.0
+        while before is not None and time.monotonic() < until:
+            now = await self.figures()
+            if now and now.get("configurations_read", 0) > before.get("configurations_read", 0):
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    async def pause(self, trouble: Trouble) -> None:
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_TIME)
+        self.signal(signal.SIGCONT)
+
+    def signal(self, sign: signal.Signals) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(sign)
+
+    async def watch_notices(self) -> None:
+        while True:
+            self.read_notices()
+            await asyncio.sleep(0.02)
+
+    def read_notices(self) -> None:
+        lines, self.notices_read = new_lines(self.notices, self.notices_read)
+        for line in lines:
+            told = json.loads(line)
+            if (mail := self.account.handed.get(told["message"])) is not None:
+                mail.notices.append((time.time(), told["outcome"]))
+            else:
+                self.account.strays.append(told["message"])
+
+    async def settle(self) -> None:
+        """Until all that was accepted has its end, or should have."""
+        until = time.monotonic() + SETTLE_TIME
+        while time.monotonic() < until:
+            if (now := await self.figures()) is not None and not now.get("held"):
+                break
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.3)
+        await self.note_figures()
+
+    async def note_figures(self) -> None:
+        """What this life has counted, before it ends."""
+        if (now := await self.figures()) is not None:
+            self.findings.violations += int(now.get("invariant_violations", 0))
+            if faults := int(now.get("faults", 0)):
+                self.findings.defects.append(f"{faults} exceptions; see {self.log}")
+
+    async def close(self) -> None:
+        await self.load.close()
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        for receiver in self.receivers.values():
+            await receiver.stop()
+        for relay in self.relays.values():
+            await relay.stop()
+
+    def is_broken(self, name: str) -> bool:
+        return any(name in case for verdict in self.findings.verdicts for case in verdict.broken)
+
+    def story(self, name: str) -> str:
+        """All that was seen of a message, in seconds from the start of the load."""
+        began = time.time() - self.elapsed()
+        mail = self.account.handed[name]
+        parts = [f"{name} {mail.effect} to {mail.destination} {mail.key}: at {mail.at - began:.2f}"]
+        parts.append(f"{mail.word or 'no answer'} {mail.answered - began:.2f}")
+        for call in self.account.calls:
+            if call.mail == name:
+                ran = "ran" if call.ran else "not run"
+                parts.append(
+                    f"{call.receiver} {call.first - began:.2f}-{call.ended - began:.2f} {call.status} {ran}"
+                )
+        parts += [f"{word} {at - began:.2f}" for at, word in mail.notices]
+        return "; ".join(parts)
+
+    def forget_lost_answers(self) -> None:
+        """What a stand-in answered and its relay did not pass on was told to nobody."""
+        for call in self.account.calls:
+            relayed = self.relays[call.receiver].calls
+            same = [each for each in relayed if each.mail == call.mail and each.at <= call.first]
+            if same and same[-1].answered:
+                continue
+            call.status = 0
+            self.account.waits = [
+                each
+                for each in self.account.waits
+                if (each.receiver, each.mail) != (call.receiver, call.mail)
+            ]
+
+    def judge(self) -> None:
+        self.read_notices()
+        self.forget_lost_answers()
+        wall = time.time() - self.elapsed()
+        self.account.unreadable = [
+            (wall + each.at, wall + each.until) for each in self.troubles if each.kind is Fault.BROKEN
+        ]
+        findings, handed = self.findings, self.account.handed.values()
+        findings.handed_in = len(handed)
+        findings.accepted = sum(mail.word == TAKEN for mail in handed)
+        served = {call.mail for call in self.account.calls if call.status == 200}
+        findings.delivered = len(served)
+        findings.verdicts = judge(self.account)
+        findings.troubles = [
+            f"{each.at:.1f}-{each.until:.1f}s {each.kind} {each.target}".strip() for each in self.troubles
+        ]
+        findings.stories = [self.story(name) for name in self.account.handed if self.is_broken(name)]
+        text = self.log.read_text(errors="replace") if os.path.exists(self.log) else ""
+        if "Traceback" in text:
+            findings.defects.append(f"an exception in {self.log}")
--- /dev/null
+++ b/laureldock/rehearsal/soak/troubles.py
@@ -0,0 +1,98 @@
+"""What goes wrong during a soak and when, drawn from a seed. No I/O."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from laureldock.rehearsal.soak.system_calls import Fault
+
+
+class Signal(StrEnum):
+    """What happens to the process of a dispatcher."""
+
+    KILL = "kill"  # SIGKILL, and a start on the same folder
+    TERMINATE = "terminate"  # SIGTERM, SIGKILL where it does not end in time, and a start
+    RELOAD = "reload"  # SIGHUP, several in a row
+    DRAIN = "drain"  # SIGHUP with a receiver less, and later with all of them again
+    PAUSE = "pause"  # SIGSTOP for a moment
+
+
+class Path(StrEnum):
+    """What the relay before a receiver does."""
+
+    RESET = "reset"  # connections are reset under calls
+    LOSE = "lose"  # calls arrive, and their answers do not
+    CLOSE = "close"  # connections are closed soon after a call
+    STALL = "stall"  # nothing passes
+
+
+class Receiver(StrEnum):
+    """What a stand-in receiver does (`standins.Fault`)."""
+
+    REFUSE = "refuse"
+    SILENT = "silent"
+    DOWN = "down"
+    ERROR = "error"
+    SLOW = "slow"
+
+
+class Client(StrEnum):
+    """What clients do beside the load."""
+
+    HALF = "half"  # half a command, and then nothing
+    LEAVE = "leave"  # a whole command, and a reset
+    PIPELINE = "pipeline"  # many commands at once
+    GARBAGE = "garbage"
+    REST = "rest"  # many connections that ask nothing
+
+
+Kind = Signal | Path | Receiver | Client | Fault
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One thing that goes wrong. Times are seconds from the start of the load."""
+
+    kind: Kind
+    at: float
+    until: float
+    target: str = ""  # name of a receiver, where it is one's
+    share: float = 1.0  # of the system calls that fail
+    step: float = 0.0  # seconds by which the wall clock is set
+
+
+LONGEST = 3.0  # seconds
+MEAN_GAP = 0.9  # seconds between two that begin, so that two or three overlap
+SIGNAL_GAP = 6.0  # seconds between two ends of a process: a planned stop takes up to four
+HOUR = 3600.0
+FOR_GOOD = 1e9
+
+
+def draw(seed: int, length: float, receivers: list[str]) -> list[Trouble]:
+    """The troubles of one dispatcher over so many seconds, in the order in which they begin."""
+    chance = random.Random(seed)
+    troubles: list[Trouble] = []
+    at, free = 0.5, 0.0
+    while (at := at + chance.expovariate(1 / MEAN_GAP)) < length:
+        kind = draw_kind(chance)
+        until = at + chance.uniform(0.3, LONGEST)
+        if isinstance(kind, Signal):
+            if kind is not Signal.PAUSE and at < free:
+                continue
+            free = at + SIGNAL_GAP if kind is not Signal.PAUSE else free
+        share = chance.choice([0.3, 0.5, 1.0])
+        step = 0.0
+        if kind is Fault.CLOCK:
+            until, step = FOR_GOOD, chance.choice([-HOUR, -5.0, 5.0, HOUR])
+        if kind is Fault.BROKEN:
+            share = 0.02  # of all reads and writes
+        troubles.append(Trouble(kind, at, until, chance.choice(receivers), share, step))
+    return troubles
+
+
+def draw_kind(chance: random.Random) -> Kind:
+    """Any kind of any group, the groups as often as each other."""
+    groups: list[list[Kind]] = [list(Signal), list(Path), list(Receiver), list(Client), list(Fault)]
+    return chance.choice(chance.choice(groups))
--- a/laureldock/rehearsal/standins.py
+++ b/laureldock/rehearsal/standins.py
@@ -61,7 +61,7 @@
                 await asyncio.sleep(max(0.0, self.began + fault.until - time.time()))
                 back = time.time()
                 self.account.colds.append(
-                    Told(self.name, back, back + self.warm_time, partial(self.bears, back))
+                    Told(self.name, back, back + self.warm_time, bears=partial(self.bears, back))
                 )
                 await self.listen()
 
@@ -114,7 +114,7 @@
                 head = h11.Response(status_code=status, headers=[*headers, ("Content-Length", "0")])
                 writer.write((wire.send(head) or b"") + (wire.send(h11.EndOfMessage()) or b""))
                 await writer.drain()
-                if calls:
+                if calls and request.method == b"POST":
                     calls[-1].ended, calls[-1].status = calls[-1].ended or time.time(), status
                 if wire.our_state is not h11.DONE:
                     return
@@ -130,7 +130,8 @@
         fault = self.fault()
         if request.method == b"GET":
             if fault and fault.sort == "silent":
-                await asyncio.sleep(3600)
+                await reader.read(1)  # until the other side gives it up
+                raise ConnectionResetError
             return (503 if fault and fault.sort == "refuse" else 200), []
         call = Call(self.name, headers["x-call-id"], headers.get("idempotency-key", ""), first, time.time())
         self.account.calls.append(call)
@@ -139,7 +140,7 @@
             left = self.began + fault.until - time.time()
             wait = max(1, round(min(left, 0.8) * 1000))
             now = time.time()
-            self.account.waits.append(Told(self.name, now, now + wait / 1000))
+            self.account.waits.append(Told(self.name, now, now + wait / 1000, call.mail))
             return 429, [("X-RateLimit-Wait-Ms", str(wait))]
         call.ran = True
         if fault and fault.sort == "silent":
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -11,6 +11,7 @@
 from math import inf
 from typing import Any, Generic, TypeVar
 
+import structlog
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.tcp import Port
 
@@ -19,6 +20,25 @@
 
 # Accepted at a look; descriptors that clients cannot take: for the list, notices, the store, receivers.
 ACCEPTS, KEPT = 4, 8
+ACCEPT_PAUSE = 0.1  # seconds, after which a door that could not accept looks again
+# By accept(2): errors of a connection that waited, to be passed over by accepting the next one.
+CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.ETIMEDOUT,
+    }
+)
+
+log = structlog.get_logger()
 
 
 def spare(descriptors: int) -> bool:
@@ -44,14 +64,45 @@
 
     def doRead(self) -> None:  # noqa: N802
         if spare(ACCEPTS + KEPT):
-            self.numberAccepts = ACCEPTS
-            super().doRead()
+            self.accept_all(ACCEPTS)
             return
-        self.stopReading()
-        self.reactor.callLater(0.1, self.look_again)
+        self.pause()
         if crowded := getattr(self.factory, "crowded", None):
             crowded(ACCEPTS)
 
+    def accept_all(self, most: int) -> None:
+        """Accept so many that wait at most. What fails for a moment is looked at again a moment later."""
+        for _ in range(most):
+            try:
+                link, address = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in CONNECTION_ERRORS:
+                    continue  # of that connection alone
+                log.warning("cannot accept", fault=str(error))
+                self.pause()
+                return
+            self.serve(link, address)
+
+    def serve(self, link: socket.socket, address: tuple[str, int]) -> None:
+        """A connection that was accepted, as the reactor's own door begins it."""
+        factory: Any = self.factory
+        protocol = factory.buildProtocol(self._buildAddr(address))
+        self.sessionno += 1
+        try:
+            transport = self.transport(link, protocol, address, self, self.sessionno, self.reactor)
+        except OSError as error:
+            log.warning("cannot serve a connection", fault=str(error))
+            link.close()
+            return
+        protocol.makeConnection(transport)
+
+    def pause(self) -> None:
+        """Nobody is accepted for a moment; who comes waits."""
+        self.stopReading()
+        self.reactor.callLater(ACCEPT_PAUSE, self.look_again)
+
     def look_again(self) -> None:
         if self.connected and not getattr(self.factory, "full", False):
             self.startReading()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,38 @@
+"""A short run of the soak; the long one is `laureldock rehearse soak`."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import pairwise
+from pathlib import Path
+
+from laureldock.rehearsal.play import RECEIVERS
+from laureldock.rehearsal.soak import troubles
+from laureldock.rehearsal.soak.run import soak
+from laureldock.rehearsal.soak.soaked import Findings
+from laureldock.rehearsal.soak.system_calls import Fault
+
+SEEDS = range(1, 9)
+SECONDS = 20.0
+
+
+def test_the_rules_hold_while_troubles_overlap(tmp_path: Path) -> None:
+    said: list[Findings] = []
+    found = asyncio.run(soak(tmp_path, SEEDS, SECONDS, 6.0, said.append))
+    broken = [(each.seed, each.broken, each.stories, each.troubles) for each in found if each.broken]
+    assert not broken, broken
+    assert len(said) == len(found) == len(SEEDS)
+    assert all(each.accepted > SECONDS and each.delivered > SECONDS for each in found)
+    assert sum(each.restarts for each in found) >= len(SEEDS) // 2
+
+
+def test_troubles_are_drawn_alike_for_a_seed_and_overlap() -> None:
+    names = list(RECEIVERS)
+    drawn = [troubles.draw(seed, 60.0, names) for seed in range(20)]
+    assert drawn == [troubles.draw(seed, 60.0, names) for seed in range(20)]
+    kinds = {each.kind for one in drawn for each in one}
+    every = [*troubles.Signal, *troubles.Path, *troubles.Receiver, *troubles.Client, *Fault]
+    assert kinds == set(every)
+    for one in drawn:
+        crossing = sum(after.at < before.until for before, after in pairwise(one))
+        assert crossing > len(one) // 2
