A message whose client comes again under its id goes on as the one it is

Cause: the core knew messages by their names where it meant the message itself. A client whose connection broke before its answer had its message withdrawn while a call was out; the same id was then a new message, sent beside the old one, whose end took the new one's record out of the store. Ends, records and sends look at the message, not at its name.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -23,6 +23,7 @@
     Submitter,
     encode_notice,
 )
+from laureldock.core.reattachment import Reattachment
 from laureldock.core.record_keeping import RecordKeeping
 from laureldock.core.recovery import Recovery
 from laureldock.core.seams import (
@@ -85,6 +86,7 @@
         self.control = Control(self.book.tariff, self.now())
         self.recovery = Recovery(self)
         self.records = RecordKeeping(self)
+        self.reattachment = Reattachment(self)
         self.invariants = Invariants(self)
 
     def attach(self, fronts: list[Front], carrier: Carrier, source: Source, outlet: Outlet) -> None:
@@ -246,6 +248,8 @@
         if stored.destination not in self.book.destinations:  # none was ever listed for it
             self.count(stored.queue_class, "bounced")
             raise NotAMailError("unknown destination")
+        if reply := self.reattachment.claim(stored.name):
+            return reply
         if stored.name in self.by_name:  # sent once more, since a close had crossed it
             return ACCEPTED
         if not self.store.take(stored):
@@ -264,13 +268,24 @@
 
     def withdrawn(self, message: HeldMessage) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
-        if message.name in self.by_name and not self.outlet.owes(message.name):
+        message.submitter = None
+        if message.attempts and self.holds(message):
+            self.reattachment.wait_for_client(message)
+        else:
+            self.withdraw(message)
+
+    def withdraw(self, message: HeldMessage) -> None:
+        """Nobody wants it any more."""
+        if self.holds(message) and not self.outlet.owes(message.name):
             self.counters["withdrawn"] += 1
-            message.submitter = None
             self.records.withdraw(message.name)
             self.tell(self.control.withdrawn, message.mail)
             self.forget(message)
 
+    def holds(self, message: HeldMessage) -> bool:
+        """Whether it is owed here: not another message of that id, and not one that is over."""
+        return self.by_name.get(message.name) is message
+
     def step(self, event: str, message: HeldMessage, **fields: Any) -> None:
         """Of one mail, by the names that its client and the list gave."""
         stored = self.store.owed.get(message.name)
@@ -294,8 +309,9 @@
         self.invariants.held(message)
 
     def forget(self, message: HeldMessage) -> None:
-        self.records.write(self.store.over, message.name)
-        self.by_name.pop(message.name, None)
+        if self.holds(message):
+            self.records.write(self.store.over, message.name)
+            del self.by_name[message.name]
         self.held.pop(message.mail, None)
         self.invariants.forgotten(message)
 
@@ -313,10 +329,12 @@
         self.counters[word] += 1
         self.counters[f"{word}: {reason.value}"] += 1
         self.count_of(message, word)
-        if not message.submitter:
+        unanswered = message.submitter is not None or self.reattachment.waits(message)
+        if not unanswered:
             self.end_by_notice(message.name, handed_back, retry_after)
-        elif self.records.write(self.store.refuse, message.name):  # it has had no answer yet
+        elif self.records.write(self.store.refuse, message.name):
             message.refusal = Reply(ReplyKind.BUSY if handed_back else ReplyKind.FAILED, retry_after)
+            self.reattachment.ended(message, message.refusal)
             self.forget(message)
             self.tell(self.control.noticed, message.mail)
         else:  # the store owes it still, and the next life would send it: accepted, and ended by a notice
@@ -337,7 +355,10 @@
 
     def may_begin(self, attempt: face.Attempt, message: HeldMessage) -> bool:
         """Asked when the connection is up: what was told meanwhile may forbid it; and the spool must know."""
-        if message.name not in self.by_name or not self.control.may_begin(self.now(), attempt):
+        if not self.holds(message):
+            self.tell(self.control.withdrawn, message.mail)
+            return False
+        if not self.control.may_begin(self.now(), attempt):
             return False
         if not self.records.write(self.store.out, message.name, self.now()):
             return False
@@ -364,13 +385,14 @@
                 "connect ended", message, route=attempt.route.name, end=end.value, took=round(outcome.took, 4)
             )
         if outcome.finished:
-            if message.name in self.by_name:  # a second copy may have been served first
+            if self.holds(message):  # a second copy may have been served first
                 if end is End.DELIVERED:
                     self.counters["relayed"] += 1
                     self.count_of(message, "relayed")
                 self.over(message, end.value)
+                self.reattachment.ended(message, ACCEPTED)
             self.forget(message)
-        elif message.recorded_attempt is attempt and outcome.ending in NOT_RUN:
+        elif self.holds(message) and message.recorded_attempt is attempt and outcome.ending in NOT_RUN:
             self.records.write(self.store.back, message.name)
         if outcome.wait and self.handed_down:  # binds both processes: to the rules they are one dispatcher
             now = self.now()
--- a/laureldock/core/invariants.py
+++ b/laureldock/core/invariants.py
@@ -112,7 +112,7 @@
         now, route = core.now(), attempt.route
         facts = {"message": message.name.decode(errors="replace"), "route": route.name}
         stored = core.store.owed.get(message.name)
-        self.check(core.by_name.get(message.name) is message, Invariant.SENT_UNOWED, **facts)
+        self.check(core.holds(message), Invariant.SENT_UNOWED, **facts)
         recorded = stored is not None and stored.out is not None
         self.check(recorded, Invariant.SENT_UNRECORDED, **facts)
         self.check(now <= message.end, Invariant.SENT_LATE, late=now - message.end, **facts)
--- a/tests/test_sent_once_more.py
+++ b/tests/test_sent_once_more.py
@@ -40,6 +40,19 @@
     return [line.split("second client: ")[1] for line in quay.lines if "second client: " in line]
 
 
+@pytest.mark.parametrize("sort", ["charge", "order", "news"])
+def test_while_its_call_is_out_the_same_message_goes_on(quay: Quay, sort: str) -> None:
+    """It once was taken for another message: a once-only one ran twice, beside itself."""
+    put_and_break(quay, sort, "key" if sort == "order" else "0")
+    put_again(quay, sort, "key" if sort == "order" else "0")
+    assert (calls(quay), heard(quay)) == (1, ["+OK"])
+    quay.answer("12", "200 OK")
+    quay.after(9.5)
+    assert (calls(quay), notices(quay)) == (1, 0)
+    assert not quay.dispatcher.held and not quay.dispatcher.store.owed
+    assert not quay.dispatcher.invariants.violations
+
+
 def test_after_its_call_was_served_it_is_accepted_and_not_sent_again(quay: Quay) -> None:
     put_and_break(quay, "charge")
     quay.answer("12", "200 OK")
