Verdicts of a rehearsed fleet name the messages; an end that a kill left unknown is no second one

Cause: a verdict said only how often a rule was broken. An answer written just before a kill, not read or not recorded by then, was counted beside the notice of the next life as two ends. Change: the cases stand in the verdict. A first end counts as unknown where its message was in the killed process's hands within the half second that the account already allows, where reads failed, or where no record could be written until the kill; else two ends stay broken. Measured: three tests, each with the case in which the rule stays broken.

--- a/laureldock/rehearsal/fleet/verdict.py
+++ b/laureldock/rehearsal/fleet/verdict.py
@@ -28,6 +28,7 @@
     bytes_each: float = 0.0  # a member and period
     broken: list[str] = field(default_factory=list)
     rules: list[tuple[str, int, int]] = field(default_factory=list)  # of mails: rule, cases, broken
+    cases: list[str] = field(default_factory=list)  # in which a rule of mails was broken
 
     @property
     def held(self) -> bool:
@@ -66,6 +67,7 @@
         if rate > script.most_events:
             verdict.broken.append(f"{rate:.2f} events a member and period, over {script.most_events:g}")
     verdict.broken += [f"rule broken {broken} times: {rule}" for rule, _, broken in verdict.rules if broken]
+    verdict.broken += verdict.cases
     return verdict
 
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from laureldock.rehearsal.account import BUSY, TAKEN, Account, Call, Handed, Told, judge
+from laureldock.rehearsal.account import BUSY, TAKEN, Account, Call, Handed, Restart, Told, judge
 
 
 def mail(
@@ -107,3 +107,34 @@
     verdicts = judge(account)
     assert not any(verdict.broken for verdict in verdicts)
     assert [verdict.counted for verdict in verdicts] == [4, 4, 1, 0, 3, 1]
+
+
+def test_an_end_that_a_killed_process_could_not_record_may_be_told_again() -> None:
+    """Its answer had been written, and was not read or not put down when it was killed."""
+    account = Account()
+    mail(account, "m1", "once-only").notices.append((13.0, "given_up"))
+    call(account, "m1", 10.5)
+    assert judge(account)[0].broken
+    account.killed.add("m1")
+    assert not judge(account)[0].broken
+
+
+def test_a_notice_is_not_overdue_while_its_process_restarts_and_is_later() -> None:
+    account = Account()
+    mail(account, "m1").notices.append((20.9, "given_up"))
+    assert judge(account)[0].broken
+    account.restarts.append(Restart(17.5, 19.5, True))
+    assert not judge(account)[0].broken
+    account.handed["m1"].notices = [(21.4, "given_up")]
+    assert judge(account)[0].broken
+
+
+def test_two_ends_far_from_any_kill_are_two() -> None:
+    account = Account(restarts=[Restart(15.0, 16.0, True)])
+    mail(account, "m1").notices.append((17.0, "given_up"))
+    call(account, "m1", 10.5)
+    assert judge(account)[0].broken
+    account.unwritable.append((10.0, 16.0))  # until after the kill
+    assert not judge(account)[0].broken
+    account.unwritable = [(10.0, 14.0)]  # it could be put down before
+    assert judge(account)[0].broken
