A notice is one line once, and a log that cannot be written ends nothing

Cause: a half line that could not be cut off swallowed the next notice; a batch that failed in its middle was written again from its start; an error of the log's file went up into whoever logged, such as the last step of a stop, which then never ended. Change: whole lines only count, a half one is written over, each line is taken by itself; lines of the log that cannot be written are dropped and counted. Measured: a test over a half line, errors and short writes (60 notices, each once and in order), and one over /dev/full.

--- a/laureldock/logs.py
+++ b/laureldock/logs.py
@@ -6,7 +6,7 @@
 import sys
 import time
 from collections.abc import Callable, MutableMapping
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
@@ -35,6 +35,32 @@
         return event
 
 
+class LossyStream:
+    """Drops and counts lines that cannot be written: a full disk or a closed pipe ends no dispatcher."""
+
+    def __init__(self, file: TextIO) -> None:
+        self.file = file
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write, or drop it."""
+        try:
+            self.file.write(text)
+        except (OSError, ValueError):  # ValueError: closed
+            self.dropped += 1
+
+    def flush(self) -> None:
+        """Flush, or drop what cannot be."""
+        try:
+            self.file.flush()
+        except (OSError, ValueError):
+            self.dropped += 1
+
+    def isatty(self) -> bool:
+        """Whether a person reads it."""
+        return self.file.isatty()
+
+
 class Logs:
     def __init__(self, told: Log, platform: bool = False) -> None:
         self.path, self.file = told.path, self.opened(told.path)
@@ -52,12 +78,12 @@
                 *([] if text else [structlog.processors.format_exc_info]),
                 render,
             ],
-            logger_factory=structlog.PrintLoggerFactory(self.file),
+            logger_factory=structlog.PrintLoggerFactory(cast(TextIO, self.file)),
         )
 
     @staticmethod
-    def opened(path: str | None) -> TextIO:
-        return open(path, "a", encoding="utf-8", buffering=1) if path else sys.stdout
+    def opened(path: str | None) -> LossyStream:
+        return LossyStream(open(path, "a", encoding="utf-8", buffering=1) if path else sys.stdout)
 
     def filtered(self, logger: Any, method: str, event: Event) -> Event:
         if logging.getLevelNamesMapping().get(method.upper(), logging.ERROR) < self.least:
--- a/laureldock/outlets/lines.py
+++ b/laureldock/outlets/lines.py
@@ -2,22 +2,42 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
 from pathlib import Path
 
 from laureldock.core.seams import Noticed
+from laureldock.file_locks import FILE_MODE
+from laureldock.file_writes import write_whole
 
+MAX_LINE = 1 << 16  # bytes, far over any notice
 # Until a file that cannot be written is tried again.
 PAUSE = 1.0
 
 
-def append(path: Path, data: bytes) -> None:
-    """All of it or nothing, so that a full disk leaves no half line behind. OSError."""
-    with path.open("ab", buffering=0) as file:
-        size = file.tell()
-        if file.write(data) != len(data):
-            file.truncate(size)
-            raise OSError("its disk is full")
+class LineFile:
+    """A file of lines, opened for a few of them. A half line that a kill left is written over."""
+
+    def __init__(self, path: Path) -> None:
+        self.descriptor = os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
+        length = os.fstat(self.descriptor).st_size
+        begin = max(0, length - MAX_LINE)
+        end = os.pread(self.descriptor, MAX_LINE, begin)
+        self.size = begin + end.rfind(b"\n") + 1  # of whole lines
+
+    def append(self, line: bytes) -> None:
+        """Add a line whole, or no whole line. OSError."""
+        try:
+            write_whole(self.descriptor, line, self.size)
+        except OSError:
+            with contextlib.suppress(OSError):
+                os.ftruncate(self.descriptor, self.size)
+            raise
+        self.size += len(line)
+
+    def close(self) -> None:
+        os.close(self.descriptor)
 
 
 class Lines:
@@ -45,25 +65,36 @@
 
     def write(self) -> None:
         self.due = False
-        lines, self.kept = self.kept, {}
+        written: list[bytes] = []
         try:
-            if self.path:
-                append(self.path, b"".join(lines.values()))
-            else:
-                for line in lines.values():
-                    self.core.log.info("undelivered", **json.loads(line))
+            self._write_all(written)
         except OSError as fault:
-            self.kept = {**lines, **self.kept}
             if not self.failing:
                 self.core.log.warning("notices not taken", waiting=len(self.kept), fault=str(fault))
             self.failing = True
             self.soon(PAUSE)
-            return
-        if self.failing:
-            self.core.log.info("notices taken again", waiting=0)
-        self.failing = False
-        for name in lines:
+        else:
+            if self.failing:
+                self.core.log.info("notices taken again", waiting=0)
+            self.failing = False
+        for name in written:
+            del self.kept[name]
             self.core.noticed(name)
 
+    def _write_all(self, written: list[bytes]) -> None:
+        """Write what is kept, a line at a time; `written` are those that are. OSError."""
+        if self.path is None:
+            for name, line in self.kept.items():
+                self.core.log.info("undelivered", **json.loads(line))
+                written.append(name)
+            return
+        file = LineFile(self.path)
+        try:
+            for name, line in self.kept.items():
+                file.append(line)
+                written.append(name)
+        finally:
+            file.close()
+
     def close(self) -> None:
         """What is not written yet is owed by the store, and written at the next start."""
--- a/laureldock/stores/record_file.py
+++ b/laureldock/stores/record_file.py
@@ -3,33 +3,12 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import os
 from collections.abc import Iterable
 
+from laureldock.file_writes import write_whole
 from laureldock.stores.spool_records import encode_record
 
-# Tries of a write that fails, one right after another: a fault of a moment is over by then.
-WRITE_TRIES = 4
-
-
-def write_whole(descriptor: int, data: bytes, offset: int) -> None:
-    """Write all of it at an offset, in as many calls as it takes. OSError; part of it may be there then."""
-    rest = memoryview(data)
-    failures = 0
-    while rest:
-        try:
-            written = os.pwrite(descriptor, rest, offset)
-            if not written:
-                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-        except OSError:
-            failures += 1
-            if failures == WRITE_TRIES:
-                raise
-            continue
-        rest = rest[written:]
-        offset += written
-
 
 class RecordFile:
     """An open file of records. Bytes behind `size` are of a write that failed, and are written over."""
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import json
 import os
 import time
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from math import inf
@@ -11,10 +14,13 @@
 from typing import Any
 
 import pytest
+import structlog
 from dock import Quay
 from pytest import approx
 
 from laureldock.core.messages import StoredMessage
+from laureldock.logs import LossyStream
+from laureldock.outlets.lines import Lines
 from laureldock.rehearsal.soak.system_calls import Fault, SystemCalls, Window
 from laureldock.stores.spool import Spool
 from laureldock.stores.spool_records import encode_message, encode_record
@@ -161,3 +167,56 @@
 
 def message(name: bytes, body: bytes) -> StoredMessage:
     return StoredMessage(name, None, "news", "x", b"", 7, 1e12, body)
+
+
+class Notices:
+    """The core as an outlet sees it, with timers run by hand."""
+
+    def __init__(self) -> None:
+        self.taken: list[bytes] = []
+        self.due: list[Any] = []
+        self.log: Any = structlog.get_logger()
+        self.counters: Counter[str] = Counter()
+
+    def noticed(self, name: bytes) -> None:
+        self.taken.append(name)
+
+    def now(self) -> float:
+        return 0.0
+
+    def later(self, after: float, call: Any, *args: Any) -> Any:
+        self.due.append(call)
+
+    def run(self) -> None:
+        due, self.due = self.due, []
+        for call in due:
+            call()
+
+
+def test_each_notice_is_a_line_once_while_writes_end_early_and_after_a_half_line(tmp_path: Path) -> None:
+    """A half line that could not be cut off once swallowed the next, and lines before it came twice."""
+    path = tmp_path / "undelivered.jsonl"
+    path.write_bytes(b'{"message":"m0"}\n{"mess')  # as a kill may leave it
+    core = Notices()
+    lines = Lines(core, path)
+    with failing(tmp_path, Fault.DISK_ERROR, share=0.7), failing(tmp_path, Fault.DISK_SHORT, share=0.7):
+        for number in range(1, 60):
+            name = b"m%d" % number
+            lines.put(name, b'{"message":"%s"}\n' % name)
+            core.run()
+    while lines.waiting:
+        core.run()
+    whole = [json.loads(line)["message"] for line in path.read_bytes().splitlines() if line.endswith(b"}")]
+    assert whole == [f"m{number}" for number in range(60)]
+    assert core.taken == [b"m%d" % number for number in range(1, 60)]
+
+
+def test_a_log_that_cannot_be_written_is_dropped(tmp_path: Path) -> None:
+    with open("/dev/full", "w", buffering=1, encoding="utf-8") as full:
+        stream = LossyStream(full)
+        for _ in range(3):
+            stream.write("a line\n")
+            stream.flush()
+        assert stream.dropped >= 3
+        with contextlib.suppress(OSError):
+            full.close()
