Rename: listening, stopping and unanswered messages by the words of the field

Cause: names of the earlier house style in the core's life cycle and the listening socket. Change: ListeningPort, can_open, start_listening, stop_listening, finish_stop, ACCEPT_TIME, STOP_TIME, unanswered; nothing else.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -40,7 +40,7 @@
 from laureldock.tariff import Book, Entry
 
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
-DOOR_STAYS, ALL_OVER = 0.6, 3.3
+ACCEPT_TIME, STOP_TIME = 0.6, 3.3
 
 LISTEN_RETRY = 0.1  # seconds, until a front that could not listen for a moment tries again
 
@@ -81,7 +81,7 @@
         self.verbose = False  # whether each mail's steps are logged
         # Figures of the configuration in force, where it comes from a controller.
         self.configuration_figures: Callable[[], dict[str, float]] = dict
-        self.fresh: list[HeldMessage] = []  # taken since the last turn
+        self.unanswered: list[HeldMessage] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
         self.recovery = Recovery(self)
@@ -114,10 +114,10 @@
             return
         self.recovered = True
         self.recovery.revive(list(self.store.owed.values()))
-        self.open_door()
+        self.start_listening()
         self.recovery.adopt()
 
-    def open_door(self) -> None:
+    def start_listening(self) -> None:
         """All fronts listen, or none; what fails for a moment is tried again."""
         if self.stopped_at:
             return
@@ -128,7 +128,7 @@
         except ListenError as error:
             self.log.error("cannot listen", fault=str(error))
             if error.transient:
-                self.later(LISTEN_RETRY, self.open_door)
+                self.later(LISTEN_RETRY, self.start_listening)
             else:
                 self.ended_for(f"cannot listen: {error}")
             return
@@ -140,19 +140,19 @@
         self.log.info("stopping", out=self.carrier.out, held=len(self.held))
         self.stopped_at = self.now()
         self.ready = False
-        self.tell(self.control.closing, ALL_OVER)
+        self.tell(self.control.closing, STOP_TIME)
         # Where the platform listens, what comes is kept for the next process: no need to stay at the door.
-        self.later(0.0 if self.handed_down else DOOR_STAYS, self.shut_door)
-        self.later(DOOR_STAYS, self.wind_up, done)
+        self.later(0.0 if self.handed_down else ACCEPT_TIME, self.stop_listening)
+        self.later(ACCEPT_TIME, self.finish_stop, done)
 
-    def shut_door(self) -> None:
+    def stop_listening(self) -> None:
         for front in self.fronts:
             front.shut()
 
-    def wind_up(self, done: Callable[[], None]) -> None:
-        late = self.now() - self.stopped_at > ALL_OVER
+    def finish_stop(self, done: Callable[[], None]) -> None:
+        late = self.now() - self.stopped_at > STOP_TIME
         if not late and (self.held or self.outlet.waiting or any(front.busy for front in self.fronts)):
-            self.later(0.02, self.wind_up, done)
+            self.later(0.02, self.finish_stop, done)
             return
         self.running = False
         self.source.close()
@@ -190,8 +190,8 @@
         self.turn_due = False
         for effect in self.guard(self.control.turn, self.now()) or ():
             self.guard(self.carry_out, effect)
-        fresh, self.fresh = self.fresh, []
-        for message in fresh:
+        unanswered, self.unanswered = self.unanswered, []
+        for message in unanswered:
             if message.submitter:
                 submitter, message.submitter = message.submitter, None
                 if message.refusal:
@@ -259,7 +259,7 @@
         mail = self.book.mail(kind, stored.destination, left, stored.customer, stored.key)
         message = HeldMessage(stored.name, stored.tag, stored.body, mail, self.now() + left, submitter)
         self.hold(message)
-        self.fresh.append(message)
+        self.unanswered.append(message)
         self.counters["taken"] += 1
         if self.verbose:
             self.step("mail taken", message)
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -14,7 +14,7 @@
 from laureldock.core.seams import Intake, ListenError
 from laureldock.fronts.resp import CHECK_INTERVAL, IDLE_GRACE, Client, CloseReason
 from laureldock.sockets.flush import unread
-from laureldock.sockets.reactor import Door
+from laureldock.sockets.reactor import ListeningPort
 from laureldock.sockets.room import Room
 from laureldock.transient_errors import is_transient
 
@@ -75,7 +75,7 @@
     def _accept_last(self, until: float) -> None:
         """Closing the door resets those that wait at it, their requests unread: they are accepted before."""
         port = self.port
-        while isinstance(port, Door) and len(self.clients) < self.most and port.accept_some():
+        while isinstance(port, ListeningPort) and len(self.clients) < self.most and port.accept_some():
             pass
         for client in list(self.clients):
             client.finish()
@@ -87,7 +87,7 @@
 
     def _somebody_waits(self) -> bool:
         # A socket that the platform holds resets nobody when it is closed here.
-        own = isinstance(self.port, Door) and self.passed < 0
+        own = isinstance(self.port, ListeningPort) and self.passed < 0
         return own and len(self.clients) < self.most and self.port.somebody_waits()  # type: ignore[union-attr]
 
     def set_lameduck(self, on: bool) -> None:
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -41,7 +41,7 @@
 log = structlog.get_logger()
 
 
-def spare(descriptors: int) -> bool:
+def can_open(descriptors: int) -> bool:
     """Whether the process may hold so many more."""
     held: list[int] = []
     try:
@@ -55,7 +55,7 @@
     return True
 
 
-class Door(Port):
+class ListeningPort(Port):
     """Accepts a few at each look; the reactor's own takes a hundred and more, past any limit of sockets.
 
     Out of descriptors, the reactor's own closes who comes, whatever they have asked. Here they wait, those
@@ -63,7 +63,7 @@
     """
 
     def doRead(self) -> None:  # noqa: N802
-        if spare(ACCEPTS + KEPT):
+        if can_open(ACCEPTS + KEPT):
             self.accept_all(ACCEPTS)
             return
         self.pause()
@@ -157,17 +157,19 @@
                 self.rested = now
         super()._doReadOrWrite(selectable, descriptor, event)
 
-    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Door:  # noqa: N802
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> ListeningPort:  # noqa: N802
         self.opened = self.seconds()
-        door = Door(port, factory, backlog, interface, self)
+        door = ListeningPort(port, factory, backlog, interface, self)
         door.startListening()
         return door
 
-    def adopt(self, descriptor: int, factory: Any) -> Door:
+    def adopt(self, descriptor: int, factory: Any) -> ListeningPort:
         """A listening socket that the platform holds: it may come blocking, and a blocking accept would stop
         the whole process until the next client, since the processes that share it race for each one."""
         self.opened = self.seconds()
-        door: Door = Door._fromListeningDescriptor(self, descriptor, socket.AF_INET, factory)
+        door: ListeningPort = ListeningPort._fromListeningDescriptor(
+            self, descriptor, socket.AF_INET, factory
+        )
         door.startListening()
         door.socket.setblocking(False)
         return door
--- a/tests/test_crossing_room.py
+++ b/tests/test_crossing_room.py
@@ -19,7 +19,7 @@
 from test_process import platform as platform  # a fixture
 
 from laureldock.interface import Listed
-from laureldock.sockets.reactor import spare
+from laureldock.sockets.reactor import can_open
 
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
 TOLD = 6.0
@@ -143,11 +143,11 @@
 
 def test_only_a_full_table_of_descriptors_keeps_the_door_shut(monkeypatch: pytest.MonkeyPatch) -> None:
     """A process without standard error has nothing to double, and room all the same."""
-    assert spare(12)
+    assert can_open(12)
     for fault, room in ((errno.EMFILE, False), (errno.ENFILE, False), (errno.EBADF, True)):
 
         def failing(descriptor: int, fault: int = fault) -> int:
             raise OSError(fault, "no")
 
         monkeypatch.setattr(os, "dup", failing)
-        assert spare(12) is room
+        assert can_open(12) is room
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -143,7 +143,7 @@
 
 def opened_early(quay: Quay) -> None:
     quay.dispatcher.recovered = False
-    quay.dispatcher.open_door()
+    quay.dispatcher.start_listening()
 
 
 BREAKS: dict[Invariant, Callable[[Quay], None]] = {
