Hand-over while reads and writes fail: what is owed is adopted once, and told after it is recorded

Cause: the mend of a failed adoption had no test that fails in its middle. Change: two tests, over a file that cannot be read, written or removed; the check of drains begins after the decisions have heard of the list.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -417,8 +417,8 @@
             self.log.info("drained or gone", routes=drained)
         touched = dict.fromkeys([*before.values(), *routes])
         self.carrier.forget([route for route in touched if route.listed is face.Listed.REMOVED])
-        self.invariants.listed([*touched])
         self.tell(self.control.news, routes, whole)
+        self.invariants.listed([*touched])
         self.recover()
 
     def list_failed(self, why: str) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import errno
+import os
 from pathlib import Path
 from typing import Any
 
+import pytest
 from dock import Quay
 
 from laureldock.core.messages import StoredMessage
@@ -85,3 +88,53 @@
     assert not [line for line in quay.lines if "POST" in line], quay.lines
     quay.after(0.4)
     assert [line for line in quay.lines if "POST" in line], quay.lines
+
+
+def test_what_an_ended_process_owes_is_adopted_once_though_reads_and_writes_fail(
+    tmp_path: Path, monkeypatch: Any
+) -> None:
+    """A failure in the middle once left messages owed by the file and held by nobody until the next start."""
+    old = Spool(tmp_path, 3e6)
+    old.open()
+    assert old.take(mail(b"a")) and old.take(mail(b"b"))
+    new = Spool(tmp_path, 3e6)
+    new.open()
+    assert new.take(mail(b"c"))
+    old.close()
+    with monkeypatch.context() as failing:
+        failing.setattr(Path, "read_bytes", refuse)
+        assert new.adopt() == [] and new.sharing
+    with monkeypatch.context() as failing:
+        failing.setattr(os, "pwrite", refuse)
+        failing.setattr(os, "rename", refuse)
+        assert sorted(owed.name for owed in new.adopt()) == [b"a", b"b"]
+        assert new.behind and not new.sharing
+        assert not new.take(mail(b"d"))  # nothing is told before it is recorded
+    assert new.adopt() == []  # once
+    assert not new.behind and sorted(path.name for path in tmp_path.iterdir()) == ["spool"]
+    new.close()
+    assert sorted(Spool(tmp_path, 3e6, writes=False).owed) == [b"a", b"b", b"c"]
+
+
+def test_a_file_of_an_ended_process_that_cannot_be_removed_holds_up_all_records(
+    tmp_path: Path, monkeypatch: Any
+) -> None:
+    """Else what is over here would be owed again by the next start, which reads that file too."""
+    old = Spool(tmp_path, 3e6)
+    old.open()
+    assert old.take(mail(b"a"))
+    new = Spool(tmp_path, 3e6)
+    new.open()
+    old.close()
+    with monkeypatch.context() as failing:
+        failing.setattr(Path, "unlink", refuse)
+        assert [owed.name for owed in new.adopt()] == [b"a"]
+        with pytest.raises(OSError):
+            new.out(b"a", 1.0)
+        assert new.owed[b"a"].out is None
+    new.out(b"a", 1.0)
+    assert not new.behind and not (tmp_path / "spool").exists()  # the old one; its own keeps its number
+
+
+def refuse(*_: Any, **__: Any) -> None:
+    raise OSError(errno.EIO, os.strerror(errno.EIO))
