--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -185,6 +185,7 @@
         return 0.0
 
     def later(self, after: float, call: Any, *args: Any) -> Any:
+        self.pause = after
         self.due.append(call)
 
     def run(self) -> None:
@@ -220,3 +221,31 @@
         assert stream.dropped >= 3
         with contextlib.suppress(OSError):
             full.close()
+
+
+def test_a_notice_whose_file_fails_for_a_moment_is_no_second_late(tmp_path: Path) -> None:
+    """A pause of a second before the next try made an end late by that much."""
+    core = Notices()
+    lines = Lines(core, tmp_path / "undelivered.jsonl")
+    with failing(tmp_path, Fault.DISK_ERROR):
+        lines.put(b"m1", b'{"message":"m1"}\n')
+        core.run()
+    assert not core.taken and core.pause <= 0.1
+    core.run()
+    assert core.taken == [b"m1"]
+
+
+def test_a_store_that_fails_is_not_said_to_work_before_a_write_has_succeeded(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing was queued, so that a retry had nothing to write, and each draw met the failure anew."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.late = {"1"}
+    quay.put(quay.client(), "m1")
+    with failing(quay.state, Fault.DISK_ERROR):
+        quay.late = set()
+        quay.after(2.0)
+        assert quay.dispatcher.records.failing
+        assert quay.dispatcher.counters["connects"] == 1
+    quay.after(0.1)
+    assert not quay.dispatcher.records.failing and hooks(quay) == ["m1"]
