--- a/laureldock/clocks.py
+++ b/laureldock/clocks.py
@@ -34,7 +34,7 @@
         return recorded.monotonic_to_wall - self.monotonic_to_wall
 
 
-# Beside times that were recorded of the wall clock, as releases up to 0.9 did.
+# Beside times of the wall clock, as a spool without a clock record has them.
 WALL_TIMES = ClockReading("wall", 0.0, 0.0)
 
 
