One writer of the rehearsals' configuration

Cause: the soak wrote the example with its receivers by a copy of the rehearsal's loop. Change: write_example, called by both; behaviour as before.

--- a/laureldock/rehearsal/play.py
+++ b/laureldock/rehearsal/play.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from importlib.resources import files
 from pathlib import Path
@@ -91,19 +91,8 @@
 
     def configure(self, without: str = "") -> None:
         """The example configuration, with the addresses of the stand-ins."""
-        told = tomlkit.parse(files("laureldock.setup").joinpath("example.toml").read_text())
-        told["front"][0]["listen"] = f"127.0.0.1:{self.port}"
-        listed = tomlkit.aot()
-        for receiver in self.receivers.values():
-            if receiver.name != without:
-                entry = tomlkit.table()
-                entry.update(name=receiver.name, destination=receiver.destination, rate=receiver.rate)
-                entry["address"] = f"127.0.0.1:{receiver.port}"
-                listed.append(entry)
-        told["endpoint"] = listed
-        fresh = self.file.with_suffix(".new")
-        fresh.write_text(tomlkit.dumps(told))
-        fresh.rename(self.file)
+        ports = [(each, each.port) for each in self.receivers.values() if each.name != without]
+        write_example(self.file, f"127.0.0.1:{self.port}", ports)
 
     async def launch(self) -> None:
         log = (self.folder / "dispatcher.log").open("ab")
@@ -261,6 +250,23 @@
         return code
 
 
+def write_example(file: Path, listen: str, ports: Iterable[tuple[Receiver, int]], **more: str) -> None:
+    """Write the example with these receivers, each at a port, and `more` at its top. OSError."""
+    told = tomlkit.parse(files("laureldock.setup").joinpath("example.toml").read_text())
+    told.update(more)
+    told["front"][0]["listen"] = listen
+    listed = tomlkit.aot()
+    for receiver, port in ports:
+        entry = tomlkit.table()
+        entry.update(name=receiver.name, destination=receiver.destination, rate=receiver.rate)
+        entry["address"] = f"127.0.0.1:{port}"
+        listed.append(entry)
+    told["endpoint"] = listed
+    fresh = file.with_suffix(".new")
+    fresh.write_text(tomlkit.dumps(told))
+    fresh.rename(file)
+
+
 def new_lines(path: Path, read: int) -> tuple[list[bytes], int]:
     """Whole lines of a file not read yet, and how far it is read now; none where there is no file."""
     try:
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -12,17 +12,15 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from functools import partial
-from importlib.resources import files
 from pathlib import Path
 from typing import Any
 
 import redis.asyncio as redis
-import tomlkit
 from redis.asyncio.retry import Retry
 from redis.backoff import NoBackoff
 
 from laureldock.rehearsal.account import TAKEN, Account, Restart, Told, Verdict, judge
-from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines
+from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import troubles
 from laureldock.rehearsal.soak.clients import Load, misbehave
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
@@ -132,20 +130,8 @@
 
     def configure(self, without: str = "") -> None:
         """Write its file: the example, with the relays as receivers."""
-        told = tomlkit.parse(files("laureldock.setup").joinpath("example.toml").read_text())
-        told["name"] = self.name
-        told["front"][0]["listen"] = f"{self.host}:{self.port}"
-        listed = tomlkit.aot()
-        for name, receiver in self.receivers.items():
-            if name != without:
-                entry = tomlkit.table()
-                entry.update(name=name, destination=receiver.destination, rate=receiver.rate)
-                entry["address"] = f"127.0.0.1:{self.relays[name].port}"
-                listed.append(entry)
-        told["endpoint"] = listed
-        fresh = self.file.with_suffix(".new")
-        fresh.write_text(tomlkit.dumps(told))
-        fresh.rename(self.file)
+        ports = [(each, self.relays[name].port) for name, each in self.receivers.items() if name != without]
+        write_example(self.file, f"{self.host}:{self.port}", ports, name=self.name)
 
     async def launch(self) -> None:
         """Start the process, and wait until it takes clients. TimeoutError, RuntimeError."""
