--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -20,7 +20,7 @@
 
 from laureldock.core.messages import StoredMessage
 from laureldock.logs import LossyStream
-from laureldock.outlets.lines import Lines
+from laureldock.outlets.lines import LineFile, Lines
 from laureldock.rehearsal.soak.system_calls import Fault, SystemCalls, Window
 from laureldock.stores.spool import Spool
 from laureldock.stores.spool_records import encode_message, encode_record
@@ -249,3 +249,17 @@
         assert quay.dispatcher.counters["connects"] == 1
     quay.after(0.1)
     assert not quay.dispatcher.records.failing and hooks(quay) == ["m1"]
+
+
+def test_two_processes_of_one_dispatcher_write_no_line_over_each_other(tmp_path: Path) -> None:
+    """While one hands over to the next, both have the file of notices open."""
+    path = tmp_path / "undelivered.jsonl"
+    first = LineFile(path)
+    with pytest.raises(BlockingIOError):
+        LineFile(path)
+    first.append(b"one\n")
+    first.close()
+    second = LineFile(path)
+    second.append(b"two\n")
+    second.close()
+    assert path.read_bytes() == b"one\ntwo\n"
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -19,6 +19,7 @@
 from shore import Peer, Shore
 
 from laureldock.core.messages import StoredMessage
+from laureldock.fronts.resp import Client
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
 from laureldock.rehearsal.soak.system_calls import Fault, Window
 from laureldock.stores.spool import Spool
@@ -158,3 +159,21 @@
         shore.serve(f"m{number}")
     shore.until(lambda: stopped)
     assert not [peer for peer in peers if peer.ended == "reset"]
+
+
+def test_a_connection_that_cannot_be_begun_closes_no_door(
+    shore: Shore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The reactor disconnects what raises while it is read: here that would be the listening socket."""
+    begin, failures = Client.connectionMade, iter([OSError(errno.EINVAL, "reset already")])
+
+    def failing(client: Client) -> None:
+        if failure := next(failures, None):
+            raise failure
+        begin(client)
+
+    monkeypatch.setattr(Client, "connectionMade", failing)
+    host, _, port = shore.listen.rpartition(":")
+    first = Peer(socket.create_connection((host, int(port))))
+    shore.until(lambda: first.pull() is not None and first.ended)
+    assert shore.client()  # answers a PING
