A connection that cannot be begun ends alone, and one process at a time writes the notices

Change: whatever raises while an accepted connection begins is logged and ends that connection; the file of notices is locked while lines are written, and tried again where another process has it.

--- a/laureldock/outlets/lines.py
+++ b/laureldock/outlets/lines.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import os
 from pathlib import Path
 
 from laureldock.core.seams import Noticed
-from laureldock.file_locks import FILE_MODE
+from laureldock.file_locks import open_locked
 from laureldock.file_writes import write_whole
 
 MAX_LINE = 1 << 16  # bytes, far over any notice
@@ -17,14 +18,28 @@
 
 
 class LineFile:
-    """A file of lines, opened for a few of them. A half line that a kill left is written over."""
+    """A file of lines, opened for a few of them. A half line that a kill left is written over.
+
+    It is locked meanwhile: another process of this dispatcher may have lines for it. OSError.
+    """
 
     def __init__(self, path: Path) -> None:
-        self.descriptor = os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
+        descriptor = open_locked(path)
+        if descriptor is None:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        self.descriptor = descriptor
+        try:
+            self.size = self._whole_lines()
+        except OSError:
+            self.close()
+            raise
+
+    def _whole_lines(self) -> int:
+        """Bytes of the lines that are whole."""
         length = os.fstat(self.descriptor).st_size
         begin = max(0, length - MAX_LINE)
         end = os.pread(self.descriptor, MAX_LINE, begin)
-        self.size = begin + end.rfind(b"\n") + 1  # of whole lines
+        return begin + end.rfind(b"\n") + 1
 
     def append(self, line: bytes) -> None:
         """Add a line whole, or no whole line. OSError."""
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -86,17 +86,20 @@
             self.serve(link, address)
 
     def serve(self, link: socket.socket, address: tuple[str, int]) -> None:
-        """A connection that was accepted, as the reactor's own door begins it."""
+        """Begin a connection that was accepted, as the reactor's own does. A failure ends that one alone."""
         factory: Any = self.factory
-        protocol = factory.buildProtocol(self._buildAddr(address))
-        self.sessionno += 1
+        transport = None
         try:
+            protocol = factory.buildProtocol(self._buildAddr(address))
+            self.sessionno += 1
             transport = self.transport(link, protocol, address, self, self.sessionno, self.reactor)
-        except OSError as error:
-            log.warning("cannot serve a connection", fault=str(error))
-            link.close()
-            return
-        protocol.makeConnection(transport)
+            protocol.makeConnection(transport)
+        except Exception as error:  # else the reactor would close what listens
+            log.warning("cannot serve a connection", fault=repr(error))
+            if transport is None:
+                link.close()
+            else:
+                transport.abortConnection()
 
     def pause(self) -> None:
         """Nobody is accepted for a moment; who comes waits."""
