Logs name the process, and tell each message's steps while processes hand over

Two processes of one dispatcher log beside each other under one name; the incident's logs could not tell which accepted and which called. Each line has process_id, INFO too; the steps of messages (taken, connect, its end, over) are logged at info while another process writes the folder, with the key of messages in order. Nothing more is logged elsewhere.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -96,6 +96,11 @@
     def tariff(self) -> face.Tariff:
         return self.book.tariff
 
+    @property
+    def logs_steps(self) -> bool:
+        """Whether each message's steps are logged: when asked for, and while processes hand over."""
+        return self.verbose or self.store.sharing
+
     # The life of the process
 
     def start(self) -> None:
@@ -213,7 +218,7 @@
                 self.counters["connects"] += 1
                 message = self.held[mail]
                 message.attempts += 1
-                if self.verbose:
+                if self.logs_steps:
                     self.step("connect", message, route=effect.route.name)
                 self.carrier.attempt(effect, message)
             case face.Cancel(attempt=attempt):
@@ -261,7 +266,7 @@
         self.hold(message)
         self.unanswered.append(message)
         self.counters["taken"] += 1
-        if self.verbose:
+        if self.logs_steps:
             self.step("mail taken", message)
         self.tell(self.control.taken, mail)
         return message
@@ -290,8 +295,11 @@
         """Of one mail, by the names that its client and the list gave."""
         stored = self.store.owed.get(message.name)
         names = {"queue_class": stored.queue_class, "destination": stored.destination} if stored else {}
+        if stored and stored.key is not None:
+            names["key"] = stored.key
         mail = message.name.decode(errors="replace")
-        self.log.debug(event, mail=mail, **names, connects=message.attempts, **fields)
+        log = self.log.debug if self.verbose else self.log.info
+        log(event, mail=mail, **names, connects=message.attempts, **fields)
 
     def full(self, full: bool) -> None:
         self.log.warning("clients wait to be accepted" if full else "clients are accepted again")
@@ -318,7 +326,7 @@
     # Ends
 
     def over(self, message: HeldMessage, word: str) -> None:
-        if self.verbose:
+        if self.logs_steps:
             self.step("mail over", message, word=word)
 
     def answer(
@@ -380,7 +388,7 @@
         if outcome.wait:
             self.invariants.told_to_wait(attempt.route, outcome.wait)
         self.invariants.ended(attempt, message)
-        if self.verbose:
+        if self.logs_steps:
             self.step(
                 "connect ended", message, route=attempt.route.name, end=end.value, took=round(outcome.took, 4)
             )
--- a/laureldock/fronts/resp_commands.py
+++ b/laureldock/fronts/resp_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import re
 from collections.abc import Callable
 from math import inf
@@ -94,7 +95,7 @@
 
 def info(client: Client, *sections: bytes) -> None:
     """`INFO`: the version, and all counters."""
-    lines = [f"laureldock_version:{__version__}"]
+    lines = [f"laureldock_version:{__version__}", f"process_id:{os.getpid()}"]
     figures = client.clients.core.figures().items()
     lines += [f"{NOT_IN_A_NAME.sub('_', name)}:{value}" for name, value in figures]
     client.answer(resp.bulk("\r\n".join(["# laureldock", *lines, ""]).encode()))
--- a/laureldock/logs.py
+++ b/laureldock/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 import time
 from collections.abc import Callable, MutableMapping
@@ -61,6 +62,12 @@
         return self.file.isatty()
 
 
+def add_process_id(logger: Any, method: str, event: Event) -> Event:
+    """Two processes of one dispatcher log beside each other while one hands over."""
+    event["process_id"] = os.getpid()
+    return event
+
+
 class Logs:
     def __init__(self, told: Log, platform: bool = False) -> None:
         self.path, self.file = told.path, self.opened(told.path)
@@ -73,6 +80,7 @@
             processors=[
                 self.filtered,
                 structlog.processors.add_log_level,
+                add_process_id,
                 self.bound,
                 structlog.processors.TimeStamper(fmt="iso", utc=True),
                 *([] if text else [structlog.processors.format_exc_info]),
