--- a/tests/test_crossing_exit.py
+++ b/tests/test_crossing_exit.py
@@ -139,6 +139,7 @@
     while shore.core.control.keys:
         assert time.monotonic() < rested, shore.core.control.keys
         shore.step(0.002)
+        shore.core.turn()  # as any event brings
 
 
 def test_a_notice_unanswered_at_the_kill_is_sent_again_and_clients_come_meanwhile(shore: Shore) -> None:
