The soak hands over on a passed socket; a second SIGTERM leaves no trace

Processes are told apart by their management addresses, which say what they hold and have read; violations and faults are counted in the log, of killed lives too.

Mended in SteadyReactor.stop; its test fails without.

--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -117,8 +117,11 @@
 @click.option("--dispatchers", default=24, show_default=True, help="Real processes, all at once.")
 @click.option("--seconds", default=60.0, show_default=True, help="Of load and troubles.")
 @click.option("--rate", default=6.0, show_default=True, help="Mails a second, for each dispatcher.")
+@click.option("--hand-over", is_flag=True, help="On a passed socket, from process to process.")
 @click.option("--folder", type=click.Path(path_type=Path), help="Kept afterwards; else a temporary one.")
-def soak(seed: int, dispatchers: int, seconds: float, rate: float, folder: Path | None) -> None:
+def soak(
+    seed: int, dispatchers: int, seconds: float, rate: float, hand_over: bool, folder: Path | None
+) -> None:
     """Soak real dispatchers on loopback under troubles that overlap, drawn by seeds.
 
     Kills, planned stops, reloads, drains; receivers and connections that fail; clients that misbehave; system
@@ -135,7 +138,8 @@
         word = "BROKEN" if found.broken else "held"
         click.echo(
             f"seed {found.seed}: {word}; {found.handed_in} handed in, {found.accepted} accepted,"
-            f" {found.delivered} delivered, {found.restarts} restarts, {len(found.troubles)} troubles"
+            f" {found.delivered} delivered, {found.restarts} restarts, {found.hand_overs} hand-overs,"
+            f" {len(found.troubles)} troubles"
         )
         for each in found.broken:
             click.echo(f"  {each}")
@@ -144,7 +148,7 @@
 
     with tempfile.TemporaryDirectory() as temporary:
         seeds = range(seed, seed + dispatchers)
-        found = asyncio.run(play(folder or Path(temporary), seeds, seconds, rate, say))
+        found = asyncio.run(play(folder or Path(temporary), seeds, seconds, rate, say, hand_over))
     broken = [each.seed for each in found if each.broken]
     click.echo(f"{len(found) - len(broken)} of {len(found)} held" + (f"; broken: {broken}" if broken else ""))
     raise SystemExit(1 if broken else 0)
--- a/laureldock/rehearsal/soak/clients.py
+++ b/laureldock/rehearsal/soak/clients.py
@@ -17,6 +17,8 @@
 ANSWER_TIMEOUT = 0.4  # seconds, by the platform's protocol
 Address = tuple[str, int]
 KEYS = 5  # of messages whose order counts
+NEW_CONNECTIONS = 0.15  # part of the requests that open one though others are at rest
+CROWD = 400  # connections
 CLOSED = ""  # the word of a message whose connection was closed with no answer
 
 
@@ -107,9 +109,10 @@
         return GONE if self.excused() else CLOSED
 
     async def connection(self, fresh: bool) -> Connection:
-        """One at rest, or a new one. OSError."""
+        """One at rest, for as long as it stays open, or a new one. OSError."""
+        fresh = fresh or self.chance.random() < NEW_CONNECTIONS
         while self.idle and not fresh:
-            connection = self.idle.pop()
+            connection = self.idle.pop(self.chance.randrange(len(self.idle)))
             if not connection.reader.at_eof():
                 return connection
             connection.writer.transport.abort()
@@ -180,8 +183,19 @@
 
 
 async def rest(address: Address) -> None:
-    opened = [await asyncio.open_connection(*address) for _ in range(60)]
+    await stay(address, 60)
+
+
+async def crowd(address: Address) -> None:
+    await stay(address, CROWD)
+
+
+async def stay(address: Address, count: int) -> None:
+    """Connections that ask nothing, open until the other side ends them."""
+    opened: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
     try:
+        for _ in range(count):
+            opened.append(await asyncio.open_connection(*address))
         await asyncio.gather(*(reader.read() for reader, _ in opened))
     finally:
         for _, writer in opened:
@@ -194,4 +208,5 @@
     Client.PIPELINE: pipeline,
     Client.GARBAGE: garbage,
     Client.REST: rest,
+    Client.CROWD: crowd,
 }
--- a/laureldock/rehearsal/soak/run.py
+++ b/laureldock/rehearsal/soak/run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from laureldock.rehearsal.soak.soaked import Findings, SoakedDispatcher
@@ -12,15 +12,23 @@
 
 
 async def soak(
-    folder: Path, seeds: range, length: float, rate: float, say: Callable[[Findings], None]
+    folder: Path,
+    seeds: Iterable[int],
+    length: float,
+    rate: float,
+    say: Callable[[Findings], None],
+    passed: bool = False,
 ) -> list[Findings]:
-    """Soak one dispatcher for each seed, all at once; `say` hears of each as it is through."""
+    """Soak one dispatcher for each seed, all at once; `say` hears of each as it is through.
+
+    `length` in seconds, `rate` in messages a second; `passed`: on a passed socket, with hand-overs.
+    """
 
     async def one(place: int, seed: int) -> Findings:
         await asyncio.sleep(place * START_GAP)
         own = folder / f"seed-{seed}"
         own.mkdir(parents=True)
-        findings = await SoakedDispatcher(own, f"dock-{seed}", seed, length, rate).play()
+        findings = await SoakedDispatcher(own, f"dock-{seed}", seed, length, rate, passed).play()
         say(findings)
         return findings
 
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
-import os
+import random
 import signal
+import socket
 import sys
 import time
 from collections.abc import Coroutine
@@ -15,14 +15,11 @@
 from pathlib import Path
 from typing import Any
 
-import redis.asyncio as redis
-from redis.asyncio.retry import Retry
-from redis.backoff import NoBackoff
-
 from laureldock.rehearsal.account import TAKEN, Account, Restart, Told, Verdict, judge
 from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import troubles
 from laureldock.rehearsal.soak.clients import Load, misbehave
+from laureldock.rehearsal.soak.dispatcher_process import DispatcherProcess
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
 from laureldock.rehearsal.soak.relay import Relay
 from laureldock.rehearsal.soak.system_calls import Fault, Window
@@ -30,12 +27,11 @@
 from laureldock.rehearsal.standins import Fault as ReceiverFault
 from laureldock.rehearsal.standins import Receiver
 
-READY_TIMEOUT = 30.0  # seconds
-STOP_TIMEOUT = 3.7  # seconds from SIGTERM to SIGKILL, by the platform's protocol
 DOWN_TIME = 0.6  # seconds from the end of a process to its next start
 PAUSE_TIME = 0.15  # seconds for which a process is held up
 RELOADS = 3  # in a row
 SETTLE_TIME = LIFETIME + 3.0  # seconds in which all that was accepted has its end
+SIGNALS_IN_SERIES = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)  # may follow while a process ends
 UNREAD_ANSWERS = 0.5  # seconds before a kill: answers of that time may never have been read or recorded
 
 
@@ -49,6 +45,7 @@
     accepted: int = 0
     delivered: int = 0
     restarts: int = 0
+    hand_overs: int = 0
     troubles: list[str] = field(default_factory=list)
     verdicts: list[Verdict] = field(default_factory=list)
     violations: int = 0  # of invariants, as the process counted them
@@ -65,9 +62,15 @@
 
 
 class SoakedDispatcher:
-    """Plays `length` seconds of load and troubles, and judges them."""
+    """Plays `length` seconds of load and troubles, and judges them.
+
+    `passed`: the listening socket is held here and passed to each process, as on the platform's days with a
+    new version under load; processes hand over then.
+    """
 
-    def __init__(self, folder: Path, name: str, seed: int, length: float, rate: float) -> None:
+    def __init__(
+        self, folder: Path, name: str, seed: int, length: float, rate: float, passed: bool = False
+    ) -> None:
         self.folder, self.name, self.seed, self.length = folder, name, seed, length
         self.account = Account()
         self.findings = Findings(name, seed)
@@ -75,13 +78,14 @@
             each: Receiver(each, owner, self.account, seed + place)
             for place, (each, owner) in enumerate(RECEIVERS.items())
         }
-        self.troubles = troubles.draw(seed, length, list(RECEIVERS))
+        self.troubles = troubles.draw(seed, length, list(RECEIVERS), passed)
         self.relays = {each: Relay(partial(self.relay_trouble, each)) for each in RECEIVERS}
-        self.file = folder / "laureldock.toml"
         self.notices, self.notices_read = folder / "state" / "undelivered.jsonl", 0
         self.log = folder / "log"
         # An address of its own: no port there is taken by a connection that goes out.
         self.host, self.port = f"127.77.{seed // 250 % 250}.{seed % 250 + 1}", free_port()
+        self.listening = socket.create_server((self.host, self.port), backlog=512) if passed else None
+        self.chance = random.Random(seed)  # of signals in series
         self.load = Load(
             self.account,
             (self.host, self.port),
@@ -90,7 +94,10 @@
             sorted(set(RECEIVERS.values())),
             self.may_be_unanswered,
         )
-        self.process: asyncio.subprocess.Process | None = None
+        self.processes: list[DispatcherProcess] = []  # those that live, the newest last
+        self.launched = 0
+        self.without = ""  # a receiver that is not listed just now
+        self.endings: set[asyncio.Task[None]] = set()  # of processes that hand over
         self.began = 0.0  # of the monotonic clock, as `troubles` count from it
         self.ends_at: list[float] = []  # of the wall clock, when a process was killed or died
 
@@ -128,43 +135,50 @@
 
     # The process
 
-    def configure(self, without: str = "") -> None:
-        """Write its file: the example, with the relays as receivers."""
-        ports = [(each, self.relays[name].port) for name, each in self.receivers.items() if name != without]
-        write_example(self.file, f"{self.host}:{self.port}", ports, name=self.name)
+    def configure(self) -> None:
+        """Write the file of each process: the example, with the relays as receivers."""
+        for process in self.processes:
+            self.write_file(process.file, process.management)
 
-    async def launch(self) -> None:
-        """Start the process, and wait until it takes clients. TimeoutError, RuntimeError."""
-        plan = self.folder / "faults.json"
+    def write_file(self, file: Path, management: int) -> None:
+        ports = [
+            (each, self.relays[name].port) for name, each in self.receivers.items() if name != self.without
+        ]
+        more: dict[str, Any] = {"name": self.name, "management": f"127.0.0.1:{management}"}
+        if self.listening:
+            more["passed"] = self.listening.fileno()
+        write_example(file, f"{self.host}:{self.port}", ports, **more)
+
+    async def launch(self) -> DispatcherProcess:
+        """Start a process, and wait until it takes clients. TimeoutError, RuntimeError."""
+        plan = self.folder / f"faults-{self.launched}.json"
         FaultPlan(str(self.folder / "state"), self.seed, self.windows()).write(plan)
+        file, management = self.folder / f"laureldock-{self.launched}.toml", free_port()
+        self.launched += 1
+        self.write_file(file, management)
         module = "laureldock.rehearsal.soak.faulty_process"
-        command = [sys.executable, "-m", module, str(plan), "serve", str(self.file)]
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
-        until = time.monotonic() + READY_TIMEOUT
-        while time.monotonic() < until:
-            if self.process.returncode is not None:
-                raise RuntimeError(f"{self.name} ended at its start with {self.process.returncode}")
-            with contextlib.suppress(OSError, redis.RedisError):
-                async with self.asker() as client:
-                    if await client.ping():
-                        return
-            await asyncio.sleep(0.05)
-        raise TimeoutError(f"{self.name} was not ready in {READY_TIMEOUT:g} s")
-
-    def asker(self) -> redis.Redis:
-        return redis.Redis(
-            host=self.host, port=self.port, protocol=2, retry=Retry(NoBackoff(), 0), socket_timeout=2
-        )
+        command = [sys.executable, "-m", module, str(plan), "serve", str(file)]
+        passed = self.listening.fileno() if self.listening else -1
+        process = await DispatcherProcess.launch(command, file, management, self.log, passed)
+        self.processes.append(process)
+        await process.ready()
+        return process
 
-    async def figures(self) -> dict[str, Any] | None:
-        """Its counters; None where it does not answer now."""
-        try:
-            async with self.asker() as client:
-                found: dict[str, Any] = await client.info()
-                return found
-        except (OSError, redis.RedisError):
-            return None
+    @property
+    def process(self) -> DispatcherProcess:
+        """The newest one. RuntimeError: it has ended."""
+        if not self.processes or not self.processes[-1].lives:
+            raise RuntimeError(f"{self.name} had ended")
+        return self.processes[-1]
+
+    async def held(self) -> int | None:
+        """Messages that its processes hold; None where one does not answer now."""
+        held = 0
+        for process in self.processes:
+            if (figures := await process.figures()) is None:
+                return None
+            held += int(figures["in_flight"])
+        return held
 
     # The soak
 
@@ -175,12 +189,11 @@
         for name, receiver in self.receivers.items():
             await receiver.start(time.time())
             await self.relays[name].start(receiver.port)
-        self.configure()
         first = self.troubles
         try:
             self.troubles = []
             await self.launch()
-            await self.stop_process(signal.SIGKILL)
+            await self.kill_process(self.process)
             self.troubles, self.began = first, time.monotonic()
             self.tell_receivers()
             await self.launch()
@@ -233,6 +246,8 @@
             Signal.RELOAD: self.reload,
             Signal.DRAIN: self.drain,
             Signal.PAUSE: self.pause,
+            Signal.HAND_OVER: self.hand_over,
+            Signal.KILLED_HAND_OVER: self.hand_over,
         }
         for trouble in self.troubles:
             if isinstance(trouble.kind, Signal):
@@ -247,30 +262,69 @@
         await self.restart(signal.SIGTERM)
 
     async def restart(self, sign: signal.Signals) -> None:
-        down = time.time()
-        await self.note_figures()
-        await self.stop_process(sign)
+        down, process = time.time(), self.process
+        if sign is signal.SIGTERM:
+            process.send(sign)
+            await self.end_process(process)
+        else:
+            await self.kill_process(process)
         await asyncio.sleep(DOWN_TIME)
         await self.launch()
         self.findings.restarts += 1
         self.account.restarts.append(Restart(down, time.time(), sign is signal.SIGKILL))
 
-    async def stop_process(self, sign: signal.Signals) -> None:
-        """End the process: by SIGTERM, then by SIGKILL where it is late; or by SIGKILL alone."""
-        assert self.process
-        if self.process.returncode is not None:
-            raise RuntimeError(f"{self.name} had ended with {self.process.returncode}")
-        self.process.send_signal(sign)
-        if sign is signal.SIGTERM:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT)
-            if self.process.returncode is None:
-                self.findings.defects.append("a planned stop took too long")
-                self.process.kill()
-            elif self.process.returncode:
-                self.findings.defects.append(f"a planned stop ended with {self.process.returncode}")
+    async def hand_over(self, trouble: Trouble) -> None:
+        """Start a second process, and end the first one once the second takes clients."""
+        before = self.process
+        await self.launch()
+        self.findings.hand_overs += 1
+        before.send(signal.SIGTERM)
+        if trouble.kind is Signal.KILLED_HAND_OVER:
+            ending = self.kill_later(before, trouble.until - trouble.at)
+        else:
+            ending = self.end_process(before)
+        task = asyncio.create_task(ending)
+        self.endings.add(task)
+        task.add_done_callback(self.note_ending)
+
+    def note_ending(self, task: asyncio.Task[None]) -> None:
+        self.endings.discard(task)
+        if not task.cancelled() and (fault := task.exception()):
+            self.findings.defects.append(f"the soak itself: {fault!r}")
+
+    async def kill_later(self, process: DispatcherProcess, delay: float) -> None:
+        """Kill a process that ends; it may be over by then."""
+        await asyncio.sleep(delay)
+        if process.lives:
+            down = time.time()
+            await self.kill_process(process)
+            self.account.restarts.append(Restart(down, down, True))
+        else:
+            await self.end_process(process)
+
+    async def end_process(self, process: DispatcherProcess) -> None:
+        """Wait for the end of a process that was sent SIGTERM; more signals may follow meanwhile."""
+        for sign in SIGNALS_IN_SERIES:
+            if self.chance.random() < 0.3:
+                await asyncio.sleep(self.chance.uniform(0.0, 0.2))
+                process.send(sign)
+        if not await process.stopped():
+            self.findings.defects.append("a planned stop took too long")
+            self.note_kill()
+        elif process.process.returncode:
+            self.findings.defects.append(f"a planned stop ended with {process.process.returncode}")
+        self.processes.remove(process)
+
+    async def kill_process(self, process: DispatcherProcess) -> None:
+        if not process.lives:
+            raise RuntimeError(f"{self.name} had ended with {process.process.returncode}")
+        await process.kill()
+        self.processes.remove(process)
+        self.note_kill()
+
+    def note_kill(self) -> None:
+        """What was answered right before may not have been read."""
         self.ends_at.append(time.time())
-        await self.process.wait()
         recent = time.time() - UNREAD_ANSWERS
         self.account.killed |= {call.mail for call in self.account.calls if call.ended > recent}
 
@@ -281,23 +335,29 @@
 
     async def drain(self, trouble: Trouble) -> None:
         """A receiver less, once that has been read; and all of them again."""
-        self.configure(without=trouble.target)
+        self.without = trouble.target
+        self.configure()
         if await self.read_again():
             told = Told(trouble.target, time.time())
             self.account.drains.append(told)
             await self.wait_until(trouble.until)
             told.until = time.time()
+        self.without = ""
         self.configure()
         await self.read_again()
 
     async def read_again(self) -> bool:
-        """SIGHUP; whether the file was surely read since."""
-        before = await self.figures()
+        """SIGHUP; whether each process has surely read its file since."""
+        processes = list(self.processes)
+        before = [await each.figures() for each in processes]
         self.signal(signal.SIGHUP)
         until = time.monotonic() + 3.0
-        while before is not None and time.monotonic() < until:
-            now = await self.figures()
-            if now and now.get("configurations_read", 0) > before.get("configurations_read", 0):
+        while None not in before and time.monotonic() < until:
+            now = [await each.figures() for each in processes]
+            if all(
+                new and old and new["reloads_ok"] > old["reloads_ok"]
+                for old, new in zip(before, now, strict=True)
+            ):
                 return True
             await asyncio.sleep(0.02)
         return False
@@ -308,8 +368,8 @@
         self.signal(signal.SIGCONT)
 
     def signal(self, sign: signal.Signals) -> None:
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(sign)
+        for process in self.processes:
+            process.send(sign)
 
     async def watch_notices(self) -> None:
         while True:
@@ -327,30 +387,26 @@
 
     async def settle(self) -> None:
         """Until all that was accepted has its end, or should have."""
+        await asyncio.gather(*self.endings)
         until = time.monotonic() + SETTLE_TIME
         while time.monotonic() < until:
-            if (now := await self.figures()) is not None and not now.get("held"):
+            if await self.held() == 0:
                 break
             await asyncio.sleep(0.1)
         await asyncio.sleep(0.3)
-        await self.note_figures()
-
-    async def note_figures(self) -> None:
-        """What this life has counted, before it ends."""
-        if (now := await self.figures()) is not None:
-            self.findings.violations += int(now.get("invariant_violations", 0))
-            if faults := int(now.get("faults", 0)):
-                self.findings.defects.append(f"{faults} exceptions; see {self.log}")
 
     async def close(self) -> None:
+        for task in self.endings:
+            task.cancel()
         await self.load.close()
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+        for process in self.processes:
+            await process.kill()
         for receiver in self.receivers.values():
             await receiver.stop()
         for relay in self.relays.values():
             await relay.stop()
+        if self.listening:
+            self.listening.close()
 
     def is_broken(self, name: str) -> bool:
         return any(name in case for verdict in self.findings.verdicts for case in verdict.broken)
@@ -403,6 +459,11 @@
             f"{each.at:.1f}-{each.until:.1f}s {each.kind} {each.target}".strip() for each in self.troubles
         ]
         findings.stories = [self.story(name) for name in self.account.handed if self.is_broken(name)]
-        text = self.log.read_text(errors="replace") if os.path.exists(self.log) else ""
-        if "Traceback" in text:
-            findings.defects.append(f"an exception in {self.log}")
+        self.read_log()
+
+    def read_log(self) -> None:
+        """Violations and faults, as the processes logged them."""
+        text = self.log.read_text(errors="replace") if self.log.exists() else ""
+        self.findings.violations = text.count('"event": "invariant violated"')
+        if "Traceback" in text or '"event": "fault"' in text:
+            self.findings.defects.append(f"an exception in {self.log}")
--- a/laureldock/rehearsal/soak/troubles.py
+++ b/laureldock/rehearsal/soak/troubles.py
@@ -17,6 +17,10 @@
     RELOAD = "reload"  # SIGHUP, several in a row
     DRAIN = "drain"  # SIGHUP with a receiver less, and later with all of them again
     PAUSE = "pause"  # SIGSTOP for a moment
+    HAND_OVER = (
+        "hand over"  # a second process on the passed socket, and SIGTERM to the first once it is ready
+    )
+    KILLED_HAND_OVER = "killed hand over"  # the same; the first is killed while it ends
 
 
 class Path(StrEnum):
@@ -46,6 +50,7 @@
     PIPELINE = "pipeline"  # many commands at once
     GARBAGE = "garbage"
     REST = "rest"  # many connections that ask nothing
+    CROWD = "crowd"  # more connections than there is room for
 
 
 Kind = Signal | Path | Receiver | Client | Fault
@@ -65,23 +70,29 @@
 
 LONGEST = 3.0  # seconds
 MEAN_GAP = 0.9  # seconds between two that begin, so that two or three overlap
-SIGNAL_GAP = 6.0  # seconds between two ends of a process: a planned stop takes up to four
+# Seconds between two ends of a process: a planned stop takes up to four; hand-overs may follow each other.
+SIGNAL_GAP, HAND_OVER_GAP = 6.0, 2.5
+HAND_OVERS = (Signal.HAND_OVER, Signal.KILLED_HAND_OVER)
 HOUR = 3600.0
 FOR_GOOD = 1e9
 
 
-def draw(seed: int, length: float, receivers: list[str]) -> list[Trouble]:
-    """The troubles of one dispatcher over so many seconds, in the order in which they begin."""
+def draw(seed: int, length: float, receivers: list[str], passed: bool = False) -> list[Trouble]:
+    """The troubles of one dispatcher over so many seconds, in the order in which they begin.
+
+    `passed`: its listening socket is passed from process to process, so that they can hand over.
+    """
     chance = random.Random(seed)
     troubles: list[Trouble] = []
     at, free = 0.5, 0.0
     while (at := at + chance.expovariate(1 / MEAN_GAP)) < length:
-        kind = draw_kind(chance)
+        kind = draw_kind(chance, passed)
         until = at + chance.uniform(0.3, LONGEST)
         if isinstance(kind, Signal):
             if kind is not Signal.PAUSE and at < free:
                 continue
-            free = at + SIGNAL_GAP if kind is not Signal.PAUSE else free
+            gap = HAND_OVER_GAP if kind in HAND_OVERS else SIGNAL_GAP
+            free = at + gap if kind is not Signal.PAUSE else free
         share = chance.choice([0.3, 0.5, 1.0])
         step = 0.0
         if kind is Fault.CLOCK:
@@ -92,7 +103,10 @@
     return troubles
 
 
-def draw_kind(chance: random.Random) -> Kind:
-    """Any kind of any group, the groups as often as each other."""
-    groups: list[list[Kind]] = [list(Signal), list(Path), list(Receiver), list(Client), list(Fault)]
+def draw_kind(chance: random.Random, passed: bool) -> Kind:
+    """Any kind of any group, the groups as often as each other; hand-overs as often as all other signals."""
+    signals: list[Kind] = [kind for kind in Signal if kind not in HAND_OVERS]
+    groups: list[list[Kind]] = [signals, list(Path), list(Receiver), list(Client), list(Fault)]
+    if passed:
+        groups.append(list(HAND_OVERS))
     return chance.choice(chance.choice(groups))
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -140,6 +140,11 @@
     def seconds(self) -> float:
         return time.monotonic()
 
+    def stop(self) -> None:
+        """A further signal while it stops asks for nothing new."""
+        if not self._stopped:
+            super().stop()
+
     def unread(self) -> float:
         """For how long at most what is read now has lain unread."""
         now = self.seconds()
--- a/tests/handover.py
+++ b/tests/handover.py
@@ -8,8 +8,6 @@
 import socket
 import sys
 import time
-import urllib.error
-import urllib.request
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,6 +16,7 @@
 from laureldock.rehearsal.account import TAKEN, Account, Handed, judge
 from laureldock.rehearsal.play import free_port
 from laureldock.rehearsal.soak.clients import Connection, command
+from laureldock.rehearsal.soak.dispatcher_process import DispatcherProcess
 from laureldock.rehearsal.standins import Receiver
 
 KEY_REST = 0.3  # seconds
@@ -59,25 +58,19 @@
 
 
 @dataclass(eq=False, slots=True)
-class DispatcherProcess:
-    """One process of the dispatcher."""
+class Served:
+    """A process of the dispatcher, and clients' connections to it."""
 
-    process: asyncio.subprocess.Process
-    management: int
+    process: DispatcherProcess
     connections: list[Connection] = field(default_factory=list)
 
-    @property
-    def id(self) -> int:
-        return self.process.pid
-
     def send(self, sign: signal.Signals) -> None:
         """A signal, if it lives."""
-        if self.process.returncode is None:
-            self.process.send_signal(sign)
+        self.process.send(sign)
 
     async def ended(self, within: float = 10.0) -> None:
         """Wait for its end. TimeoutError."""
-        await asyncio.wait_for(self.process.wait(), within)
+        await asyncio.wait_for(self.process.process.wait(), within)
 
 
 class HandOver:
@@ -92,9 +85,9 @@
         }
         self.listening = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.port: int = self.listening.getsockname()[1]
-        self.processes: list[DispatcherProcess] = []
+        self.processes: list[Served] = []
 
-    async def launch(self) -> DispatcherProcess:
+    async def launch(self) -> Served:
         """Start a process beside those that run; returns once it says that it is ready."""
         management = free_port()
         file = self.folder / f"laureldock-{len(self.processes)}.toml"
@@ -112,36 +105,32 @@
             text += f'address = "127.0.0.1:{each.port}"\nrate = {each.rate:g}\n'
         file.write_text(text)
         command_line = [sys.executable, "-m", "laureldock", "serve", str(file)]
-        with (self.folder / "log").open("ab") as log:
-            process = await asyncio.create_subprocess_exec(
-                *command_line, stdout=log, stderr=log, pass_fds=[self.listening.fileno()]
-            )
-        found = DispatcherProcess(process, management)
+        process = await DispatcherProcess.launch(
+            command_line, file, management, self.folder / "log", self.listening.fileno()
+        )
+        found = Served(process)
         self.processes.append(found)
-        async with asyncio.timeout(20):
-            while not await asyncio.to_thread(is_ready, management):
-                assert process.returncode is None, self.log
-                await asyncio.sleep(0.01)
+        await process.ready()
         return found
 
     @property
     def log(self) -> str:
         return (self.folder / "log").read_text(errors="replace")
 
-    async def connect(self, to: DispatcherProcess, count: int = 1) -> None:
+    async def connect(self, to: Served, count: int = 1) -> None:
         """Give a process so many connections of clients; either may accept one, so some are closed again."""
         others: list[Connection] = []
         async with asyncio.timeout(10):
             while len(to.connections) < count:
                 connection = Connection(*await asyncio.open_connection("127.0.0.1", self.port))
                 process = await accepting_process(connection)
-                (to.connections if process == to.id else others).append(connection)
+                (to.connections if process == to.process.id else others).append(connection)
         for each in others:
             each.writer.close()
 
     async def put(
         self,
-        process: DispatcherProcess,
+        process: Served,
         name: str,
         key: str = "",
         queue_class: str = "order",
@@ -187,14 +176,6 @@
         ]
 
 
-def is_ready(port: int) -> bool:
-    try:
-        with urllib.request.urlopen(f"http://127.0.0.1:{port}/_ready", timeout=2) as answer:
-            return bool(answer.status == 200)
-    except (urllib.error.URLError, OSError):
-        return False
-
-
 async def accepting_process(connection: Connection) -> int:
     """The id of the process that accepted a connection."""
     connection.writer.write(command(b"INFO"))
@@ -218,9 +199,7 @@
         for process in found.processes:
             for connection in process.connections:
                 connection.writer.transport.abort()
-            process.send(signal.SIGKILL)
-            with contextlib.suppress(ProcessLookupError):
-                await process.process.wait()
+            await process.process.kill()
         for receiver in found.receivers.values():
             await receiver.stop()
         found.listening.close()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -64,6 +64,8 @@
 
 
 class Process:
+    stderr: int | None = None  # where its standard error goes
+
     def __init__(
         self, folder: Path, platform: ThreadingHTTPServer, more: dict[str, str] | None = None
     ) -> None:
@@ -92,7 +94,7 @@
 
     def launch(self) -> None:
         command = [sys.executable, "-m", "laureldock", "serve"]
-        self.child = subprocess.Popen(command, env=self.environ, stdout=subprocess.PIPE)
+        self.child = subprocess.Popen(command, env=self.environ, stdout=subprocess.PIPE, stderr=self.stderr)
 
     def start(self) -> None:
         self.launch()
@@ -162,6 +164,30 @@
         process.child.kill()
 
 
+class OneStream(Process):
+    stderr = subprocess.STDOUT
+
+
+def test_signals_in_series_end_it_once_and_in_order(tmp_path: Path, platform: ThreadingHTTPServer) -> None:
+    """A second SIGTERM left a trace in the log: the reactor was told to stop while it stopped."""
+    process = OneStream(tmp_path, platform)
+    try:
+        assert process.put("m1", "news", "slow") == b"+OK\r\n"
+        until(lambda: b"out:1" in process.ask(b"INFO\r\n"))
+        for sign in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM):
+            process.child.send_signal(sign)
+            time.sleep(0.05)
+        Platform.slow.set()
+        assert process.child.wait(10) == 0
+        assert process.child.stdout
+        lines = process.child.stdout.read().decode().splitlines()
+        events = [json.loads(line)["event"] for line in lines]  # a trace would be no JSON
+        assert events.count("stopping") == events.count("stopped") == 1
+        assert Platform.relayed == ["m1"]
+    finally:
+        process.child.kill()
+
+
 def test_what_clients_gave_up_during_a_stall_is_not_sent(
     tmp_path: Path, platform: ThreadingHTTPServer
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,8 @@
 from itertools import pairwise
 from pathlib import Path
 
+import pytest
+
 from laureldock.rehearsal.play import RECEIVERS
 from laureldock.rehearsal.soak import troubles
 from laureldock.rehearsal.soak.run import soak
@@ -13,6 +15,7 @@
 from laureldock.rehearsal.soak.system_calls import Fault
 
 SEEDS = range(1, 9)
+HAND_OVER_SEEDS = range(11, 19)
 SECONDS = 20.0
 
 
@@ -26,13 +29,24 @@
     assert sum(each.restarts for each in found) >= len(SEEDS) // 2
 
 
-def test_troubles_are_drawn_alike_for_a_seed_and_overlap() -> None:
+def test_the_rules_hold_while_processes_hand_over(tmp_path: Path) -> None:
+    """On a passed socket, clients with connections to either process, kills and signals in series."""
+    said: list[Findings] = []
+    found = asyncio.run(soak(tmp_path, HAND_OVER_SEEDS, SECONDS, 12.0, said.append, passed=True))
+    broken = [(each.seed, each.broken, each.stories, each.troubles) for each in found if each.broken]
+    assert not broken, broken
+    assert all(each.accepted > SECONDS and each.delivered > SECONDS for each in found)
+    assert sum(each.hand_overs for each in found) >= len(found)
+
+
+@pytest.mark.parametrize("passed", [False, True])
+def test_troubles_are_drawn_alike_for_a_seed_and_overlap(passed: bool) -> None:
     names = list(RECEIVERS)
-    drawn = [troubles.draw(seed, 60.0, names) for seed in range(20)]
-    assert drawn == [troubles.draw(seed, 60.0, names) for seed in range(20)]
+    drawn = [troubles.draw(seed, 60.0, names, passed) for seed in range(20)]
+    assert drawn == [troubles.draw(seed, 60.0, names, passed) for seed in range(20)]
     kinds = {each.kind for one in drawn for each in one}
-    every = [*troubles.Signal, *troubles.Path, *troubles.Receiver, *troubles.Client, *Fault]
-    assert kinds == set(every)
+    every = {*troubles.Signal, *troubles.Path, *troubles.Receiver, *troubles.Client, *Fault}
+    assert kinds == every if passed else kinds == every - set(troubles.HAND_OVERS)
     for one in drawn:
         crossing = sum(after.at < before.until for before, after in pairwise(one))
         assert crossing > len(one) // 2
