A start waits for the sockets of operators and fleet, too, where they fail for a moment

The front waited there already; the same mistake stood beside it twice. Change: both are opened by wait_for, which tries again while the error passes by itself. Test: the start without sockets, with an operators' address; failed before.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -23,12 +23,13 @@
 from laureldock.setup.reload import changes, refused
 from laureldock.setup.terms import TermBook
 from laureldock.setup.units import Address
-from laureldock.sockets.reactor import SteadyReactor
+from laureldock.sockets.reactor import SteadyReactor, listen_error
 from laureldock.sockets.room import Room
 from laureldock.sources.listed import Listed, Listing, listing, listing_of
 from laureldock.sources.platform import Directory
 from laureldock.stores.spool import Spool
 from laureldock.tariff import Book
+from laureldock.transient_errors import wait_for
 
 if TYPE_CHECKING:
     from laureldock.fleet.transport import FleetTransport
@@ -167,15 +168,25 @@
             self.fleet.lameduck(on)
 
     def start(self) -> None:
+        """Listen for the fleet and for operators, and begin. OSError: one of them lastingly cannot listen."""
         if self.fleet:
-            try:
-                self.fleet.start()
-            except CannotListenError as barred:
-                raise OSError(f"cannot listen for the fleet: {barred}") from None
-        if self.door and (fault := self.door.open()):
-            raise OSError(f"cannot listen for operators: {fault}")
+            wait_for(self.listen_for_fleet, self.waits_to_listen)
+        if self.door:
+            wait_for(self.door.open, self.waits_to_listen)
         self.core.start()
 
+    def listen_for_fleet(self) -> None:
+        """OSError."""
+        assert self.fleet
+        try:
+            self.fleet.start()
+        except CannotListenError as barred:
+            raise listen_error(barred) from None
+
+    def waits_to_listen(self, fault: OSError) -> None:
+        """What fails for a moment is no end of the process."""
+        self.core.log.warning("start waits", waits_for="listening socket", fault=str(fault))
+
     def stop(self) -> Deferred[None]:
         done: Deferred[None] = Deferred()
         if self.core.handed_down:  # the next process serves beside this one until it ends
--- a/laureldock/fleet/transport.py
+++ b/laureldock/fleet/transport.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IAddress
 from twisted.internet.posixbase import PosixReactorBase
 from twisted.internet.protocol import ClientFactory, DatagramProtocol
@@ -188,8 +189,12 @@
 
     def start(self) -> None:
         """Listen, and begin to join. CannotListenError where nothing can listen there."""
-        self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
-        self.reactor.listenTCP(self.port, StreamFactory(self, opened=False), interface=self.host)
+        datagrams = self.reactor.listenUDP(self.port, self.datagrams, interface=self.host)
+        try:
+            self.reactor.listenTCP(self.port, StreamFactory(self, opened=False), interface=self.host)
+        except CannotListenError:
+            datagrams.stopListening()
+            raise
         self.save()
         self.reactor.callLater(SAVE_INTERVAL * self.settings.period, self.save_periodically)
         self.advance()
--- a/laureldock/operators/door.py
+++ b/laureldock/operators/door.py
@@ -21,6 +21,8 @@
 from twisted.internet.tcp import Port
 from twisted.web import http, resource, server
 
+from laureldock.sockets.reactor import listen_error
+
 # Callers that connect and say nothing hold a socket; a caller waits 1 s, so 3 s of silence is no call.
 SILENT = 3.0
 FORGET = b"/_fleet/forget/"
@@ -88,15 +90,15 @@
         self.site.noisy = False
         self.port: Port | None = None
 
-    def open(self) -> str:
+    def open(self) -> None:
+        """Listen. OSError."""
         host, _, port = self.at.rpartition(":")
         try:
             self.port = self.reactor.listenTCP(  # type: ignore[no-untyped-call]
                 int(port), self.site, backlog=64, interface=host
             )
-        except CannotListenError as fault:
-            return str(fault)
-        return ""
+        except CannotListenError as barred:
+            raise listen_error(barred) from None
 
     def shut(self) -> None:
         if self.port:
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -13,6 +13,7 @@
 
 import structlog
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import CannotListenError
 from twisted.internet.tcp import Port
 
 T = TypeVar("T")
@@ -41,6 +42,12 @@
 log = structlog.get_logger()
 
 
+def listen_error(barred: CannotListenError) -> OSError:
+    """The error of the system call behind it."""
+    error = barred.socketError
+    return error if isinstance(error, OSError) else OSError(str(barred))
+
+
 def can_open(descriptors: int) -> bool:
     """Whether the process may hold so many more."""
     held: list[int] = []
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -15,11 +15,12 @@
 
 import pytest
 import redis
-from daemon import Daemon, daemon
+from daemon import HEAD, Daemon, daemon
 from shore import Peer, Shore
 
 from laureldock.core.messages import StoredMessage
 from laureldock.fronts.resp import Client
+from laureldock.rehearsal.play import free_port
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
 from laureldock.rehearsal.soak.system_calls import Fault, Window
 from laureldock.stores.spool import Spool
@@ -79,9 +80,16 @@
         run(scenario(folder, owed))
 
 
-def test_a_process_started_while_no_socket_can_be_made_listens_once_it_can(tmp_path: Path) -> None:
+@pytest.mark.parametrize("operators", [False, True])
+def test_a_process_started_while_no_socket_can_be_made_listens_once_it_can(
+    tmp_path: Path, operators: bool
+) -> None:
+    """With an operators' address it once ended at once."""
+
     async def scenario() -> None:
         async with daemon(tmp_path, NAMES) as here:
+            if operators:
+                here.write(head=f'management = "127.0.0.1:{free_port()}"\n' + HEAD)
             now = time.monotonic()
             await launch(here, Window(Fault.SOCKET, now, now + 2.0))
             await here.put("m1")
