Tests of what binds both processes of a hand-over: slots, ids, cold returns, reads that fail

The files of the others: read while they grow, are renewed, taken over and renamed; an error is no empty file.

--- a/tests/handover.py
+++ b/tests/handover.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from itertools import accumulate
 from pathlib import Path
 from typing import Any
 
@@ -166,6 +167,12 @@
             if call.mail == name
         ]
 
+    def most_out(self) -> int:
+        """The most calls that were out at once."""
+        steps = [(call.begun, 1) for call in self.account.calls]
+        steps += [(call.ended, -1) for call in self.account.calls]
+        return max(accumulate(step for _, step in sorted(steps)))
+
     def broken(self, rule: str = "") -> list[str]:
         """What the account shows of broken rules."""
         return [
--- a/tests/test_handover_order.py
+++ b/tests/test_handover_rules.py
@@ -1,14 +1,16 @@
-"""Order across a hand-over: two processes of one dispatcher, judged by the records of the receivers alone."""
+"""Rules and limits across a hand-over: two real processes, judged by the receivers' records alone."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+import time
 from pathlib import Path
 
 from handover import KEY_REST, hand_over, run
 
 from laureldock.rehearsal.account import TAKEN
+from laureldock.rehearsal.standins import Fault
 
 
 def test_a_message_accepted_right_after_one_of_its_key_by_the_other_process_waits(tmp_path: Path) -> None:
@@ -123,3 +125,75 @@
             await rig.until_delivered(*names, within=20)
 
     run(scenario())
+
+
+def test_two_processes_have_no_more_calls_out_than_one_may(tmp_path: Path) -> None:
+    """Five attempts of a message went in 15 ms on 'all slots taken', since each counted its own alone."""
+
+    async def scenario() -> None:
+        names = {f"n{place}": f"d{place // 2}" for place in range(8)}
+        async with hand_over(tmp_path, names, pace=0.25, slots=8) as rig:
+            old = await rig.launch()
+            await rig.connect(old)
+            handed = []
+            for place in range(32):
+                handed.append(f"o{place}")
+                assert await rig.put(old, f"o{place}", "", "notice", f"d{place % 4}") == TAKEN
+            new = await rig.launch()
+            await rig.connect(new)
+            for place in range(24):
+                handed.append(f"n{place}")
+                assert await rig.put(new, f"n{place}", "", "notice", f"d{place % 4}") == TAKEN
+            old.send(signal.SIGTERM)
+            await old.ended()
+            await rig.until_delivered(*handed, within=20)
+            assert 6 <= rig.most_out() <= 8, rig.most_out()
+            assert "invariant violated" not in rig.log
+
+    run(scenario())
+
+
+def test_a_receiver_that_returns_during_a_hand_over_is_not_pushed_over(tmp_path: Path) -> None:
+    """The next process knew nothing of the outage that the last one had seen."""
+
+    async def scenario() -> None:
+        async with hand_over(tmp_path, {"n1": "north"}, pace=0.02, rate=20.0) as rig:
+            old = await rig.launch()
+            await rig.connect(old)
+            receiver = rig.receivers["n1"]
+            began = time.time()
+            receiver.began = began
+            receiver.faults.append(Fault("down", 0.5, 3.0))
+            outage = asyncio.create_task(receiver.run())
+            taking = old
+            for place in range(90):
+                await asyncio.sleep(max(0.0, began + place / 15 - time.time()))
+                if place == 30:
+                    new = await rig.launch()
+                    await rig.connect(new)
+                if place == 50 and outage.done():  # it is back; what the next process has, it has been told
+                    old.send(signal.SIGTERM)
+                    taking = new
+                assert await rig.put(taking, f"m{place}", "", "notice") == TAKEN
+            assert taking is new
+            await rig.until_delivered(*(f"m{place}" for place in range(90)), within=20)
+            assert rig.account.colds and not rig.broken("returning"), rig.broken()
+
+    run(scenario())
+
+
+def test_an_id_that_comes_again_to_the_other_process_is_sent_once(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with hand_over(tmp_path, pace=0.3) as rig:
+            old = await rig.launch()
+            await rig.connect(old)
+            new = await rig.launch()
+            await rig.connect(new)
+            assert await rig.put(old, "m1", "k") == TAKEN
+            assert await rig.put(new, "m1", "k") == "-ERR"
+            await rig.until_delivered("m1")
+            assert await rig.put(new, "m1", "k") == "-ERR"  # over there, a moment ago
+            await asyncio.sleep(0.5)
+            assert len(rig.calls("m1")) == 1
+
+    run(scenario())
--- /dev/null
+++ b/tests/test_peer_spools.py
@@ -0,0 +1,216 @@
+"""What one process reads of the others' files, while these grow, are written anew, taken over and renamed."""
+
+from __future__ import annotations
+
+import errno
+import os
+import time
+from math import inf
+from pathlib import Path
+from typing import Any
+
+import pytest
+from dock import Quay
+
+from laureldock.core.messages import StoredMessage
+from laureldock.core.peer_view import RouteRecord
+from laureldock.file_locks import open_locked
+from laureldock.stores import peer_spools
+from laureldock.stores.peer_spool import PeerSpool
+from laureldock.stores.spool import Spool
+
+DISK = 3e6
+
+
+def message(name: str, key: str | None = None, accepted: float = -inf) -> StoredMessage:
+    found = StoredMessage(name.encode(), key, "order", "", b"", 7, 1e12, b"body")
+    found.accepted = accepted
+    return found
+
+
+def spool(folder: Path) -> Spool:
+    found = Spool(folder, DISK)
+    found.open()
+    return found
+
+
+def refuse(*_: Any, **__: Any) -> Any:
+    raise OSError(errno.EIO, os.strerror(errno.EIO))
+
+
+def test_each_read_has_what_was_recorded_before_it(tmp_path: Path) -> None:
+    old, new = spool(tmp_path), spool(tmp_path)
+    for number in range(50):
+        name = f"m{number}"
+        writer, reader = (old, new) if number % 2 else (new, old)
+        assert writer.take(message(name, "k", float(number)))
+        assert name.encode() in reader.read_peers().accepted
+        if number % 7 == 0:
+            writer._renew()
+            assert name.encode() in reader.read_peers().accepted
+    assert new.read_peers().first_accepted("k") == 1.0
+    old.over(b"m1")
+    assert new.read_peers().first_accepted("k") == 3.0
+    assert new.read_peers().knows(b"m1")  # for a moment
+
+
+def test_calls_that_are_out_are_counted_until_their_end(tmp_path: Path) -> None:
+    old, new = spool(tmp_path), spool(tmp_path)
+    for name in ("a", "b", "c", "d"):
+        assert old.take(message(name))
+        old.out(name.encode(), 1.0)
+    assert new.read_peers().calls_out == 4
+    old.back(b"a")
+    old.end(b"b")
+    old.over(b"c")
+    assert new.read_peers().calls_out == 1
+    old._renew()
+    assert new.read_peers().calls_out == 1
+    assert old.owed[b"b"].ran == 1.0 and old.owed[b"b"].out is None
+
+
+def test_rests_and_routes_are_read_and_outlive_a_renewal(tmp_path: Path) -> None:
+    old, new = spool(tmp_path), spool(tmp_path)
+    old.rest("k", 50.0, now=40.0)
+    old.route("r1", RouteRecord(None))
+    old.route("r2", RouteRecord(None))
+    old.route("r2", RouteRecord(45.0))
+    for _ in range(2):
+        view = new.read_peers()
+        assert view.rests == {"k": 50.0}
+        assert view.routes == {"r1": RouteRecord(None), "r2": RouteRecord(45.0)}
+        old._renew()
+    old.close()
+    assert Spool(tmp_path, DISK, writes=False).rests == {"k": 50.0}
+
+
+def test_a_message_is_seen_by_a_third_process_throughout_a_take_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The ended process's file goes once the heir has written its own: between two looks it is in either."""
+    first, heir, third = spool(tmp_path), spool(tmp_path), spool(tmp_path)
+    assert first.take(message("m", "k", 1.0))
+    assert third.read_peers().first_accepted("k") == 1.0
+    first.close()
+    real, steps = peer_spools.list_spools, iter([heir.adopt])
+
+    def listing(folder: Path) -> dict[int, Path]:
+        found = real(folder)
+        for step in steps:  # right after the folder was listed for the first time
+            step()
+        return found
+
+    monkeypatch.setattr(peer_spools, "list_spools", listing)
+    assert third.read_peers().first_accepted("k") == 1.0
+    assert [path.name for path in heir.folder.iterdir() if path.name == "spool"] == ["spool"]
+    assert third.read_peers().first_accepted("k") == 1.0
+
+
+def test_what_cannot_be_read_is_not_taken_for_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old, new = spool(tmp_path), spool(tmp_path)
+    assert old.take(message("m", "k", 1.0))
+    with monkeypatch.context() as failing:
+        failing.setattr(PeerSpool, "read", refuse)
+        with pytest.raises(OSError):
+            new.read_peers()
+    assert new.read_peers().first_accepted("k") == 1.0
+
+
+def test_a_client_is_refused_while_another_process_cannot_be_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It once counted as owing nothing. -BUSY does no harm; nothing is sent either."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.dispatcher.handed_down = True
+    beside = spool(quay.state)
+    with monkeypatch.context() as failing:
+        failing.setattr(PeerSpool, "read", refuse)
+        quay.put(quay.client(), "m1", "order", "key")
+        assert quay.lines[-1].endswith("-BUSY"), quay.lines
+        assert quay.dispatcher.counters["refused: other processes cannot be read"] == 1
+    quay.after(0.2)
+    quay.put(quay.client(), "m2", "order", "key")
+    assert any("X-Call-Id: m2" in line for line in quay.lines), quay.lines
+    beside.close()
+
+
+def test_an_id_that_another_process_has_is_not_taken_a_second_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A client whose connection broke sends its request once more, and may come to the other process."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.dispatcher.handed_down = True
+    beside = spool(quay.state)
+    end = quay.dispatcher.now() + 5
+    assert beside.take(StoredMessage(b"m1", None, "charge", "", b"", 7, end, b"body"))
+    quay.put(quay.client(), "m1", "charge")
+    assert quay.lines[-1].endswith("-ERR"), quay.lines
+    beside.close()  # its process ends: the message is this one's now, and so is the client's
+    quay.put(quay.client(), "m1", "charge")
+    assert "  0.00 -> client: +OK" in quay.lines, quay.lines
+    quay.after(0.2)
+    assert sum("X-Call-Id: m1" in line for line in quay.lines) == 1
+
+
+def test_a_lock_on_a_file_that_was_replaced_is_none_on_its_path(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A third process once took over a living one's file, by the lock of the one that stood there before."""
+    path, real = tmp_path / "spool", os.open
+
+    def replaced(name: Any, flags: int, *rest: Any) -> int:
+        file = real(name, flags, *rest)
+        fresh = tmp_path / "fresh"
+        fresh.write_bytes(b"")
+        os.rename(fresh, path)  # between the open and the lock
+        return file
+
+    monkeypatch.setattr(os, "open", replaced)
+    assert open_locked(path) is None
+
+
+def test_the_first_name_is_not_taken_from_a_process_that_starts(tmp_path: Path) -> None:
+    """A rename would have put one file over the other: what the other accepts would be lost with its end."""
+    first, heir = spool(tmp_path), spool(tmp_path)
+    assert heir.take(message("m"))
+    first.close()
+    heir._take_over(tmp_path / "spool")
+    heir.held = []
+    heir.flush()  # the ended one's file is gone
+    starting = open_locked(tmp_path / "spool")
+    assert starting is not None
+    with pytest.raises(FileExistsError):
+        heir._take_first_path()
+    assert heir.path.name == "spool.1" and os.fstat(starting).st_ino == os.stat(tmp_path / "spool").st_ino
+    os.close(starting)
+
+
+def test_messages_of_a_key_go_in_the_order_of_their_acceptance_after_a_restart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What was taken over stands behind in the file, and was accepted before."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.dispatcher.store.close()  # type: ignore[attr-defined]
+    now = quay.dispatcher.now()
+    store = spool(quay.state)
+    for name, accepted in (("second", now - 1.0), ("first", now - 2.0), ("third", now - 0.5)):
+        stored = StoredMessage(name.encode(), "key", "order", "x", b"", 7, now + 9, b"hello")
+        stored.accepted = accepted
+        assert store.take(stored)
+    store.close()
+    quay.start()
+    for name in ("first", "second", "third"):
+        calls = [line for line in quay.lines if "POST /hook" in line]
+        assert f"X-Call-Id: {name} " in calls[-1], calls
+        quay.answer("1", "200 OK")
+    assert sum("POST /hook" in line for line in quay.lines) == 3
+
+
+def test_a_file_of_an_older_release_counts_from_when_it_is_read(tmp_path: Path) -> None:
+    """It has no time of acceptance: what is read before another is accepted comes before it."""
+    old, new = spool(tmp_path), spool(tmp_path)
+    assert old.take(message("m", "k"))
+    before = time.monotonic()
+    assert before <= new.read_peers().first_accepted("k") <= time.monotonic()
