--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -7,9 +7,9 @@
 not at all (OSError). What holds in any case is queued, and written before all that follows.
 
 Two processes of one dispatcher may share the folder while one hands over to the next. Each holds a lock on
-the file it writes (`spool`, else `spool.1`, ...); a file whose lock is free belongs to a process that has
-ended, and what it owes is taken over whole, then the file goes. What the others have recorded is read from
-their files (`peer_spools.py`).
+the file that it writes (`spool`, else `spool.1`, ..., the first name that no other process holds) for as long
+as it lives. A file whose lock is free belongs to a process that has ended: what it owes is taken over whole,
+then the file goes. What the others have recorded is read from their files (`peer_spools.py`).
 """
 
 from __future__ import annotations
@@ -207,17 +207,8 @@
         adopted = [message for name, message in self.owed.items() if name not in before]
         with contextlib.suppress(OSError):
             self.flush()
-            self._take_first_path()
         return adopted
 
-    def _take_first_path(self) -> None:
-        """Once no other process is left. OSError."""
-        first_path = self.numbered_path(0)
-        if not self.held and not self.ended_files and self.path != first_path:
-            os.link(self.path, first_path)  # fails where a process that starts has just made that file
-            self.path.unlink()
-            self.path = first_path
-
     def _replay_all(self, data: bytes) -> RecordReader:
         reader = RecordReader(read_clocks())
         for fields, body in reader.read(data):
