Sockets and disk are shared for as long as another process lives; rows of one key in the soak

Cause: a process beside another halved them at its start, and kept to that for its life; the last one held all of the disk until its end. Change: both follow the number of living processes. Test: halves while the other lives, whole again after it; it failed before.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -72,18 +72,16 @@
     ) -> None:
         self.plan, self.reactor = plan, reactor
         store = store or Spool(state, plan.limits.disk)
-        # Two processes of one dispatcher, while one hands over to the next, hold half of the sockets each.
-        sockets = plan.limits.sockets // (2 if store.sharing else 1)
-        self.room = Room.of(sockets)
+        self.room = Room.of(plan.limits.sockets)
         self.catalog = catalog_of(plan)
         known, terms = (plan, None) if self.catalog is None else (self.catalog.live, self.catalog.term_book)
         book = Book(known, sockets=True, terms=terms)
         self.core = core = Dispatcher(plan.name, book, store, reactor, ended_for)
-        # Half of the sockets for clients at most, shared by the fronts.
-        most = sockets // 2 // len(plan.front)
         self.clients = [
-            Clients(core, reactor, self.room, front.listen, most, front.pipeline) for front in plan.front
+            Clients(core, reactor, self.room, front.listen, self.most_clients(), front.pipeline)
+            for front in plan.front
         ]
+        core.on_processes = self.share_limits
         self.clients[0].passed = plan.passed
         if isinstance(reactor, SteadyReactor):
             for each in self.clients:
@@ -111,6 +109,18 @@
             self.door = Door(reactor, plan.management, operated)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
 
+    def most_clients(self, processes: int = 1) -> int:
+        """Connections of one front: half of the sockets for clients at most, shared by the fronts."""
+        return self.plan.limits.sockets // processes // 2 // len(self.plan.front)
+
+    def share_limits(self, processes: int) -> None:
+        """So many processes of this dispatcher live: each holds its part of the sockets and of the disk."""
+        self.core.store.share_disk(processes)
+        self.room.most = Room.of(self.plan.limits.sockets // processes).most
+        for clients in self.clients:
+            clients.limit(self.most_clients(processes))
+        self.room.spare()
+
     def source_of(self, plan: Plan, state: Path) -> Source:
         if plan.source.address:
             return Directory(self.core, self.reactor, plan.source.address, plan.source.known)
@@ -189,11 +199,6 @@
 
     def stop(self) -> Deferred[None]:
         done: Deferred[None] = Deferred()
-        if self.core.handed_down:  # the next process serves beside this one until it ends
-            self.room.most //= 2
-            for clients in self.clients:
-                clients.most //= 2
-            self.room.spare()
         if self.fleet:
             self.fleet.lameduck(True)  # others hear at once, and that it left once it is through
 
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -81,6 +81,8 @@
         self.ready = self.lameduck = False  # clients are taken; clients are told no and sent away
         self.handed_down = False  # the listening socket is the platform's, shared with the next process
         self.verbose = False  # whether each mail's steps are logged
+        # Told how many processes of this dispatcher live, this one included, when that changes.
+        self.on_processes: Callable[[int], None] = lambda processes: None
         # Figures of the configuration in force, where it comes from a controller.
         self.configuration_figures: Callable[[], dict[str, float]] = dict
         self.unanswered: list[HeldMessage] = []  # taken since the last turn
--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -58,6 +58,7 @@
         core = self._dispatcher
         if view.processes != self.view.processes:
             core.log.info("other processes", count=view.processes, owed=len(view.accepted))
+            core.guard(core.on_processes, 1 + view.processes)
         self.view = view
         core.tell(core.control.other_processes, view.as_limits())
         self._heed_waits(view)
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -158,6 +158,9 @@
     def sharing(self) -> bool:
         """Whether another process of this dispatcher writes the folder too, while it hands over."""
 
+    def share_disk(self, processes: int) -> None:
+        """Keep to this process's part of the folder's limit, of so many."""
+
     def adopt(self) -> list[StoredMessage]:
         """What processes that have ended since owe, now owed by this one."""
 
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -32,9 +32,8 @@
         self, core: Intake, reactor: PosixReactorBase, room: Room, listen: str, most: int, pipeline: int
     ) -> None:
         self.core, self.reactor, self.room, self.listen = core, reactor, room, listen
-        self.most, self.pipeline = most, pipeline  # connections, and commands behind one that waits
-        # Half of what the protocol's clients hold at most, so that as many find room.
-        self.most_idle = most // 3
+        self.pipeline = pipeline  # commands behind one that waits
+        self.limit(most)
         self.clients: dict[Client, None] = {}
         self.numbers = 0
         self.full = self.looking = self.lameduck = False
@@ -43,6 +42,12 @@
         self.unread: Callable[[], float] = lambda: 0.0  # for how long what is read now may have lain
         self.passed = -1  # a descriptor that listens already
 
+    def limit(self, most: int) -> None:
+        """Hold so many connections at most."""
+        self.most = most
+        # Half of what the protocol's clients hold at most, so that as many find room.
+        self.most_idle = most // 3
+
     @property
     def busy(self) -> int:
         return len(self.clients) + bool(self.shutting and self.port)
--- a/laureldock/rehearsal/soak/clients.py
+++ b/laureldock/rehearsal/soak/clients.py
@@ -18,6 +18,7 @@
 Address = tuple[str, int]
 KEYS = 5  # of messages whose order counts
 NEW_CONNECTIONS = 0.15  # part of the requests that open one though others are at rest
+BURST, BURSTS = 6, 0.15  # messages of one key in a row, and part of the keyed ones that begin such a row
 CROWD = 400  # connections
 CLOSED = ""  # the word of a message whose connection was closed with no answer
 
@@ -69,13 +70,15 @@
         await asyncio.gather(*self.tasks)
 
     def start_one(self) -> None:
-        """Draw one message, and hand it in beside all else."""
+        """Draw one message, or a few of one key, and hand them in beside all else."""
         queue_class = self.chance.choices(list(CLASSES), [4, 3, 3])[0]
         key = f"k{self.chance.randrange(KEYS)}" if queue_class == "order" else ""
         destination = self.chance.choice(self.destinations)
-        task = asyncio.create_task(self.hand_in(queue_class, key, destination))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        count = BURST if key and self.chance.random() < BURSTS else 1
+        for _ in range(count):
+            task = asyncio.create_task(self.hand_in(queue_class, key, destination))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     async def hand_in(self, queue_class: str, key: str, destination: str) -> None:
         """Hand one message in; a key's go one after another, each once the one before has its answer."""
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -70,10 +70,16 @@
         except OSError:
             self.close()
             raise
-        # Two files stand side by side while one is written anew: a third of the room for what is owed, two
-        # for the file that grows; one block of each is lost to the way of counting. A process beside another
-        # has half of that.
-        self.max_owed = int(disk / (6 if self.held else 3)) - 2 * BLOCK
+        self._disk = disk
+        self.share_disk(1 + len(self.held))
+
+    def share_disk(self, processes: int) -> None:
+        """Keep to this process's part of the folder's limit, of so many.
+
+        Two files stand side by side while one is written anew: a third of the room for what is owed, two for
+        the file that grows; one block of each is lost to the way of counting.
+        """
+        self.max_owed = int(self._disk / (3 * processes)) - 2 * BLOCK
         self.max_size = 2 * self.max_owed
 
     def _load(self, writes: bool) -> None:
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -154,6 +154,24 @@
     assert sum("X-Call-Id: m1" in line for line in quay.lines) == 1
 
 
+def test_sockets_and_disk_are_shared_for_as_long_as_another_process_lives(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The next process once kept to half of them for its life; the last one to all until its stop."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.dispatcher.handed_down = True
+    store: Any = quay.dispatcher.store
+    alone = quay.assembly.room.most, quay.front.most, quay.front.most_idle, store.max_owed
+    beside = spool(quay.state)
+    assert quay.dispatcher.peers.read()
+    shared = quay.assembly.room.most, quay.front.most, quay.front.most_idle, store.max_owed
+    assert all(each <= before / 2 for each, before in zip(shared, alone, strict=True))
+    beside.close()
+    quay.dispatcher.recovery.adopt()
+    assert quay.dispatcher.peers.read()
+    assert alone == (quay.assembly.room.most, quay.front.most, quay.front.most_idle, store.max_owed)
+
+
 def test_a_lock_on_a_file_that_was_replaced_is_none_on_its_path(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
