--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -128,8 +128,8 @@
     calls that fail; a wall clock that is stepped. Exit 1 if a rule or an invariant was broken for any mail.
     """
     try:
+        from laureldock.rehearsal.soak.findings import Findings
         from laureldock.rehearsal.soak.run import soak as play
-        from laureldock.rehearsal.soak.soaked import Findings
     except ImportError as fault:
         hint = "pip install 'laureldock[rehearse]'"
         raise click.ClickException(f"{fault}; the rehearsal needs its extra: {hint}") from None
--- a/laureldock/rehearsal/soak/run.py
+++ b/laureldock/rehearsal/soak/run.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
-from laureldock.rehearsal.soak.soaked import Findings, SoakedDispatcher
+from laureldock.rehearsal.soak.findings import Findings
+from laureldock.rehearsal.soak.soaked import SoakedDispatcher
 
 START_GAP = 0.1  # seconds between two starts, lest all begin in one instant
 
