--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -44,6 +44,10 @@
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 ACCEPT_TIME, STOP_TIME = 0.6, 3.3
 
+# Seconds until a client hears that another process has its message: by the platform's protocol it has given
+# the message up by then, so that what is still sent for it counts for nothing.
+DOUBT_TIME = 0.6
+
 LISTEN_RETRY = 0.1  # seconds, until a front that could not listen for a moment tries again
 
 # A mail's lifetime ends sooner by its client's clock than by ours: by the way here, and what timers round.
@@ -271,8 +275,8 @@
 
     # Fronts
 
-    def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage:
-        """Take a mail on: its waiter is told after the turn, or hears now what is given back."""
+    def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage | None:
+        """Take a mail on: its waiter is told after the turn, or hears now what is given back; None: later."""
         kind = self.book.classes.get(stored.queue_class)
         if kind is None:
             self.count(stored.queue_class, "bounced")
@@ -284,8 +288,15 @@
             return reply
         if stored.name in self.by_name:  # sent once more, since a close had crossed it
             return ACCEPTED
-        if reply := self.reply_by_peers(stored.name):
-            return reply
+        if not self.peers.read():
+            self.counters["refused: other processes cannot be read"] += 1
+            return Reply(ReplyKind.BUSY)
+        if self.peers.view.knows(stored.name):
+            self.recovery.adopt()  # its process may just have ended
+            if stored.name in self.by_name:
+                return ACCEPTED
+            self.later(DOUBT_TIME, self.reply_in_doubt, submitter, stored.name)
+            return None
         stored.accepted = self.now()  # after what others have recorded: they come before
         if not self.store.take(stored):
             self.counters["spool full"] += 1
@@ -302,18 +313,11 @@
         self.tell(self.control.taken, mail)
         return message
 
-    def reply_by_peers(self, name: bytes) -> Reply | None:
-        """The reply to a message for which other processes count; None if it is to be taken on here."""
-        if not self.peers.read():
-            self.counters["refused: other processes cannot be read"] += 1
-            return Reply(ReplyKind.BUSY)
-        if not self.peers.view.knows(name):
-            return None
-        self.recovery.adopt()  # its process may just have ended
-        if name in self.by_name:
-            return ACCEPTED
-        self.counters["refused: another process has it"] += 1
-        return Reply(ReplyKind.FAILED)  # it may run there: nothing is promised
+    def reply_in_doubt(self, submitter: Submitter, name: bytes) -> None:
+        """To a client that has waited on, of a message that another process has: it may run there."""
+        known = name in self.by_name  # taken over meanwhile
+        self.counters["refused: another process has it"] += not known
+        submitter.reply(ACCEPTED if known else Reply(ReplyKind.FAILED))
 
     def withdrawn(self, message: HeldMessage) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -197,8 +197,11 @@
 
     invariants: Invariants
 
-    def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage:
-        """Take a mail on: its answer, or the letter whose waiter is told later. NotAMailError."""
+    def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage | None:
+        """Take a message on: its reply, or the message whose submitter hears later. NotAMailError.
+
+        None: the submitter hears later, and nothing was taken on.
+        """
 
     def withdrawn(self, message: HeldMessage) -> None:
         """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -161,7 +161,8 @@
     # Answers
 
     def reply(self, reply: Reply) -> None:
-        self.answer(encode_reply(reply))
+        if self in self.clients.clients:  # it may have gone meanwhile
+            self.answer(encode_reply(reply))
 
     def answer(self, data: bytes) -> None:
         """What else has come waits until the answer has left; a close by the client is still seen."""
--- a/laureldock/fronts/resp_commands.py
+++ b/laureldock/fronts/resp_commands.py
@@ -76,6 +76,8 @@
     result = core.put(client, message, left)
     if isinstance(result, HeldMessage):
         client.paused, client.pending = True, result
+    elif result is None:
+        client.paused = client.answering = True
     else:
         client.reply(result)
 
--- a/laureldock/rehearsal/standins.py
+++ b/laureldock/rehearsal/standins.py
@@ -36,6 +36,7 @@
     seed: int
     rate: float = 40.0  # calls a second that it takes
     pace: float = 0.05  # seconds that a call takes, at the median
+    turned_away: float = 0.0  # part of the calls that are answered 503
     faults: list[Fault] = field(default_factory=list)
     start_capacity: float = 0.3
     warm_time: float = 4.0
@@ -143,6 +144,8 @@
             now = time.time()
             self.account.waits.append(Told(self.name, now, now + wait / 1000, call.mail))
             return 429, [("X-RateLimit-Wait-Ms", str(wait))]
+        if self.turned_away and self.chance.random() < self.turned_away:
+            return 503, []
         call.ran = True
         if fault and fault.sort == "silent":
             await reader.read(1)  # until the other side gives it up
