--- a/laureldock/rehearsal/account.py
+++ b/laureldock/rehearsal/account.py
@@ -16,6 +16,7 @@
 READY_GRACE = 1.5
 # Seconds within which a notice is read once it is written; by which an end is seen here later than there.
 NOTICE_READ, REST_TOLERANCE = 0.1, 0.05
+AT_THE_END = 0.05  # seconds before a lifetime is over in which a 200 may come too late for its client
 # Calls that cross the answer which tells to wait are let through.
 CROSSING = 0.1
 
@@ -166,6 +167,8 @@
         if mail.notices or late:
             return f"{mail.name}: answered {mail.word}, and more came of it"
         return None if mail.word else f"{mail.name}: no answer at all"
+    if mail.notices:  # a 200 as the lifetime ends: its client had stopped counting on it, and is told so
+        served = [call for call in served if call.ended < mail.end - AT_THE_END]
     ends = [call.ended for call in served][:1] + [at for at, _ in mail.notices]
     if not ends:
         return f"{mail.name}: taken on, and no end"
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -119,6 +119,18 @@
     assert not judge(account)[0].broken
 
 
+def test_a_delivery_as_the_lifetime_ends_may_be_told_as_none() -> None:
+    """Its client had stopped counting on it; a moment before that the notice is a second end."""
+    account = Account()
+    late = mail(account, "m1")
+    late.notices.append((18.0, "handed_back"))
+    call(account, "m1", late.end - 0.12)
+    account.calls[-1].ended = late.end - 0.01
+    assert not judge(account)[0].broken
+    account.calls[-1].ended = late.end - 0.1
+    assert judge(account)[0].broken
+
+
 def test_a_notice_is_not_overdue_while_its_process_restarts_and_is_later() -> None:
     account = Account()
     mail(account, "m1").notices.append((20.9, "given_up"))
