A route that told to wait and then failed is cold when it is back

Cause: of one at nought for a wait no run of failures is known, and its failed trials were not asked for at its return. Change: a failure other than a refusal since it was last served counts. Test: 62 calls before, of 46 that the budget has.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -453,7 +453,7 @@
     def reopen(self, now: float, lane: Lane) -> None:
         # An outage, not a mere wait. The trial that is served says nothing of what was: weighed with it,
         # outages of under three seconds passed for none. Of many, a full table of connections is none.
-        cold = self.failing(lane) if self.many and not self.seldom else lane.down
+        cold = self.failing(lane) if self.many and not self.seldom else lane.down or lane.gone > 0
         lane.down = lane.down and self.seldom
         if cold:
             lane.back = now
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -138,3 +138,31 @@
         count = sum(since <= at < since + fall for at in sent)
         spread = 3 * bears**0.5 + 3 if bears < 30 else 2 * bears**0.5 + 2
         assert count <= bears + spread, f"{count} calls at {since - back:.2f} s, {bears:.0f} borne"
+
+
+def test_a_route_that_told_to_wait_and_then_failed_is_cold_when_it_is_back() -> None:
+    """Its trials failed, but no run of failures had shut it: it passed for one that had only waited."""
+    dock = Dock(
+        instances=1, slots=64, room=2000, start_capacity=0.3, tip_multiple=1.5, fall_time=1.5, warm_time=4.0,
+        most_attempts=8,
+    )  # fmt: skip
+    dock.listed("north/1", rate=40.0)
+    for number in range(120):
+        dock.mail(f"m{number}", "redeliverable")
+    dock.turn()
+    for name in list(dock.out):
+        dock.end(name, "full", wait=0.3)
+    sent, served, fails = 0, 0, 1
+    for _ in range(100):
+        dock.after(0.05)
+        for name in list(dock.out):
+            if fails:
+                fails -= 1
+                dock.end(name, "no connection")
+                continue
+            sent += 1
+            served = served or len(dock.lines)
+            dock.end(name, "served", took=0.02)
+        if served and dock.now >= 100 + float(dock.lines[served - 1].split()[0]) + 1.5:
+            break
+    assert served and 1 < sent <= 27 + 3 * 27**0.5 + 3, sent
