A key's rest that is over forgets its own messages alone

Cause: Control.wake dropped the key by its name, also where other messages had come of it since the rest was set; what came next found no predecessor. Seen by reading; the test sends the fourth message of a key beside the third without the change.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -575,7 +575,8 @@
         if turns.rest > now and (head is None or head is not turns.rested_by):
             heapq.heappush(self.resting, (turns.rest, next(self.serial), turns))
         elif head is None:
-            self.keys.pop(turns.key, None)
+            if self.keys.get(turns.key) is turns:  # else others have come of that key since
+                del self.keys[turns.key]
         elif head.stage is Stage.LINE and not head.queued and self.has_turn(now, head):
             self.queue(now, head)
 
--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -76,6 +76,7 @@
 
     def _heed_rests(self, view: PeerView) -> None:
         core, now = self._dispatcher, self._dispatcher.now()
+        self._heeded_rests = {key: until for key, until in self._heeded_rests.items() if until > now}
         for key, until in view.rests.items():
             if until > now and self._heeded_rests.get(key) != until:
                 self._heeded_rests[key] = until
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -153,6 +153,28 @@
     assert dock.same_as("order")
 
 
+def test_a_rest_that_is_over_takes_nothing_from_what_has_come_of_its_key_since() -> None:
+    """It forgot the key's present messages with its own, and the next one did not wait for them."""
+    dock = Dock()
+    dock.listed("north/1", "north/2")
+    for name in ("w1", "w2", "w3"):  # the window of the destination grows with each that is served
+        dock.mail(name, "redeliverable")
+        dock.turn()
+        dock.end(name, "served")
+    for name in ("first", "second"):
+        dock.mail(name, "in-order", key="k")
+    dock.turn()
+    dock.end("first", "cancelled")
+    dock.withdraw("first")  # the key rests, and is to be looked at when that is over
+    dock.now += 0.31  # with no turn, as where all of this comes in at one look
+    dock.withdraw("second")
+    dock.mail("third", "in-order", key="k")
+    dock.turn()
+    dock.mail("fourth", "in-order", key="k")
+    dock.turn()
+    assert "third" in dock.out and "fourth" not in dock.out, dock.lines
+
+
 def test_a_key_that_another_process_owes_waits_and_what_it_leaves_goes_first() -> None:
     """While two processes hand over, a key's next mail here once went out before the one owed there."""
     dock = Dock()
