--- a/laureldock/rehearsal/soak/process_group.py
+++ b/laureldock/rehearsal/soak/process_group.py
@@ -192,6 +192,7 @@
     async def _kill(self, process: DispatcherProcess) -> None:
         if not process.lives:
             raise RuntimeError(f"a process has ended by itself with {process.process.returncode}")
+        self.killed_at.append(time.time())  # clients may see it before this process does
         await process.kill()
         self.living.remove(process)
         self._note_kill()
