--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -183,7 +183,8 @@
 
     def has_to_finish(self) -> bool:
         """Whether something is left to do before the end; the next process takes over what only waits."""
-        if self.outlet.waiting or any(front.busy for front in self.fronts):
+        # What is over and not recorded would be sent once more in the next life.
+        if self.outlet.waiting or self.store.behind or any(front.busy for front in self.fronts):
             return True
         sends = not self.handed_down or self.now() < self.control.close_at
         return bool(self.held) if sends else self.carrier.out > 0
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -263,3 +263,22 @@
     second.append(b"two\n")
     second.close()
     assert path.read_bytes() == b"one\ntwo\n"
+
+
+def test_a_planned_stop_waits_for_the_record_of_what_was_delivered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It ended with the record unwritten, and the next life sent the message once more."""
+    quay = Quay(tmp_path, monkeypatch)
+    quay.put(quay.client(), "m1", "order", "key")
+    stopped: list[None] = []
+    with failing(quay.state, Fault.DISK_ERROR):
+        quay.answer("1", "200 OK")
+        quay.assembly.stop().addCallback(stopped.append)
+        quay.after(2.0)
+        assert not stopped and quay.dispatcher.store.behind
+    quay.after(0.2)
+    assert stopped and not quay.dispatcher.store.owed
+    quay.start()
+    quay.after(1.0)
+    assert hooks(quay) == ["m1"]
