An answer that crosses the end of its call counts; the last call ends before its lifetime

Cause: a call that was given up was closed at once, so that a 200 written before its receiver saw the close was lost, and the message told as undelivered, or sent again. At the end of a lifetime a 200 in its last 10 ms was told as undelivered, too; while a socket opens that end lies up to 0.8 s before the client's, so the receiver's 200 was a delivery beside a notice.

Change: Errand.stop ends its sending and reads on for 30 ms, in which receivers close; the connection carries no other call. The last call of a message is given up 40 ms before its lifetime ends, and is told so in X-Budget.

--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -21,6 +21,10 @@
 from laureldock.sockets.room import Room
 from laureldock.wire.http1 import Headers
 
+# Seconds for which the answer to a call that is given up may still be on its way: receivers see the end of
+# the sending within a moment, and either close the connection or had written their answer before.
+LAST_ANSWER_TIME = 0.03
+
 
 class Pool:
     """The connections to one route. `resting` are the idle ones of all routes, the longest idle first."""
@@ -83,10 +87,11 @@
                 pool.hang_up()
 
     def attempt(self, attempt: Attempt, message: HeldMessage) -> None:
+        time_out = message.call_time(attempt.time_out, self.core.now())
         head = [b"POST /hook HTTP/1.1", b"X-Call-Id: " + message.name]
         head += [b"Idempotency-Key: " + message.tag] if message.tag else []
         head += [
-            b"X-Budget: %dm" % max(1, attempt.time_out * 1000),
+            b"X-Budget: %dm" % max(1, time_out * 1000),
             b"Content-Length: %d" % len(message.body),
         ]
 
@@ -98,7 +103,7 @@
             self.core.ended(attempt, message, end, outcome)
 
         pool = self.pools[attempt.route]
-        errand = Errand(self, pool, head, message.body, attempt.time_out, may_begin, ended, attempt.rest)
+        errand = Errand(self, pool, head, message.body, time_out, may_begin, ended, attempt.rest)
         errand.message, errand.sending = message, partial(self.core.sending, attempt, message)
         self.errands[attempt] = errand
         errand.start()
@@ -172,6 +177,7 @@
         self.sending: Callable[[], None] = lambda: None  # told just before the first byte leaves
         self.opening: Deferred[HttpLine] | None = None
         self.timer: Timer | None = None
+        self.given_up: End | None = None  # as what; its last answer may be on its way
 
     def start(self) -> None:
         core = self.receivers.core
@@ -214,17 +220,19 @@
         line.ask([*self.head, b"Host: " + self.pool.dial.encode()], self.body, self)
 
     def stop(self, end: End) -> None:
-        """Not waited for any more; what was not written whole has not run. What has come is read before."""
-        if self.over:
+        """Not waited for any more; what was not written whole has not run. An answer on its way counts."""
+        if self.over or self.given_up:
             return
-        if self.line and self.line.written and unread(self.line.transport):
+        if self.line and self.line.written:
             self.hush()
-            self.timer = self.receivers.core.later(0, self.stop, end)
+            self.given_up = end
+            self.line.end_sending()
+            self.timer = self.receivers.core.later(LAST_ANSWER_TIME, self.line.give_up, end)
             return
         if self.opening:
             self.opening.cancel()
         if self.line:
-            self.line.give_up(end if self.line.written else End.UNREACHED)
+            self.line.give_up(End.UNREACHED)
         else:
             self.finish(End.UNREACHED)
 
@@ -246,7 +254,7 @@
             self.receivers.core.sent(self.message)
 
     def unanswered(self, end: End) -> None:
-        self.finish(end)
+        self.finish(self.given_up or end)
 
     def hush(self) -> None:
         if self.timer and self.timer.active():
--- a/laureldock/core/messages.py
+++ b/laureldock/core/messages.py
@@ -10,6 +10,10 @@
 
 from laureldock import interface as face
 
+# Seconds before the end of a message's lifetime by which its last call is given up: an answer that crosses
+# that, or is read a moment later, is still in time.
+ANSWER_MARGIN = 0.04
+
 
 @dataclass(eq=False, slots=True)
 class StoredMessage:
@@ -72,6 +76,10 @@
     recorded_attempt: face.Attempt | None = None  # the last attempt that the store holds to be under way
     attempts: int = 0  # by this process
 
+    def call_time(self, time_out: float, now: float) -> float:
+        """Seconds that a call may take: `time_out`, or less where the lifetime is nearly over."""
+        return max(0.0, min(time_out, self.end - now - ANSWER_MARGIN))
+
 
 def encode_notice(name: bytes, handed_back: bool, retry_after: float) -> bytes:
     """The notice by which an accepted message ends undelivered: a line of JSON."""
--- a/laureldock/sockets/httpline.py
+++ b/laureldock/sockets/httpline.py
@@ -16,7 +16,7 @@
 
 from laureldock.core.ends import End
 from laureldock.core.seams import Timer
-from laureldock.sockets.flush import Flush
+from laureldock.sockets.flush import Flush, half_close
 from laureldock.wire.http1 import Answers, GarbledError, Headers
 
 
@@ -45,7 +45,7 @@
     def __init__(self, most_body: int) -> None:
         self.reader: Reader | None = None
         self.answers = Answers(most_body)
-        self.written = self.closed = False
+        self.written = self.closed = self.half_closed = False
         self.used = self.came = 0  # calls that it carried, bytes that have come
         self.free: Callable[[HttpLine], None] = lambda line: None
         self.gone: Callable[[HttpLine], None] = lambda line: None
@@ -70,6 +70,11 @@
         else:
             self.transport.abortConnection()
 
+    def end_sending(self) -> None:
+        """Half-close it: the receiver gives its call up, unless its answer comes. No other follows."""
+        self.half_closed = True
+        half_close(self.transport)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.reader is None or not self.written:
             # Nothing was asked, or not whole yet: it is for nobody, and would stand before the next answer.
@@ -115,9 +120,9 @@
         got = self.answers
         status, headers, body = got.status, got.headers, bytes(got.body)
         # Bytes past the answer are not for the next call to read.
-        strays = self._buffer or got.closing
+        spent = self._buffer or got.closing or self.half_closed
         got.reset()
-        if strays:
+        if spent:
             self.closed = True
             self.transport.loseConnection()
         else:
