--- /dev/null
+++ b/laureldock/rehearsal/soak/platform.py
@@ -0,0 +1,83 @@
+"""What the platform tells a process of a soaked dispatcher: its configuration file and its environment."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+from laureldock.rehearsal.play import CLASSES, LIFETIME
+from laureldock.rehearsal.soak.dispatcher_process import Address
+
+NANOSECONDS = 1e9
+EFFECTS = {"redeliverable": "retryable", "tagged": "dedup", "once-only": "fragile"}
+TAG_MEMORY = 10.0  # seconds, as the account of the rehearsal has it
+SOCKETS, DISK_MB = 512, 64
+
+
+def queue_class(name: str, effect: str) -> dict[str, Any]:
+    """A class as the platform's settings have it."""
+    found = {
+        "name": name,
+        "effect": EFFECTS[effect],
+        "points": 1,
+        "aim_ns": NANOSECONDS,
+        "deadline_ns": LIFETIME * NANOSECONDS,
+    }
+    if effect == "tagged":
+        found |= {"window_ns": TAG_MEMORY * NANOSECONDS, "dedup_scope": "all", "in_order": True}
+    return found
+
+
+def settings() -> dict[str, Any]:
+    """The rules and limits of the example, as the platform tells them."""
+    return {
+        "classes": [queue_class(name, effect) for name, effect in CLASSES.items()],
+        "kinds": ["partner"],
+        "n_instances": 1,
+        "weight_kind": "nominal",
+        "telemetry": {"fields": ["x0", "x1"], "via": "inline"},
+        "family_info": {"call_slots": 64, "batch_by_kind": [1], "routes_apart": [True], "fades": "linear"},
+        "limits": {
+            "most_held": 2000,
+            "max_attempts": 8,
+            "may_cancel": True,
+            "probes": True,
+            "connect_timeout_ns": NANOSECONDS,
+            "conn_idle_ns": 15 * NANOSECONDS,
+            "retry_after": True,
+            "max_retry_after_ns": 3 * NANOSECONDS,
+        },
+        "invariants": {
+            "start_capacity": 0.3,
+            "tip_multiple": 1.5,
+            "fall_ns": 1.5 * NANOSECONDS,
+            "warm_after_ns": 4 * NANOSECONDS,
+            "key_rest_ns": 0.3 * NANOSECONDS,
+        },
+    }
+
+
+def write_configuration(
+    file: Path, name: str, seed: int, listen: str, discovery: str, known: dict[str, Any]
+) -> None:
+    """Write the file that `LB_CONFIG` names, whole or not at all. OSError."""
+    limits = {"cores": 1, "memory_mb": 64, "sockets": SOCKETS, "disk_mb": DISK_MB}
+    told = {"name": name, "seed": f"{seed:x}", "listen": listen, "discovery": discovery}
+    fresh = file.with_suffix(".new")
+    fresh.write_text(json.dumps({**told, "limits": limits, "known": known, "settings": settings()}))
+    fresh.rename(file)
+
+
+def environment(file: Path, state: Path, management: Address, passed: int) -> dict[str, str]:
+    """Of a process; `passed` is the descriptor of the listening socket, -1 for none."""
+    told = {
+        **os.environ,
+        "LB_CONFIG": str(file),
+        "LB_STATE": str(state),
+        "LB_MANAGEMENT": f"{management[0]}:{management[1]}",
+    }
+    if passed >= 0:
+        told["LB_PASSED_SOCKET"] = str(passed)
+    return told
--- a/tests/handover.py
+++ b/tests/handover.py
@@ -58,7 +58,7 @@
 lifetime = "{lifetime:g}s"
 [kind.partner]
 apart = true
-"""
+{limits}"""
 
 
 @dataclass(eq=False, slots=True)
@@ -80,8 +80,10 @@
 class HandOver:
     """A folder, a listening socket and stand-in receivers, for one process after another."""
 
-    def __init__(self, folder: Path, names: dict[str, str], pace: float, rate: float, slots: int) -> None:
-        self.folder, self.slots = folder, slots
+    def __init__(
+        self, folder: Path, names: dict[str, str], pace: float, rate: float, slots: int, limits: str
+    ) -> None:
+        self.folder, self.slots, self.limits = folder, slots, limits
         self.account = Account(key_rest=KEY_REST)
         self.receivers = {
             name: Receiver(name, owner, self.account, place, rate, pace)
@@ -101,6 +103,7 @@
             port=self.port,
             slots=self.slots,
             lifetime=LIFETIME,
+            limits=self.limits,
         )
         for owner in sorted({each.destination for each in self.receivers.values()}):
             text += f'[destination.{owner}]\nkind = "partner"\n'
@@ -254,10 +257,15 @@
 
 @contextlib.asynccontextmanager
 async def hand_over(
-    folder: Path, names: dict[str, str] | None = None, pace: float = 0.2, rate: float = 200.0, slots: int = 64
+    folder: Path,
+    names: dict[str, str] | None = None,
+    pace: float = 0.2,
+    rate: float = 200.0,
+    slots: int = 64,
+    limits: str = "",
 ) -> AsyncIterator[HandOver]:
-    """A rig, with its receivers started; all that it began ends with it."""
-    found = HandOver(folder, names or {"n1": "north", "n2": "north"}, pace, rate, slots)
+    """A rig, with its receivers started; all that it began ends with it. `limits`: lines of the kind."""
+    found = HandOver(folder, names or {"n1": "north", "n2": "north"}, pace, rate, slots, limits)
     for receiver in found.receivers.values():
         await receiver.start(time.time())
     notices = asyncio.create_task(found.watch_notices())
--- a/tests/test_handover_rules.py
+++ b/tests/test_handover_rules.py
@@ -7,6 +7,7 @@
 import time
 from pathlib import Path
 
+import pytest
 from handover import KEY_REST, hand_over, run
 
 from laureldock.rehearsal.account import TAKEN
@@ -153,6 +154,32 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("names", [{"n1": "north"}, {"n1": "north", "n2": "north"}], ids=["route", "routes"])
+def test_two_processes_have_no_more_calls_out_to_a_receiver_than_its_window(
+    tmp_path: Path, names: dict[str, str]
+) -> None:
+    """As operators set it: each process once had a window of its own."""
+
+    async def scenario() -> None:
+        async with hand_over(tmp_path, names, pace=0.2, limits="window = 4\n") as rig:
+            old = await rig.launch()
+            await rig.connect(old)
+            new = await rig.launch()
+            await rig.connect(new)
+            handed = []
+            for place in range(48):
+                handed.append(f"m{place}")
+                assert await rig.put((old, new)[place % 2], f"m{place}", "", "notice") == TAKEN
+            await asyncio.sleep(1.0)
+            old.send(signal.SIGTERM)
+            await old.ended()
+            await rig.until_delivered(*handed, within=20)
+            assert rig.most_out() == 4
+            assert "invariant violated" not in rig.log
+
+    run(scenario())
+
+
 def test_a_receiver_that_returns_during_a_hand_over_is_not_pushed_over(tmp_path: Path) -> None:
     """The next process knew nothing of the outage that the last one had seen."""
 
