--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -33,21 +33,17 @@
     Clock,
     Front,
     ListenError,
-    NotAMailError,
     Outlet,
     Source,
     Store,
     Timer,
 )
+from laureldock.core.submissions import Submissions
 from laureldock.tariff import Book, Entry
 
 # At a planned stop, by the platform's protocol: clients come for up to 0.4 s, and the kill after 3.7 s.
 ACCEPT_TIME, STOP_TIME = 0.6, 3.3
 
-# Seconds until a client hears that another process has its message: by the platform's protocol it has given
-# the message up by then, so that what is still sent for it counts for nothing.
-DOUBT_TIME = 0.6
-
 LISTEN_RETRY = 0.1  # seconds, until a front that could not listen for a moment tries again
 
 # A mail's lifetime ends sooner by its client's clock than by ours: by the way here, and what timers round.
@@ -89,13 +85,13 @@
         self.on_processes: Callable[[int], None] = lambda processes: None
         # Figures of the configuration in force, where it comes from a controller.
         self.configuration_figures: Callable[[], dict[str, float]] = dict
-        self.unanswered: list[HeldMessage] = []  # taken since the last turn
         self.turn_due = False
         self.control = Control(self.book.tariff, self.now())
         self.recovery = Recovery(self)
         self.records = RecordKeeping(self)
         self.peers = PeerProcesses(self)
         self.reattachment = Reattachment(self)
+        self.submissions = Submissions(self)
         self.invariants = Invariants(self)
 
     def attach(self, fronts: list[Front], carrier: Carrier, source: Source, outlet: Outlet) -> None:
@@ -218,13 +214,7 @@
         self.turn_due = False
         for effect in self.guard(self.control.turn, self.now()) or ():
             self.guard(self.carry_out, effect)
-        unanswered, self.unanswered = self.unanswered, []
-        for message in unanswered:
-            if message.submitter:
-                submitter, message.submitter = message.submitter, None
-                if message.refusal:
-                    self.invariants.refusing(message)
-                submitter.reply(message.refusal or ACCEPTED)
+        self.submissions.reply_to_all()
 
     def guard(self, call: Callable[..., Any], *args: Any) -> Any:
         """A fault ends what it was about, not the process."""
@@ -277,66 +267,12 @@
     # Fronts
 
     def put(self, submitter: Submitter, stored: StoredMessage, left: float) -> Reply | HeldMessage | None:
-        """Take a mail on: its waiter is told after the turn, or hears now what is given back; None: later."""
-        kind = self.book.classes.get(stored.queue_class)
-        if kind is None:
-            self.count(stored.queue_class, "bounced")
-            raise NotAMailError("unknown class")
-        if stored.destination not in self.book.destinations:  # none was ever listed for it
-            self.count(stored.queue_class, "bounced")
-            raise NotAMailError("unknown destination")
-        if reply := self.reattachment.claim(stored.name):
-            return reply
-        if stored.name in self.by_name:  # sent once more, since a close had crossed it
-            return ACCEPTED
-        if not self.peers.read():
-            self.counters["refused: other processes cannot be read"] += 1
-            return Reply(ReplyKind.BUSY)
-        if self.peers.view.knows(stored.name):
-            self.recovery.adopt()  # its process may just have ended
-            if stored.name in self.by_name:
-                return ACCEPTED
-            self.later(DOUBT_TIME, self.reply_in_doubt, submitter, stored.name)
-            return None
-        stored.accepted = self.now()  # after what others have recorded: they come before
-        if not self.store.take(stored):
-            self.counters["spool full"] += 1
-            self.count(stored.queue_class, "deferred")
-            return Reply(ReplyKind.BUSY)
-        mail = self.book.mail(kind, stored.destination, left, stored.customer, stored.key)
-        mail.accepted = stored.accepted
-        message = HeldMessage(stored.name, stored.tag, stored.body, mail, self.now() + left, submitter)
-        self.hold(message)
-        self.unanswered.append(message)
-        self.counters["taken"] += 1
-        if self.logs_steps:
-            self.step("mail taken", message)
-        self.tell(self.control.taken, mail)
-        return message
-
-    def reply_in_doubt(self, submitter: Submitter, name: bytes) -> None:
-        """To a client that has waited on, of a message that another process has: it may run there."""
-        known = name in self.by_name  # taken over meanwhile
-        self.counters["refused: another process has it"] += not known
-        submitter.reply(ACCEPTED if known else Reply(ReplyKind.FAILED))
+        """Take a message on: see `Submissions.put`."""
+        return self.submissions.put(submitter, stored, left)
 
     def withdrawn(self, message: HeldMessage) -> None:
-        """Its client went before its answer could leave: whatever becomes of it counts for nothing."""
-        message.submitter = None
-        if message.attempts and self.holds(message):
-            self.reattachment.wait_for_client(message)
-        else:
-            self.withdraw(message)
-
-    def withdraw(self, message: HeldMessage) -> None:
-        """Nobody wants it any more."""
-        if self.holds(message) and not self.outlet.owes(message.name):
-            self.counters["withdrawn"] += 1
-            if message.recorded_attempt and self.peers.possible:  # which may be out for as long
-                self.record_rest(message, message.recorded_attempt.time_out + self.tariff.key_rest)
-            self.records.withdraw(message.name)
-            self.tell(self.control.withdrawn, message.mail)
-            self.forget(message)
+        """Its client went before its answer could leave."""
+        self.submissions.withdrawn(message)
 
     def holds(self, message: HeldMessage) -> bool:
         """Whether it is owed here: not another message of that id, and not one that is over."""
--- a/laureldock/core/reattachment.py
+++ b/laureldock/core/reattachment.py
@@ -49,4 +49,4 @@
     def _expire(self, message: HeldMessage) -> None:
         del self._waiting[message.name]
         if self._ends.pop(message.name, None) is None:
-            self._dispatcher.withdraw(message)
+            self._dispatcher.submissions.withdraw(message)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -41,7 +41,7 @@
     held_up(quay, "m1")
     no_guard(quay)
     client = quay.dispatcher.by_name[b"m1"]
-    quay.dispatcher.withdraw(client)
+    quay.dispatcher.submissions.withdraw(client)
     let_go(quay)
 
 
