The soak has the list and the notices of a platform

The list is silent, cut short or answered 500 at times, and answers to notices are lost. A run of 8 seeds of 20 s joins the other two in the suite.

--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -118,9 +118,16 @@
 @click.option("--seconds", default=60.0, show_default=True, help="Of load and troubles.")
 @click.option("--rate", default=6.0, show_default=True, help="Mails a second, for each dispatcher.")
 @click.option("--hand-over", is_flag=True, help="On a passed socket, from process to process.")
+@click.option("--platform", is_flag=True, help="With the list of receivers and the notices of a platform.")
 @click.option("--folder", type=click.Path(path_type=Path), help="Kept afterwards; else a temporary one.")
 def soak(
-    seed: int, dispatchers: int, seconds: float, rate: float, hand_over: bool, folder: Path | None
+    seed: int,
+    dispatchers: int,
+    seconds: float,
+    rate: float,
+    hand_over: bool,
+    platform: bool,
+    folder: Path | None,
 ) -> None:
     """Soak real dispatchers on loopback under troubles that overlap, drawn by seeds.
 
@@ -148,7 +155,7 @@
 
     with tempfile.TemporaryDirectory() as temporary:
         seeds = range(seed, seed + dispatchers)
-        found = asyncio.run(play(folder or Path(temporary), seeds, seconds, rate, say, hand_over))
+        found = asyncio.run(play(folder or Path(temporary), seeds, seconds, rate, say, hand_over, platform))
     broken = [each.seed for each in found if each.broken]
     click.echo(f"{len(found) - len(broken)} of {len(found)} held" + (f"; broken: {broken}" if broken else ""))
     raise SystemExit(1 if broken else 0)
--- a/laureldock/rehearsal/soak/dispatcher_process.py
+++ b/laureldock/rehearsal/soak/dispatcher_process.py
@@ -6,7 +6,7 @@
 import contextlib
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -31,13 +31,22 @@
 
     @classmethod
     async def launch(
-        cls, command: Sequence[str], file: Path, management: Address, log: Path, passed: int = -1
+        cls,
+        command: Sequence[str],
+        file: Path,
+        management: Address,
+        log: Path,
+        passed: int = -1,
+        environment: Mapping[str, str] | None = None,
     ) -> DispatcherProcess:
-        """Start a process by a command; `passed` is a descriptor that it inherits. OSError."""
+        """Start a process by a command; `passed` is a descriptor that it inherits. OSError.
+
+        `environment` stands in place of this process's own.
+        """
         descriptors = [passed] if passed >= 0 else []
         with log.open("ab") as output:
             process = await asyncio.create_subprocess_exec(
-                *command, stdout=output, stderr=output, pass_fds=descriptors
+                *command, stdout=output, stderr=output, pass_fds=descriptors, env=environment
             )
         return cls(process, file, management)
 
--- a/laureldock/rehearsal/soak/process_group.py
+++ b/laureldock/rehearsal/soak/process_group.py
@@ -17,6 +17,7 @@
 from laureldock.rehearsal.soak.dispatcher_process import Address, DispatcherProcess
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
 from laureldock.rehearsal.soak.findings import Findings
+from laureldock.rehearsal.soak.platform import environment
 from laureldock.rehearsal.soak.system_calls import Window
 
 DOWN_TIME = 0.6  # seconds from the end of a process to its next start
@@ -30,7 +31,8 @@
     """Those that live of one dispatcher, the newest last.
 
     `listening` is the socket that they pass on, if they do; `write_file` configures a process by its file,
-    management address and passed descriptor; `windows` are the faults of its system calls.
+    management address and passed descriptor; `windows` are the faults of its system calls. With `platform`
+    they are started as the platform does it.
     """
 
     def __init__(
@@ -43,10 +45,11 @@
         windows: Callable[[], list[Window]],
         account: Account,
         findings: Findings,
+        platform: bool = False,
     ) -> None:
         self.folder, self.host, self.seed = folder, host, seed
         self.listening, self.write_file, self.windows = listening, write_file, windows
-        self.account, self.findings = account, findings
+        self.account, self.findings, self.platform = account, findings, platform
         self.living: list[DispatcherProcess] = []
         self.killed_at: list[float] = []  # of the wall clock
         self._launched = 0
@@ -79,9 +82,14 @@
         self._launched += 1
         self.write_file(file, management, self.passed)
         module = "laureldock.rehearsal.soak.faulty_process"
-        command = [sys.executable, "-m", module, str(plan), "serve", str(file)]
+        command = [sys.executable, "-m", module, str(plan), "serve"]
+        told = None
+        if self.platform:
+            told = environment(file, self.folder / "state", management, self.passed)
+        else:
+            command.append(str(file))
         log = self.folder / "log"
-        process = await DispatcherProcess.launch(command, file, management, log, self.passed)
+        process = await DispatcherProcess.launch(command, file, management, log, self.passed, told)
         self.living.append(process)
         await process.ready()
         return process
--- a/laureldock/rehearsal/soak/run.py
+++ b/laureldock/rehearsal/soak/run.py
@@ -19,17 +19,20 @@
     rate: float,
     say: Callable[[Findings], None],
     passed: bool = False,
+    platform: bool = False,
 ) -> list[Findings]:
     """Soak one dispatcher for each seed, all at once; `say` hears of each as it is through.
 
-    `length` in seconds, `rate` in messages a second; `passed`: on a passed socket, with hand-overs.
+    `length` in seconds, `rate` in messages a second; `passed`: on a passed socket, with hand-overs;
+    `platform`: with the list and the notices of a platform.
     """
 
     async def one(place: int, seed: int) -> Findings:
         await asyncio.sleep(place * START_GAP)
         own = folder / f"seed-{seed}"
         own.mkdir(parents=True)
-        findings = await SoakedDispatcher(own, f"dock-{seed}", seed, length, rate, passed).play()
+        name = f"dock-{seed}"
+        findings = await SoakedDispatcher(own, name, seed, length, rate, passed, platform).play()
         say(findings)
         return findings
 
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -16,8 +16,10 @@
 from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import troubles
 from laureldock.rehearsal.soak.clients import Load, misbehave
+from laureldock.rehearsal.soak.discovery import DRAINING, READY, Discovery, Host
 from laureldock.rehearsal.soak.dispatcher_process import Address
 from laureldock.rehearsal.soak.findings import Findings
+from laureldock.rehearsal.soak.platform import write_configuration
 from laureldock.rehearsal.soak.process_group import ProcessGroup
 from laureldock.rehearsal.soak.relay import Relay
 from laureldock.rehearsal.soak.system_calls import Fault, Window
@@ -35,11 +37,19 @@
     """Plays `length` seconds of load and troubles, and judges them.
 
     `passed`: the listening socket is held here and passed to each process, as on the platform's days with a
-    new version under load; processes hand over then.
+    new version under load; processes hand over then. `platform`: the list of receivers and the notices are
+    the platform's.
     """
 
     def __init__(
-        self, folder: Path, name: str, seed: int, length: float, rate: float, passed: bool = False
+        self,
+        folder: Path,
+        name: str,
+        seed: int,
+        length: float,
+        rate: float,
+        passed: bool = False,
+        platform: bool = False,
     ) -> None:
         self.folder, self.name, self.seed, self.length = folder, name, seed, length
         self.account = Account()
@@ -48,7 +58,13 @@
             each: Receiver(each, owner, self.account, seed + place)
             for place, (each, owner) in enumerate(RECEIVERS.items())
         }
-        self.troubles = troubles.draw(seed, length, list(RECEIVERS), passed)
+        self.troubles = troubles.draw(seed, length, list(RECEIVERS), passed, platform)
+        owners = sorted(set(RECEIVERS.values()))
+        # The platform's destinations are numbers.
+        self.destinations = {
+            owner: str(place + 1) if platform else owner for place, owner in enumerate(owners)
+        }
+        self.discovery = Discovery(self.listing_trouble, self.take_notice) if platform else None
         self.relays = {each: Relay(partial(self.relay_trouble, each)) for each in RECEIVERS}
         self.notices, self.notices_read = folder / "state" / "undelivered.jsonl", 0
         self.log = folder / "log"
@@ -60,13 +76,21 @@
             (self.host, self.port),
             seed,
             rate,
-            sorted(set(RECEIVERS.values())),
+            list(self.destinations.values()),
             self.may_be_unanswered,
         )
         self.without = ""  # a receiver that is not listed just now
         self.began = 0.0  # of the monotonic clock, as `troubles` count from it
         self.processes = ProcessGroup(
-            folder, self.host, seed, listening, self.write_file, self.windows, self.account, self.findings
+            folder,
+            self.host,
+            seed,
+            listening,
+            self.write_file,
+            self.windows,
+            self.account,
+            self.findings,
+            platform,
         )
 
     # What the troubles say now
@@ -85,6 +109,13 @@
                 return each.kind
         return None
 
+    def listing_trouble(self) -> troubles.Listing | None:
+        now = self.elapsed()
+        for each in self.troubles:
+            if isinstance(each.kind, troubles.Listing) and each.at <= now < each.until:
+                return each.kind
+        return None
+
     def may_be_unanswered(self) -> bool:
         """Whether its connections break just now: it was killed, or its reads and writes fail."""
         now = self.elapsed()
@@ -105,13 +136,18 @@
 
     def write_file(self, file: Path, management: Address, passed: int) -> None:
         """Configure a process: the example, with the relays as receivers. OSError."""
+        listen = f"{self.host}:{self.port}"
+        if self.discovery:
+            agent = f"127.0.0.1:{self.discovery.port}"
+            write_configuration(file, self.name, self.seed, listen, agent, self.discovery.whole())
+            return
         ports = [
             (each, self.relays[name].port) for name, each in self.receivers.items() if name != self.without
         ]
         more: dict[str, Any] = {"name": self.name, "management": f"{management[0]}:{management[1]}"}
         if passed >= 0:
             more["passed"] = passed
-        write_example(file, f"{self.host}:{self.port}", ports, **more)
+        write_example(file, listen, ports, **more)
 
     # The soak
 
@@ -122,6 +158,8 @@
         for name, receiver in self.receivers.items():
             await receiver.start(time.time())
             await self.relays[name].start(receiver.port)
+        if self.discovery:
+            await self.discovery.start(self.hosts())
         first = self.troubles
         try:
             self.troubles = []
@@ -139,6 +177,13 @@
         self.judge()
         return self.findings
 
+    def hosts(self) -> list[Host]:
+        """The receivers, behind their relays, as a platform lists them."""
+        return [
+            Host(name, self.relays[name].port, int(self.destinations[each.destination]), each.rate)
+            for name, each in self.receivers.items()
+        ]
+
     def tell_receivers(self) -> None:
         wall = time.time() - self.elapsed()
         for receiver in self.receivers.values():
@@ -205,6 +250,9 @@
 
     async def drain(self, trouble: Trouble) -> None:
         """A receiver less, once that has been read; and all of them again."""
+        if self.discovery:
+            await self.drain_listed(self.discovery, trouble)
+            return
         self.without = trouble.target
         self.processes.configure()
         if await self.processes.read_again():
@@ -216,6 +264,14 @@
         self.processes.configure()
         await self.processes.read_again()
 
+    async def drain_listed(self, discovery: Discovery, trouble: Trouble) -> None:
+        """The same by the platform's list. A list that is silent holds it up."""
+        told = Told(trouble.target, await discovery.told(discovery.set_health(trouble.target, DRAINING)))
+        self.account.drains.append(told)
+        await self.wait_until(trouble.until)
+        told.until = time.time()
+        discovery.set_health(trouble.target, READY)
+
     async def pause(self, trouble: Trouble) -> None:
         self.processes.send(signal.SIGSTOP)
         await asyncio.sleep(PAUSE_TIME)
@@ -230,10 +286,19 @@
         lines, self.notices_read = new_lines(self.notices, self.notices_read)
         for line in lines:
             told = json.loads(line)
-            if (mail := self.account.handed.get(told["message"])) is not None:
-                mail.notices.append((time.time(), told["outcome"]))
-            else:
-                self.account.strays.append(told["message"])
+            self.note(told["message"], told["outcome"])
+
+    def take_notice(self, message: str, outcome: str) -> None:
+        """One sent to the platform: it comes again until its answer has been read."""
+        mail = self.account.handed.get(message)
+        if mail is None or outcome not in (word for _, word in mail.notices):
+            self.note(message, outcome)
+
+    def note(self, message: str, outcome: str) -> None:
+        if (mail := self.account.handed.get(message)) is not None:
+            mail.notices.append((time.time(), outcome))
+        else:
+            self.account.strays.append(message)
 
     async def settle(self) -> None:
         """Until all that was accepted has its end, or should have."""
@@ -251,6 +316,8 @@
             await receiver.stop()
         for relay in self.relays.values():
             await relay.stop()
+        if self.discovery:
+            await self.discovery.stop()
 
     def is_broken(self, name: str) -> bool:
         return any(name in case for verdict in self.findings.verdicts for case in verdict.broken)
--- a/laureldock/rehearsal/soak/troubles.py
+++ b/laureldock/rehearsal/soak/troubles.py
@@ -53,7 +53,16 @@
     CROWD = "crowd"  # more connections than there is room for
 
 
-Kind = Signal | Path | Receiver | Client | Fault
+class Listing(StrEnum):
+    """What the platform's agent does; only where the list and the notices are the platform's."""
+
+    SILENT = "list silent"  # asks for the list are not answered
+    ERROR = "list error"  # they are answered 500
+    CUT = "list cut"  # the connection ends in place of their answer
+    NOTICES_LOST = "notices lost"  # notices are taken, and the connection ends in place of the answer
+
+
+Kind = Signal | Path | Receiver | Client | Fault | Listing
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,16 +86,19 @@
 FOR_GOOD = 1e9
 
 
-def draw(seed: int, length: float, receivers: list[str], passed: bool = False) -> list[Trouble]:
+def draw(
+    seed: int, length: float, receivers: list[str], passed: bool = False, platform: bool = False
+) -> list[Trouble]:
     """The troubles of one dispatcher over so many seconds, in the order in which they begin.
 
-    `passed`: its listening socket is passed from process to process, so that they can hand over.
+    `passed`: its listening socket is passed from process to process, so that they can hand over; `platform`:
+    the list of receivers and the notices are the platform's.
     """
     chance = random.Random(seed)
     troubles: list[Trouble] = []
     at, free = 0.5, 0.0
     while (at := at + chance.expovariate(1 / MEAN_GAP)) < length:
-        kind = draw_kind(chance, passed)
+        kind = draw_kind(chance, passed, platform)
         until = at + chance.uniform(0.3, LONGEST)
         if isinstance(kind, Signal):
             if kind is not Signal.PAUSE and at < free:
@@ -103,10 +115,12 @@
     return troubles
 
 
-def draw_kind(chance: random.Random, passed: bool) -> Kind:
+def draw_kind(chance: random.Random, passed: bool, platform: bool) -> Kind:
     """Any kind of any group, the groups as often as each other; hand-overs as often as all other signals."""
     signals: list[Kind] = [kind for kind in Signal if kind not in HAND_OVERS]
     groups: list[list[Kind]] = [signals, list(Path), list(Receiver), list(Client), list(Fault)]
     if passed:
         groups.append(list(HAND_OVERS))
+    if platform:
+        groups.append(list(Listing))
     return chance.choice(chance.choice(groups))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 
 SEEDS = range(1, 9)
 HAND_OVER_SEEDS = range(11, 19)
+PLATFORM_SEEDS = range(21, 29)
 SECONDS = 20.0
 
 
@@ -39,13 +40,26 @@
     assert sum(each.hand_overs for each in found) >= len(found)
 
 
+def test_the_rules_hold_on_a_platform(tmp_path: Path) -> None:
+    """The same, with the list of receivers and the notices of a platform, both of which fail at times."""
+    said: list[Findings] = []
+    play = soak(tmp_path, PLATFORM_SEEDS, SECONDS, 12.0, said.append, passed=True, platform=True)
+    found = asyncio.run(play)
+    broken = [(each.seed, each.broken, each.stories, each.troubles) for each in found if each.broken]
+    assert not broken, broken
+    assert all(each.accepted > SECONDS and each.delivered > SECONDS for each in found)
+    assert sum(each.hand_overs for each in found) >= len(found) // 2
+
+
+@pytest.mark.parametrize("platform", [False, True])
 @pytest.mark.parametrize("passed", [False, True])
-def test_troubles_are_drawn_alike_for_a_seed_and_overlap(passed: bool) -> None:
+def test_troubles_are_drawn_alike_for_a_seed_and_overlap(passed: bool, platform: bool) -> None:
     names = list(RECEIVERS)
-    drawn = [troubles.draw(seed, 60.0, names, passed) for seed in range(20)]
-    assert drawn == [troubles.draw(seed, 60.0, names, passed) for seed in range(20)]
+    drawn = [troubles.draw(seed, 60.0, names, passed, platform) for seed in range(20)]
+    assert drawn == [troubles.draw(seed, 60.0, names, passed, platform) for seed in range(20)]
     kinds = {each.kind for one in drawn for each in one}
     every = {*troubles.Signal, *troubles.Path, *troubles.Receiver, *troubles.Client, *Fault}
+    every |= {*troubles.Listing} if platform else set()
     assert kinds == every if passed else kinds == every - set(troubles.HAND_OVERS)
     for one in drawn:
         crossing = sum(after.at < before.until for before, after in pairwise(one))
