An inherited failure of a route is held off from when it was seen

A trial goes as soon as its pause is over, counted from what the life before saw, not from the start.

--- a/laureldock/control.py
+++ b/laureldock/control.py
@@ -267,13 +267,13 @@
             turns.rest, turns.rested_by = until, None
         self.wake(now, turns)
 
-    def route_failed(self, now: float, route: Route) -> None:
-        """Another process of this dispatcher, or an earlier life, saw it fail: a trial opens it here, too."""
+    def route_failed(self, now: float, route: Route, at: float) -> None:
+        """Another process, or an earlier life, saw it fail at that time: a trial opens it here, too."""
         lane: Lane | None = route.notes
         if lane and lane.state is State.LIVE:
-            lane.state, lane.since = State.NOUGHT, lane.since or now
+            lane.state, lane.since = State.NOUGHT, lane.since or at
             lane.ill = max(lane.ill, 0.9)  # still failing after a served trial, and so cold then
-            self.hold_off(now, lane)
+            self.hold_off(at, lane)
 
     def route_returned(self, now: float, route: Route, back_at: float) -> None:
         """Another process had it served again; it is cold from `back_at` on."""
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -23,7 +23,7 @@
     other_processes(now, others)               what others of this dispatcher owe and have out
     rest_key(now, key, until)                  a call of that key was broken, here or there
     told_to_wait(now, route, wait)             a route told another process to wait
-    route_failed(now, route)                   another process of this dispatcher saw a route fail
+    route_failed(now, route, at)               another process, or an earlier life, saw a route fail
     route_returned(now, route, back_at)        it saw it come back then, and cold
     turn(now) -> list[Effect]                  all effects of the turn, in the order to be carried out
 """
