Tests that fail with the guards taken out: a reader that knows the heir alone, a half-closed connection

Guards were taken out one by one on a copy. Two tests still passed: the re-listing of the folder in PeerSpools.read, and the mark of a connection whose sending was ended. Each has one now that fails. A restart while a receiver is down is timed so that the next life is ready after it is back (with the guard out it passed once). Not told apart: windows as a message is drawn, since the call is held back as it is begun.

--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -266,6 +266,7 @@
     taken(shore, "b", "news")
     assert shore.serve("b") is not link
     shore.until(lambda: not shore.core.store.owed)
+    assert ends(shore) == {"200": 2}  # nothing was tried on it
 
 
 def test_a_receiver_that_does_not_heed_the_end_of_its_call_is_not_waited_for(shore: Shore) -> None:
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -110,6 +110,28 @@
     assert third.read_peers().first_accepted("k") == 1.0
 
 
+def test_a_message_is_seen_by_a_process_that_knows_the_heir_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has the heir's file open, which is written anew while it looks for that of the ended process."""
+    heir, third = spool(tmp_path), spool(tmp_path)
+    assert third.read_peers().processes == 1
+    first = spool(tmp_path)
+    assert first.take(message("m", "k", 1.0))
+    heir.read_peers()
+    first.close()
+    real, steps = peer_spools.list_spools, iter([heir.adopt])
+
+    def listing(folder: Path) -> dict[int, Path]:
+        found = real(folder)
+        for step in steps:
+            step()
+        return found
+
+    monkeypatch.setattr(peer_spools, "list_spools", listing)
+    assert third.read_peers().first_accepted("k") == 1.0
+
+
 def test_what_cannot_be_read_is_not_taken_for_nothing(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_restart_cold.py
+++ b/tests/test_restart_cold.py
@@ -24,7 +24,7 @@
 DOWN, BACK = 0.5, 3.0  # seconds from the start of the load
 
 
-@pytest.mark.parametrize("restart", [2.2, 3.3], ids=["while it is down", "while it is cold"])
+@pytest.mark.parametrize("restart", [2.75, 3.3], ids=["while it is down", "while it is cold"])
 def test_a_receiver_that_returns_about_a_restart_is_not_pushed_over(tmp_path: Path, restart: float) -> None:
     async def scenario() -> None:
         daemon = Daemon(tmp_path, {"n1": "north"}, pace=0.02, rate=RATE)
