Soak: a play is judged beside the others, not in their event loop

The dispatchers' logs have 'notices not taken' just then, outside of any trouble of the list: the stand-ins' loop stood still while the account of the other play was worked out.

--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -174,7 +174,7 @@
             self.findings.defects.append(str(defect))
         finally:
             await self.close()
-        self.judge()
+        await asyncio.to_thread(self.judge)  # half a second of a long play, in which others go on
         return self.findings
 
     def hosts(self) -> list[Host]:
