Failing first: a lifetime is not counted while its client waits to be accepted

The reactor is at rest between two looks at a port that does not accept, so what it then reads counts as just come.

--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import time
 from math import inf
 from pathlib import Path
 from typing import Any
 
+import pytest
 from dock import Quay
+from shore import Shore
 
 from laureldock.sockets.reactor import OPENING, SteadyReactor
 
@@ -68,3 +71,46 @@
     quay.put(quay.client(), "m", left=1300)
     quay.after(0.65)
     assert quay.assembly.core.counters["deferred"] == 1, quay.lines
+
+
+class FailingAccept:
+    """A listening socket that accepts nobody."""
+
+    def __init__(self, listening: socket.socket) -> None:
+        self.listening = listening
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.listening, name)
+
+    def accept(self) -> None:
+        raise OSError(errno.ENOBUFS, "no buffer space available")
+
+
+@pytest.mark.parametrize("cause", ["accepts fail", "no room"])
+def test_a_message_that_waited_to_be_accepted_ends_in_its_own_time(tmp_path: Path, cause: str) -> None:
+    """Its client had connected and sent it; the lifetime was counted from when it was read."""
+    shore = Shore(tmp_path)
+    try:
+        shore.ready().settle()
+        port: Any = shore.front.port
+        listening = port.socket
+        if cause == "accepts fail":
+            port.socket = FailingAccept(listening)
+        else:
+            shore.front.turn_away(True)
+        client = shore.client(ping=False)
+        client.send(shore.put("a", left=1500))
+        sent_at = time.monotonic()
+        shore.spend(0.35)
+        port.socket = listening
+        if cause == "no room":
+            shore.front.turn_away(False)
+        shore.until(lambda: b"a" in shore.core.by_name)
+        assert shore.core.by_name[b"a"].end <= sent_at + 1.52
+        shore.until(lambda: client.pull() == b"+OK\r\n")
+        client.send(shore.put("b", left=1500))  # no time was lost before this one
+        sent_at = time.monotonic()
+        shore.until(lambda: b"b" in shore.core.by_name)
+        assert sent_at + 1.4 <= shore.core.by_name[b"b"].end <= sent_at + 1.52
+    finally:
+        shore.end()
