A lifetime counts while its client waits to be accepted

Cause: what is read counts as come since the reactor last had nothing to read; while a port does not accept (errors, no room for connections) the reactor is at rest, and requests lie in the backlog.

Change: the port keeps since when it accepts nobody, until all who waited are in; the first command of a connection that is accepted then counts as sent that long ago, up to the 0.4 s that a client waits.

--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -48,8 +48,10 @@
     transport: Connection  # type: ignore[assignment]
     MAX_LENGTH = 1024  # far over a length or count, and enough for a command typed by hand
 
-    def __init__(self, clients: Clients, number: int) -> None:
+    def __init__(self, clients: Clients, number: int, backlog_wait: float = 0.0) -> None:
+        """`backlog_wait`: seconds for which at most it has waited to be accepted."""
         self.clients, self.number = clients, number
+        self.backlog_wait = backlog_wait  # until it has been answered
         self.commands = Commands(MOST_BODY)
         self.pending: HeldMessage | None = None  # taken on, and its client has not been told
         self.answering = self.reading = False
@@ -172,6 +174,7 @@
     def answered(self) -> None:
         self.answering = False
         self.pending = None
+        self.backlog_wait = 0.0
         self.since = self.clients.core.now()
         self.leaving = self.leaving or self.clients.lameduck
         if self.closing:
--- a/laureldock/fronts/resp_commands.py
+++ b/laureldock/fronts/resp_commands.py
@@ -64,7 +64,7 @@
     queue_class, customer = (fields.get(field, b"").decode(errors="replace") for field in (b"c", b"t"))
     order = None if not key.strip(b"0") else key.decode()
     # The lifetime counts from when the client sent the command, which a busy process reads later.
-    waited = client.clients.unread()
+    waited = max(client.clients.unread(), client.backlog_wait)
     waited = RECONNECT_WINDOW if waited == inf else min(CLIENT_TIMEOUT, waited)
     left = max(0.0, int(lifetime) / 1000 - waited)
     core = client.clients.core
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -104,7 +104,8 @@
 
     def buildProtocol(self, addr: IAddress | None) -> Client:  # noqa: N802
         self.numbers += 1
-        return Client(self, self.numbers)
+        port = self.port
+        return Client(self, self.numbers, port.backlog_wait if isinstance(port, ListeningPort) else 0.0)
 
     def joined(self, client: Client) -> None:
         self.clients[client] = None
--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -69,6 +69,18 @@
     who rest give way, and the next look is a moment later.
     """
 
+    shut_since = inf  # nobody has been accepted since then, though somebody may wait
+
+    @property
+    def backlog_wait(self) -> float:
+        """Seconds for which at most somebody who is accepted now has waited."""
+        now: float = self.reactor.seconds()
+        return max(0.0, now - self.shut_since)
+
+    def stopReading(self) -> None:  # noqa: N802
+        self.shut_since = min(self.shut_since, self.reactor.seconds())
+        super().stopReading()
+
     def doRead(self) -> None:  # noqa: N802
         if can_open(ACCEPTS + KEPT):
             self.accept_all(ACCEPTS)
@@ -83,6 +95,7 @@
             try:
                 link, address = self.socket.accept()
             except BlockingIOError:
+                self.shut_since = inf  # all who waited are in
                 return
             except OSError as error:
                 if error.errno in CONNECTION_ERRORS:
