A test of a refused change waits for both dispatchers, not for the one that was behind

The dispatcher that had refused was at version 4 and said so; the other one's word for it had not come. Both are waited for, with the same versions asked for at the end (until raises after its time).

--- a/tests/test_controlled.py
+++ b/tests/test_controlled.py
@@ -309,7 +309,8 @@
             controller.accept(Change(removals=(refused_at_one(receivers).puts[1].key,)))
             await old.until_version(4)  # what was refused passes with the change that mends it
             assert (await old.figures())["configuration_refused"] == 0
-            assert controller.versions("d2")[-1] == controller.versions("d1")[-1] == 4
+            await new.until_version(4)
+            await until(lambda: controller.versions("d2")[-1] == controller.versions("d1")[-1] == 4)
             await controller.stop()
 
     run(scenario())
