--- a/laureldock/rehearsal/soak/run.py
+++ b/laureldock/rehearsal/soak/run.py
@@ -21,19 +21,23 @@
     passed: bool = False,
     platform: bool = False,
 ) -> list[Findings]:
-    """Soak one dispatcher for each seed, all at once; `say` hears of each as it is through.
+    """Soak one dispatcher for each seed, all at once; `say` hears of each once all are through.
 
     `length` in seconds, `rate` in messages a second; `passed`: on a passed socket, with hand-overs;
     `platform`: with the list and the notices of a platform.
     """
 
-    async def one(place: int, seed: int) -> Findings:
+    async def one(place: int, seed: int) -> SoakedDispatcher:
         await asyncio.sleep(place * START_GAP)
         own = folder / f"seed-{seed}"
         own.mkdir(parents=True)
         name = f"dock-{seed}"
-        findings = await SoakedDispatcher(own, name, seed, length, rate, passed, platform).play()
-        say(findings)
-        return findings
-
-    return await asyncio.gather(*(one(place, seed) for place, seed in enumerate(seeds)))
+        dispatcher = SoakedDispatcher(own, name, seed, length, rate, passed, platform)
+        await dispatcher.play()
+        return dispatcher
+
+    found = []
+    for dispatcher in await asyncio.gather(*(one(place, seed) for place, seed in enumerate(seeds))):
+        found.append(dispatcher.judge())
+        say(found[-1])
+    return found
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -152,8 +152,8 @@
 
     # The soak
 
-    async def play(self) -> Findings:
-        """Play, and judge."""
+    async def play(self) -> None:
+        """Play to the end; what it has shown is `judge`."""
         (self.folder / "state").mkdir(parents=True, exist_ok=True)
         self.began = time.monotonic() + 3600.0  # no trouble yet
         for name, receiver in self.receivers.items():
@@ -175,8 +175,6 @@
             self.findings.defects.append(str(defect))
         finally:
             await self.close()
-        await asyncio.to_thread(self.judge)  # half a second of a long play, in which others go on
-        return self.findings
 
     def hosts(self) -> list[Host]:
         """The receivers, behind their relays, as a platform lists them."""
@@ -354,7 +352,8 @@
                 if (each.receiver, each.mail) != (call.receiver, call.mail)
             ]
 
-    def judge(self) -> None:
+    def judge(self) -> Findings:
+        """What the play has shown. It takes half a second where much was handed in: no play may go on beside."""
         self.read_notices()
         self.forget_lost_answers()
         wall = time.time() - self.elapsed()
@@ -374,6 +373,7 @@
         ]
         findings.stories = [self.story(name) for name in self.account.handed if self.is_broken(name)]
         self.read_log()
+        return findings
 
     def read_log(self) -> None:
         """Violations and faults, as the processes logged them."""
