--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -146,7 +146,8 @@
         click.echo(
             f"seed {found.seed}: {word}; {found.handed_in} handed in, {found.accepted} accepted,"
             f" {found.delivered} delivered, {found.restarts} restarts, {found.hand_overs} hand-overs,"
-            f" {len(found.troubles)} troubles"
+            f" {len(found.troubles)} troubles; stand-ins late by {found.held_up:.2f}s at most, at"
+            f" {found.held_up_at:.1f}s"
         )
         for each in found.broken:
             click.echo(f"  {each}")
--- a/laureldock/rehearsal/soak/findings.py
+++ b/laureldock/rehearsal/soak/findings.py
@@ -22,6 +22,8 @@
     verdicts: list[Verdict] = field(default_factory=list)
     violations: int = 0  # of invariants, as the process counted them
     defects: list[str] = field(default_factory=list)  # crashes, exceptions, ends that came late
+    held_up: float = 0.0  # seconds for which the stand-ins stood still, at most
+    held_up_at: float = 0.0  # when that began, in seconds from the start of the load
     stories: list[str] = field(default_factory=list)  # of each message for which a rule was broken
 
     @property
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -30,6 +30,7 @@
 PAUSE_TIME = 0.15  # seconds for which a process is held up
 RESUME_TIME = 0.02  # seconds until it has read what came meanwhile
 RELOADS = 3  # in a row
+NOTICE_INTERVAL = 0.02  # seconds between two looks at a file of notices
 EMPTY_LOOKS = 6  # in a row, a tenth of a second apart, after which nothing is held
 SETTLE_TIME = LIFETIME + 3.0  # seconds in which all that was accepted has its end
 
@@ -281,7 +282,11 @@
     async def watch_notices(self) -> None:
         while True:
             self.read_notices()
-            await asyncio.sleep(0.02)
+            before = self.elapsed()
+            await asyncio.sleep(NOTICE_INTERVAL)
+            late = self.elapsed() - before - NOTICE_INTERVAL
+            if late > self.findings.held_up:
+                self.findings.held_up, self.findings.held_up_at = late, before
 
     def read_notices(self) -> None:
         lines, self.notices_read = new_lines(self.notices, self.notices_read)
@@ -353,7 +358,7 @@
             ]
 
     def judge(self) -> Findings:
-        """What the play has shown. It takes half a second where much was handed in: no play may go on beside."""
+        """What the play has shown. It takes a while: no play may go on beside."""
         self.read_notices()
         self.forget_lost_answers()
         wall = time.time() - self.elapsed()
