Soak: a notice is not overdue while its file's disk takes nothing

With a platform notices go over the network, and nothing is excused. An account of the same times that ends before the lifetime excuses nothing, nor does one after it (tests/test_rehearsal.py).

--- a/laureldock/rehearsal/account.py
+++ b/laureldock/rehearsal/account.py
@@ -94,10 +94,17 @@
     unwritable: list[tuple[float, float]] = field(
         default_factory=list
     )  # nothing could be written to the disk
+    no_notices: list[tuple[float, float]] = field(default_factory=list)  # the file of notices took none
     stopped: list[tuple[float, float]] = field(default_factory=list)  # the process was held up
 
     def due(self, end: float) -> float:
-        """When what ends at that time has to be told: no notice is overdue while its dispatcher restarts."""
+        """When what ends at that time has to be told.
+
+        No notice is overdue while its dispatcher restarts, nor while the disk takes none.
+        """
+        for since, until in sorted(self.no_notices):
+            if since - SLACK <= end < until:
+                end = until
         for restart in sorted(self.restarts, key=lambda each: each.down):
             if restart.down - SLACK <= end < restart.ready + READY_GRACE:
                 end = restart.ready + READY_GRACE
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -367,6 +367,8 @@
                 self.account.unreadable.append((wall + each.at, wall + each.until))
             elif each.kind is Fault.DISK_ERROR and each.share == 1.0:
                 self.account.unwritable.append((wall + each.at, wall + each.until))
+                if self.discovery is None:  # the notices are a file on that disk
+                    self.account.no_notices.append((wall + each.at, wall + each.until))
         findings, handed = self.findings, self.account.handed.values()
         findings.handed_in = len(handed)
         findings.accepted = sum(mail.word == TAKEN for mail in handed)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -131,6 +131,19 @@
     assert judge(account)[0].broken
 
 
+def test_a_notice_is_not_overdue_while_its_file_cannot_be_written_and_is_later() -> None:
+    account = Account()
+    mail(account, "m1").notices.append((19.4, "handed_back"))
+    assert judge(account)[0].broken
+    account.no_notices.append((17.9, 19.2))
+    assert not judge(account)[0].broken
+    account.handed["m1"].notices = [(19.6, "handed_back")]
+    assert judge(account)[0].broken
+    account.handed["m1"].notices = [(19.4, "handed_back")]
+    account.no_notices = [(16.0, 17.9)]
+    assert judge(account)[0].broken
+
+
 def test_a_delivery_that_a_held_up_process_read_too_late_may_be_told_as_none() -> None:
     """It lay unread until the lifetime was over; one that was read in time is a second end."""
     account = Account()
