--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -96,6 +96,6 @@
         """Tell the decisions what another process, or an earlier life, saw of a route."""
         core = self._dispatcher
         if record.back_at is None:
-            core.tell(core.control.route_failed, route, max(record.at, 0.0))
+            core.tell(core.control.route_failed, route, record.at)
         else:
             core.tell(core.control.route_returned, route, record.back_at)
--- a/laureldock/stores/spool_records.py
+++ b/laureldock/stores/spool_records.py
@@ -62,7 +62,7 @@
 
 def decode_route(fields: list[Any] | tuple[Any, ...], shift: float) -> RouteRecord:
     """What became of a route; `fields` without kind and name; `shift` is added to each time."""
-    back_at, at = fields[0], fields[1] if len(fields) > 1 else -inf  # an older release does not say when
+    back_at, at = fields[0], fields[1] if len(fields) > 1 else 0.0  # an older release does not say when
     return RouteRecord(None if back_at is None else back_at + shift, at + shift)
 
 
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -18,6 +18,7 @@
 from laureldock.stores import peer_spools
 from laureldock.stores.peer_spool import PeerSpool
 from laureldock.stores.spool import Spool
+from laureldock.stores.spool_records import encode_payload
 
 DISK = 3e6
 
@@ -281,3 +282,17 @@
     new.close()
     third.close()
     assert spool(tmp_path).inherit_routes() == latest
+
+
+def test_a_route_that_an_older_release_saw_fail_is_inherited(tmp_path: Path) -> None:
+    """Its record does not say when, and is older than any that does."""
+    old, new = spool(tmp_path), spool(tmp_path)
+    old._queue(encode_payload(["route", "r1", None]))
+    old._queue(encode_payload(["route", "r2", None]))
+    returned = RouteRecord(time.monotonic(), time.monotonic())
+    new.route("r2", returned)
+    assert new.read_peers().routes["r1"].back_at is None
+    old.close()
+    new.adopt()
+    assert [name for name, each in new.inherit_routes().items() if each.back_at is None] == ["r1"]
+    assert new.routes["r2"] == returned
