--- a/laureldock/core/seams.py
+++ b/laureldock/core/seams.py
@@ -136,8 +136,8 @@
     def take(self, mail: StoredMessage) -> bool:
         """Whether it is owed from now on: there was room for it, and it is written."""
 
-    def out(self, name: bytes, at: float) -> None:
-        """An attempt begins."""
+    def out(self, name: bytes, at: float, route: str) -> None:
+        """An attempt begins, over a route."""
 
     def back(self, name: bytes) -> None:
         """Its last attempt has not run."""
@@ -178,7 +178,10 @@
         """A key rests: for the others and for the next life."""
 
     def route(self, route: str, record: RouteRecord) -> None:
-        """A route failed or came back: for the others."""
+        """A route failed or came back: for the others and for the next life."""
+
+    def inherit_routes(self) -> Mapping[str, RouteRecord]:
+        """What became of routes in earlier lives and in ended processes, each told once."""
 
 
 # What its peers ask of the core
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -16,8 +16,10 @@
 from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import troubles
 from laureldock.rehearsal.soak.clients import Load, misbehave
+from laureldock.rehearsal.soak.discovery import DRAINING, READY, Discovery, Host
 from laureldock.rehearsal.soak.dispatcher_process import Address
 from laureldock.rehearsal.soak.findings import Findings
+from laureldock.rehearsal.soak.platform import write_configuration
 from laureldock.rehearsal.soak.process_group import ProcessGroup
 from laureldock.rehearsal.soak.relay import Relay
 from laureldock.rehearsal.soak.system_calls import Fault, Window
@@ -26,7 +28,9 @@
 from laureldock.rehearsal.standins import Receiver
 
 PAUSE_TIME = 0.15  # seconds for which a process is held up
+RESUME_TIME = 0.02  # seconds until it has read what came meanwhile
 RELOADS = 3  # in a row
+NOTICE_INTERVAL = 0.02  # seconds between two looks at a file of notices
 EMPTY_LOOKS = 6  # in a row, a tenth of a second apart, after which nothing is held
 SETTLE_TIME = LIFETIME + 3.0  # seconds in which all that was accepted has its end
 
@@ -35,11 +39,19 @@
     """Plays `length` seconds of load and troubles, and judges them.
 
     `passed`: the listening socket is held here and passed to each process, as on the platform's days with a
-    new version under load; processes hand over then.
+    new version under load; processes hand over then. `platform`: the list of receivers and the notices are
+    the platform's.
     """
 
     def __init__(
-        self, folder: Path, name: str, seed: int, length: float, rate: float, passed: bool = False
+        self,
+        folder: Path,
+        name: str,
+        seed: int,
+        length: float,
+        rate: float,
+        passed: bool = False,
+        platform: bool = False,
     ) -> None:
         self.folder, self.name, self.seed, self.length = folder, name, seed, length
         self.account = Account()
@@ -48,7 +60,13 @@
             each: Receiver(each, owner, self.account, seed + place)
             for place, (each, owner) in enumerate(RECEIVERS.items())
         }
-        self.troubles = troubles.draw(seed, length, list(RECEIVERS), passed)
+        self.troubles = troubles.draw(seed, length, list(RECEIVERS), passed, platform)
+        owners = sorted(set(RECEIVERS.values()))
+        # The platform's destinations are numbers.
+        self.destinations = {
+            owner: str(place + 1) if platform else owner for place, owner in enumerate(owners)
+        }
+        self.discovery = Discovery(self.listing_trouble, self.take_notice) if platform else None
         self.relays = {each: Relay(partial(self.relay_trouble, each)) for each in RECEIVERS}
         self.notices, self.notices_read = folder / "state" / "undelivered.jsonl", 0
         self.log = folder / "log"
@@ -60,13 +78,21 @@
             (self.host, self.port),
             seed,
             rate,
-            sorted(set(RECEIVERS.values())),
+            list(self.destinations.values()),
             self.may_be_unanswered,
         )
         self.without = ""  # a receiver that is not listed just now
         self.began = 0.0  # of the monotonic clock, as `troubles` count from it
         self.processes = ProcessGroup(
-            folder, self.host, seed, listening, self.write_file, self.windows, self.account, self.findings
+            folder,
+            self.host,
+            seed,
+            listening,
+            self.write_file,
+            self.windows,
+            self.account,
+            self.findings,
+            platform,
         )
 
     # What the troubles say now
@@ -85,6 +111,13 @@
                 return each.kind
         return None
 
+    def listing_trouble(self) -> troubles.Listing | None:
+        now = self.elapsed()
+        for each in self.troubles:
+            if isinstance(each.kind, troubles.Listing) and each.at <= now < each.until:
+                return each.kind
+        return None
+
     def may_be_unanswered(self) -> bool:
         """Whether its connections break just now: it was killed, or its reads and writes fail."""
         now = self.elapsed()
@@ -105,23 +138,30 @@
 
     def write_file(self, file: Path, management: Address, passed: int) -> None:
         """Configure a process: the example, with the relays as receivers. OSError."""
+        listen = f"{self.host}:{self.port}"
+        if self.discovery:
+            agent = f"127.0.0.1:{self.discovery.port}"
+            write_configuration(file, self.name, self.seed, listen, agent, self.discovery.whole())
+            return
         ports = [
             (each, self.relays[name].port) for name, each in self.receivers.items() if name != self.without
         ]
         more: dict[str, Any] = {"name": self.name, "management": f"{management[0]}:{management[1]}"}
         if passed >= 0:
             more["passed"] = passed
-        write_example(file, f"{self.host}:{self.port}", ports, **more)
+        write_example(file, listen, ports, **more)
 
     # The soak
 
-    async def play(self) -> Findings:
-        """Play, and judge."""
+    async def play(self) -> None:
+        """Play to the end; what it has shown is `judge`."""
         (self.folder / "state").mkdir(parents=True, exist_ok=True)
         self.began = time.monotonic() + 3600.0  # no trouble yet
         for name, receiver in self.receivers.items():
             await receiver.start(time.time())
             await self.relays[name].start(receiver.port)
+        if self.discovery:
+            await self.discovery.start(self.hosts())
         first = self.troubles
         try:
             self.troubles = []
@@ -136,8 +176,13 @@
             self.findings.defects.append(str(defect))
         finally:
             await self.close()
-        self.judge()
-        return self.findings
+
+    def hosts(self) -> list[Host]:
+        """The receivers, behind their relays, as a platform lists them."""
+        return [
+            Host(name, self.relays[name].port, int(self.destinations[each.destination]), each.rate)
+            for name, each in self.receivers.items()
+        ]
 
     def tell_receivers(self) -> None:
         wall = time.time() - self.elapsed()
@@ -205,6 +250,9 @@
 
     async def drain(self, trouble: Trouble) -> None:
         """A receiver less, once that has been read; and all of them again."""
+        if self.discovery:
+            await self.drain_listed(self.discovery, trouble)
+            return
         self.without = trouble.target
         self.processes.configure()
         if await self.processes.read_again():
@@ -216,24 +264,47 @@
         self.processes.configure()
         await self.processes.read_again()
 
+    async def drain_listed(self, discovery: Discovery, trouble: Trouble) -> None:
+        """The same by the platform's list. A list that is silent holds it up."""
+        told = Told(trouble.target, await discovery.told(discovery.set_health(trouble.target, DRAINING)))
+        self.account.drains.append(told)
+        await self.wait_until(trouble.until)
+        told.until = time.time()
+        discovery.set_health(trouble.target, READY)
+
     async def pause(self, trouble: Trouble) -> None:
+        since = time.time()
         self.processes.send(signal.SIGSTOP)
         await asyncio.sleep(PAUSE_TIME)
         self.processes.send(signal.SIGCONT)
+        self.account.stopped.append((since, time.time() + RESUME_TIME))
 
     async def watch_notices(self) -> None:
         while True:
             self.read_notices()
-            await asyncio.sleep(0.02)
+            before = self.elapsed()
+            await asyncio.sleep(NOTICE_INTERVAL)
+            late = self.elapsed() - before - NOTICE_INTERVAL
+            if late > self.findings.held_up:
+                self.findings.held_up, self.findings.held_up_at = late, before
 
     def read_notices(self) -> None:
         lines, self.notices_read = new_lines(self.notices, self.notices_read)
         for line in lines:
             told = json.loads(line)
-            if (mail := self.account.handed.get(told["message"])) is not None:
-                mail.notices.append((time.time(), told["outcome"]))
-            else:
-                self.account.strays.append(told["message"])
+            self.note(told["message"], told["outcome"])
+
+    def take_notice(self, message: str, outcome: str) -> None:
+        """One sent to the platform: it comes again until its answer has been read."""
+        mail = self.account.handed.get(message)
+        if mail is None or outcome not in (word for _, word in mail.notices):
+            self.note(message, outcome)
+
+    def note(self, message: str, outcome: str) -> None:
+        if (mail := self.account.handed.get(message)) is not None:
+            mail.notices.append((time.time(), outcome))
+        else:
+            self.account.strays.append(message)
 
     async def settle(self) -> None:
         """Until all that was accepted has its end, or should have."""
@@ -251,6 +322,8 @@
             await receiver.stop()
         for relay in self.relays.values():
             await relay.stop()
+        if self.discovery:
+            await self.discovery.stop()
 
     def is_broken(self, name: str) -> bool:
         return any(name in case for verdict in self.findings.verdicts for case in verdict.broken)
@@ -284,7 +357,8 @@
                 if (each.receiver, each.mail) != (call.receiver, call.mail)
             ]
 
-    def judge(self) -> None:
+    def judge(self) -> Findings:
+        """What the play has shown. It takes a while: no play may go on beside."""
         self.read_notices()
         self.forget_lost_answers()
         wall = time.time() - self.elapsed()
@@ -293,6 +367,8 @@
                 self.account.unreadable.append((wall + each.at, wall + each.until))
             elif each.kind is Fault.DISK_ERROR and each.share == 1.0:
                 self.account.unwritable.append((wall + each.at, wall + each.until))
+                if self.discovery is None:  # the notices are a file on that disk
+                    self.account.no_notices.append((wall + each.at, wall + each.until))
         findings, handed = self.findings, self.account.handed.values()
         findings.handed_in = len(handed)
         findings.accepted = sum(mail.word == TAKEN for mail in handed)
@@ -304,6 +380,7 @@
         ]
         findings.stories = [self.story(name) for name in self.account.handed if self.is_broken(name)]
         self.read_log()
+        return findings
 
     def read_log(self) -> None:
         """Violations and faults, as the processes logged them."""
--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -9,7 +9,7 @@
 
 from laureldock.clocks import read_clocks
 from laureldock.core.peer_view import RouteRecord
-from laureldock.stores.spool_records import RecordReader
+from laureldock.stores.spool_records import RecordReader, decode_route
 
 READ_SIZE = 1 << 20
 ENDED_KEPT = 2.0  # seconds for which a message that is over is known: its client comes again sooner or never
@@ -29,7 +29,7 @@
         self.accepted: dict[bytes, float] = {}  # when, by message that is owed
         self.keys: dict[str, dict[bytes, float]] = {}  # the same, by key
         self.ended: dict[bytes, float] = {}  # when, by message that is over
-        self.out: set[bytes] = set()  # messages with a call out
+        self.out: dict[bytes, str] = {}  # over which route, by message with a call out
         self.waits: dict[str, float] = {}  # by route: until when, by the monotonic clock
         self.rests: dict[str, float] = {}  # by key: until when
         self.routes: dict[str, RouteRecord] = {}
@@ -62,13 +62,15 @@
                 # One of an older release has no record of when: by now, and so before what is accepted next.
                 self._accept(name, key, time.monotonic())
                 if out is not None:
-                    self.out.add(name)
+                    self.out[name] = ""
             case "accepted":
                 self._accept(name, self._key_of.get(name), rest[0] + shift)
             case "out":
-                self.out.add(name)
+                self.out[name] = rest[1] if len(rest) > 1 else ""  # an older release does not say
+            case "sent_to":
+                self.out[name] = rest[0]
             case "back" | "end":
-                self.out.discard(name)
+                self.out.pop(name, None)
             case "over":
                 self._over(name)
             case "wait":
@@ -76,7 +78,7 @@
             case "rest":
                 self.rests[subject] = rest[0] + shift
             case "route":
-                self.routes[subject] = RouteRecord(None if rest[0] is None else rest[0] + shift)
+                self.routes[subject] = decode_route(rest, shift)
 
     def _accept(self, name: bytes, key: str | None, at: float) -> None:
         self.accepted[name] = at
@@ -86,7 +88,7 @@
 
     def _over(self, name: bytes) -> None:
         self.accepted.pop(name, None)
-        self.out.discard(name)
+        self.out.pop(name, None)
         if (key := self._key_of.pop(name, None)) is not None:
             self.keys[key].pop(name, None)
             if not self.keys[key]:
--- a/laureldock/stores/peer_spools.py
+++ b/laureldock/stores/peer_spools.py
@@ -8,10 +8,11 @@
 
 import errno
 import os
+from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
 
-from laureldock.core.peer_view import PeerView
+from laureldock.core.peer_view import PeerView, newest_records
 from laureldock.stores.peer_spool import PeerSpool
 
 READ_TRIES = 8  # while files come and go
@@ -72,12 +73,13 @@
         view = PeerView(
             processes=len(self._peers),
             calls_out=sum(len(peer.out) for peer in self._peers.values()),
+            calls_to=Counter(route for peer in self._peers.values() for route in peer.out.values()),
             accepted=accepted,
             keys=keys,
             ended=ended,
             waits=latest(peer.waits for peer in self._peers.values()),
             rests=latest(peer.rests for peer in self._peers.values()),
-            routes={name: each for peer in self._peers.values() for name, each in peer.routes.items()},
+            routes=newest_records(peer.routes for peer in self._peers.values()),
         )
         for peer in self._peers.values():
             accepted.update(peer.accepted)
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -58,27 +58,31 @@
     old, new = spool(tmp_path), spool(tmp_path)
     for name in ("a", "b", "c", "d"):
         assert old.take(message(name))
-        old.out(name.encode(), 1.0)
+        old.out(name.encode(), 1.0, "r1" if name == "a" else "r2")
     assert new.read_peers().calls_out == 4
+    assert new.read_peers().calls_to == {"r1": 1, "r2": 3}
     old.back(b"a")
     old.end(b"b")
     old.over(b"c")
     assert new.read_peers().calls_out == 1
     old._renew()
     assert new.read_peers().calls_out == 1
+    assert new.read_peers().calls_to == {"r2": 1}
     assert old.owed[b"b"].ran == 1.0 and old.owed[b"b"].out is None
 
 
 def test_rests_and_routes_are_read_and_outlive_a_renewal(tmp_path: Path) -> None:
     old, new = spool(tmp_path), spool(tmp_path)
     old.rest("k", 50.0, now=40.0)
-    old.route("r1", RouteRecord(None))
-    old.route("r2", RouteRecord(None))
-    old.route("r2", RouteRecord(45.0))
+    back_at = time.monotonic()
+    failed, returned = RouteRecord(None, back_at - 1), RouteRecord(back_at, back_at)
+    old.route("r1", failed)
+    old.route("r2", failed)
+    old.route("r2", returned)
     for _ in range(2):
         view = new.read_peers()
         assert view.rests == {"k": 50.0}
-        assert view.routes == {"r1": RouteRecord(None), "r2": RouteRecord(45.0)}
+        assert view.routes == {"r1": failed, "r2": returned}
         old._renew()
     old.close()
     assert Spool(tmp_path, DISK, writes=False).rests == {"k": 50.0}
@@ -106,6 +110,28 @@
     assert third.read_peers().first_accepted("k") == 1.0
 
 
+def test_a_message_is_seen_by_a_process_that_knows_the_heir_alone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has the heir's file open, which is written anew while it looks for that of the ended process."""
+    heir, third = spool(tmp_path), spool(tmp_path)
+    assert third.read_peers().processes == 1
+    first = spool(tmp_path)
+    assert first.take(message("m", "k", 1.0))
+    heir.read_peers()
+    first.close()
+    real, steps = peer_spools.list_spools, iter([heir.adopt])
+
+    def listing(folder: Path) -> dict[int, Path]:
+        found = real(folder)
+        for step in steps:
+            step()
+        return found
+
+    monkeypatch.setattr(peer_spools, "list_spools", listing)
+    assert third.read_peers().first_accepted("k") == 1.0
+
+
 def test_what_cannot_be_read_is_not_taken_for_nothing(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -236,3 +262,22 @@
     assert old.take(message("m", "k"))
     before = time.monotonic()
     assert before <= new.read_peers().first_accepted("k") <= time.monotonic()
+
+
+def test_what_was_seen_of_a_route_last_counts_whoever_saw_it(tmp_path: Path) -> None:
+    """The record of a process that ended was older than what its heir had seen of that route itself."""
+    now = time.monotonic()
+    old, new, third = spool(tmp_path), spool(tmp_path), spool(tmp_path)
+    old.route("r1", RouteRecord(None, now - 2))
+    new.route("r1", RouteRecord(now - 1, now - 1))
+    old.route("r2", RouteRecord(None, now - 1))
+    new.route("r2", RouteRecord(now - 2, now - 2))
+    latest = {"r1": RouteRecord(now - 1, now - 1), "r2": RouteRecord(None, now - 1)}
+    assert third.read_peers().routes == latest
+    old.close()
+    new.adopt()
+    assert new.inherit_routes() == {"r2": RouteRecord(None, now - 1)} and not new.inherit_routes()
+    assert third.read_peers().routes == latest
+    new.close()
+    third.close()
+    assert spool(tmp_path).inherit_routes() == latest
