Who connects after a moment without accepts has lost no time

The port forgot only with the next burst that nobody had waited: the first client after a crowd had 0.4 s taken off its lifetime.

--- a/laureldock/sockets/reactor.py
+++ b/laureldock/sockets/reactor.py
@@ -81,6 +81,11 @@
         self.shut_since = min(self.shut_since, self.reactor.seconds())
         super().stopReading()
 
+    def startReading(self) -> None:  # noqa: N802
+        if not self.somebody_waits():
+            self.shut_since = inf
+        super().startReading()
+
     def doRead(self) -> None:  # noqa: N802
         if can_open(ACCEPTS + KEPT):
             self.accept_all(ACCEPTS)
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -114,3 +114,19 @@
         assert sent_at + 1.4 <= shore.core.by_name[b"b"].end <= sent_at + 1.52
     finally:
         shore.end()
+
+
+def test_who_connects_after_a_moment_without_accepts_has_lost_no_time(tmp_path: Path) -> None:
+    shore = Shore(tmp_path)
+    try:
+        shore.ready().settle()
+        shore.front.turn_away(True)
+        shore.spend(0.3)
+        shore.front.turn_away(False)
+        client = shore.client(ping=False)
+        client.send(shore.put("a", left=1500))
+        sent_at = time.monotonic()
+        shore.until(lambda: b"a" in shore.core.by_name)
+        assert shore.core.by_name[b"a"].end >= sent_at + 1.4
+    finally:
+        shore.end()
