--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -12,13 +12,14 @@
 from pathlib import Path
 from typing import Any
 
-from laureldock.rehearsal.account import TAKEN, Account, Told, judge
+from laureldock.rehearsal.account import Account, Told
 from laureldock.rehearsal.play import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import troubles
 from laureldock.rehearsal.soak.clients import Load, misbehave
 from laureldock.rehearsal.soak.discovery import DRAINING, READY, Discovery, Host
 from laureldock.rehearsal.soak.dispatcher_process import Address
 from laureldock.rehearsal.soak.findings import Findings
+from laureldock.rehearsal.soak.judgement import judge_play
 from laureldock.rehearsal.soak.platform import write_configuration
 from laureldock.rehearsal.soak.process_group import ProcessGroup
 from laureldock.rehearsal.soak.relay import Relay
@@ -176,6 +177,7 @@
             self.findings.defects.append(str(defect))
         finally:
             await self.close()
+            self.read_notices()  # with the time of now, not of when all plays are judged
 
     def hosts(self) -> list[Host]:
         """The receivers, behind their relays, as a platform lists them."""
@@ -325,66 +327,9 @@
         if self.discovery:
             await self.discovery.stop()
 
-    def is_broken(self, name: str) -> bool:
-        return any(name in case for verdict in self.findings.verdicts for case in verdict.broken)
-
-    def story(self, name: str) -> str:
-        """All that was seen of a message, in seconds from the start of the load."""
-        began = time.time() - self.elapsed()
-        mail = self.account.handed[name]
-        parts = [f"{name} {mail.effect} to {mail.destination} {mail.key}: at {mail.at - began:.2f}"]
-        parts.append(f"{mail.word or 'no answer'} {mail.answered - began:.2f}")
-        for call in self.account.calls:
-            if call.mail == name:
-                ran = "ran" if call.ran else "not run"
-                parts.append(
-                    f"{call.receiver} {call.first - began:.2f}-{call.ended - began:.2f} {call.status} {ran}"
-                )
-        parts += [f"{word} {at - began:.2f}" for at, word in mail.notices]
-        return "; ".join(parts)
-
-    def forget_lost_answers(self) -> None:
-        """What a stand-in answered and its relay did not pass on was told to nobody."""
-        for call in self.account.calls:
-            relayed = self.relays[call.receiver].calls
-            same = [each for each in relayed if each.mail == call.mail and each.at <= call.first]
-            if same and same[-1].answered:
-                continue
-            call.status = 0
-            self.account.waits = [
-                each
-                for each in self.account.waits
-                if (each.receiver, each.mail) != (call.receiver, call.mail)
-            ]
-
     def judge(self) -> Findings:
-        """What the play has shown. It takes a while: no play may go on beside."""
-        self.read_notices()
-        self.forget_lost_answers()
-        wall = time.time() - self.elapsed()
-        for each in self.troubles:
-            if each.kind is Fault.BROKEN:
-                self.account.unreadable.append((wall + each.at, wall + each.until))
-            elif each.kind is Fault.DISK_ERROR and each.share == 1.0:
-                self.account.unwritable.append((wall + each.at, wall + each.until))
-                if self.discovery is None:  # the notices are a file on that disk
-                    self.account.no_notices.append((wall + each.at, wall + each.until))
-        findings, handed = self.findings, self.account.handed.values()
-        findings.handed_in = len(handed)
-        findings.accepted = sum(mail.word == TAKEN for mail in handed)
-        served = {call.mail for call in self.account.calls if call.status == 200}
-        findings.delivered = len(served)
-        findings.verdicts = judge(self.account)
-        findings.troubles = [
-            f"{each.at:.1f}-{each.until:.1f}s {each.kind} {each.target}".strip() for each in self.troubles
-        ]
-        findings.stories = [self.story(name) for name in self.account.handed if self.is_broken(name)]
-        self.read_log()
-        return findings
-
-    def read_log(self) -> None:
-        """Violations and faults, as the processes logged them."""
-        text = self.log.read_text(errors="replace") if self.log.exists() else ""
-        self.findings.violations = text.count('"event": "invariant violated"')
-        if "Traceback" in text or '"event": "fault"' in text:
-            self.findings.defects.append(f"an exception in {self.log}")
+        """What the play has shown; see `judge_play`."""
+        began = time.time() - self.elapsed()
+        on_disk = self.discovery is None
+        judge_play(self.findings, self.account, self.troubles, self.relays, self.log, began, on_disk)
+        return self.findings
