Soak: processes that are killed as they start; troubles lie closer

A second process on the passed socket is killed 0.1 to 0.9 s after its start, ready or not, and the first one goes on.

--- a/laureldock/rehearsal/soak/process_group.py
+++ b/laureldock/rehearsal/soak/process_group.py
@@ -75,6 +75,19 @@
 
     async def launch(self) -> DispatcherProcess:
         """Start a process, and wait until it takes clients. TimeoutError, RuntimeError."""
+        process = await self._start()
+        await process.ready()
+        return process
+
+    async def kill_start(self, after: float) -> None:
+        """Start a process and kill it so many seconds later, whether it takes clients by then or not."""
+        process = await self._start()
+        await asyncio.sleep(after)
+        down = time.time()
+        await self._kill(process)
+        self.account.restarts.append(Restart(down, down, True))
+
+    async def _start(self) -> DispatcherProcess:
         plan = self.folder / f"faults-{self._launched}.json"
         FaultPlan(str(self.folder / "state"), self.seed, self.windows()).write(plan)
         file = self.folder / f"laureldock-{self._launched}.toml"
@@ -91,7 +104,6 @@
         log = self.folder / "log"
         process = await DispatcherProcess.launch(command, file, management, log, self.passed, told)
         self.living.append(process)
-        await process.ready()
         return process
 
     async def held(self) -> int | None:
--- a/laureldock/rehearsal/soak/soaked.py
+++ b/laureldock/rehearsal/soak/soaked.py
@@ -31,6 +31,7 @@
 PAUSE_TIME = 0.15  # seconds for which a process is held up
 RESUME_TIME = 0.02  # seconds until it has read what came meanwhile
 RELOADS = 3  # in a row
+START_SHARE = 0.3  # of a trouble's time, after which a process that starts is killed: ready or not yet
 NOTICE_INTERVAL = 0.02  # seconds between two looks at a file of notices
 EMPTY_LOOKS = 6  # in a row, a tenth of a second apart, after which nothing is held
 SETTLE_TIME = LIFETIME + 3.0  # seconds in which all that was accepted has its end
@@ -228,6 +229,7 @@
             Signal.PAUSE: self.pause,
             Signal.HAND_OVER: self.hand_over,
             Signal.KILLED_HAND_OVER: self.hand_over,
+            Signal.KILLED_START: self.kill_start,
         }
         for trouble in self.troubles:
             if isinstance(trouble.kind, Signal):
@@ -245,6 +247,9 @@
         killed = trouble.kind is Signal.KILLED_HAND_OVER
         await self.processes.hand_over(trouble.until - trouble.at if killed else None)
 
+    async def kill_start(self, trouble: Trouble) -> None:
+        await self.processes.kill_start((trouble.until - trouble.at) * START_SHARE)
+
     async def reload(self, trouble: Trouble) -> None:
         for _ in range(RELOADS):
             self.processes.send(signal.SIGHUP)
--- a/laureldock/rehearsal/soak/troubles.py
+++ b/laureldock/rehearsal/soak/troubles.py
@@ -21,6 +21,7 @@
         "hand over"  # a second process on the passed socket, and SIGTERM to the first once it is ready
     )
     KILLED_HAND_OVER = "killed hand over"  # the same; the first is killed while it ends
+    KILLED_START = "killed start"  # a second process that is killed as it starts; the first one goes on
 
 
 class Path(StrEnum):
@@ -79,10 +80,10 @@
 
 LONGEST = 3.0  # seconds
 MOMENT = 0.2  # seconds for which no connection can be made, where that would hold up what has to be told
-MEAN_GAP = 0.9  # seconds between two that begin, so that two or three overlap
+MEAN_GAP = 0.8  # seconds between two that begin, so that two or three overlap
 # Seconds between two ends of a process: a planned stop takes up to four; hand-overs may follow each other.
 SIGNAL_GAP, HAND_OVER_GAP = 6.0, 2.5
-HAND_OVERS = (Signal.HAND_OVER, Signal.KILLED_HAND_OVER)
+HAND_OVERS = (Signal.HAND_OVER, Signal.KILLED_HAND_OVER, Signal.KILLED_START)
 HOUR = 3600.0
 FOR_GOOD = 1e9
 
