--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -246,23 +246,24 @@
     assert ends(shore) == {"200": 1} and shore.calls() == ["a"]
 
 
-def test_an_answer_that_crosses_its_cancel_is_a_delivery(shore: Shore) -> None:
+def served_after_its_cancel(shore: Shore) -> Peer:
+    """The connection of a call that was cancelled, and answered as that was seen."""
     taken(shore, "a", "charge")
     link = shore.call("a")
     shore.assembly.receivers.cancel(next(iter(shore.assembly.receivers.errands)))
     until_given_up(shore, link)
     link.send(SERVED)
     shore.until(lambda: not shore.core.store.owed)
+    return link
+
+
+def test_an_answer_that_crosses_its_cancel_is_a_delivery(shore: Shore) -> None:
+    served_after_its_cancel(shore)
     assert ends(shore) == {"200": 1} and not shore.platform.notices
 
 
 def test_a_connection_on_which_a_call_was_given_up_carries_no_other(shore: Shore) -> None:
-    taken(shore, "a", "charge")
-    link = shore.call("a")
-    shore.assembly.receivers.cancel(next(iter(shore.assembly.receivers.errands)))
-    until_given_up(shore, link)
-    link.send(SERVED)
-    shore.until(lambda: not shore.core.store.owed)
+    link = served_after_its_cancel(shore)
     taken(shore, "b", "news")
     assert shore.serve("b") is not link
     shore.until(lambda: not shore.core.store.owed)
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -89,23 +89,28 @@
     assert Spool(tmp_path, DISK, writes=False).rests == {"k": 50.0}
 
 
-def test_a_message_is_seen_by_a_third_process_throughout_a_take_over(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """The ended process's file goes once the heir has written its own: between two looks it is in either."""
-    first, heir, third = spool(tmp_path), spool(tmp_path), spool(tmp_path)
-    assert first.take(message("m", "k", 1.0))
-    assert third.read_peers().first_accepted("k") == 1.0
-    first.close()
+def adopt_once_listed(heir: Spool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It takes over what it can right after a reader has listed the folder for the first time."""
     real, steps = peer_spools.list_spools, iter([heir.adopt])
 
     def listing(folder: Path) -> dict[int, Path]:
         found = real(folder)
-        for step in steps:  # right after the folder was listed for the first time
+        for step in steps:
             step()
         return found
 
     monkeypatch.setattr(peer_spools, "list_spools", listing)
+
+
+def test_a_message_is_seen_by_a_third_process_throughout_a_take_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The ended process's file goes once the heir has written its own: between two looks it is in either."""
+    first, heir, third = spool(tmp_path), spool(tmp_path), spool(tmp_path)
+    assert first.take(message("m", "k", 1.0))
+    assert third.read_peers().first_accepted("k") == 1.0
+    first.close()
+    adopt_once_listed(heir, monkeypatch)
     assert third.read_peers().first_accepted("k") == 1.0
     assert sorted(path.name for path in tmp_path.iterdir()) == ["spool.1", "spool.2"]
     assert third.read_peers().first_accepted("k") == 1.0
@@ -121,15 +126,7 @@
     assert first.take(message("m", "k", 1.0))
     heir.read_peers()
     first.close()
-    real, steps = peer_spools.list_spools, iter([heir.adopt])
-
-    def listing(folder: Path) -> dict[int, Path]:
-        found = real(folder)
-        for step in steps:
-            step()
-        return found
-
-    monkeypatch.setattr(peer_spools, "list_spools", listing)
+    adopt_once_listed(heir, monkeypatch)
     assert third.read_peers().first_accepted("k") == 1.0
 
 
