--- a/review/rig.py
+++ b/review/rig.py
@@ -136,8 +136,9 @@
             rig.record.now(),
         )
         rig.calls.append(call)
-        rig.record.line(f"endpoint {self.name}: call {call.message} has come whole")
         answer = self.decide(call)
+        fate = "is turned away" if answer.status in (429, 503) and not answer.hangs else "runs"
+        rig.record.line(f"endpoint {self.name}: call {call.message} has come whole, and {fate}")
         if answer.hangs:
             await asyncio.sleep(3600)
         await asyncio.sleep(answer.after)
