Count pipelined commands by their lengths, not by line ends within bodies

Cause: ClientConnection.handle_command counted "\r\n*" in all unparsed bytes, bodies included; sixteen lines of a body that begin with "*" were sixteen commands.

Change: PipelineCounter follows the lengths in front of the words and counts the commands that have begun to arrive behind the present one, each once. The limit, the error and what is not counted (commands typed by hand) stay.

--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -15,7 +15,7 @@
 from laureldock.fronts.resp_commands import COMMANDS, encode_reply, printable
 from laureldock.sockets.flush import FlushProducer, half_close, peek_unread
 from laureldock.wire import resp
-from laureldock.wire.resp import CommandParser, MalformedCommandError
+from laureldock.wire.resp import CommandParser, MalformedCommandError, PipelineCounter
 
 if TYPE_CHECKING:
     from laureldock.fronts.resp_server import RespServer
@@ -55,6 +55,7 @@
         self.server, self.client_id = server, client_id
         self.backlog_wait = backlog_wait  # zero from the first reply on
         self.parser = CommandParser(MAX_BODY_BYTES)
+        self.pipeline = PipelineCounter(MAX_BODY_BYTES)
         self.unreplied: HeldMessage | None = None  # accepted, and its reply is not written yet
         self.replying = self.parsing = False
         self.closing = self.close_after_reply = False  # closing: no further command is carried out
@@ -86,6 +87,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
             return  # reading goes on: a close with unread bytes resets the connection, and loses the error
+        self.pipeline.data_received(data)
         if self.is_idle and self.has_sent_command:
             self.waiting_since = self.server.core.now()
         if not self.parsing:
@@ -135,7 +137,7 @@
         self.close_with_error("a line too long")
 
     def handle_command(self, words: list[bytes]) -> None:
-        if self._buffer.count(b"\r\n*") >= self.server.max_pipelined:
+        if self.pipeline.count_behind(self._buffer) > self.server.max_pipelined:
             self.close_with_error("too many commands at once")
             return
         self.has_sent_command = True
--- a/laureldock/wire/resp.py
+++ b/laureldock/wire/resp.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from collections import deque
+
+LINE_END, EMPTY_ARRAY = b"\r\n", b"*0\r\n"
 MAX_WORDS = 1024  # in one command; the longest ones in a pipeline are far shorter
 MAX_COMMAND_BYTES = 1 << 17  # in all words together: twice the longest body, which leaves room for the rest
 
@@ -14,6 +17,36 @@
     """The bytes are no command, and the start of the next one cannot be found either."""
 
 
+class PipelineCounter:
+    """Counts the commands that have arrived, whole or in part, behind the one that is carried out.
+
+    It follows the lengths in front of the words, so that no byte of a body counts, and reads each command
+    once, however often it is asked. Commands typed by hand are not counted: only programs pipeline.
+    """
+
+    def __init__(self, max_bulk: int) -> None:
+        self.max_bulk = max_bulk
+        # Positions are bytes from the start of the connection. Commands before `counted_to` are whole.
+        self.received = self.counted_to = 0
+        self.command_ends: deque[int] = deque()  # of those that are not carried out yet
+
+    def data_received(self, data: bytes) -> None:
+        self.received += len(data)
+
+    def count_behind(self, unparsed: bytes) -> int:
+        """Count them; `unparsed`: all bytes received behind the command that is carried out."""
+        start = self.received - len(unparsed)
+        while self.command_ends and self.command_ends[0] <= start:
+            self.command_ends.popleft()
+        position = max(self.counted_to, start) - start
+        while end := find_command_end(unparsed, position, self.max_bulk):
+            if starts_command(unparsed, position):
+                self.command_ends.append(start + end)
+            position = end
+        self.counted_to = start + position
+        return len(self.command_ends) + starts_command(unparsed, position)
+
+
 class CommandParser:
     """Reads the commands of one connection. `wants_bulk` says whether it needs bulk bytes or a line next."""
 
@@ -40,23 +73,7 @@
         None for everything else, also for malformed bytes: `feed_line` and `feed_bulk` take those, and raise
         an error that names the fault.
         """
-        if self.missing_words or data[:1] != b"*":
-            return None
-        end = data.find(b"\r\n", 1, 12)
-        if end < 0 or not data[1:end].isdigit() or not 0 < (word_count := int(data[1:end])) <= MAX_WORDS:
-            return None
-        words, position = [], end + 2
-        for _ in range(word_count):
-            end = data.find(b"\r\n", position, position + 12)
-            if end < 0 or data[position : position + 1] != b"$" or not data[position + 1 : end].isdigit():
-                return None
-            start = end + 2
-            position = start + int(data[position + 1 : end])
-            if position - start > self.max_bulk or data[position : position + 2] != b"\r\n":
-                return None
-            words.append(data[start:position])
-            position += 2
-        return (words, position) if position <= MAX_COMMAND_BYTES else None
+        return None if self.missing_words else parse_complete_command(data, 0, self.max_bulk)
 
     def feed_line(self, line: bytes) -> list[bytes] | None:
         """Take a line without its line end; return a command if it is complete. MalformedCommandError."""
@@ -97,6 +114,43 @@
         return words, data[len(part) :]
 
 
+def parse_complete_command(data: bytes, position: int, max_bulk: int) -> tuple[list[bytes], int] | None:
+    """The array of bulk strings that starts at `position`, if all of it is there, and where it ends."""
+    if data[position : position + 1] != b"*":
+        return None
+    limit = position + MAX_COMMAND_BYTES
+    end = data.find(b"\r\n", position + 1, position + 12)
+    digits = data[position + 1 : end]
+    if end < 0 or not digits.isdigit() or not 0 < (word_count := int(digits)) <= MAX_WORDS:
+        return None
+    words, position = [], end + 2
+    for _ in range(word_count):
+        end = data.find(b"\r\n", position, position + 12)
+        if end < 0 or data[position : position + 1] != b"$" or not data[position + 1 : end].isdigit():
+            return None
+        start = end + 2
+        position = start + int(data[position + 1 : end])
+        if position - start > max_bulk or data[position : position + 2] != b"\r\n":
+            return None
+        words.append(data[start:position])
+        position += 2
+    return (words, position) if position <= limit else None
+
+
+def starts_command(data: bytes, position: int) -> bool:
+    """Whether an array of words, not a line or an empty array, starts there."""
+    return data.startswith(b"*", position) and not data.startswith(EMPTY_ARRAY, position)
+
+
+def find_command_end(data: bytes, position: int, max_bulk: int) -> int:
+    """Return where the command or line at `position` ends, or 0 if it is incomplete or malformed."""
+    if starts_command(data, position):
+        found = parse_complete_command(data, position, max_bulk)
+        return found[1] if found else 0
+    line_end = data.find(LINE_END, position)
+    return line_end + len(LINE_END) if line_end >= 0 else 0
+
+
 def parse_count(digits: bytes, limit: int) -> int:
     if not digits.isdigit() or len(digits) > 9 or int(digits) > limit:
         raise MalformedCommandError("a count that cannot be")
