Stub receivers can send responses once more, across the next request too

ResponseRepeats: a share of the responses, the range of delays, and whether the copy is sent although the next request has been read. Stubs can answer 429 with a short wait. RunRecord.sees_calls_end adds a check: no attempt of a message while an earlier one is in flight. DispatcherSoak takes repeats; it then connects receivers without relays, which cannot tell a copy from a response.

--- a/laureldock/rehearsal/rule_checks.py
+++ b/laureldock/rehearsal/rule_checks.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from itertools import pairwise
+from math import inf
 
 ACCEPTED, BUSY, FAILED, ABANDONED = "accepted", "busy", "failed", "abandoned"
 # Seconds that sockets and scheduling may add to a limit before it counts as exceeded.
@@ -17,6 +19,7 @@
 # Seconds from the writing of a notice until it is read here; by which the end of a call is observed here
 # later than at the dispatcher.
 NOTICE_READ_TIME, COOLDOWN_TOLERANCE = 0.1, 0.05
+CALL_END_TOLERANCE = 0.01  # seconds in which a receiver sees that a call was given up
 # Seconds before the end of a lifetime in which a 200 may come too late for the client.
 EXPIRY_MARGIN = 0.01
 READ_TIME = 0.02  # seconds in which a process reads a response that has arrived
@@ -103,6 +106,8 @@
     # The file of notices could not be written.
     notice_failures: list[tuple[float, float]] = field(default_factory=list)
     pauses: list[tuple[float, float]] = field(default_factory=list)  # the process was stopped
+    # Receivers see at once how the dispatcher ends a call: no fault of a connection delays it.
+    sees_calls_end: bool = False
 
     def notice_deadline(self, expires_at: float) -> float:
         """Return the time by which a notice of a message that expires at `expires_at` has to be written.
@@ -168,6 +173,8 @@
         ("order of keys", check_key_order),
         ("waits are heeded", check_requested_waits),
     ]
+    if record.sees_calls_end:
+        rules.append(("one attempt at a time", check_concurrent_attempts))
     results = []
     for name, rule in rules:
         found = list(rule(record))
@@ -248,6 +255,16 @@
             yield f"{name}: sent again after it was delivered"
 
 
+def check_concurrent_attempts(record: RunRecord) -> Iterator[str | None]:
+    """Check that no attempt of a message is sent while an earlier one is in flight; none may be hedged."""
+    for name, calls in record.calls_by_message().items():
+        for earlier, later in pairwise(calls):
+            ended_at = earlier.ended_at or inf
+            overlap = min(ended_at, later.ended_at or inf) - later.received_at
+            text = f"{name}: sent {later.receiver} while in flight at {earlier.receiver} for {overlap:.2f}s"
+            yield text if later.received_at < ended_at - CALL_END_TOLERANCE else None
+
+
 def check_drains(record: RunRecord) -> Iterator[str | None]:
     """Check that no call begins at a draining receiver after the grace."""
     for period in record.drains:
--- a/laureldock/rehearsal/soak/dispatcher_soak.py
+++ b/laureldock/rehearsal/soak/dispatcher_soak.py
@@ -25,7 +25,7 @@
 from laureldock.rehearsal.soak.relay import Relay
 from laureldock.rehearsal.soak.soak_result import SoakResult
 from laureldock.rehearsal.soak.system_calls import FaultWindow, SystemCallFault
-from laureldock.rehearsal.stub_receivers import FaultPeriod, StubReceiver
+from laureldock.rehearsal.stub_receivers import FaultPeriod, ResponseRepeats, StubReceiver
 
 PAUSE_TIME = 0.15  # seconds for which a process is paused
 RESUME_TIME = 0.02  # seconds until it has read what arrived meanwhile
@@ -41,7 +41,8 @@
 
     `passed`: the listening socket is held here and passed to each process, as the platform does when a new
     version is deployed under load; then processes hand over. `platform`: the endpoint list and the notices
-    are the platform's.
+    are the platform's. `repeats`: receivers send responses once more; then there are no relays, which
+    cannot tell the two apart, and so no faults of connections to receivers.
     """
 
     def __init__(
@@ -53,15 +54,18 @@
         rate: float,
         passed: bool = False,
         platform: bool = False,
+        repeats: ResponseRepeats | None = None,
     ) -> None:
         self.folder, self.name, self.seed, self.length = folder, name, seed, length
-        self.record = RunRecord()
+        self.record = RunRecord(sees_calls_end=repeats is not None)
         self.result = SoakResult(name, seed)
         self.receivers = {
-            each: StubReceiver(each, destination, self.record, seed + number)
+            each: StubReceiver(each, destination, self.record, seed + number, repeats=repeats)
             for number, (each, destination) in enumerate(RECEIVERS.items())
         }
         self.faults = faults.draw_faults(seed, length, list(RECEIVERS), passed, platform)
+        if repeats:
+            self.faults = [each for each in self.faults if not isinstance(each.kind, faults.ConnectionFault)]
         names = sorted(set(RECEIVERS.values()))
         # The platform's destinations are numbers.
         self.destinations = {
@@ -69,7 +73,8 @@
             for number, destination in enumerate(names)
         }
         self.discovery = StubDiscovery(self.list_fault, self.receive_notice) if platform else None
-        self.relays = {each: Relay(partial(self.connection_fault, each)) for each in RECEIVERS}
+        relayed = [] if repeats else list(RECEIVERS)
+        self.relays = {each: Relay(partial(self.connection_fault, each)) for each in relayed}
         self.notices_path, self.notices_read = folder / "state" / "undelivered.jsonl", 0
         self.log = folder / "log"
         # A separate address for each dispatcher: none of its ports is used by an outgoing connection.
@@ -103,6 +108,10 @@
         """Return the seconds since the start of the load."""
         return time.monotonic() - self.started_at
 
+    def receiver_port(self, name: str) -> int:
+        """Return the port at which the dispatcher reaches a receiver."""
+        return self.relays[name].port if name in self.relays else self.receivers[name].port
+
     def connection_fault(self, receiver: str) -> faults.ConnectionFault | None:
         """Return the active fault of the relay in front of a receiver."""
         now = self.elapsed()
@@ -151,7 +160,7 @@
             write_configuration(file, self.name, self.seed, listen, agent, self.discovery.full_list())
             return
         ports = [
-            (each, self.relays[name].port) for name, each in self.receivers.items() if name != self.without
+            (each, self.receiver_port(name)) for name, each in self.receivers.items() if name != self.without
         ]
         more: dict[str, Any] = {"name": self.name, "management": f"{management[0]}:{management[1]}"}
         if passed >= 0:
@@ -166,7 +175,8 @@
         self.started_at = time.monotonic() + 3600.0  # no fault is active yet
         for name, receiver in self.receivers.items():
             await receiver.start(time.time())
-            await self.relays[name].start(receiver.port)
+            if name in self.relays:
+                await self.relays[name].start(receiver.port)
         if self.discovery:
             await self.discovery.start(self.endpoints())
         drawn = self.faults
@@ -186,9 +196,9 @@
             self.read_notices()  # now, so that their time is not that of the evaluation, after all runs
 
     def endpoints(self) -> list[Endpoint]:
-        """Return the receivers, behind their relays, as entries of a platform's list."""
+        """Return the receivers, behind their relays if any, as entries of a platform's list."""
         return [
-            Endpoint(name, self.relays[name].port, int(self.destinations[each.destination]), each.rate)
+            Endpoint(name, self.receiver_port(name), int(self.destinations[each.destination]), each.rate)
             for name, each in self.receivers.items()
         ]
 
--- a/laureldock/rehearsal/soak/evaluation.py
+++ b/laureldock/rehearsal/soak/evaluation.py
@@ -46,7 +46,7 @@
 
 def discard_lost_responses(record: RunRecord, relays: Mapping[str, Relay]) -> None:
     """Remove from the records what a stub receiver sent and its relay did not pass on."""
-    for call in record.calls:
+    for call in (each for each in record.calls if each.receiver in relays):
         relayed = relays[call.receiver].calls
         same = [
             each for each in relayed if each.message == call.message and each.relayed_at <= call.first_byte_at
--- a/laureldock/rehearsal/stub_receivers.py
+++ b/laureldock/rehearsal/stub_receivers.py
@@ -29,6 +29,39 @@
     slowdown: float = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseRepeats:
+    """A stub receiver decides at some responses to send them once more, a moment later.
+
+    Delays are in seconds and drawn from a range.
+    """
+
+    share: float  # fraction of the responses
+    min_delay: float
+    max_delay: float
+    crosses_requests: bool = True  # also if the next request has been read by then
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatedResponse:
+    """A response that was sent once more."""
+
+    receiver: str
+    connection: int
+    status: int
+    repeated_at: float  # seconds of the wall clock
+    crossed_request: bool  # the next request had been read, in part at least, and not been responded to
+
+
+@dataclass(slots=True)
+class StubConnection:
+    """A connection to a stub receiver. `request_open`: a request has begun and has no response yet."""
+
+    number: int
+    writer: asyncio.StreamWriter
+    request_open: bool = False
+
+
 @dataclass(slots=True)
 class StubReceiver:
     """One stub receiver; `seed` determines its response times and random refusals."""
@@ -40,6 +73,9 @@
     rate: float = 40.0  # calls per second that it can take
     call_time: float = 0.05  # seconds that a call takes, at the median
     refused_fraction: float = 0.0  # of the calls, that get a 503
+    wait_fraction: float = 0.0  # of the calls, that get a 429 with a wait of `short_wait` seconds
+    short_wait: float = 0.05
+    repeats: ResponseRepeats | None = None
     faults: list[FaultPeriod] = field(default_factory=list)
     start_capacity: float = 0.3
     warm_time: float = 4.0
@@ -47,11 +83,15 @@
     port: int = 0
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
+    connection_count: int = 0  # accepted so far
+    repeated: list[RepeatedResponse] = field(default_factory=list)
     rng: random.Random = field(default_factory=random.Random)
+    repeat_rng: random.Random = field(default_factory=random.Random)
 
     async def start(self, started_at: float) -> None:
         """Listen; `started_at` is the start of the load, in seconds of the wall clock."""
         self.started_at, self.rng = started_at, random.Random(self.seed)
+        self.repeat_rng = random.Random(self.seed)
         await self.listen()
 
     async def listen(self) -> None:
@@ -98,9 +138,11 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
         self.connections.add(writer)
+        self.connection_count += 1
+        connection = StubConnection(self.connection_count, writer)
         calls: list[RecordedCall] = []
         try:
-            await self.serve_requests(reader, writer, calls)
+            await self.serve_requests(reader, connection, calls)
         except (OSError, h11.RemoteProtocolError, asyncio.IncompleteReadError):
             pass  # the caller closed, or did not speak HTTP: its call is recorded without a response
         finally:
@@ -110,7 +152,7 @@
             writer.transport.abort()
 
     async def serve_requests(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, calls: list[RecordedCall]
+        self, reader: asyncio.StreamReader, connection: StubConnection, calls: list[RecordedCall]
     ) -> None:
         """Respond to the requests of one connection in turn, and add their calls to `calls`."""
         http = h11.Connection(h11.SERVER)
@@ -122,14 +164,18 @@
                 data = await reader.read(65536)
                 if request is None and data:
                     first_byte_at = first_byte_at or time.time()
+                    connection.request_open = True
                 http.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
             elif isinstance(event, h11.EndOfMessage) and request:
                 status, headers = await self.respond(request, first_byte_at, calls, reader)
                 head = h11.Response(status_code=status, headers=[*headers, ("Content-Length", "0")])
-                writer.write((http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b""))
-                await writer.drain()
+                response = (http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b"")
+                connection.writer.write(response)
+                connection.request_open = False
+                self.schedule_repeat(connection, status, response)
+                await connection.writer.drain()
                 if calls and request.method == b"POST":
                     calls[-1].ended_at, calls[-1].status = calls[-1].ended_at or time.time(), status
                 if http.our_state is not h11.DONE:
@@ -139,6 +185,22 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
+    def schedule_repeat(self, connection: StubConnection, status: int, response: bytes) -> None:
+        """Decide whether a response is sent once more, and when."""
+        if self.repeats and self.repeat_rng.random() < self.repeats.share:
+            delay = self.repeat_rng.uniform(self.repeats.min_delay, self.repeats.max_delay)
+            asyncio.get_running_loop().call_later(delay, self.repeat, connection, status, response)
+
+    def repeat(self, connection: StubConnection, status: int, response: bytes) -> None:
+        """Send a response once more, unless its connection has ended."""
+        assert self.repeats
+        if connection.writer.is_closing() or (connection.request_open and not self.repeats.crosses_requests):
+            return
+        connection.writer.write(response)
+        self.repeated.append(
+            RepeatedResponse(self.name, connection.number, status, time.time(), connection.request_open)
+        )
+
     async def respond(
         self,
         request: h11.Request,
@@ -172,6 +234,12 @@
             return 429, [("X-RateLimit-Wait-Ms", str(wait))]
         if self.refused_fraction and self.rng.random() < self.refused_fraction:
             return 503, []
+        if self.wait_fraction and self.rng.random() < self.wait_fraction:
+            now = time.time()
+            self.record.requested_waits.append(
+                ReceiverPeriod(self.name, now, now + self.short_wait, call.message)
+            )
+            return 429, [("X-RateLimit-Wait-Ms", str(round(self.short_wait * 1000)))]
         call.executed = True
         if fault and fault.kind == "silent":
             await reader.read(1)  # until the caller closes
