Let connections rest after a response, so that no copy answers the next request

Cause: an HTTP/1.1 response names no request. A connection was used again at once, so that a copy that came after the next request was written was read as its response, and that request's own response as the one to the request after it.

A 204 acknowledged the next notice; a probe took a call's 200.

A connection rests 50 ms after a response; what comes meanwhile is counted, logged, and ends it. Calls take the longest rested connections, wait at most 50 ms, or open a new one. Copies that are seen set the rest; where one was taken for a response, that receiver's connections carry one call each. Notices do not reuse a connection that has not rested. Connection pools are a module of their own.

Why it works: a copy that comes within the rest meets no request.

Tests that send over a kept connection let it rest 50 ms first, and their traces are later by that; two traces have a notice over a new connection, or two notices in one request, as both are pending when it is written.

--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -11,12 +11,13 @@
 from twisted.internet.posixbase import PosixReactorBase
 from twisted.python.failure import Failure
 
+from laureldock.carriers.connection_pool import ConnectionPool, IdleConnection
 from laureldock.core import MAX_BODY_BYTES
 from laureldock.core.call_results import ATTEMPT_RESULTS, RESULTS_BY_STATUS, CallResult
 from laureldock.core.messages import HeldMessage
 from laureldock.core.protocols import AttemptListener, Timer
+from laureldock.delivery_connections import RestTimes
 from laureldock.interface import Attempt, AttemptResult, ListedState, Outcome, Probe, Route
-from laureldock.sockets.flush import peek_unread
 from laureldock.sockets.http_client import HttpConnection, open_connection
 from laureldock.sockets.socket_budget import SocketBudget
 from laureldock.wire.http1 import Headers
@@ -26,59 +27,13 @@
 LATE_RESPONSE_TIME = 0.03
 
 
-class ConnectionPool:
-    """The connections to one route.
-
-    `all_idle` holds the idle connections of all routes with their pools, the longest idle first.
-    """
-
-    def __init__(
-        self,
-        route: Route,
-        address: str,
-        now: Callable[[], float],
-        all_idle: dict[HttpConnection, ConnectionPool],
-    ) -> None:
-        self.route, self.address, self.now, self.all_idle = route, address, now, all_idle
-        self.idle: list[
-            tuple[float, HttpConnection]
-        ] = []  # each with when it became idle, longest idle first
-
-    def close_idle(self, idle_for: float = 0.0) -> None:
-        """Close the connections that have been idle for at least this many seconds."""
-        while self.idle and self.idle[0][0] <= self.now() - idle_for:
-            self.close_oldest()
-
-    def close_oldest(self) -> None:
-        _, connection = self.idle.pop(0)
-        del self.all_idle[connection]
-        connection.discard()
-
-    def take_newest(self) -> tuple[float, HttpConnection]:
-        """Remove and return the connection that became idle last, with the time at which it did."""
-        since, connection = self.idle.pop()
-        del self.all_idle[connection]
-        return since, connection
-
-    def release(self, connection: HttpConnection) -> None:
-        """Take back a connection whose call has ended, or close it if the route is not up."""
-        if self.route.listed_state is ListedState.UP:
-            self.idle.append((self.now(), connection))
-            self.all_idle[connection] = self
-        else:
-            connection.discard()
-
-    def connection_closed(self, connection: HttpConnection) -> None:
-        if self.all_idle.pop(connection, None):
-            self.idle = [(since, other) for since, other in self.idle if other is not connection]
-
-
 class HttpCarrier:
     """Carries out attempts and probes as HTTP calls to receivers, and reports their outcomes to the core."""
 
     def __init__(self, core: AttemptListener, reactor: PosixReactorBase, room: SocketBudget) -> None:
         self.core, self.reactor, self.room = core, reactor, room
         self.pools: dict[Route, ConnectionPool] = {}
+        self.rest_times = RestTimes()  # of the connections of all routes
         self.all_idle: dict[HttpConnection, ConnectionPool] = {}  # idle connections, the longest idle first
         self.calls: dict[Attempt, HttpCall] = {}  # in flight; probes are not among them
         room.free_socket = self.make_room
@@ -88,7 +43,11 @@
         return len(self.calls)
 
     def update_route(self, route: Route, dial: str) -> None:
-        pool = self.pools.setdefault(route, ConnectionPool(route, dial, self.core.now, self.all_idle))
+        pool = self.pools.get(route)
+        if pool is None:
+            pool = self.pools[route] = ConnectionPool(
+                route, dial, self.core.now, self.all_idle, self.rest_times, self.core.report_extra_bytes
+            )
         if route.listed_state is not ListedState.UP or pool.address != dial:
             pool.close_idle()
         pool.address = dial
@@ -150,24 +109,17 @@
             self.pools[route].close_idle()
 
     def take_idle_connection(
-        self, pool: ConnectionPool, max_connection_idle_time: float
-    ) -> tuple[float, HttpConnection] | None:
-        """Take a usable idle connection of the pool; returns its idle time in seconds and the connection.
+        self, pool: ConnectionPool, max_connection_idle_time: float, time_limit: float
+    ) -> IdleConnection | None:
+        """Take an idle connection that the receiver has surely not closed yet, or None if there is none.
 
-        A connection is usable if the receiver has surely not closed it yet, and if no bytes are unread on it:
-        these would be read as the response to the next call. Returns None if there is no such connection.
+        It may have to rest, for `time_limit` seconds at most.
         """
         # Receivers close connections after `idle_time`. A call must reach the receiver before that; it is
         # given as long for this as connecting may take.
         delivery_settings = self.core.settings
         pool.close_idle(delivery_settings.idle_time - delivery_settings.connect_timeout)
-        while pool.idle:
-            since, connection = pool.take_newest()
-            connection_idle_time = self.core.now() - since
-            if connection_idle_time <= max_connection_idle_time and peek_unread(connection.transport) is None:
-                return connection_idle_time, connection
-            connection.discard()
-        return None
+        return pool.take(max_connection_idle_time, time_limit)
 
     def make_room(self) -> None:
         """Make room for one more connection, of a client or to a receiver: close the longest idle ones."""
@@ -204,6 +156,7 @@
         self.max_connection_idle_time, self.connection_idle_time = max_connection_idle_time, 0.0
         self.started_at, self.finished = carrier.core.now(), False
         self.connection: HttpConnection | None = None
+        self.resting: IdleConnection | None = None  # the connection that the call waits for
         self.message: HeldMessage | None = None  # None for a probe
         self.on_sending: Callable[[], None] = lambda: None  # called just before the first byte is sent
         self.connecting: Deferred[HttpConnection] | None = None
@@ -212,13 +165,38 @@
         self.given_up_as: CallResult | None = None
 
     def start(self) -> None:
+        self.timer = self.carrier.core.call_later(self.time_limit, self.stop, CallResult.TIMED_OUT)
+        self.take_connection()
+
+    def take_connection(self) -> None:
+        """Send over an idle connection, once it has rested, or over a new one."""
+        core = self.carrier.core
+        time_left = self.started_at + self.time_limit - core.now()
+        idle = self.carrier.take_idle_connection(self.pool, self.max_connection_idle_time, time_left)
+        if idle is None:
+            self.open_connection()
+        elif idle.connection.ready_at <= core.now():
+            self.send_over_idle(idle)
+        else:
+            self.resting = idle
+            core.call_later(idle.connection.ready_at - core.now(), self.rest_ended)
+
+    def rest_ended(self) -> None:
+        """The connection that the call waited for has rested: send, or take another one if it has closed."""
+        if (idle := self.resting) is None:
+            return  # given up meanwhile
+        self.resting = None
+        if idle.connection.discard_if_unread():
+            self.take_connection()
+        else:
+            self.send_over_idle(idle)
+
+    def send_over_idle(self, idle: IdleConnection) -> None:
+        self.connection_idle_time = self.carrier.core.now() - idle.idle_since
+        self.send(idle.connection)
+
+    def open_connection(self) -> None:
         core = self.carrier.core
-        self.timer = core.call_later(self.time_limit, self.stop, CallResult.TIMED_OUT)
-        idle = self.carrier.take_idle_connection(self.pool, self.max_connection_idle_time)
-        if idle:
-            self.connection_idle_time, connection = idle
-            self.send(connection)
-            return
         self.carrier.make_room()
         self.carrier.room.receivers += 1
         core.counters["connections opened"] += 1
@@ -230,7 +208,8 @@
 
     def connected(self, connection: HttpConnection) -> None:
         self.connecting = None
-        connection.on_idle, connection.on_closed = self.pool.release, self.connection_closed
+        self.pool.adopt(connection)
+        connection.on_closed = self.connection_closed
         # In the next iteration of the reactor, after it has read all input that is ready in this one.
         self.carrier.core.call_later(0, self.send, connection)
 
@@ -269,7 +248,11 @@
             return
         if self.connecting:
             self.connecting.cancel()
-        if self.connection:
+        if self.resting:
+            resting, self.resting = self.resting, None
+            self.pool.release(resting.connection)
+            self.finish(CallResult.NOT_STARTED)
+        elif self.connection:
             self.connection.fail(CallResult.NOT_CONNECTED)
         else:
             self.finish(CallResult.NOT_CONNECTED)
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -38,6 +38,7 @@
 from laureldock.core.record_keeping import RecordKeeping
 from laureldock.core.recovery import Recovery
 from laureldock.core.submissions import Submissions
+from laureldock.delivery_connections import ExtraBytes
 from laureldock.delivery_policy import DeliveryPolicy
 from laureldock.delivery_settings import DeliveryRegistry, ListedEndpoint
 
@@ -340,6 +341,13 @@
         self.counters["malformed requests"] += 1
         self.log.warning("malformed request", why=reason, so_far=self.counters["malformed requests"])
 
+    def report_extra_bytes(self, peer: str, kind: ExtraBytes) -> None:
+        """Log and count bytes of a peer that answer no request; their connection is closed."""
+        self.counters[kind.value] += 1
+        self.log.warning(
+            "bytes without a request", peer=peer, kind=kind.value, so_far=self.counters[kind.value]
+        )
+
     def hold_message(self, held: HeldMessage) -> None:
         """Hold a message until it is finished or withdrawn."""
         self.held_messages[held.message] = self.messages_by_name[held.name] = held
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -16,6 +16,7 @@
 from laureldock.core.invariants import Invariants
 from laureldock.core.messages import HeldMessage, Reply, StoredMessage, Submitter
 from laureldock.core.peer_view import PeerView, RouteRecord
+from laureldock.delivery_connections import ExtraBytes
 from laureldock.delivery_settings import ListedEndpoint
 
 
@@ -229,6 +230,9 @@
     def call_later(self, delay: float, call: Callable[..., None], *args: Any) -> Timer:
         """Call a function after so many seconds."""
 
+    def report_extra_bytes(self, peer: str, kind: ExtraBytes) -> None:
+        """A peer, by its name or address, sent bytes that answer no request."""
+
 
 class SubmissionHandler(CoreServices, Protocol):
     """What fronts call on the core."""
--- a/laureldock/outlets/platform.py
+++ b/laureldock/outlets/platform.py
@@ -19,7 +19,7 @@
     """Posts all pending notices in one request, as far as its body holds them; one request at a time."""
 
     def __init__(self, core: NoticeListener, reactor: PosixReactorBase, dial: str) -> None:
-        super().__init__(reactor, dial, MAX_BODY_BYTES)
+        super().__init__(core, reactor, dial, MAX_BODY_BYTES)
         self.core = core
         self.pending: dict[bytes, bytes] = {}  # notices by message name, in the order of the messages' ends
         self.in_flight: list[bytes] = []  # message names of the notices in the current request
@@ -37,8 +37,10 @@
         self.send_pending()
 
     def send_pending(self) -> None:
-        if self.busy or not self.pending:
-            return
+        if not self.busy and self.pending:
+            self.start_request(RESPONSE_TIMEOUT)
+
+    def write_request(self, line: HttpConnection) -> None:
         self.in_flight = []
         size = 0
         for name, notice in self.pending.items():
@@ -46,9 +48,6 @@
             if size > MAX_BODY_BYTES:
                 break
             self.in_flight.append(name)
-        self.start_request(RESPONSE_TIMEOUT)
-
-    def write_request(self, line: HttpConnection) -> None:
         body = b"".join(self.pending[name] for name in self.in_flight)
         head = [
             b"POST /v1/notices HTTP/1.1",
--- a/laureldock/sockets/flush.py
+++ b/laureldock/sockets/flush.py
@@ -11,10 +11,13 @@
 from zope.interface import implementer
 
 
-def peek_unread(transport: Connection) -> bytes | None:
-    """The first byte received but not read yet; b"" if that is the close of the connection, else None."""
+def peek_unread(transport: Connection, size: int = 1) -> bytes | None:
+    """The first `size` bytes, if so many, that were received but not read yet.
+
+    b"" if what comes next is the close of the connection; None if nothing has been received.
+    """
     try:
-        return transport.socket.recv(1, socket.MSG_PEEK)
+        return transport.socket.recv(size, socket.MSG_PEEK)
     except BlockingIOError:
         return None
     except OSError:
--- a/laureldock/sockets/http_client.py
+++ b/laureldock/sockets/http_client.py
@@ -15,8 +15,14 @@
 from twisted.python.failure import Failure
 
 from laureldock.core.call_results import CallResult
-from laureldock.core.protocols import Timer
-from laureldock.sockets.flush import FlushProducer, half_close
+from laureldock.core.protocols import CoreServices, Timer
+from laureldock.delivery_connections import (
+    COMPARED_BYTES,
+    ConnectionHistory,
+    ConnectionReuse,
+    RestTimes,
+)
+from laureldock.sockets.flush import FlushProducer, half_close, peek_unread
 from laureldock.wire.http1 import Headers, MalformedResponseError, ResponseParser
 
 
@@ -35,19 +41,30 @@
 
 
 class HttpConnection(LineReceiver):
-    """One connection. Calls `on_idle` when it can carry the next request, `on_closed` when it is closed."""
+    """One connection.
+
+    Calls `on_idle` when it can carry the next request, once it has rested; `on_extra_bytes` with bytes that
+    answer no request, upon which it closes; `on_closed` when it is closed.
+    """
 
     transport: Connection  # type: ignore[assignment]
 
     MAX_LENGTH = 8192  # bytes of a line, a common limit of HTTP servers
     delimiter = b"\n"
 
-    def __init__(self, max_body: int) -> None:
+    def __init__(self, max_body: int, now: Callable[[], float]) -> None:
+        """`now`: the monotonic time in seconds."""
+        self.now = now
         self.handler: ResponseHandler | None = None
         self.parser = ResponseParser(max_body)
         self.request_flushed = self.closed = self.half_closed = False
         self.request_count = self.bytes_received = 0
+        self.history = ConnectionHistory()
+        self.response_start = b""  # of the response that is arriving
+        self.request_written_at = 0.0
+        self.ready_at = 0.0  # when it has rested after its last response; set by its owner
         self.on_idle: Callable[[HttpConnection], None] = lambda connection: None
+        self.on_extra_bytes: Callable[[HttpConnection, bytes], None] = lambda connection, data: None
         self.on_closed: Callable[[HttpConnection], None] = lambda connection: None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -58,7 +75,7 @@
         FlushProducer(self.transport, b"\r\n".join([*head, b"", body]), self.on_request_flushed)
 
     def on_request_flushed(self) -> None:
-        self.request_flushed = True
+        self.request_flushed, self.request_written_at = True, self.now()
         if self.handler:
             self.handler.request_written()
 
@@ -70,6 +87,14 @@
         else:
             self.transport.abortConnection()
 
+    def discard_if_unread(self) -> bool:
+        """Close it if something arrived on it since its last response; return whether it is closed."""
+        if not self.closed and (unread := peek_unread(self.transport, COMPARED_BYTES)) is not None:
+            if unread:
+                self.on_extra_bytes(self, unread)
+            self.discard()
+        return self.closed
+
     def end_sending(self) -> None:
         """Half-close it: the server abandons the request, unless its response is already on the way.
 
@@ -79,12 +104,16 @@
         half_close(self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.closed:
+            return
         if self.handler is None or not self.request_flushed:
             # No request has been sent in full, so these bytes answer none, and would precede the next
             # response. A request that is not written in full has not run, and never will now.
+            self.on_extra_bytes(self, data)
             self.fail(CallResult.NOT_CONNECTED)
             return
         self.bytes_received += len(data)
+        self.response_start += data[: COMPARED_BYTES - len(self.response_start)]
         super().dataReceived(data)
         if self.handler and self.parser.status >= 200:
             self.handler.response_started(self.parser.status, self.parser.headers)
@@ -93,11 +122,14 @@
         if self.handler is None or self.closed:
             self.fail_malformed()
             return
+        status_before = self.parser.status
         try:
             self.parser.feed_line(line)
         except MalformedResponseError:
             self.fail_malformed()
             return
+        if status_before and not self.parser.status:  # an interim response has ended
+            self.response_start = self._buffer[:COMPARED_BYTES]
         if self.parser.complete:
             self.finish_response()
         elif self.parser.wants_data:
@@ -122,8 +154,12 @@
         handler, self.handler = self.handler, None
         parser = self.parser
         status, headers, body = parser.status, parser.headers, bytes(parser.body)
-        # Bytes behind the response must not be read as the response to the next request.
-        unusable = self._buffer or parser.closes_connection or self.half_closed
+        extra = self._buffer  # bytes behind the response must not be read as the response to the next request
+        self.history.response_ended(self.now(), self.response_start.removesuffix(extra))
+        self.response_start = b""
+        if extra:
+            self.on_extra_bytes(self, extra)
+        unusable = extra or parser.closes_connection or self.half_closed
         parser.reset()
         if unusable:
             self.closed = True
@@ -172,7 +208,7 @@
     host, _, port = address.rpartition(":")
     endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=time_out)
     connecting: Deferred[HttpConnection] = endpoint.connect(
-        Factory.forProtocol(lambda: HttpConnection(max_body))  # type: ignore
+        Factory.forProtocol(lambda: HttpConnection(max_body, reactor.seconds))  # type: ignore
     )
     return connecting
 
@@ -183,8 +219,9 @@
     A subclass writes the request in `write_request`, and handles its end in `response_received` and `fail`.
     """
 
-    def __init__(self, reactor: PosixReactorBase, address: str, max_body: int) -> None:
-        self.reactor, self.address, self.max_body = reactor, address, max_body
+    def __init__(self, core: CoreServices, reactor: PosixReactorBase, address: str, max_body: int) -> None:
+        self.services, self.reactor, self.address, self.max_body = core, reactor, address, max_body
+        self.reuse = ConnectionReuse(RestTimes())
         self.busy = False
         # When a response that is still arriving is given up; how much of it was there at the last check.
         self.deadline, self.bytes_seen = 0.0, 0
@@ -207,16 +244,21 @@
         `progress_time`: a response that is still arriving after `time_out` is waited for so many seconds
         more, again and again while bytes arrive. `max_time`: the limit on all of it.
         """
+        if self.connection and not self.can_reuse(self.connection):
+            self.discard_connection()
         self.busy, self.deadline = True, self.reactor.seconds() + max_time
         self.bytes_seen = self.connection.bytes_received if self.connection else 0
         self.timer = self.reactor.callLater(time_out, self.check_progress, progress_time)
-        if self.connection and not self.connection.closed:
+        if self.connection:
             self.write_request(self.connection)
         else:
-            self.connection = None
             self.connecting = open_connection(self.reactor, self.address, self.max_body, time_out)
             self.connecting.addCallbacks(self.connected, self.connect_failed)
 
+    def can_reuse(self, connection: HttpConnection) -> bool:
+        """Whether the next response on this connection is certainly one to the next request."""
+        return not connection.discard_if_unread() and connection.ready_at <= self.reactor.seconds()
+
     def check_progress(self, progress_time: float) -> None:
         bytes_received = self.connection.bytes_received if self.connection else 0
         if bytes_received > self.bytes_seen and self.reactor.seconds() + progress_time <= self.deadline:
@@ -227,8 +269,18 @@
 
     def connected(self, connection: HttpConnection) -> None:
         self.connecting, self.connection = None, connection
+        connection.on_idle, connection.on_extra_bytes = self.response_ended, self.extra_bytes_received
         self.write_request(connection)
 
+    def response_ended(self, connection: HttpConnection) -> None:
+        connection.ready_at = self.reuse.response_ended(
+            self.reactor.seconds(), connection.request_written_at, connection.history
+        )
+
+    def extra_bytes_received(self, connection: HttpConnection, data: bytes) -> None:
+        kind = self.reuse.extra_bytes_received(self.reactor.seconds(), data, connection.history)
+        self.services.report_extra_bytes(self.address, kind)
+
     def connect_failed(self, failure: Failure) -> None:
         if self.connecting:  # otherwise it was cancelled
             self.connecting = None
@@ -253,6 +305,7 @@
         """Send to another address from now on, and abandon the request that is out at the old one."""
         self.close()
         self.address = address
+        self.reuse = ConnectionReuse(RestTimes())
 
     def close(self) -> None:
         self.end_request()
--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -60,7 +60,7 @@
     """
 
     def __init__(self, core: EndpointListListener, reactor: PosixReactorBase, dial: str, known: Any) -> None:
-        super().__init__(reactor, dial, MAX_LIST_BYTES)
+        super().__init__(core, reactor, dial, MAX_LIST_BYTES)
         self.core, self.known = core, known
         self.version: int | None = None  # of the list held; None: the next request is for the full list
         self.last_fetch: FetchList | None = None
@@ -123,6 +123,10 @@
             self.fetch_list(fetch)
         return None
 
+    def can_reuse(self, connection: HttpConnection) -> bool:
+        """It needs no rest: each response has its version."""
+        return not connection.discard_if_unread()
+
     def request_written(self) -> None:
         """Does nothing: requests for the list are not counted."""
 
--- a/tests/drivers.py
+++ b/tests/drivers.py
@@ -394,6 +394,10 @@
         lines = [f"HTTP/1.1 {status}", *headers, f"Content-Length: {len(body)}", "", body]
         self.send(connection, "\r\n".join(lines).encode())
 
+    def rest(self) -> None:
+        """Lets connections that had a response rest, so that they can carry the next call."""
+        self.advance(0.05)
+
     def break_connection(self, name: str) -> None:
         connection = self.waiting_connection(name)
         self.record(f"{connection.name}: connection broken")
--- a/tests/repeated_responses.py
+++ b/tests/repeated_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,6 +13,9 @@
 from laureldock.rehearsal.soak.soak_result import SoakResult
 from laureldock.rehearsal.stub_receivers import RepeatedResponse, ResponseRepeats
 
+# Two processes that hand over write one log, so that a line may hold two events.
+SEEN_COPY = re.compile(r'"kind": "([^"]+)", "so_far": (\d+), [^{}]*"process_id": (\d+)')
+
 
 @dataclass(frozen=True, slots=True)
 class RepeatRun:
@@ -40,7 +44,8 @@
     repeated: list[RepeatedResponse]
     connections: int  # that receivers accepted
     calls: int
-    counters: Counter[str]  # of all processes
+    seen: Counter[str]  # copies that the processes have seen, by their kind
+    delays: list[float]  # of the delivered messages, in seconds from their submission
 
     @property
     def crossing(self) -> int:
@@ -65,15 +70,28 @@
         receiver.wait_fraction = run.wait_fraction
     await rig.play()
     receivers = rig.receivers.values()
+    delivered = {call.message: call.ended_at for call in rig.record.calls if call.status == 200}
     return RepeatResult(
         rig.evaluate(),
         [each for receiver in receivers for each in receiver.repeated],
         sum(receiver.connection_count for receiver in receivers),
         len(rig.record.calls),
-        Counter(),
+        seen_copies(rig.log),
+        [ended_at - rig.record.messages[name].submitted_at for name, ended_at in delivered.items()],
     )
 
 
+def seen_copies(log: Path) -> Counter[str]:
+    """The counts that the processes have logged last, added up."""
+    last_counts: dict[tuple[str, str], int] = {}
+    for kind, count, process_id in SEEN_COPY.findall(log.read_text()):
+        last_counts[process_id, kind] = int(count)
+    found: Counter[str] = Counter()
+    for (_, kind), count in last_counts.items():
+        found[kind] += count
+    return found
+
+
 async def play_all(folder: Path, runs: list[RepeatRun]) -> list[RepeatResult]:
     """Play runs side by side."""
     return await asyncio.gather(*(play(folder / str(number), run) for number, run in enumerate(runs)))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -43,6 +43,7 @@
     dispatcher.send(client, dispatcher.command("PING"))
     dispatcher.put(client, "m1")
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
     dispatcher.put(client, "m2")  # on the kept connection
     dispatcher.respond("1", "429 Too Many", "X-RateLimit-Wait-Ms: 400", "X-Load-Report: x0=0.4,x1=25")
     dispatcher.advance(0.6)
@@ -72,6 +73,7 @@
     client = dispatcher.connect_client()
     dispatcher.put(client, "m1")
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
     dispatcher.connections[-1].blocked = True
     dispatcher.put(client, "m2", "charge")
     dispatcher.break_connection("1")
@@ -127,6 +129,7 @@
     dispatcher.advance(0.4)
     dispatcher.put(client, "c1", "charge")
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
     dispatcher.put(client, "c2", "charge")  # hardly idle
     dispatcher.respond("1", "200 OK")
     assert dispatcher.core.counters["connections opened"] == opened_before + 1
@@ -154,6 +157,7 @@
     client = dispatcher.connect_client()
     dispatcher.put(client, "m1")
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
     dispatcher.not_connecting = {"1"}
     dispatcher.put(client, "m2")
     dispatcher.put(client, "m3")
@@ -268,6 +272,7 @@
     dispatcher.accepts_notices = True
     dispatcher.advance(1.1)
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
     dispatcher.respond("1", "200 OK")
     assert not dispatcher.core.store.pending and not dispatcher.core.policy.key_queues
     assert dispatcher.matches_trace("net-owed-notices")
@@ -352,6 +357,7 @@
     client = dispatcher.connect_client()
     dispatcher.put(client, "m1")
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
     dispatcher.put(client, "m2")
     dispatcher.put(client, "m3")
     dispatcher.respond("1", "200 OK")
@@ -374,7 +380,7 @@
         dispatcher.put(client, f"m{number}")
         waiting = next(line for line in reversed(dispatcher.lines) if "POST" in line)
         dispatcher.respond(waiting.split("-> ")[1].partition(":")[0], "200 OK")
-        dispatcher.reactor.advance(0.01)
+        dispatcher.rest()
     receivers = dispatcher.assembly.carrier
     idle_connections = [(since, line) for pool in receivers.pools.values() for since, line in pool.idle]
     oldest = [line for _, line in sorted(idle_connections, key=lambda each: each[0])]
@@ -515,6 +521,7 @@
         dispatcher.put(client, f"m{number}")
         if number < 3:
             dispatcher.respond("12", "200 OK")
+            dispatcher.rest()
     dispatcher.record("stalled for three seconds")
     dispatcher.now += 3.0
     waiting = [
@@ -642,6 +649,7 @@
     dispatcher.advance(0.1)
     dispatcher.respond("1", "200 OK")
     assert not dispatcher.core.store.pending
+    dispatcher.rest()
     dispatcher.put(client, "m3")
     assert dispatcher.matches_trace("net-disk")
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -76,6 +76,7 @@
     """After a served call, two may be in flight at once."""
     dispatcher.put(dispatcher.connect_client(), "m0")
     dispatcher.respond("1", "200 OK")
+    dispatcher.rest()
 
 
 def sent_during_wait(dispatcher: InMemoryDispatcher) -> None:
@@ -120,6 +121,7 @@
     dispatcher.advance(0.1)
     dispatcher.respond("1", "200 OK")
     dispatcher.put(dispatcher.connect_client(), "m2", "order", "key")
+    dispatcher.rest()
 
 
 def sent_over_slots(dispatcher: InMemoryDispatcher) -> None:
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -266,6 +266,7 @@
         calls = [line for line in dispatcher.lines if "POST /hook" in line]
         assert f"X-Call-Id: {name} " in calls[-1], calls
         dispatcher.respond("1", "200 OK")
+        dispatcher.rest()
     assert sum("POST /hook" in line for line in dispatcher.lines) == 3
 
 
--- /dev/null
+++ b/tests/test_repeated_responses.py
@@ -0,0 +1,142 @@
+"""Responses that are sent once more, a moment later: none is taken for the response to the next request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from repeated_responses import RepeatRun, play_all
+from socket_dispatcher import Connection, SocketDispatcher
+
+from laureldock.interface import Outcome, Probe, Route
+from laureldock.rehearsal.stub_receivers import ResponseRepeats
+
+OK = b"+OK\r\n"
+SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+FULL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+WAIT = b"HTTP/1.1 429 Wait\r\nX-RateLimit-Wait-Ms: 1\r\nContent-Length: 0\r\n\r\n"
+ACKNOWLEDGED = b"HTTP/1.1 204 No Content\r\n\r\n"
+DELAY = 0.014  # seconds until a copy, as they were seen
+
+
+@pytest.fixture
+def dispatcher(tmp_path: Path) -> Iterator[SocketDispatcher]:
+    dispatcher = SocketDispatcher(tmp_path)
+    yield dispatcher.start_until_ready()
+    dispatcher.close()
+
+
+def put(dispatcher: SocketDispatcher, name: str, queue_class: str = "charge") -> None:
+    client = dispatcher.connect_client()
+    client.send(dispatcher.put_request(name, queue_class))
+    dispatcher.step_until(lambda: client.receive() == OK)
+
+
+def repeat(dispatcher: SocketDispatcher, connection: Connection, response: bytes) -> None:
+    """Send the copy of a response, and let it be read."""
+    dispatcher.step_for(DELAY)
+    connection.send(response)
+    dispatcher.step_for(0.02)
+
+
+def only_route(dispatcher: SocketDispatcher) -> Route:
+    return next(iter(dispatcher.assembly.carrier.pools))
+
+
+@pytest.mark.parametrize("response", [SERVED, FULL, WAIT], ids=["200", "503", "429"])
+def test_a_copy_is_no_response_to_the_next_call(dispatcher: SocketDispatcher, response: bytes) -> None:
+    """Guards against messages that were lost, or sent twice, by the copy of an earlier response."""
+    put(dispatcher, "a", "news")
+    connection = dispatcher.respond("a", SERVED)
+    dispatcher.step_until(lambda: not dispatcher.core.store.pending)
+    put(dispatcher, "b", "news")
+    assert dispatcher.respond("b", response) is connection
+    put(dispatcher, "c")
+    repeat(dispatcher, connection, response)
+    if response is not SERVED:
+        dispatcher.step_until(lambda: dispatcher.received_calls().count("b") == 2)
+        dispatcher.respond("b", SERVED)
+    after_copy = dispatcher.wait_for_call("c")
+    assert after_copy is not connection and b"c" in dispatcher.core.store.pending
+    after_copy.send(SERVED)
+    dispatcher.step_until(lambda: not dispatcher.core.store.pending)
+    assert dispatcher.received_calls().count("c") == 1
+    assert dispatcher.core.counters["response repeated"] == 1
+
+
+def test_a_copy_is_no_response_to_a_probe_nor_one_of_a_probe_to_a_call(
+    dispatcher: SocketDispatcher, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a receiver that counts as up by the copy of an earlier response."""
+    outcomes: list[Outcome] = []
+    monkeypatch.setattr(dispatcher.core, "probe_ended", lambda route, outcome: outcomes.append(outcome))
+    put(dispatcher, "a", "news")
+    connection = dispatcher.respond("a", SERVED)
+    dispatcher.step_until(lambda: not dispatcher.core.store.pending)
+    dispatcher.assembly.carrier.start_probe(Probe(only_route(dispatcher), 1.0))
+    repeat(dispatcher, connection, SERVED)
+    dispatcher.step_until(lambda: len(dispatcher.receiver.connections) == 2)
+    probed = dispatcher.receiver.connections[1]
+    dispatcher.step_until(lambda: probed.receive().startswith(b"GET /alive"))
+    assert not outcomes
+    probed.send(SERVED)
+    dispatcher.step_until(lambda: outcomes)
+    put(dispatcher, "b")
+    repeat(dispatcher, probed, SERVED)
+    assert dispatcher.wait_for_call("b") is not probed and b"b" in dispatcher.core.store.pending
+
+
+def test_a_copy_acknowledges_no_other_notice(dispatcher: SocketDispatcher) -> None:
+    """Guards against a notice that is forgotten though the platform never had it: its message is lost."""
+    put(dispatcher, "z", "news")
+    dispatcher.respond("z", SERVED)  # two calls may be in flight from now on
+    dispatcher.platform.accepts_notices = False
+    put(dispatcher, "a")
+    put(dispatcher, "b")
+    dispatcher.wait_for_call("b")
+    dispatcher.respond("a", FAILED)
+    dispatcher.step_until(lambda: notice_connections(dispatcher, "a"))
+    acknowledged = notice_connections(dispatcher, "a")[-1]
+    acknowledged.send(ACKNOWLEDGED)
+    dispatcher.respond("b", FAILED)
+    dispatcher.step_until(lambda: notice_connections(dispatcher, "b"))
+    repeat(dispatcher, acknowledged, ACKNOWLEDGED)
+    assert list(dispatcher.core.store.pending) == [b"b"]
+    dispatcher.platform.accepts_notices = True
+    dispatcher.step_until(lambda: not dispatcher.core.store.pending)
+
+
+def notice_connections(dispatcher: SocketDispatcher, name: str) -> list[Connection]:
+    """The connections over which a notice of a message came."""
+    return [
+        each for each in dispatcher.platform.connections if f'"message":"{name}"'.encode() in each.received
+    ]
+
+
+RUNS = {
+    "busy": RepeatRun(1, ResponseRepeats(0.3, 0.0, 0.014), length=12.0, platform=True),
+    "quiet": RepeatRun(2, ResponseRepeats(0.3, 0.0, 0.014), length=12.0, rate=5.0, platform=True),
+    "upgrade": RepeatRun(3, ResponseRepeats(0.3, 0.0, 0.014), length=12.0, passed=True, platform=True),
+    "late": RepeatRun(4, ResponseRepeats(0.3, 0.0, 0.2), length=12.0),
+}
+
+
+def test_the_rules_hold_where_receivers_repeat_responses(tmp_path: Path) -> None:
+    """Guards against lost, repeated and overtaking messages: real processes, copies across the next call."""
+    results = dict(zip(RUNS, asyncio.run(play_all(tmp_path, list(RUNS.values()))), strict=True))
+    for name, result in results.items():
+        assert not result.soak.failures, (name, result.soak.failures, result.soak.message_histories)
+        assert len(result.repeated) > 10 and not result.seen["responses one behind"]
+    assert {each.status for result in results.values() for each in result.repeated} == {200, 429, 503}
+    assert results["upgrade"].soak.handovers == 1
+
+
+def test_copies_that_come_too_late_are_counted_and_end_the_reuse_of_connections(tmp_path: Path) -> None:
+    """What is left: the first of them may be taken for a response; then each call has its own connection."""
+    run = RepeatRun(5, ResponseRepeats(0.3, 0.1, 0.5), length=12.0)
+    (result,) = asyncio.run(play_all(tmp_path, [run]))
+    assert result.crossing <= 5 and sum(result.seen.values()) > 0
+    assert len(result.repeated) < 0.1 * result.calls < result.connections
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -19,6 +19,7 @@
 from pytest import approx
 
 from laureldock.core.messages import StoredMessage
+from laureldock.delivery_connections import ExtraBytes
 from laureldock.logs import LossyStream
 from laureldock.outlets.lines import LineFile, LineOutlet
 from laureldock.rehearsal.soak.system_calls import FaultInjector, FaultWindow, SystemCallFault
@@ -196,6 +197,9 @@
         self.last_delay = delay
         self.due.append(call)
 
+    def report_extra_bytes(self, peer: str, kind: ExtraBytes) -> None:
+        """Notices to a file come with no responses."""
+
     def run(self) -> None:
         due, self.due = self.due, []
         for call in due:
