Discovery: the copy of an older list is no response to the watch that is open

Callers saw: an endpoint that was told to drain was up again until the next list, where the platform's agent sends a list once more (the same cause as with receivers).

Cause: any well-formed list was applied, whatever its version; only an empty one of the same version, long before the end of the wait, counted as a failure.

Change: any response with nothing newer than the version asked after, long before the wait is over, counts as a failure: the connection is closed and the list asked for anew. So copies of any delay up to half of the wait are told, and there is no rest.

--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -108,14 +108,14 @@
             self.version = None
             return self.fail(str(error))
         fetch = self.last_fetch
-        # An empty update long before the wait is over counts as a failure, which delays the next request.
-        # Otherwise such a server would be asked in an endless loop.
+        # Nothing newer long before the wait is over: an earlier response has come again, or the server does
+        # not wait. It counts as a failure, so that the next request is not sent at once, in an endless loop.
         if (
-            not update[2]
-            and update[0] == self.version
+            self.version is not None
+            and update[0] <= self.version
             and self.core.now() < self.requested_at + self.wait_time / 2
         ):
-            return self.fail("empty update long before the requested wait was over")
+            return self.fail("nothing newer long before the requested wait was over")
         self.end_request()
         self.watching = self.settled = True
         self.core.guard(self.apply, *update)
@@ -124,7 +124,7 @@
         return None
 
     def can_reuse(self, connection: HttpConnection) -> bool:
-        """It needs no rest: each response has its version."""
+        """It needs no rest: an earlier response that comes again is known by its version."""
         return not connection.discard_if_unread()
 
     def request_written(self) -> None:
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -10,7 +10,7 @@
 from repeated_responses import RepeatRun, play_all
 from socket_dispatcher import Connection, SocketDispatcher
 
-from laureldock.interface import Outcome, Probe, Route
+from laureldock.interface import ListedState, Outcome, Probe, Route
 from laureldock.rehearsal.stub_receivers import ResponseRepeats
 
 OK = b"+OK\r\n"
@@ -116,6 +116,22 @@
     ]
 
 
+def test_a_copy_of_an_older_list_changes_nothing(dispatcher: SocketDispatcher) -> None:
+    """Guards against an endpoint that is up again by the copy of a list from before its drain."""
+    watch = dispatcher.platform.stop_answering_list()
+    ready = dispatcher.platform.endpoint_list
+    older = dispatcher.platform.list_response({**ready, "seq": 2, "whole": False})
+    watch.send(older)
+    dispatcher.set_endpoint_list("Terminating", 3)
+    dispatcher.step_until(lambda: "after=2&" in dispatcher.platform.list_requests[-1][1])
+    watch.send(dispatcher.platform.list_response({**dispatcher.platform.endpoint_list, "whole": False}))
+    dispatcher.step_until(lambda: "after=3&" in dispatcher.platform.list_requests[-1][1])
+    watch.send(older)
+    dispatcher.step_until(lambda: dispatcher.platform.list_requests[-1][2] is not watch)
+    assert only_route(dispatcher).listed_state is ListedState.DRAINING
+    assert "after=3&" in dispatcher.platform.list_requests[-1][1]
+
+
 RUNS = {
     "busy": RepeatRun(1, ResponseRepeats(0.3, 0.0, 0.014), length=12.0, platform=True),
     "quiet": RepeatRun(2, ResponseRepeats(0.3, 0.0, 0.014), length=12.0, rate=5.0, platform=True),
