--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -10,6 +10,8 @@
 
 import click
 
+REPEATED_SHARE = 0.3  # fraction of the responses that servers send again, where they do
+
 
 @click.group("rehearse", invoke_without_command=True)
 @click.option(
@@ -126,6 +128,12 @@
 @click.option("--rate", default=6.0, show_default=True, help="Messages per second and dispatcher.")
 @click.option("--hand-over", is_flag=True, help="Hand over between processes on a passed socket.")
 @click.option("--platform", is_flag=True, help="Use a platform's endpoint list and notices.")
+@click.option(
+    "--repeat-within",
+    default=0.0,
+    show_default=True,
+    help="Servers send 3 of 10 responses again, within so many milliseconds; 0: none.",
+)
 @click.option("--folder", type=click.Path(path_type=Path), help="Working folder, kept; default: temporary.")
 def soak(
     seed: int,
@@ -134,6 +142,7 @@
     rate: float,
     hand_over: bool,
     platform: bool,
+    repeat_within: float,
     folder: Path | None,
 ) -> None:
     """Soak real dispatchers on loopback under overlapping faults, drawn by seeds.
@@ -142,6 +151,7 @@
     calls that fail; a wall clock that is stepped. Exit 1 if a rule or an invariant was broken for a message.
     """
     try:
+        from laureldock.rehearsal.response_repeats import ResponseRepeats
         from laureldock.rehearsal.soak.run import soak as play
         from laureldock.rehearsal.soak.soak_result import SoakResult
     except ImportError as fault:
@@ -161,10 +171,11 @@
         for each in [*result.message_histories, *result.faults] if result.failures else []:
             click.echo(f"    {each}")
 
+    repeats = ResponseRepeats(REPEATED_SHARE, 0.0, repeat_within / 1000) if repeat_within else None
     with tempfile.TemporaryDirectory() as temporary:
         seeds = range(seed, seed + dispatchers)
         results = asyncio.run(
-            play(folder or Path(temporary), seeds, seconds, rate, print_result, hand_over, platform)
+            play(folder or Path(temporary), seeds, seconds, rate, print_result, hand_over, platform, repeats)
         )
     failed_seeds = [each.seed for each in results if each.failures]
     click.echo(
--- a/laureldock/rehearsal/soak/discovery.py
+++ b/laureldock/rehearsal/soak/discovery.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from laureldock.rehearsal.response_repeats import ResponseRepeater, ResponseRepeats, StubConnection
 from laureldock.rehearsal.soak.faults import ListFault
 
 READY, DRAINING = "Ready", "Terminating"
@@ -47,13 +48,19 @@
     """Serves the endpoint list to all processes of one dispatcher, and receives their notices.
 
     `current_fault` returns the fault that is active now; `on_notice` gets the message and the outcome of each
-    notice, each time the notice is sent.
+    notice, each time the notice is sent; `repeats`: responses are sent once more.
     """
 
     def __init__(
-        self, current_fault: Callable[[], ListFault | None], on_notice: Callable[[str, str], None]
+        self,
+        current_fault: Callable[[], ListFault | None],
+        on_notice: Callable[[str, str], None],
+        repeats: ResponseRepeats | None = None,
+        seed: int = 0,
     ) -> None:
         self._current_fault, self._on_notice = current_fault, on_notice
+        self.repeater = ResponseRepeater("platform", repeats, seed)
+        self._connection_count = 0
         self._version = FIRST_VERSION
         self._endpoints: dict[str, Endpoint] = {}
         self._changed = asyncio.Event()
@@ -113,13 +120,15 @@
         writer.transport.abort()
 
     async def _serve_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connection_count += 1
+        connection = StubConnection(self._connection_count, writer)
         http, request, body = h11.Connection(h11.SERVER), None, b""
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
                 http.receive_data(await reader.read(65536))
             elif isinstance(event, h11.Request):
-                request, body = event, b""
+                request, body, connection.request_open = event, b"", True
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage) and request:
@@ -127,6 +136,8 @@
                 if response is None:
                     return
                 writer.write(response)
+                connection.request_open = False
+                self.repeater.response_sent(connection, int(response.split()[1]), response)
                 await writer.drain()
                 http.start_next_cycle()
             elif isinstance(event, h11.ConnectionClosed):
--- a/laureldock/rehearsal/soak/dispatcher_soak.py
+++ b/laureldock/rehearsal/soak/dispatcher_soak.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from laureldock.rehearsal.response_repeats import ResponseRepeats
 from laureldock.rehearsal.rule_checks import ReceiverPeriod, RunRecord
 from laureldock.rehearsal.scripted_run import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import faults
@@ -25,7 +26,7 @@
 from laureldock.rehearsal.soak.relay import Relay
 from laureldock.rehearsal.soak.soak_result import SoakResult
 from laureldock.rehearsal.soak.system_calls import FaultWindow, SystemCallFault
-from laureldock.rehearsal.stub_receivers import FaultPeriod, ResponseRepeats, StubReceiver
+from laureldock.rehearsal.stub_receivers import FaultPeriod, StubReceiver
 
 PAUSE_TIME = 0.15  # seconds for which a process is paused
 RESUME_TIME = 0.02  # seconds until it has read what arrived meanwhile
@@ -41,8 +42,8 @@
 
     `passed`: the listening socket is held here and passed to each process, as the platform does when a new
     version is deployed under load; then processes hand over. `platform`: the endpoint list and the notices
-    are the platform's. `repeats`: receivers send responses once more; then there are no relays, which
-    cannot tell the two apart, and so no faults of connections to receivers.
+    are the platform's. `repeats`: receivers and platform send responses once more; then there are no relays,
+    which cannot tell the two apart, and so no faults of connections to receivers.
     """
 
     def __init__(
@@ -72,7 +73,9 @@
             destination: str(number + 1) if platform else destination
             for number, destination in enumerate(names)
         }
-        self.discovery = StubDiscovery(self.list_fault, self.receive_notice) if platform else None
+        self.discovery = (
+            StubDiscovery(self.list_fault, self.receive_notice, repeats, seed) if platform else None
+        )
         relayed = [] if repeats else list(RECEIVERS)
         self.relays = {each: Relay(partial(self.connection_fault, each)) for each in relayed}
         self.notices_path, self.notices_read = folder / "state" / "undelivered.jsonl", 0
--- a/laureldock/rehearsal/soak/run.py
+++ b/laureldock/rehearsal/soak/run.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
+from laureldock.rehearsal.response_repeats import ResponseRepeats
 from laureldock.rehearsal.soak.dispatcher_soak import DispatcherSoak
 from laureldock.rehearsal.soak.soak_result import SoakResult
 
@@ -20,11 +21,13 @@
     report_result: Callable[[SoakResult], None],
     passed: bool = False,
     platform: bool = False,
+    repeats: ResponseRepeats | None = None,
 ) -> list[SoakResult]:
     """Soak one dispatcher per seed, all at once; `report_result` gets each result after all have ended.
 
     `length` is in seconds, `rate` in messages per second; `passed`: with a passed listening socket, and
-    handovers; `platform`: with a platform's endpoint list and notices.
+    handovers; `platform`: with a platform's endpoint list and notices; `repeats`: servers send responses
+    again, and connections to receivers have no faults.
     """
 
     async def soak_one(index: int, seed: int) -> DispatcherSoak:
@@ -32,7 +35,7 @@
         dispatcher_folder = folder / f"seed-{seed}"
         dispatcher_folder.mkdir(parents=True)
         name = f"dock-{seed}"
-        dispatcher = DispatcherSoak(dispatcher_folder, name, seed, length, rate, passed, platform)
+        dispatcher = DispatcherSoak(dispatcher_folder, name, seed, length, rate, passed, platform, repeats)
         await dispatcher.play()
         return dispatcher
 
--- a/laureldock/rehearsal/stub_receivers.py
+++ b/laureldock/rehearsal/stub_receivers.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from laureldock.rehearsal.response_repeats import ResponseRepeater, ResponseRepeats, StubConnection
 from laureldock.rehearsal.rule_checks import ReceiverPeriod, RecordedCall, RunRecord
 
 
@@ -29,39 +30,6 @@
     slowdown: float = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseRepeats:
-    """A stub receiver decides at some responses to send them once more, a moment later.
-
-    Delays are in seconds and drawn from a range.
-    """
-
-    share: float  # fraction of the responses
-    min_delay: float
-    max_delay: float
-    crosses_requests: bool = True  # also if the next request has been read by then
-
-
-@dataclass(frozen=True, slots=True)
-class RepeatedResponse:
-    """A response that was sent once more."""
-
-    receiver: str
-    connection: int
-    status: int
-    repeated_at: float  # seconds of the wall clock
-    crossed_request: bool  # the next request had been read, in part at least, and not been responded to
-
-
-@dataclass(slots=True)
-class StubConnection:
-    """A connection to a stub receiver. `request_open`: a request has begun and has no response yet."""
-
-    number: int
-    writer: asyncio.StreamWriter
-    request_open: bool = False
-
-
 @dataclass(slots=True)
 class StubReceiver:
     """One stub receiver; `seed` determines its response times and random refusals."""
@@ -75,7 +43,7 @@
     refused_fraction: float = 0.0  # of the calls, that get a 503
     wait_fraction: float = 0.0  # of the calls, that get a 429 with a wait of `short_wait` seconds
     short_wait: float = 0.05
-    repeats: ResponseRepeats | None = None
+    repeats: ResponseRepeats | None = None  # of its responses
     faults: list[FaultPeriod] = field(default_factory=list)
     start_capacity: float = 0.3
     warm_time: float = 4.0
@@ -84,14 +52,15 @@
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
     connection_count: int = 0  # accepted so far
-    repeated: list[RepeatedResponse] = field(default_factory=list)
     rng: random.Random = field(default_factory=random.Random)
-    repeat_rng: random.Random = field(default_factory=random.Random)
+    repeater: ResponseRepeater = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.repeater = ResponseRepeater(self.name, self.repeats, self.seed)
 
     async def start(self, started_at: float) -> None:
         """Listen; `started_at` is the start of the load, in seconds of the wall clock."""
         self.started_at, self.rng = started_at, random.Random(self.seed)
-        self.repeat_rng = random.Random(self.seed)
         await self.listen()
 
     async def listen(self) -> None:
@@ -174,7 +143,7 @@
                 response = (http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b"")
                 connection.writer.write(response)
                 connection.request_open = False
-                self.schedule_repeat(connection, status, response)
+                self.repeater.response_sent(connection, status, response)
                 await connection.writer.drain()
                 if calls and request.method == b"POST":
                     calls[-1].ended_at, calls[-1].status = calls[-1].ended_at or time.time(), status
@@ -185,22 +154,6 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
-    def schedule_repeat(self, connection: StubConnection, status: int, response: bytes) -> None:
-        """Decide whether a response is sent once more, and when."""
-        if self.repeats and self.repeat_rng.random() < self.repeats.share:
-            delay = self.repeat_rng.uniform(self.repeats.min_delay, self.repeats.max_delay)
-            asyncio.get_running_loop().call_later(delay, self.repeat, connection, status, response)
-
-    def repeat(self, connection: StubConnection, status: int, response: bytes) -> None:
-        """Send a response once more, unless its connection has ended."""
-        assert self.repeats
-        if connection.writer.is_closing() or (connection.request_open and not self.repeats.crosses_requests):
-            return
-        connection.writer.write(response)
-        self.repeated.append(
-            RepeatedResponse(self.name, connection.number, status, time.time(), connection.request_open)
-        )
-
     async def respond(
         self,
         request: h11.Request,
--- a/tests/repeated_responses.py
+++ b/tests/repeated_responses.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from laureldock.rehearsal.response_repeats import RepeatedResponse, ResponseRepeats
 from laureldock.rehearsal.soak.dispatcher_soak import DispatcherSoak
 from laureldock.rehearsal.soak.faults import FaultKind, ProcessFault, ScheduledFault
 from laureldock.rehearsal.soak.soak_result import SoakResult
-from laureldock.rehearsal.stub_receivers import RepeatedResponse, ResponseRepeats
 
 # Two processes that hand over write one log, so that a line may hold two events.
 SEEN_COPY = re.compile(r'"kind": "([^"]+)", "so_far": (\d+), [^{}]*"process_id": (\d+)')
@@ -73,7 +73,7 @@
     delivered = {call.message: call.ended_at for call in rig.record.calls if call.status == 200}
     return RepeatResult(
         rig.evaluate(),
-        [each for receiver in receivers for each in receiver.repeated],
+        [each for receiver in receivers for each in receiver.repeater.repeated],
         sum(receiver.connection_count for receiver in receivers),
         len(rig.record.calls),
         seen_copies(rig.log),
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -11,7 +11,7 @@
 from socket_dispatcher import Connection, SocketDispatcher
 
 from laureldock.interface import ListedState, Outcome, Probe, Route
-from laureldock.rehearsal.stub_receivers import ResponseRepeats
+from laureldock.rehearsal.response_repeats import ResponseRepeats
 
 OK = b"+OK\r\n"
 SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
