A call that waits for a connection goes to the address that is listed then

A receiver that moves while a call waits for its connection to rest got that call at the former address. IdleConnection has the address that it leads to; where the route has moved, another connection is taken.

--- a/laureldock/carriers/connection_pool.py
+++ b/laureldock/carriers/connection_pool.py
@@ -17,6 +17,7 @@
 
     connection: HttpConnection
     idle_since: float
+    address: str  # that it leads to
 
 
 class ConnectionPool:
@@ -67,7 +68,7 @@
             since, connection = self.idle.pop(index)
             del self.all_idle[connection]
             if not connection.discard_if_unread():
-                return IdleConnection(connection, since)
+                return IdleConnection(connection, since, self.address)
         self.close_idle(max_idle_time)
         return None
 
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -182,10 +182,15 @@
             core.call_later(idle.connection.ready_at - core.now(), self.rest_ended)
 
     def rest_ended(self) -> None:
-        """The connection that the call waited for has rested: send, or take another one if it has closed."""
+        """The connection that the call waited for has rested: send, or take another one.
+
+        Meanwhile it may have closed, or the route may have moved to another address.
+        """
         if (idle := self.resting) is None:
             return  # given up meanwhile
         self.resting = None
+        if idle.address != self.pool.address:
+            idle.connection.discard()
         if idle.connection.discard_if_unread():
             self.take_connection()
         else:
--- a/laureldock/rehearsal/response_repeats.py
+++ b/laureldock/rehearsal/response_repeats.py
@@ -7,6 +7,9 @@
 import time
 from dataclasses import dataclass
 
+# Seconds. A copy that a busy process would send later than that after its range of delays is not sent.
+MAX_LATENESS = 0.01
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseRepeats:
@@ -50,15 +53,21 @@
         """Decide whether a response that was just written is sent once more, and when."""
         if self.repeats and self._rng.random() < self.repeats.share:
             delay = self._rng.uniform(self.repeats.min_delay, self.repeats.max_delay)
-            asyncio.get_running_loop().call_later(
-                delay, self._repeat, self.repeats, connection, status, response
-            )
+            loop = asyncio.get_running_loop()
+            latest = loop.time() + self.repeats.max_delay + MAX_LATENESS
+            loop.call_later(delay, self._repeat, self.repeats, latest, connection, status, response)
 
     def _repeat(
-        self, repeats: ResponseRepeats, connection: StubConnection, status: int, response: bytes
+        self,
+        repeats: ResponseRepeats,
+        latest: float,
+        connection: StubConnection,
+        status: int,
+        response: bytes,
     ) -> None:
         crosses = connection.request_open
-        if connection.writer.is_closing() or (crosses and not repeats.crosses_requests):
+        too_late = asyncio.get_running_loop().time() > latest
+        if connection.writer.is_closing() or too_late or (crosses and not repeats.crosses_requests):
             return
         connection.writer.write(response)
         self.repeated.append(RepeatedResponse(self.server, connection.number, status, time.time(), crosses))
