--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -42,15 +42,15 @@
     def attempts_in_flight(self) -> int:
         return len(self.calls)
 
-    def update_route(self, route: Route, dial: str) -> None:
+    def update_route(self, route: Route, address: str) -> None:
         pool = self.pools.get(route)
         if pool is None:
             pool = self.pools[route] = ConnectionPool(
-                route, dial, self.core.now, self.all_idle, self.rest_times, self.core.report_extra_bytes
+                route, address, self.core.now, self.all_idle, self.rest_times, self.core.report_extra_bytes
             )
-        if route.listed_state is not ListedState.UP or pool.address != dial:
+        if route.listed_state is not ListedState.UP or pool.address != address:
             pool.close_idle()
-        pool.address = dial
+        pool.address = address
 
     def remove_routes(self, routes: Iterable[Route]) -> None:
         for route in routes:
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -80,7 +80,7 @@
     def attempts_in_flight(self) -> int:
         """Number of attempts that have not ended."""
 
-    def update_route(self, route: interface.Route, dial: str) -> None:
+    def update_route(self, route: interface.Route, address: str) -> None:
         """A route was listed, with its address."""
 
     def remove_routes(self, routes: Iterable[interface.Route]) -> None:
--- a/laureldock/outlets/platform.py
+++ b/laureldock/outlets/platform.py
@@ -18,8 +18,8 @@
 class PlatformOutlet(SerialHttpClient):
     """Posts all pending notices in one request, as far as its body holds them; one request at a time."""
 
-    def __init__(self, core: NoticeListener, reactor: PosixReactorBase, dial: str) -> None:
-        super().__init__(core, reactor, dial, MAX_BODY_BYTES)
+    def __init__(self, core: NoticeListener, reactor: PosixReactorBase, address: str) -> None:
+        super().__init__(core, reactor, address, MAX_BODY_BYTES)
         self.core = core
         self.pending: dict[bytes, bytes] = {}  # notices by message name, in the order of the messages' ends
         self.in_flight: list[bytes] = []  # message names of the notices in the current request
@@ -40,7 +40,7 @@
         if not self.busy and self.pending:
             self.start_request(RESPONSE_TIMEOUT)
 
-    def write_request(self, line: HttpConnection) -> None:
+    def write_request(self, connection: HttpConnection) -> None:
         self.in_flight = []
         size = 0
         for name, notice in self.pending.items():
@@ -55,7 +55,7 @@
             b"Content-Type: application/x-ndjson",
             b"Content-Length: %d" % len(body),
         ]
-        line.send_request(head, body, self)
+        connection.send_request(head, body, self)
 
     def response_received(self, status: int, headers: Headers, body: bytes) -> None:
         if status != 204:
--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -59,8 +59,10 @@
     `known` is the list that this dispatcher had last, from its configuration.
     """
 
-    def __init__(self, core: EndpointListListener, reactor: PosixReactorBase, dial: str, known: Any) -> None:
-        super().__init__(core, reactor, dial, MAX_LIST_BYTES)
+    def __init__(
+        self, core: EndpointListListener, reactor: PosixReactorBase, address: str, known: Any
+    ) -> None:
+        super().__init__(core, reactor, address, MAX_LIST_BYTES)
         self.core, self.known = core, known
         self.version: int | None = None  # of the list held; None: the next request is for the full list
         self.last_fetch: FetchList | None = None
@@ -93,11 +95,11 @@
         if self.last_fetch:
             self.fetch_list(self.last_fetch)
 
-    def write_request(self, line: HttpConnection) -> None:
+    def write_request(self, connection: HttpConnection) -> None:
         wait_ms = max(1, round(self.wait_time * 1000))
         query = b"?after=%d&wait_ms=%d" % (self.version, wait_ms) if self.version is not None else b""
         head = [b"GET /discovery/hosts" + query + b" HTTP/1.1", b"Host: " + self.address.encode()]
-        line.send_request(head, b"", self)
+        connection.send_request(head, b"", self)
 
     def response_received(self, status: int, headers: Headers, body: bytes) -> None:
         if status != 200:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -58,9 +58,9 @@
     dispatcher.put(dispatcher.connect_client(), "m1", lifetime=300)
     disable_policy_check(dispatcher)
     message = dispatcher.core.messages_by_name[b"m1"]
-    errand = next(iter(dispatcher.assembly.carrier.calls.values()))
+    call = next(iter(dispatcher.assembly.carrier.calls.values()))
     message.expires_at -= 0.4
-    assert errand
+    assert call
     let_connect(dispatcher)
 
 
--- a/tests/test_race_calls.py
+++ b/tests/test_race_calls.py
@@ -175,16 +175,16 @@
     dispatcher: SocketDispatcher, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The connection is established but not yet used when the message's lifetime ends."""
-    errands: list[Any] = []
+    sends: list[Any] = []
     monkeypatch.setattr(
-        "laureldock.carriers.http.HttpCall.send", lambda errand, line: errands.append((errand, line))
+        "laureldock.carriers.http.HttpCall.send", lambda call, connection: sends.append((call, connection))
     )
     put_message(dispatcher, "a", lifetime=1600)
-    dispatcher.step_until(lambda: errands)
+    dispatcher.step_until(lambda: sends)
     monkeypatch.undo()
     dispatcher.step_until(lambda: dispatcher.platform.notices)
-    errand, line = errands[0]
-    errand.send(line)
+    call, connection = sends[0]
+    call.send(connection)
     dispatcher.step_for(0.2)
     assert (
         dispatcher.received_calls() == []
