Of the connections that have rested, take the newest

The newest of those that had rested for 250 ms was taken, else the one that had rested longest. An older connection is more likely to have gone stale, and rest times set by copies make the longer rest needless. Now it is the newest that has rested.

--- a/laureldock/delivery_connections.py
+++ b/laureldock/delivery_connections.py
@@ -150,11 +150,8 @@
     """
     usable = [index for index, (since, _) in enumerate(idle) if since >= now - max_idle_time]
     rested = [index for index in usable if idle[index][1].ready_at <= now]
-    long_rested = [index for index in rested if idle[index][0] <= now - MAX_REST]
-    if long_rested:
-        return long_rested[-1]  # the newest, so that the others reach their idle timeouts
     if rested:
-        return rested[0]
+        return rested[-1]  # the newest: it is the least likely to have gone stale
     next_ready = min(usable, key=lambda index: idle[index][1].ready_at, default=None)
     if next_ready is None or idle[next_ready][1].ready_at > now + min(MAX_WAIT, time_limit):
         return None
