Connections rest for one time, whatever their last response

An early response that equalled the one before made its connection rest for twice the mean response time. Where a receiver has been slow, the mean is high for a while and ordinary responses count as early, so that their connections rest for seconds and calls open new ones.

Tests: test_connection_reuse, test_dispatcher, test_repeated_responses: 71 passed.

--- a/laureldock/carriers/connection_pool.py
+++ b/laureldock/carriers/connection_pool.py
@@ -74,9 +74,7 @@
 
     def response_ended(self, connection: HttpConnection) -> None:
         """The call of a connection has its response: take the connection back, or close it."""
-        connection.ready_at = self.reuse.response_ended(
-            self.now(), connection.request_written_at, connection.history
-        )
+        connection.ready_at = self.reuse.ready_at(self.now())
         self.release(connection)
 
     def release(self, connection: HttpConnection) -> None:
--- a/laureldock/delivery_connections.py
+++ b/laureldock/delivery_connections.py
@@ -24,10 +24,6 @@
 MAX_WAIT = MIN_REST
 MIN_DELAY = 0.001  # seconds; what comes sooner was read with its original, and can cross no request
 MEMORY_TIME = 600.0  # seconds for which it counts that copies were seen
-# A response that equals the one before it and takes less than this fraction of the mean time may be a copy.
-# Then its connection rests for a multiple of the mean, in which the request's own response would arrive.
-EARLY_FRACTION, EARLY_REST_MULTIPLE = 0.5, 2.0
-MEAN_WEIGHT = 0.1  # of the newest response time
 COMPARED_BYTES = 512  # of a response, from its start
 # A server may announce with this status that it closes an idle connection (RFC 9110, section 15.5.9).
 IDLE_TIMEOUT_STATUS = b"408"
@@ -57,15 +53,11 @@
         self.responses: deque[ReceivedResponse] = deque(maxlen=2)
         self.had_equal_responses = False  # in a row, at any time
 
-    @property
-    def last_is_repeated(self) -> bool:
-        """Whether the last response equals the one before it."""
-        return len(self.responses) == 2 and self.responses[0].start == self.responses[1].start
-
     def response_ended(self, now: float, start: bytes) -> None:
         """A response was read whole; `start`: its first bytes, `COMPARED_BYTES` at most."""
+        if self.responses and self.responses[-1].start == start:
+            self.had_equal_responses = True
         self.responses.append(ReceivedResponse(start, now))
-        self.had_equal_responses = self.had_equal_responses or self.last_is_repeated
 
     def classify(self, extra: bytes) -> ExtraBytes:
         """What bytes without a request are; `extra`: as far as they have arrived."""
@@ -110,17 +102,11 @@
 
     def __init__(self, rest_times: RestTimes) -> None:
         self.rest_times = rest_times
-        self.mean_response_time = 0.0
         self.single_use_until = -inf  # until then, a connection carries one request
 
-    def response_ended(self, now: float, request_written_at: float, history: ConnectionHistory) -> float:
-        """A response was read whole; return when its connection will have rested, infinity for never."""
-        response_time = now - request_written_at
-        rest = self.rest_times.rest_time(now)
-        if history.last_is_repeated and response_time < EARLY_FRACTION * self.mean_response_time:
-            rest = max(rest, EARLY_REST_MULTIPLE * self.mean_response_time)
-        self.mean_response_time += MEAN_WEIGHT * (response_time - self.mean_response_time)
-        return inf if now < self.single_use_until else now + rest
+    def ready_at(self, now: float) -> float:
+        """When a connection whose response has just ended will have rested; infinity for never."""
+        return inf if now < self.single_use_until else now + self.rest_times.rest_time(now)
 
     def extra_bytes_received(self, now: float, extra: bytes, history: ConnectionHistory) -> ExtraBytes:
         """Bytes arrived on a connection without a request; return what they are."""
--- a/laureldock/sockets/http_client.py
+++ b/laureldock/sockets/http_client.py
@@ -61,7 +61,6 @@
         self.request_count = self.bytes_received = 0
         self.history = ConnectionHistory()
         self.response_start = b""  # of the response that is arriving
-        self.request_written_at = 0.0
         self.ready_at = 0.0  # when it has rested after its last response; set by its owner
         self.on_idle: Callable[[HttpConnection], None] = lambda connection: None
         self.on_extra_bytes: Callable[[HttpConnection, bytes], None] = lambda connection, data: None
@@ -75,7 +74,7 @@
         FlushProducer(self.transport, b"\r\n".join([*head, b"", body]), self.on_request_flushed)
 
     def on_request_flushed(self) -> None:
-        self.request_flushed, self.request_written_at = True, self.now()
+        self.request_flushed = True
         if self.handler:
             self.handler.request_written()
 
@@ -273,9 +272,7 @@
         self.write_request(connection)
 
     def response_ended(self, connection: HttpConnection) -> None:
-        connection.ready_at = self.reuse.response_ended(
-            self.reactor.seconds(), connection.request_written_at, connection.history
-        )
+        connection.ready_at = self.reuse.ready_at(self.reactor.seconds())
 
     def extra_bytes_received(self, connection: HttpConnection, data: bytes) -> None:
         kind = self.reuse.extra_bytes_received(self.reactor.seconds(), data, connection.history)
