Connections rest for 20 ms, and for longer once a copy was seen

A call that waits for its connection holds a slot.

20 ms are more than the 14 ms of the reports. The first copy that is seen, mostly on an idle connection, sets the rest to 250 ms, twenty of them to twice their longest delay.

--- a/laureldock/delivery_connections.py
+++ b/laureldock/delivery_connections.py
@@ -17,11 +17,11 @@
 from typing import Protocol
 
 # Seconds for which a connection rests after a response, at least and at most.
-MIN_REST, MAX_REST = 0.05, 0.25
+MIN_REST, MAX_REST = 0.02, 0.25
 # The rest as a multiple of the longest delay of a copy, once so many delays are known.
 DELAY_MULTIPLE, ENOUGH_DELAYS = 2.0, 20
 # Seconds that a request waits for a connection that rests. For a longer rest, a new connection is opened.
-MAX_WAIT = MIN_REST
+MAX_WAIT = 0.05
 MIN_DELAY = 0.001  # seconds; what comes sooner was read with its original, and can cross no request
 MEMORY_TIME = 600.0  # seconds for which it counts that copies were seen
 COMPARED_BYTES = 512  # of a response, from its start
