Queue classes carry their names, and unchanged ones outlive a change of settings

A queue class knew neither its name nor whether it is the one that new messages get; the registry kept a table of every class there ever was, which grew with each reload. Timeouts of routes were kept by the object of a class, so that a message of an earlier class of the same name had none.

A class has its name now, also "sent once" (resend = "never"), which was looked up in the plan; a class whose settings are the same stays the same object; timeouts are kept by name. Empty queues of earlier classes are dropped at a reload. No decision changes for messages of the classes in force.

Tests: timeouts are compared by name, with the entry for classes that are not named (one more value).

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -533,7 +533,7 @@
 
     def count_message(self, held: HeldMessage, counter: str) -> None:
         """Add one to a counter of the message's queue class."""
-        self.count(self.registry.class_name(held.message.queue_class), counter)
+        self.count(held.message.queue_class.name, counter)
 
     def count(self, queue_class: str, counter: str) -> None:
         """Add one to a counter of a queue class, by its name."""
--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -385,6 +385,10 @@
         self.max_attempts, self.max_retry_after = settings.max_attempts, settings.max_retry_after
         # Drops terms of queue classes that no longer exist, too; messages that wait keep theirs.
         self.default_terms.clear()
+        for destination in self.destination_states.values():
+            destination.first_attempts = {
+                queue_class: queue for queue_class, queue in destination.first_attempts.items() if queue
+            }
 
     def update_peer_load(self, now: float, peer_load: interface.PeerLoad) -> None:
         """Share limits, slots, room and the order of keys with peer processes: together they count as one."""
@@ -1079,7 +1083,8 @@
         """Send a message over a route, in a call of this turn or a new one; False if limits leave no room."""
         call, destination = self.calls_this_turn.get(route), message.destination
         # A timeout that operators set replaces what was learned; it was checked when the settings were read.
-        set_timeout = route.listed.timeouts.get(message.submitted.queue_class, 0.0)
+        timeouts = route.listed.timeouts
+        set_timeout = timeouts.get(message.submitted.queue_class.name) or timeouts.get("", 0.0)
         if call is None or call.attempts_in_flight >= route.listed.kind.batch_size:
             failing = any(
                 other.failure_rate > 0.3 or other.circuit is not CircuitState.CLOSED
--- a/laureldock/delivery_settings.py
+++ b/laureldock/delivery_settings.py
@@ -6,8 +6,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from math import inf
+from operator import attrgetter
 from typing import TYPE_CHECKING, Any
 
 from laureldock import interface
@@ -22,12 +23,17 @@
 # Settings that destinations and routes hold in fields of their own. Others are looked up for each message.
 SETTINGS_KEPT_ON_ROUTES = {"window", "time_out"}
 
+# All fields of a queue class, its name included: classes are the same for messages if these are equal.
+class_values = attrgetter(*(each.name for each in fields(interface.QueueClass)))
 
-def queue_class(settings: ClassSettings, halves_importance_when_late: bool) -> interface.QueueClass:
+
+def queue_class(
+    name: str, settings: ClassSettings, importance: float, halves_importance_when_late: bool
+) -> interface.QueueClass:
     """What the decisions know of a queue class."""
     return interface.QueueClass(
         repeat_safety=interface.RepeatSafety(settings.effect),
-        importance=1.0 if settings.importance is None else settings.importance,
+        importance=importance,
         target_delay=float(settings.target_delay),
         lifetime=float(settings.lifetime),
         late_share=settings.late_share,
@@ -36,6 +42,8 @@
         tag_memory_time=inf if settings.memory is None else float(settings.memory),
         one_zone=settings.one_zone,
         stop_if_may_have_run=settings.resend in ("proven", "never"),
+        sent_once=settings.resend == "never",
+        name=name,
     )
 
 
@@ -88,8 +96,10 @@
     def __init__(self, plan: Plan, sockets: bool = False, terms: TermsIndex | None = None) -> None:
         self.plan = plan
         self.settings = delivery_settings(plan, sockets)
-        self.class_names: dict[interface.QueueClass, str] = {}  # of earlier settings, too
-        self.set_classes(plan)
+        self.term_book = terms or index_terms(plan)[0]
+        self.classes: dict[str, interface.QueueClass] = {}  # by name: those that new messages get
+        self.set_classes()
+        self.customers = {name: interface.Customer(each.quota) for name, each in plan.customers.items()}
         self.kinds = {
             name: interface.DestinationKind(each.batch, each.apart) for name, each in plan.kinds.items()
         }
@@ -97,17 +107,20 @@
         self.destinations: dict[Any, interface.Destination] = {}  # by number or name
         self.kind_names: dict[Any, str] = {}  # of destinations, as listed or as the plan has them
         self.routes: dict[str, interface.Route] = {}
-        self.term_book = terms or index_terms(plan)[0]
         # By destination: the terms of its messages as far as they have been looked up.
         self.terms: dict[Any, dict[interface.QueueClass, interface.Terms | None]] = {}
 
     def update_terms(self, plan: Plan, terms: TermsIndex) -> None:
-        """Apply other terms from now on; messages in flight and in queues keep theirs."""
+        """Apply other terms from now on; messages in flight and in queues keep theirs.
+
+        Of the classes only the importance may differ.
+        """
         same = terms.entries == self.term_book.entries and plan.destinations == self.plan.destinations
         self.plan, self.term_book = plan, terms
         self.customers = {name: self.customer_of(name) for name in plan.customers}
         if same:  # as in most reloads: thousands of routes need no look
             return
+        self.set_classes()
         self.terms.clear()
         self.kind_names.clear()  # the plan has them
         for number, destination in self.destinations.items():
@@ -169,7 +182,15 @@
                 self.refresh_routes(endpoint.destination, [name])
         elif level is Level.DESTINATION:
             self.refresh_destination(name, catalog)
-        elif not selection.settings & SETTINGS_KEPT_ON_ROUTES:
+        else:
+            self.apply_wide_selection(selection, catalog)
+
+    def apply_wide_selection(self, selection: Selection, catalog: Catalog) -> None:
+        """The same for what is set for all destinations, or for a kind of them."""
+        level, name = selection.scope
+        if "importance" in selection.settings:
+            self.set_classes()
+        if not selection.settings & SETTINGS_KEPT_ON_ROUTES:
             self.terms.clear()  # looked up again as messages come
         else:
             self.terms.clear()
@@ -205,15 +226,27 @@
     def update_classes(self, plan: Plan) -> None:
         """Apply other queue classes and limits from now on; accepted messages keep their class."""
         self.plan, self.settings = plan, delivery_settings(plan, self.settings.has_notices)
-        self.set_classes(plan)
+        self.set_classes()
+        self.customers = {name: interface.Customer(each.quota) for name, each in plan.customers.items()}
         self.terms.clear()
 
-    def set_classes(self, plan: Plan) -> None:
-        """Take queue classes and customers from the plan; the names of earlier classes stay known."""
-        halving = plan.limits.fades == "halving"
-        self.classes = {name: queue_class(settings, halving) for name, settings in plan.classes.items()}
-        self.class_names.update({known: name for name, known in self.classes.items()})
-        self.customers = {name: interface.Customer(each.quota) for name, each in plan.customers.items()}
+    def set_classes(self) -> None:
+        """Take the queue classes from the plan; one whose settings are the same stays the same object."""
+        self.classes = {
+            name: self.class_as_accepted(self.class_of(name, settings))
+            for name, settings in self.plan.classes.items()
+        }
+
+    def class_of(self, name: str, settings: ClassSettings) -> interface.QueueClass:
+        """A queue class by its settings, and by the importance that is set for it at all destinations."""
+        own = 1.0 if settings.importance is None else settings.importance
+        importance = float(self.term_book.value("importance", name, (), own))
+        return queue_class(name, settings, importance, self.plan.limits.fades == "halving")
+
+    def class_as_accepted(self, accepted: interface.QueueClass) -> interface.QueueClass:
+        """The queue class of new messages, if it is the same as that of an accepted one; else the latter."""
+        current = self.classes.get(accepted.name)
+        return current if current and class_values(current) == class_values(accepted) else accepted
 
     def customer_of(self, name: str) -> interface.Customer:
         """The customer by the plan: the same object as before if its quota is the same."""
@@ -221,10 +254,6 @@
         known = self.customers.get(name)
         return known if known is not None and known.quota == quota else interface.Customer(quota)
 
-    def class_name(self, queue_class: interface.QueueClass) -> str:
-        """The name of a queue class, also of earlier settings; empty if there never was one."""
-        return self.class_names.get(queue_class, "")
-
     def destination(self, number: Any) -> interface.Destination:
         """The destination of a number or name, created if it is new."""
         found = self.destinations.get(number)
@@ -243,15 +272,12 @@
         destination.window = self.term_book.value("window", "", self.term_scopes(number), inf)
 
     def set_route_terms(self, name: str, number: Any, route: interface.Route) -> None:
-        """Look up the window of a route, and its timeouts by queue class where some are set."""
+        """Look up the window of a route, and its timeouts by name of a queue class where some are set."""
         book, scopes = self.term_book, self.term_scopes(number, name)
         route.window = book.value("window", "", scopes, inf)
         if "time_out" in book.settings:
-            found = (
-                (queue_class, book.value("time_out", each, scopes))
-                for each, queue_class in self.classes.items()
-            )
-            route.timeouts = {queue_class: float(value) for queue_class, value in found if value is not None}
+            found = ((each, book.value("time_out", each, scopes)) for each in ("", *self.classes))
+            route.timeouts = {each: float(value) for each, value in found if value is not None}
         else:
             route.timeouts = {}
 
@@ -264,23 +290,34 @@
         key: str | None = None,
     ) -> interface.Message:
         """A message for a destination, with the terms that hold now; `time_left`: seconds of its lifetime."""
-        known = self.terms.setdefault(number, {})
-        if queue_class not in known:
-            known[queue_class] = self.terms_for(queue_class, number)
+        terms = self.terms_of(queue_class, number)
         destination = self.destination(number)
         return interface.Message(
-            queue_class, destination, time_left, self.customers.get(customer), key, terms=known[queue_class]
+            queue_class, destination, time_left, self.customers.get(customer), key, terms=terms
         )
 
+    def terms_of(self, queue_class: interface.QueueClass, number: Any) -> interface.Terms | None:
+        """`terms_for`, kept for the next message unless the class is one that no new message gets."""
+        if self.classes.get(queue_class.name) is not queue_class:
+            return self.terms_for(queue_class, number)
+        known = self.terms.setdefault(number, {})
+        if queue_class not in known:
+            known[queue_class] = self.terms_for(queue_class, number)
+        return known[queue_class]
+
+    def importance_of(self, queue_class: interface.QueueClass, number: Any) -> float:
+        """The importance that is set for a destination or its kind; else that of the class."""
+        found = self.term_book.most_specific("importance", queue_class.name, self.term_scopes(number))
+        narrow = [each.value for each in found if each.level is not Level.ANY]
+        return float(narrow[0]) if narrow else queue_class.importance
+
     def terms_for(self, queue_class: interface.QueueClass, number: Any) -> interface.Terms | None:
         """What operators set for a queue class at a destination; None if that is just what holds anyway."""
-        book, scopes = self.term_book, self.term_scopes(number)
-        name = next(each for each, other in self.classes.items() if other is queue_class)
-        never_resent = self.plan.classes[name].resend == "never"
+        book, scopes, name = self.term_book, self.term_scopes(number), queue_class.name
         limits = self.settings
         terms = interface.Terms(
-            float(book.value("importance", name, scopes, queue_class.importance)),
-            1 if never_resent else book.value("connects", name, scopes, limits.max_attempts),
+            self.importance_of(queue_class, number),
+            1 if queue_class.sent_once else book.value("connects", name, scopes, limits.max_attempts),
             float(book.value("retry_after", name, scopes, limits.max_retry_after)),
             book.value("copies", name, scopes, 1),
             float(book.value("copy_after", name, scopes, queue_class.target_delay / 2)),
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -74,7 +74,11 @@
 
 @dataclass(eq=False, slots=True)
 class QueueClass:
-    """What holds for all messages of a queue class. Durations are seconds."""
+    """What holds for all messages accepted under a queue class. Durations are seconds.
+
+    A message keeps it until its end, whichever process holds the message. Once the settings change, messages
+    are accepted under another `QueueClass` of the same name, so that several of one name may be in use.
+    """
 
     repeat_safety: RepeatSafety
     importance: float
@@ -86,6 +90,8 @@
     tag_memory_time: float = inf  # of tagged messages: for how long a receiver recognizes a repeat
     one_zone: bool = False  # of tagged messages: a repeat is recognized only in the zone of the first attempt
     stop_if_may_have_run: bool = False  # nothing more is sent once a message may have run
+    sent_once: bool = False  # there is no second attempt, whatever became of the first
+    name: str = ""
 
 
 @dataclass(eq=False, slots=True)
@@ -168,7 +174,8 @@
     name: str = ""
     policy_state: Any = None
     window: float = inf  # calls that may be in flight, as operators set it
-    timeouts: dict[QueueClass, float] = field(default_factory=dict)  # seconds, where operators set them
+    # Seconds, where operators set them, by name of a queue class; under "" for classes not named here.
+    timeouts: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/drivers.py
+++ b/tests/drivers.py
@@ -41,6 +41,8 @@
     ),
     "fading": interface.QueueClass(RepeatSafety.REDELIVERABLE, 1, 1, 5, 0.0, True),
 }
+for class_name, queue_class in QUEUE_CLASSES.items():
+    queue_class.name = class_name
 
 
 class Trace:
--- a/tests/offline_assembly.py
+++ b/tests/offline_assembly.py
@@ -50,12 +50,11 @@
         """What deliveries depend on, with objects replaced by their names, so that two can be compared."""
         registry, policy = self.core.registry, self.core.policy
         numbers = {destination: number for number, destination in registry.destinations.items()}
-        names = {queue_class: name for name, queue_class in registry.classes.items()}
         routes = {
             name: (
                 numbers[route.destination], route.zone, (route.kind.batch_size, route.kind.limits_per_route),
                 route.listed_rate, route.listed_state, route.window,
-                {names[queue_class]: timeout for queue_class, timeout in route.timeouts.items()},
+                dict(route.timeouts),
             )
             for name, route in registry.routes.items()
         }  # fmt: skip
--- a/tests/test_changes_in_flight.py
+++ b/tests/test_changes_in_flight.py
@@ -82,7 +82,8 @@
     dispatcher.apply_change(put(endpoint("n1", "north", 9002, time_out=Seconds(2))))
     assert dispatcher.core.registry.routes["n1"] is route and route.policy_state is state
     assert dispatcher.carrier.pools[route].address == "127.0.0.1:9002"
-    assert list(route.timeouts.values()) == [2.0, 2.0]
+    assert route.timeouts == dict.fromkeys(("", *dispatcher.core.registry.classes), 2.0)
+    assert len(dispatcher.core.registry.classes) == 2
 
 
 def test_a_refused_change_does_not_modify_the_dispatcher(start: Start) -> None:
@@ -163,10 +164,9 @@
         ]
     )
     book = dispatcher.core.registry
-    news = book.classes["news"]
     for seconds in (3.0, 4.0):
         dispatcher.apply_change(put(ClassEntry("news", ClassSettings(time_out=Seconds(seconds)))))
-        found = {name: route.timeouts.get(news) for name, route in book.routes.items()}
+        found = {name: route.timeouts.get("news") for name, route in book.routes.items()}
         expected = {name: 7.0 if int(name[1:]) % 3 == 2 else seconds for name in found if name != "own"}
         assert found == {**expected, "own": seconds}
     assert {name: route.window for name, route in book.routes.items() if route.window < 9} == {
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -359,13 +359,10 @@
     routes = {
         route.name: route for route in terms.update_list([entry for entry, _ in listed_endpoints(plan)], True)
     }
-    names = {kind: name for name, kind in terms.classes.items()}
-    found = {
-        name: {names[kind]: value for kind, value in route.timeouts.items()} for name, route in routes.items()
-    }
+    found = {name: route.timeouts for name, route in routes.items()}
     assert found == {
-        "n1": {"news": 2.0, "order": 3.0, "charge": 3.0},
-        "s1": {"news": 4.0, "order": 5.0, "charge": 5.0},
+        "n1": {"": 3.0, "news": 2.0, "order": 3.0, "charge": 3.0},
+        "s1": {"": 5.0, "news": 4.0, "order": 5.0, "charge": 5.0},
     }
     assert (routes["n1"].destination.window, routes["s1"].destination.window) == (4, float("inf"))
     message = terms.new_message(terms.classes["charge"], "north", 10.0)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -432,7 +432,7 @@
 def test_timeouts_and_windows_set_by_operators_replace_learned_ones() -> None:
     driver = PolicyDriver(slots=20)
     driver.update_list("north/1", "south/1")
-    driver.routes["north/1"].timeouts = {QUEUE_CLASSES["once-only"]: 1.5, QUEUE_CLASSES["redeliverable"]: 4.5}
+    driver.routes["north/1"].timeouts = {"once-only": 1.5, "redeliverable": 4.5}
     driver.routes["south/1"].window, driver.destinations["south"].window = 2, 3
     driver.accept("p1", "once-only")
     driver.turn()
