What a peer process had pending is dropped after its end without a passed socket, too

Seen by callers: where a process started while the one before it still ran (no passed socket), messages of a key that the earlier process had pending were never sent, up to the end of their lifetime.

Cause: PeerProcesses.may_exist turned false as soon as the last peer's file was taken over, so that the peers' records were not read once more; its pending messages and calls stayed in force.

Fix: a peer that the last read saw counts too, which makes one more read. Failed before: test_handover.py ::test_a_key_goes_on_after_a_peer_process_without_a_passed_socket_has_ended (b held for 8 s); passes now.

--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -28,9 +28,12 @@
 
     @property
     def may_exist(self) -> bool:
-        """Whether there may be a peer process: the listening socket is shared, or one was seen."""
+        """Whether there may be a peer process: the listening socket is shared, or one was seen.
+
+        After the end of the last one there is one more read, so that what it had pending is dropped.
+        """
         core = self._dispatcher
-        return core.shares_listening_socket or core.store.is_shared
+        return core.shares_listening_socket or core.store.is_shared or bool(self.view.processes)
 
     def read(self) -> bool:
         """Read and apply what peer processes have recorded up to now; false if it cannot be read."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import errno
 import os
 from pathlib import Path
@@ -9,6 +10,7 @@
 
 import pytest
 from drivers import InMemoryDispatcher
+from socket_dispatcher import SocketDispatcher
 
 from laureldock.core.messages import StoredMessage
 from laureldock.stores.spool import Spool
@@ -140,3 +142,25 @@
 
 def fail(*_: Any, **__: Any) -> None:
     raise OSError(errno.EIO, os.strerror(errno.EIO))
+
+
+def test_a_key_goes_on_after_a_peer_process_without_a_passed_socket_has_ended(tmp_path: Path) -> None:
+    """What a peer process had pending stayed in force after its end: its keys never went on."""
+    old = SocketDispatcher(tmp_path)
+    old.start_until_ready()
+    client = old.connect_client()
+    client.send(old.put_request("a", "order", key="k") + old.put_request("b", "order", key="k"))
+    old.step_until(lambda: client.receive() == b"+OK\r\n+OK\r\n")
+    old.wait_for_call("a")
+    new = copy.copy(old)
+    new.start_until_ready()
+    assert new.core.store.is_shared and not new.core.shares_listening_socket
+    old.kill()
+    new.step_until(lambda: not new.core.store.is_shared)
+    for connection in new.receiver.connections:
+        connection.close()
+    new.receiver.connections.clear()
+    for name in "ab":
+        new.respond(name)
+    new.step_until(lambda: not new.core.store.pending)
+    new.close()
