A platform's reload takes over the importance of its classes

Seen: after SIGHUP with other points for a class, its messages went on with the old importance until the next restart. Cause: DeliveryRegistry.update_classes left the index of operators' settings as it was at the start, and the importance there goes before that of the class. Fix: the index is made anew, as for a file.

Failed before: test_config.py::test_other_importance_of_a_class_holds_for_messages_accepted_after_the_reload (5.0 in place of 8.0).

--- a/laureldock/delivery_settings.py
+++ b/laureldock/delivery_settings.py
@@ -226,6 +226,7 @@
     def update_classes(self, plan: Plan) -> None:
         """Apply other queue classes and limits from now on; accepted messages keep their class."""
         self.plan, self.settings = plan, delivery_settings(plan, self.settings.has_notices)
+        self.term_book = index_terms(plan)[0]
         self.set_classes()
         self.customers = {name: interface.Customer(each.quota) for name, each in plan.customers.items()}
         self.terms.clear()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import copy
 import json
 from importlib.resources import files
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
 import tomlkit
 from click.testing import CliRunner
+from drivers import PLATFORM_SETTINGS
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -19,6 +22,7 @@
 from laureldock.setup import plan as model
 from laureldock.setup.faults import RefusedError
 from laureldock.setup.plan import Plan
+from laureldock.setup.platform import plan_from_platform
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.reload import forbidden_changes
 from laureldock.setup.units import Seconds, Size, decode, encode
@@ -453,3 +457,23 @@
         assert not dispatcher.core.counters["configurations refused"]
     finally:
         dispatcher.close()
+
+
+def test_other_importance_of_a_class_holds_for_messages_accepted_after_the_reload(tmp_path: Path) -> None:
+    """A platform's reload kept the importance that the class had at the start of the process."""
+    document: dict[str, Any] = {
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.9:9", "seed": "7", "known": {},
+        "limits": {"cores": 1, "memory_mb": 64, "sockets": 64, "disk_mb": 1},
+    }  # fmt: skip
+    plans = []
+    for points in (5, 8):
+        settings = copy.deepcopy(PLATFORM_SETTINGS)
+        settings["classes"][3]["points"] = points
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps({**document, "settings": settings}))
+        plans.append(plan_from_platform({"LB_CONFIG": str(file), "LB_STATE": str(tmp_path)})[0])
+    registry = DeliveryRegistry(plans[0], sockets=True)
+    registry.update_classes(plans[1])
+    charge = registry.classes["charge"]
+    terms = registry.new_message(charge, 7, 5.0).terms
+    assert charge.importance == 8 and (terms is None or terms.importance == 8)
