--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -28,12 +28,9 @@
 
     @property
     def may_exist(self) -> bool:
-        """Whether there may be a peer process: the listening socket is shared, or one was seen.
-
-        After the end of the last one there is one more read, so that what it had pending is dropped.
-        """
+        """Whether there may be a peer process: the listening socket is shared, or one was seen."""
         core = self._dispatcher
-        return core.shares_listening_socket or core.store.is_shared or bool(self.view.processes)
+        return core.shares_listening_socket or core.store.is_shared
 
     def read(self) -> bool:
         """Read and apply what peer processes have recorded up to now; false if it cannot be read."""
@@ -50,6 +47,11 @@
             self._apply_view(view)
         return True
 
+    def all_ended(self) -> None:
+        """The last peer process has ended and was taken over: its records bind no more."""
+        if self.view.processes:
+            self._apply_view(PeerView())
+
     def _failed(self, error: OSError) -> None:
         core = self._dispatcher
         core.counters["reads of other processes failed"] += 1
--- a/laureldock/core/recovery.py
+++ b/laureldock/core/recovery.py
@@ -73,6 +73,8 @@
             self.send_notices(adopted)
             self.apply_cooldowns()
             self.restore_messages(adopted)
+        if not core.store.is_shared:
+            core.peers.all_ended()
         self.apply_inherited_routes()
 
     def _restore(self, stored: StoredMessage, now: float) -> None:
