Messages keep the queue class that they were accepted under, whoever holds them

Cause: the store had the name of a message's class alone, and Recovery._restore looked it up in the settings of the process that starts, or takes over. The running process was right, since it holds the class itself.

Fix: a file has each class once ('class': name, number, settings), and ahead of a message the number of its class ('under'). Both go into the file with the message in one write, ahead of it, so that no cut leaves a message without them; the compaction leaves out classes that no message has. Each file numbers its own. Recovery takes the class of the message; attempts and limits stay the dispatcher's.

--- a/laureldock/core/messages.py
+++ b/laureldock/core/messages.py
@@ -33,6 +33,8 @@
     route: str = ""  # of that attempt
     # When it was accepted; messages of a key are sent in that order. -inf if an older release accepted it.
     accepted_at: float = -inf
+    # The queue class as it was when the message was accepted. None if an older release accepted it.
+    accepted_class: interface.QueueClass | None = None
     notice: bytes = b""  # not acknowledged yet; by it the message ends undelivered
     reserved_bytes: int = 0  # bytes reserved for it in the store
 
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -168,6 +168,9 @@
     def accept(self, message: StoredMessage) -> bool:
         """Add a pending message; false if there is no room for it, or it cannot be written."""
 
+    def set_accepted_class(self, message: StoredMessage, queue_class: interface.QueueClass) -> None:
+        """A pending message that an older release accepted belongs to this queue class until its end."""
+
     def record_attempt_start(self, name: bytes, at: float, route: str) -> None:
         """An attempt over a route is about to start."""
 
--- a/laureldock/core/recovery.py
+++ b/laureldock/core/recovery.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from laureldock.core.messages import HeldMessage, StoredMessage
+from laureldock.interface import QueueClass
 
 if TYPE_CHECKING:
     from laureldock.core.dispatcher import Dispatcher
@@ -79,8 +80,8 @@
 
     def _restore(self, stored: StoredMessage, now: float) -> None:
         core = self._dispatcher
-        queue_class = core.registry.classes.get(stored.queue_class)
-        if queue_class is None:  # no longer in the settings
+        queue_class = self._class_of(stored)
+        if queue_class is None:
             if not stored.notice:
                 core.finish_by_notice(stored.name, handed_back=False)
             return
@@ -94,6 +95,20 @@
         core.hold_message(HeldMessage(stored.name, stored.tag, stored.body, message, now + message.time_left))
         core.call_policy(core.policy.message_accepted, message)
 
+    def _class_of(self, stored: StoredMessage) -> QueueClass | None:
+        """The queue class under which a message was accepted, whatever the settings have by now.
+
+        What an older release accepted has the class of that name in the settings, from now on until its end;
+        None if there is none.
+        """
+        registry = self._dispatcher.registry
+        if stored.accepted_class is not None:
+            return registry.class_as_accepted(stored.accepted_class)
+        queue_class = registry.classes.get(stored.queue_class)
+        if queue_class is not None:
+            self._dispatcher.store.set_accepted_class(stored, queue_class)
+        return queue_class
+
 
 def age_of_first_run(message: StoredMessage, now: float) -> float | None:
     """Seconds since the first attempt that may have run was sent; None if there was none."""
--- a/laureldock/core/submissions.py
+++ b/laureldock/core/submissions.py
@@ -43,6 +43,7 @@
             return Reply(ReplyKind.BUSY)
         if core.peers.view.knows(stored.name):
             return self._submit_known_to_peer(submitter, stored.name)
+        stored.accepted_class = queue_class
         stored.accepted_at = core.now()  # read after the records of peer processes, whose messages come first
         if not core.store.accept(stored):
             core.counters["spool full"] += 1
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -29,6 +29,8 @@
 from laureldock.core.messages import StoredMessage
 from laureldock.core.peer_view import PeerView, RouteRecord, newest_records
 from laureldock.file_locks import FILE_MODE, open_locked
+from laureldock.interface import QueueClass
+from laureldock.stores.class_records import CLASS_RECORD, UNDER_RECORD, ClassReader, ClassTable
 from laureldock.stores.peer_spools import PeerSpools, list_spools
 from laureldock.stores.record_file import RecordFile
 from laureldock.stores.spool_records import (
@@ -58,7 +60,8 @@
         self.folder = folder
         self.peer_paths: list[Path] = []  # files of running peer processes
         self.pending: dict[bytes, StoredMessage] = {}
-        self.reserved_bytes = 0  # for all pending messages
+        self.reserved_bytes = 0  # for all pending messages, without their classes
+        self._classes = ClassTable()
         # Recorded by this process or in a file that it took over: until when, by route or by ordering key.
         self.requested_waits: dict[str, float] = {}
         self.cooldowns: dict[str, float] = {}
@@ -100,7 +103,8 @@
         self._file = RecordFile(file)
         self.path = self.path_of(number)
         data = self.path.read_bytes() if self.path.exists() else b""
-        reader = self._replay_all(data)
+        reader, classes = self._replay_all(data)
+        self._classes.set_numbers(classes.by_number)
         self._inherited_routes = dict(self.routes)
         self._file = RecordFile(file, reader.size, reader.checksum)
         self._compaction_due = not reader.accepts_appends
@@ -234,18 +238,23 @@
             self.flush()
         return adopted
 
-    def _replay_all(self, data: bytes) -> RecordReader:
-        reader = RecordReader(read_clocks())
+    def _replay_all(self, data: bytes) -> tuple[RecordReader, ClassReader]:
+        reader, classes = RecordReader(read_clocks()), ClassReader()
         for fields, body in reader.read(data):
-            self._replay(fields, body, reader.time_shift)
-        return reader
+            self._replay(fields, body, reader.time_shift, classes)
+        return reader, classes
 
-    def _replay(self, fields: list[Any], body: bytes, shift: float) -> None:
+    def _replay(self, fields: list[Any], body: bytes, shift: float, classes: ClassReader) -> None:
         """Apply a record that was read; `shift` is added to its times."""
         kind, name, *rest = fields
         if kind == "mail":
             message = decode_message(fields[1:], body, shift)
+            message.accepted_class = classes.class_of_next(name)
             self.add_pending(message, encode_message(message))
+        elif kind == CLASS_RECORD:
+            classes.read_class(name, *rest)
+        elif kind == UNDER_RECORD:
+            classes.read_under(name, *rest)
         elif kind == "wait":
             self.requested_waits[name] = max(rest[0] + shift, self.requested_waits.get(name, -inf))
         elif kind == "rest":
@@ -265,11 +274,17 @@
     def add_pending(self, message: StoredMessage, payload: bytes) -> None:
         """Add a pending message with the payload of its record."""
         if before := self.pending.get(message.name):
-            self.reserved_bytes -= before.reserved_bytes
+            self._release(before)
         message.reserved_bytes = self.reserved_for(message, payload)
         self.reserved_bytes += message.reserved_bytes
+        self._classes.add(message)
         self.pending[message.name] = message
 
+    def _release(self, message: StoredMessage) -> None:
+        """Release what is reserved for a message."""
+        self.reserved_bytes -= message.reserved_bytes
+        self._classes.remove(message)
+
     def apply_change(self, kind: str, message: StoredMessage, rest: list[Any]) -> None:
         """Apply a record to a pending message."""
         match kind:
@@ -294,21 +309,31 @@
             case "notice":
                 message.notice = rest[0].encode()
             case "over":
-                self.reserved_bytes -= message.reserved_bytes
+                self._release(message)
                 del self.pending[message.name]
 
     def accept(self, message: StoredMessage) -> bool:
         """Add a pending message; false if there is no room for it, or it cannot be written."""
         payload = encode_message(message)
-        if self.reserved_bytes + self.reserved_for(message, payload) > self.max_pending_bytes:
+        needed = self.reserved_for(message, payload) + self._classes.bytes_to_reserve(message)
+        if self.reserved_bytes + self._classes.reserved_bytes + needed > self.max_pending_bytes:
             return False
         try:
-            self._write(payload, *encode_accepted(message))
+            self._make_room(needed)
+            # Not before there is room for it: a compaction leaves out classes that no message has.
+            self._append(*self._classes.payloads_for(message), payload, *encode_accepted(message))
         except OSError:
             return False
+        self._classes.written(message)
         self.add_pending(message, payload)
         return True
 
+    def set_accepted_class(self, message: StoredMessage, queue_class: QueueClass) -> None:
+        """Keep a queue class with a pending message that has none; written at the next write."""
+        message.accepted_class = queue_class
+        self._classes.add(message)
+        self._compaction_due = True
+
     def record_attempt_start(self, name: bytes, at: float, route: str) -> None:
         """An attempt is about to start. OSError: it is not recorded, and may not start."""
         self._record_then_apply("out", name, at, route)
@@ -363,10 +388,14 @@
 
     def _write(self, *payloads: bytes) -> None:
         """Append records after all that is queued, or none of them. Raises OSError."""
+        self._make_room(sum(RECORD_HEADER.size + len(payload) for payload in payloads))
+        self._append(*payloads)
+
+    def _make_room(self, size: int) -> None:
+        """Write all that is queued, and compact the file unless so many bytes fit in. Raises OSError."""
         self.flush()
-        if self._size_with(payloads) > self.max_file_bytes:
+        if self._file.size + size > self.max_file_bytes:
             self._compact()
-        self._append(*payloads)
 
     def _append(self, *payloads: bytes) -> None:
         self._failing = True
@@ -378,12 +407,13 @@
 
     def _compact(self) -> None:
         """Rewrite the file with only what is needed, queued changes included. OSError: the old file stays."""
+        classes = self._classes_in_use()
         descriptor = os.open(self.compacted_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, FILE_MODE)
         compacted = RecordFile(descriptor)
         try:
             with contextlib.suppress(OSError):  # locked before it gets the name of the spool
                 fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            compacted.append_all(self._all_payloads())
+            compacted.append_all(self._all_payloads(classes))
             os.rename(self.compacted_path, self.path)
         except OSError:
             compacted.close()
@@ -391,15 +421,24 @@
                 self.compacted_path.unlink(missing_ok=True)
             raise
         self._file.close()
-        self._file = compacted
+        self._file, self._classes = compacted, classes
         self._queued.clear()
         self._compaction_due = False
         self._failing = False
 
-    def _all_payloads(self) -> Iterator[bytes]:
-        """The payloads of a compacted file."""
+    def _classes_in_use(self) -> ClassTable:
+        """The queue classes that pending messages have; no file has them yet."""
+        classes = ClassTable()
+        for message in self.pending.values():
+            classes.add(message)
+        return classes
+
+    def _all_payloads(self, classes: ClassTable) -> Iterator[bytes]:
+        """The payloads of a compacted file, which will have these classes."""
         yield encode_clocks(read_clocks())
         for message in self.pending.values():
+            yield from classes.payloads_for(message)
+            classes.written(message)
             yield encode_message(message)
             yield from encode_accepted(message)
             if message.in_flight_since is not None:
