Spool: records are read and written with one JSON coder, and no message is encoded again to read it

The record of a message's class costs a second record for each message.

Cause: json.dumps with separators makes an encoder for each record, json.loads guesses the encoding of each, and a message that was read was encoded once more to learn its size. None of the three is needed.

--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -41,8 +41,8 @@
         found = False
         while data := os.pread(self._file, READ_SIZE, self._reader.size):
             size = self._reader.size
-            for fields, _ in self._reader.read(data):
-                self._apply(*fields)
+            for record in self._reader.read(data):
+                self._apply(*record.fields)
             if self._reader.size == size:  # the rest is a record that is still being written, or was torn
                 break
             found = True
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -35,6 +35,7 @@
 from laureldock.stores.record_file import RecordFile
 from laureldock.stores.spool_records import (
     RECORD_HEADER,
+    Record,
     RecordReader,
     decode_message,
     decode_route,
@@ -240,17 +241,18 @@
 
     def _replay_all(self, data: bytes) -> tuple[RecordReader, ClassReader]:
         reader, classes = RecordReader(read_clocks()), ClassReader()
-        for fields, body in reader.read(data):
-            self._replay(fields, body, reader.time_shift, classes)
+        for record in reader.read(data):
+            self._replay(record, reader.time_shift, classes)
         return reader, classes
 
-    def _replay(self, fields: list[Any], body: bytes, shift: float, classes: ClassReader) -> None:
+    def _replay(self, record: Record, shift: float, classes: ClassReader) -> None:
         """Apply a record that was read; `shift` is added to its times."""
-        kind, name, *rest = fields
+        kind, name, *rest = record.fields
         if kind == "mail":
-            message = decode_message(fields[1:], body, shift)
+            message = decode_message(record.fields[1:], record.body, shift)
             message.accepted_class = classes.class_of_next(name)
-            self.add_pending(message, encode_message(message))
+            # Other times may be longer as text.
+            self.add_pending(message, len(encode_message(message)) if shift else record.payload_bytes)
         elif kind == CLASS_RECORD:
             classes.read_class(name, *rest)
         elif kind == UNDER_RECORD:
@@ -267,15 +269,15 @@
             self.apply_change(kind, pending, rest)
 
     @staticmethod
-    def reserved_for(message: StoredMessage, payload: bytes) -> int:
-        """Bytes to reserve for a message, its notice, and the record that it is finished."""
-        return RECORD_HEADER.size + len(payload) + 8 * len(message.name) + 256
+    def reserved_for(message: StoredMessage, payload_bytes: int) -> int:
+        """Bytes to reserve for a message, the number of its class, its notice, and its other records."""
+        return RECORD_HEADER.size + payload_bytes + 8 * len(message.name) + 256
 
-    def add_pending(self, message: StoredMessage, payload: bytes) -> None:
-        """Add a pending message with the payload of its record."""
+    def add_pending(self, message: StoredMessage, payload_bytes: int) -> None:
+        """Add a pending message, by the size of the payload of its record."""
         if before := self.pending.get(message.name):
             self._release(before)
-        message.reserved_bytes = self.reserved_for(message, payload)
+        message.reserved_bytes = self.reserved_for(message, payload_bytes)
         self.reserved_bytes += message.reserved_bytes
         self._classes.add(message)
         self.pending[message.name] = message
@@ -315,7 +317,7 @@
     def accept(self, message: StoredMessage) -> bool:
         """Add a pending message; false if there is no room for it, or it cannot be written."""
         payload = encode_message(message)
-        needed = self.reserved_for(message, payload) + self._classes.bytes_to_reserve(message)
+        needed = self.reserved_for(message, len(payload)) + self._classes.bytes_to_reserve(message)
         if self.reserved_bytes + self._classes.reserved_bytes + needed > self.max_pending_bytes:
             return False
         try:
@@ -325,7 +327,7 @@
         except OSError:
             return False
         self._classes.written(message)
-        self.add_pending(message, payload)
+        self.add_pending(message, len(payload))
         return True
 
     def set_accepted_class(self, message: StoredMessage, queue_class: QueueClass) -> None:
--- a/laureldock/stores/spool_records.py
+++ b/laureldock/stores/spool_records.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from math import inf
 from struct import Struct
-from typing import Any
+from typing import Any, NamedTuple
 
 from laureldock.clocks import WALL_TIMES, ClockReading
 from laureldock.core.messages import StoredMessage
@@ -21,11 +21,21 @@
 
 RECORD_HEADER = Struct(">II")  # length and CRC-32 of what follows
 CLOCK_RECORD = "boot"
+encode_json = json.JSONEncoder(separators=(",", ":")).encode
+decode_json = json.JSONDecoder().decode
+
+
+class Record(NamedTuple):
+    """A record that was read."""
+
+    fields: list[Any]
+    body: bytes
+    payload_bytes: int
 
 
 def encode_payload(fields: list[Any], body: bytes = b"") -> bytes:
     """The payload of a record: fields as JSON, and a body."""
-    return json.dumps(fields, separators=(",", ":")).encode() + b"\n" + body
+    return encode_json(fields).encode() + b"\n" + body
 
 
 def encode_record(payload: bytes, checksum: int = 0) -> tuple[bytes, int]:
@@ -102,8 +112,8 @@
         """Whether records may be appended to the file as it is."""
         return self.chained and not self.time_shift
 
-    def read(self, data: bytes) -> Iterator[tuple[list[Any], bytes]]:
-        """Fields and body of each complete record in the data that follows, up to a torn or corrupted one."""
+    def read(self, data: bytes) -> Iterator[Record]:
+        """Each complete record in the data that follows, up to a torn or corrupted one."""
         offset = 0
         while offset + RECORD_HEADER.size <= len(data):
             length, checksum = RECORD_HEADER.unpack_from(data, offset)
@@ -115,11 +125,11 @@
             self.size += RECORD_HEADER.size + length
             self.checksum = checksum
             line, _, body = payload.partition(b"\n")
-            fields = json.loads(line)
+            fields = decode_json(line.decode())
             if fields[0] == CLOCK_RECORD:
                 self._begin(ClockReading(*fields[1:]))
             else:
-                yield fields, body
+                yield Record(fields, body, length)
 
     def _begin(self, written: ClockReading) -> None:
         self.chained = True
--- a/tests/test_class_records.py
+++ b/tests/test_class_records.py
@@ -42,7 +42,7 @@
 
 
 def records_of(data: bytes) -> list[list[Any]]:
-    return [fields for fields, _ in RecordReader(read_clocks()).read(data)]
+    return [record.fields for record in RecordReader(read_clocks()).read(data)]
 
 
 def kinds(path: Path) -> list[str]:
@@ -161,7 +161,7 @@
     spool.close()
     data = spool.path.read_bytes()
     reader = RecordReader(read_clocks())
-    assert [fields[0] for fields, _ in reader.read(data)] == ["class", "under", "mail"]
+    assert [record.fields[0] for record in reader.read(data)] == ["class", "under", "mail"]
     # As one that was cut short: the record ahead of a message is there, and the message is not.
     descriptor = os.open(spool.path, os.O_RDWR)
     file = RecordFile(descriptor, reader.size, reader.checksum)
