Stub platform prints no tracebacks of connections that a killed dispatcher left

A whole run ended on 'SystemError: AST constructor recursion depth mismatch' as pytest formatted the failure of the thirty restarts, while threads of the stub printed tracebacks (BrokenPipeError, one for each call that a killed process left); what had failed was never printed. That the two are connected is supposed: both parse source in Python 3.11; a probe of four parsing threads did not show it in 8 s. Errors of connections are not printed now, others are, so that a failure of that test leaves its assertion with the times of all starts.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -51,10 +51,20 @@
         """Log nothing."""
 
 
+class PlatformServer(ThreadingHTTPServer):
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Print nothing of connections that a killed dispatcher left.
+
+        A run of pytest once ended on an internal error as it formatted a failure while these were printed.
+        """
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
 @pytest.fixture
 def platform() -> Iterator[ThreadingHTTPServer]:
     Platform.relayed, Platform.notices, Platform.slow = [], [], threading.Event()
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Platform)
+    server = PlatformServer(("127.0.0.1", 0), Platform)
     server.daemon_threads = True
     threading.Thread(target=server.serve_forever, daemon=True).start()
     yield server
