Soak: signals go to the process by its id, so that no exit status is lost

Cause: Popen.send_signal polls the process first, which collects the status of one that has just ended; the thread of asyncio that waits for it then finds none. os.kill does not poll.

--- a/laureldock/rehearsal/soak/dispatcher_process.py
+++ b/laureldock/rehearsal/soak/dispatcher_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import time
 from collections.abc import Mapping, Sequence
@@ -66,8 +67,10 @@
             return
         if number is signal.SIGTERM and not self.terminated_at:
             self.terminated_at = time.monotonic()
+        # Popen.send_signal may collect the exit status of a process that has just ended; asyncio, which waits
+        # for it too, then reports 255.
         with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(number)
+            os.kill(self.process_id, number)
 
     async def wait_ready(self) -> None:
         """Wait until it accepts clients. Raises RuntimeError if it ended, else TimeoutError."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from itertools import pairwise
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 
 from laureldock.rehearsal.scripted_run import RECEIVERS
 from laureldock.rehearsal.soak import faults
+from laureldock.rehearsal.soak.dispatcher_process import DispatcherProcess
 from laureldock.rehearsal.soak.run import soak
 from laureldock.rehearsal.soak.soak_result import SoakResult
 from laureldock.rehearsal.soak.system_calls import SystemCallFault
@@ -56,6 +58,24 @@
     assert sum(each.handovers for each in results) >= len(results)
 
 
+def test_a_signal_to_a_process_that_has_just_ended_leaves_its_exit_status(tmp_path: Path) -> None:
+    """A planned stop was reported as one with exit code 255."""
+
+    async def signalled_until_ended() -> int | None:
+        process = await DispatcherProcess.launch(
+            ["sh", "-c", "exit 3"], tmp_path / "file", ("127.0.0.1", 1), tmp_path / "log"
+        )
+        while process.is_running:
+            process.send_signal(signal.SIGWINCH)  # ignored
+            await asyncio.sleep(0)
+        return process.process.returncode
+
+    async def play() -> list[int | None]:
+        return [await signalled_until_ended() for _ in range(60)]
+
+    assert set(asyncio.run(play())) == {3}
+
+
 @pytest.mark.parametrize("platform", [False, True])
 @pytest.mark.parametrize("passed", [False, True])
 def test_faults_are_reproducible_by_seed_and_overlap(passed: bool, platform: bool) -> None:
