--- a/tests/test_class_records.py
+++ b/tests/test_class_records.py
@@ -250,3 +250,16 @@
     held = rig.core.messages_by_name[b"a"].message
     assert held.queue_class.repeat_safety is RepeatSafety.ONCE_ONLY
     rig.close()
+
+
+def test_the_next_process_goes_on_with_the_numbers_of_its_file(tmp_path: Path) -> None:
+    """A class that the file has is not written again, and another one gets the next number."""
+    spool = open_spool(tmp_path)
+    assert spool.accept(message("a", charge_class(5.0)))
+    spool.close()
+    again = open_spool(tmp_path)
+    assert again.accept(message("b", charge_class(5.0))) and again.accept(message("c", charge_class(6.0)))
+    again.close()
+    records = records_of(again.path.read_bytes())
+    assert [fields[2] for fields in records if fields[0] == "class"] == [1, 2]
+    assert [fields[1:] for fields in records if fields[0] == "under"] == [["a", 1], ["b", 1], ["c", 2]]
