One budget from the configured memory, charged with what clients make the process hold

Callers saw: a process beside hundreds of clients that write slowly, stop half way or do not read passed its limit on memory and was killed; `memory_mb` was read by no part of the program.

Cause: each connection could hold 128 KiB of parsed words, up to 96 KiB behind a command and a reply of 64 KiB, with no sum over connections; words were objects, and buffers below 128 KiB came from the heap, which kept them after they were freed.

Change: laureldock/delivery_memory.py has the budget (limit less what the program has at its start and a reserve), the cost of each kind of object, the share of each kind and the order of what gives way. Partial commands are held as bytes (CommandReader), looked through once and in bounded turns. When requests or unread replies are short of memory, the connection that has held the most for the longest gets -BUSY and is closed; new messages are refused with -BUSY; new clients wait. Replies that are not read for 5 s end their connection. A command may have 128 words (1,024 before) and a list of names and values 4 KiB. Large buffers have pages of their own, and the heap is trimmed once a megabyte was freed. A limit that cannot hold the program is refused at the start in plain words; `[limits] memory` is the same for a file. INFO, /_vars and the log (`memory is short`) tell limit, budget, what is held by kind and each refusal.

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -14,6 +15,7 @@
 from laureldock.carriers.http import HttpCarrier
 from laureldock.core.dispatcher import Dispatcher
 from laureldock.core.protocols import Front, Outlet, Source
+from laureldock.delivery_memory import MemoryBudget, required_bytes
 from laureldock.delivery_settings import DeliveryRegistry
 from laureldock.fronts.resp_server import RespServer
 from laureldock.outlets.lines import LineOutlet
@@ -39,9 +41,20 @@
     from laureldock.sources.controlled import ControllerSource
 
 
+HANDOVER_PROCESSES = 2
 CONFIGURATION_FOLDER = "configuration"  # in the state folder; entries received from a controller
 
 
+class RefusedMemoryError(Exception):
+    """The limit on memory is less than what the program needs to start and serve. Amounts in bytes."""
+
+    def __init__(self, limit: float, required: float) -> None:
+        super().__init__(
+            f"limits: {limit / 1e6:.0f} MB of memory cannot hold this program,"
+            f" which needs {required / 1e6:.0f} MB to start and serve"
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class PreparedReload:
     """A plan with everything derived from it, so that a reload does not delay messages by computing that."""
@@ -60,7 +73,7 @@
     """A dispatcher with its adapters, and the reloads of its configuration.
 
     `state` is the state folder; the store is opened there unless one is given. `on_fatal_error` is called
-    with the text of an error after which the process cannot go on.
+    with the text of an error after which the process cannot go on. Without `memory` there is no limit on it.
     """
 
     def __init__(
@@ -70,8 +83,10 @@
         reactor: PosixReactorBase,
         on_fatal_error: Callable[[str], None],
         store: Spool | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.plan, self.reactor = plan, reactor
+        self.memory = memory or MemoryBudget()
         store = store or Spool(state, plan.limits.disk)
         self.room = SocketBudget.of_limit(plan.limits.sockets)
         self.catalog = make_catalog(plan)
@@ -79,9 +94,11 @@
             (plan, None) if self.catalog is None else (self.catalog.in_force, self.catalog.terms_index)
         )
         registry = DeliveryRegistry(live_plan, sockets=True, terms=terms)
-        self.core = core = Dispatcher(plan.name, registry, store, reactor, on_fatal_error)
+        self.core = core = Dispatcher(plan.name, registry, store, reactor, on_fatal_error, self.memory)
         self.clients = [
-            RespServer(core, reactor, self.room, front.listen, self.max_clients(), front.pipeline)
+            RespServer(
+                core, reactor, self.room, front.listen, self.max_clients(), front.pipeline, self.memory
+            )
             for front in plan.front
         ]
         core.on_process_count = self.share_limits
@@ -121,6 +138,7 @@
     def share_limits(self, processes: int) -> None:
         """Divide the limits on sockets and disk space by the number of processes of this dispatcher."""
         self.core.store.share_disk(processes)
+        self.memory.set_processes(expected_processes(self.plan, processes))
         self.room.max_sockets = SocketBudget.of_limit(self.plan.limits.sockets // processes).max_sockets
         for clients in self.clients:
             clients.set_max_connections(self.max_clients(processes))
@@ -342,6 +360,19 @@
         )
 
 
+def expected_processes(plan: Plan, running: int = 1) -> int:
+    """For how many processes memory has to suffice: on a passed socket the next one runs beside this."""
+    return max(running, HANDOVER_PROCESSES) if plan.passed >= 0 else running
+
+
+def memory_budget(plan: Plan, resident: int) -> MemoryBudget:
+    """The budget of a process that has `resident` bytes. RefusedMemoryError if it cannot serve with it."""
+    limit = inf if plan.limits.memory is None else float(plan.limits.memory)
+    if limit < required_bytes(resident, 1):
+        raise RefusedMemoryError(limit, required_bytes(resident, 1))
+    return MemoryBudget(limit, resident, expected_processes(plan))
+
+
 def make_catalog(plan: Plan) -> Catalog | None:
     """A catalog for the entries of a controller, if the plan has one; imported only then."""
     if plan.source.kind != "controller":
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -14,9 +14,17 @@
 import structlog
 from twisted.internet.main import installReactor
 
-from laureldock.assembly import Assembly, PreparedReload
+from laureldock.assembly import (
+    HANDOVER_PROCESSES,
+    Assembly,
+    PreparedReload,
+    RefusedMemoryError,
+    memory_budget,
+)
 from laureldock.cli.config import exit_with_faults
+from laureldock.delivery_memory import required_bytes
 from laureldock.logs import Logs
+from laureldock.process_memory import resident_bytes, return_freed_memory
 from laureldock.setup.faults import RefusedError, dotted
 from laureldock.setup.plan import Plan
 from laureldock.setup.platform import plan_from_platform
@@ -53,6 +61,18 @@
     return log
 
 
+def warn_of_small_memory(assembly: Assembly) -> None:
+    """Log where the limit on memory holds one process, but not the two of a handover."""
+    memory = assembly.memory
+    needed = required_bytes(memory.resident, HANDOVER_PROCESSES)
+    if assembly.plan.passed >= 0 and memory.limit < needed:
+        assembly.core.log.error(
+            "memory holds one process, not the two of a handover",
+            limit_mb=round(memory.limit / 1e6),
+            needed_mb=round(needed / 1e6),
+        )
+
+
 @click.command("serve", context_settings={"auto_envvar_prefix": "LAURELDOCK"})
 @click.argument("file", required=False)
 @click.option("--name", show_envvar=True, help="Name of this dispatcher.")
@@ -111,10 +131,16 @@
         errors.append(fault)
         reactor.callLater(0, reactor.stop)
 
+    try:
+        return_freed_memory()
+        memory = memory_budget(plan, resident_bytes())
+    except RefusedMemoryError as refusal:
+        raise click.ClickException(f"cannot start: {refusal}") from None
     try:
         logs = wait_for(partial(Logs, plan.log, file is None), log_wait("log"))
         store = wait_for(partial(Spool, state, plan.limits.disk), log_wait("spool"))
-        assembly = Assembly(plan, state, reactor, end, store)
+        assembly = Assembly(plan, state, reactor, end, store, memory)
+        warn_of_small_memory(assembly)
         if plan_faults:  # applied all the same: a dispatcher must not stay down for them
             assembly.core.log.warning(
                 "settings questionable", faults=plan_faults[:20], count=len(plan_faults)
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -39,8 +39,10 @@
 from laureldock.core.recovery import Recovery
 from laureldock.core.submissions import Submissions
 from laureldock.delivery_connections import ExtraBytes
+from laureldock.delivery_memory import MemoryBudget, MemoryKind, MemoryRefusal, message_bytes
 from laureldock.delivery_policy import DeliveryPolicy
 from laureldock.delivery_settings import DeliveryRegistry, ListedEndpoint
+from laureldock.process_memory import resident_bytes
 
 # Seconds after a planned stop begins. By the platform's protocol clients may still connect for up to 0.4 s,
 # and the process is killed after 3.7 s.
@@ -77,9 +79,11 @@
         store: Store,
         clock: Clock,
         on_fatal_error: Callable[[str], None],
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.name, self.registry, self.store, self.clock = name, registry, store, clock
         self.on_fatal_error = on_fatal_error
+        self.memory = memory or MemoryBudget()
         self.log = structlog.get_logger().bind(dispatcher=name)
         self.counters: Counter[str] = Counter()
         self.class_counters = ClassCounters()
@@ -125,7 +129,12 @@
 
     def start(self) -> None:
         """Start the source; clients are accepted once the endpoint list is known."""
-        self.log.info("starting", owed=len(self.store.pending), torn_bytes=self.store.torn_bytes)
+        self.log.info(
+            "starting",
+            owed=len(self.store.pending),
+            torn_bytes=self.store.torn_bytes,
+            **self.memory.start_figures(),
+        )
         self.record_keeping.retry_if_unwritten()
         self.recovery.send_notices(list(self.store.pending.values()))
         self.source.start()
@@ -341,6 +350,13 @@
         self.counters["malformed requests"] += 1
         self.log.warning("malformed request", why=reason, so_far=self.counters["malformed requests"])
 
+    def report_memory_refusal(self, refusal: MemoryRefusal, **facts: object) -> None:
+        """Log and count what gave way for want of memory."""
+        self.memory.refused(refusal)
+        self.log.warning(
+            "memory is short", gave_way=refusal.value, so_far=self.memory.refusals[refusal], **facts
+        )
+
     def report_extra_bytes(self, peer: str, kind: ExtraBytes) -> None:
         """Log and count bytes of a peer that answer no request; their connection is closed."""
         self.counters[kind.value] += 1
@@ -351,6 +367,7 @@
     def hold_message(self, held: HeldMessage) -> None:
         """Hold a message until it is finished or withdrawn."""
         self.held_messages[held.message] = self.messages_by_name[held.name] = held
+        self.memory.change(MemoryKind.MESSAGES, message_bytes(held.body))
         self.invariants.message_held(held)
 
     def forget_message(self, held: HeldMessage) -> None:
@@ -358,7 +375,8 @@
         if self.holds(held):
             self.record_keeping.write(self.store.record_finished, held.name)
             del self.messages_by_name[held.name]
-        self.held_messages.pop(held.message, None)
+        if self.held_messages.pop(held.message, None):
+            self.memory.change(MemoryKind.MESSAGES, -message_bytes(held.body))
         self.invariants.message_forgotten(held)
 
     # Outcomes of messages
@@ -552,6 +570,7 @@
             "reloads_failed": self.counters["configurations refused"],
             "ready": self.accepts_clients(),
             "lameduck": self.lameduck,
+            "memory": self.memory.figures(resident_bytes()),
             **self.configuration_metrics(),
         }
 
@@ -561,6 +580,8 @@
 
     def metrics(self) -> dict[str, float]:
         """Present values and all counters, by name."""
-        present = {"held": len(self.held_messages), "out": self.carrier.attempts_in_flight}
+        present: dict[str, float] = {"held": len(self.held_messages), "out": self.carrier.attempts_in_flight}
         present["clients"] = sum(front.connection_count for front in self.fronts)
+        memory = self.memory.figures(resident_bytes())
+        present |= {f"memory {name}": value for name, value in memory.items()}
         return {**present, **self.configuration_metrics(), **dict(sorted(self.counters.items()))}
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -17,6 +17,7 @@
 from laureldock.core.messages import HeldMessage, Reply, StoredMessage, Submitter
 from laureldock.core.peer_view import PeerView, RouteRecord
 from laureldock.delivery_connections import ExtraBytes
+from laureldock.delivery_memory import MemoryRefusal
 from laureldock.delivery_settings import ListedEndpoint
 
 
@@ -263,6 +264,9 @@
     def report_out_of_descriptors(self) -> None:
         """The process ran out of file descriptors below the limit on clients."""
 
+    def report_memory_refusal(self, refusal: MemoryRefusal, **facts: object) -> None:
+        """Something gave way for want of memory."""
+
     def metrics(self) -> dict[str, float]:
         """Present values and all counters, by name."""
 
--- a/laureldock/core/submissions.py
+++ b/laureldock/core/submissions.py
@@ -7,6 +7,7 @@
 from laureldock import interface
 from laureldock.core.messages import ACCEPTED, HeldMessage, Reply, ReplyKind, StoredMessage, Submitter
 from laureldock.core.protocols import InvalidMessageError
+from laureldock.delivery_memory import MemoryKind, MemoryRefusal, message_bytes
 
 if TYPE_CHECKING:
     from laureldock.core.dispatcher import Dispatcher
@@ -43,6 +44,10 @@
             return Reply(ReplyKind.BUSY)
         if core.peers.view.knows(stored.name):
             return self._submit_known_to_peer(submitter, stored.name)
+        if not core.memory.may_hold(MemoryKind.MESSAGES, message_bytes(stored.body)):
+            core.report_memory_refusal(MemoryRefusal.MESSAGE_REFUSED, held=core.memory.held_bytes)
+            core.count(stored.queue_class, "deferred")
+            return Reply(ReplyKind.BUSY)
         stored.accepted_class = queue_class
         stored.accepted_at = core.now()  # read after the records of peer processes, whose messages come first
         if not core.store.accept(stored):
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -10,12 +10,13 @@
 from twisted.python.failure import Failure
 
 from laureldock.core import MAX_BODY_BYTES
-from laureldock.core.messages import HeldMessage, Reply
+from laureldock.core.messages import HeldMessage, Reply, ReplyKind
 from laureldock.core.protocols import InvalidMessageError
+from laureldock.delivery_memory import MemoryKind, MemoryRefusal, buffer_bytes
 from laureldock.fronts.resp_commands import COMMANDS, encode_reply, printable
 from laureldock.sockets.flush import FlushProducer, half_close, peek_unread
 from laureldock.wire import resp
-from laureldock.wire.resp import CommandParser, MalformedCommandError, PipelineCounter
+from laureldock.wire.resp import CommandReader, MalformedCommandError, PipelineCounter
 
 if TYPE_CHECKING:
     from laureldock.fronts.resp_server import RespServer
@@ -32,6 +33,9 @@
 # that tries a few commands which only a database knows can go on; one that keeps repeating rejected commands
 # is closed.
 MAX_ERRORS, ERRORS_FORGOTTEN_PER_SECOND = 16, 2.0
+# Commands, empty lines and empty arrays that a connection may have carried out while others wait.
+MAX_COMMANDS_PER_TURN = 32
+READ_BYTES = 32 << 10  # of one read
 
 
 class CloseReason(StrEnum):
@@ -48,16 +52,17 @@
     """One connection. While a command waits for its reply, the next ones wait unread."""
 
     transport: Connection  # type: ignore[assignment]
-    MAX_LENGTH = 1024  # bytes; far more than a length or a count, and enough for a command typed by hand
 
     def __init__(self, server: RespServer, client_id: int, backlog_wait: float = 0.0) -> None:
         """`backlog_wait`: the longest time, in seconds, for which it can have waited to be accepted."""
         self.server, self.client_id = server, client_id
         self.backlog_wait = backlog_wait  # zero from the first reply on
-        self.parser = CommandParser(MAX_BODY_BYTES)
+        self.reader = CommandReader(MAX_BODY_BYTES)
         self.pipeline = PipelineCounter(MAX_BODY_BYTES)
         self.unreplied: HeldMessage | None = None  # accepted, and its reply is not written yet
-        self.replying = self.parsing = False
+        self.replying = self.handling = self.yielding = False
+        self.reply_bytes = 0  # of the reply that is being written
+        self.requests_held = 0  # bytes of memory charged for what was received
         self.closing = self.close_after_reply = False  # closing: no further command is carried out
         # Half-closed with no reply outstanding: the client has its reply, or has sent no command.
         self.lingering = False
@@ -73,71 +78,90 @@
 
     @property
     def has_partial_command(self) -> bool:
-        return bool(self.parser.has_partial_command or self._buffer)
+        return not self.reader.is_empty
+
+    @property
+    def closable_bytes(self) -> int:
+        """Memory that is freed if this connection gives way; 0 if it may not: its reply is on the way."""
+        if self.unreplied or (self.replying and not self.leaves_reply_unread):
+            return 0
+        return self.requests_held + self.reply_bytes
+
+    @property
+    def leaves_reply_unread(self) -> bool:
+        return self.replying and self.server.core.now() > self.waiting_since + CHECK_INTERVAL
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
         self.server.connection_opened(self)
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        self.reader.clear()
+        self.set_reply_bytes(0)
+        self.update_held_memory()
         self.server.connection_closed(self)
         if self.unreplied:
             self.server.core.client_withdrew(self.unreplied)
 
+    @property
+    def _buffer(self) -> bytes:  # type: ignore[override]
+        """Bytes received that are not carried out yet; `LineReceiver` keeps them here too."""
+        return self.reader.data[self.reader.start :]
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
             return  # reading goes on: a close with unread bytes resets the connection, and loses the error
         self.pipeline.data_received(data)
         if self.is_idle and self.has_sent_command:
             self.waiting_since = self.server.core.now()
-        if not self.parsing:
-            data = self.handle_complete_commands(data)
-        super().dataReceived(data)
-        if self.paused and len(self._buffer) > MAX_BODY_BYTES:
-            self.transport.pauseProducing()
+        if data:
+            self.reader.feed(data)
+        self.handle_commands()
 
-    def handle_complete_commands(self, data: bytes) -> bytes:
-        """Carry out commands that have arrived whole, as nearly all do; return the rest, to read by lines."""
-        if not self.line_mode or self.paused:
-            return data
-        self.parsing = True
-        self._buffer += data
-        while not (self.paused or self.closing) and (found := self.parser.parse_complete(self._buffer)):
-            words, length = found
-            self._buffer = self._buffer[length:]
-            self.handle_command(words)
-        self.parsing = False
-        data, self._buffer = self._buffer, b""
-        return data
-
-    def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        try:
-            words = self.parser.feed_line(line)
-        except MalformedCommandError as fault:
-            self.close_with_error(str(fault))
+    def handle_commands(self) -> None:
+        """Carry out commands that have arrived, at most `MAX_COMMANDS_PER_TURN` before others have a turn."""
+        if self.handling or self.yielding:
             return
-        if self.parser.wants_bulk:
-            self.setRawMode()
-        elif words:
-            self.handle_command(words)
-
-    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.handling = True
         try:
-            words, rest = self.parser.feed_bulk(data)
+            for _ in range(MAX_COMMANDS_PER_TURN):
+                if self.paused or self.closing:
+                    break
+                if words := self.reader.next_command():
+                    self.handle_command(words)
+                elif words is None:
+                    if self.reader.has_more_to_read:
+                        self.yield_turn()
+                    break
+            else:
+                self.yield_turn()
         except MalformedCommandError as fault:
             self.close_with_error(str(fault))
-            return
-        if not self.parser.wants_bulk:
-            self._buffer = rest
-            self.setLineMode()
-            if words:
-                self.handle_command(words)
+        finally:
+            self.handling = False
+        self.reader.compact()
+        self.update_held_memory()
+        if self.paused and len(self.reader.data) > MAX_BODY_BYTES:
+            self.transport.pauseProducing()
+
+    def yield_turn(self) -> None:
+        """Go on in the next iteration of the reactor, and read nothing before."""
+        self.yielding = True
+        self.transport.pauseProducing()
+        self.server.core.call_later(0, self.resume_turn)
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
-        self.close_with_error("a line too long")
+    def resume_turn(self) -> None:
+        """The other connections have had their turns."""
+        self.yielding = False
+        if self in self.server.connections:
+            if not self.paused:
+                self.transport.resumeProducing()
+            self.handle_commands()
 
     def handle_command(self, words: list[bytes]) -> None:
-        if self.pipeline.count_behind(self._buffer) > self.server.max_pipelined:
+        limit = self.server.max_pipelined
+        if self.pipeline.count_behind(self.reader.data, self.reader.start, limit) > limit:
             self.close_with_error("too many commands at once")
             return
         self.has_sent_command = True
@@ -176,9 +200,13 @@
     def write_reply(self, data: bytes) -> None:
         """Further commands wait until the reply is written; a close by the client is still noticed."""
         self.replying = self.paused = True
+        if not self.closing:
+            self.waiting_since = self.server.core.now()
+        self.set_reply_bytes(len(data))
         FlushProducer(self.transport, data, self.on_reply_written)
 
     def on_reply_written(self) -> None:
+        self.set_reply_bytes(0)
         self.replying = False
         self.unreplied = None
         self.backlog_wait = 0.0
@@ -186,7 +214,7 @@
         self.close_after_reply = self.close_after_reply or self.server.lameduck
         if self.closing:
             self.half_close(CloseReason.ERROR_OR_QUIT)
-        elif self.close_after_reply and not self._buffer and peek_unread(self.transport) is None:
+        elif self.close_after_reply and self.reader.is_empty and peek_unread(self.transport) is None:
             self.lingering = True
             self.half_close(CloseReason.BETWEEN_REQUESTS)
         else:  # a command that has arrived, read or not, gets its reply before the close
@@ -220,11 +248,44 @@
     def close_with_error(self, why: str) -> None:
         """Reply an error, and close."""
         if not self.closing:
-            self.closing = True
-            self._buffer = b""
-            self.parser.reset()
             self.server.core.report_malformed_request(why)
-            self.write_reply(resp.error(f"ERR {why}"))
+            self.close_with(resp.error(f"ERR {why}"))
+
+    def close_with(self, reply: bytes) -> None:
+        """Write a last reply, drop what was received and not carried out, and close."""
+        self.closing = True
+        self.reader.clear()
+        self.update_held_memory()
+        self.write_reply(reply)
+
+    # Memory
+
+    def update_held_memory(self) -> None:
+        """Charge what was received and not carried out, and free memory if it is short."""
+        held = buffer_bytes(self.reader.data)
+        more, self.requests_held = held - self.requests_held, held
+        self.server.change_memory(MemoryKind.REQUESTS, more)
+
+    def set_reply_bytes(self, size: int) -> None:
+        """Charge the reply that is being written."""
+        more, self.reply_bytes = size - self.reply_bytes, size
+        self.server.change_memory(MemoryKind.REPLIES, more)
+
+    def give_way(self) -> MemoryRefusal:
+        """Free the memory that is held for this client; return what it was refused.
+
+        A request that has not arrived whole is harmless to repeat. A reply that its client does not read is
+        abandoned with the connection.
+        """
+        if self.replying:
+            self.closing = True
+            self.reader.clear()
+            self.update_held_memory()
+            self.set_reply_bytes(0)
+            self.close(CloseReason.REPLY_NOT_READ)
+            return MemoryRefusal.REPLY_ABANDONED
+        self.close_with(encode_reply(Reply(ReplyKind.BUSY)))
+        return MemoryRefusal.REQUEST_CLOSED
 
     def check_timeouts(self, now: float) -> None:
         """Close a connection that exceeds a time limit; end one that is to close and has become idle."""
@@ -234,9 +295,11 @@
                 self.close(CloseReason.LINGER_TIMEOUT)
             elif waited >= (READ_TIMEOUT if self.replying else DRAIN_TIMEOUT):
                 self.close(CloseReason.REPLY_NOT_READ)
+        elif self.replying:
+            if waited >= DRAIN_TIMEOUT:
+                self.close(CloseReason.REPLY_NOT_READ)
         elif (
             waited >= READ_TIMEOUT
-            and not self.replying
             and not self.unreplied
             and (self.has_partial_command or not self.has_sent_command)
         ):
--- a/laureldock/fronts/resp_commands.py
+++ b/laureldock/fronts/resp_commands.py
@@ -11,7 +11,7 @@
 from laureldock import __version__
 from laureldock.core.messages import HeldMessage, Reply, ReplyKind, StoredMessage
 from laureldock.core.protocols import InvalidMessageError
-from laureldock.sockets.flush import peek_unread
+from laureldock.sockets.flush import peer_has_closed
 from laureldock.wire import resp
 
 if TYPE_CHECKING:
@@ -26,6 +26,7 @@
 FIELD = re.compile(rb"([a-z]+)=([^,]*)")
 DESTINATION_NAME = re.compile(rb"[A-Za-z_][A-Za-z0-9_.-]{0,63}")  # of a destination that is not a number
 MAX_CLIENT_NAME = 256  # bytes, of `CLIENT SETNAME`
+MAX_FIELDS_BYTES = 4096  # of names and values; the longest ones that are known take a fifth of it
 
 
 def encode_reply(reply: Reply) -> bytes:
@@ -54,6 +55,8 @@
 
 def put(connection: ClientConnection, key: bytes, name: bytes, encoded_fields: bytes, body: bytes) -> None:
     """`MSG.PUT`: submit a message; the reply may follow later. InvalidMessageError."""
+    if len(encoded_fields) > MAX_FIELDS_BYTES:
+        raise InvalidMessageError("a list of names and values too long")
     fields = dict(FIELD.findall(encoded_fields))
     lifetime_ms, tag = fields.get(b"d", b""), fields.get(b"k", b"")
     tokens = [key, name, *([tag] if tag else [])]
@@ -71,7 +74,7 @@
     core = connection.server.core
     expires_at = core.now() + time_left
     message = StoredMessage(name, ordering_key, queue_class, customer, tag, destination, expires_at, body)
-    if peek_unread(connection.transport) == b"":  # the client has closed, as after a stall of this process
+    if peer_has_closed(connection.transport):  # as after a stall of this process
         connection.close_after_reply = True  # the reactor reads the close
         return
     result = core.submit(connection, message, time_left)
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -12,7 +12,15 @@
 from twisted.internet.tcp import Port
 
 from laureldock.core.protocols import ListenError, SubmissionHandler
+from laureldock.delivery_memory import (
+    CLIENT_CONNECTION_BYTES,
+    MemoryBudget,
+    MemoryKind,
+    MemoryRefusal,
+    first_to_give_way,
+)
 from laureldock.fronts.resp import CHECK_INTERVAL, NEW_CONNECTION_GRACE, ClientConnection, CloseReason
+from laureldock.process_memory import trim_heap
 from laureldock.sockets.flush import peek_unread
 from laureldock.sockets.reactor import ListeningPort
 from laureldock.sockets.socket_budget import SocketBudget
@@ -37,9 +45,11 @@
         listen: str,
         max_connections: int,
         max_pipelined: int,
+        memory: MemoryBudget,
     ) -> None:
         self.core, self.reactor, self.sockets, self.listen = core, reactor, sockets, listen
         self.max_pipelined = max_pipelined  # commands behind one that waits for its reply
+        self.memory = memory
         self.set_max_connections(max_connections)
         self.connections: dict[ClientConnection, None] = {}
         self.last_client_id = 0
@@ -127,6 +137,7 @@
 
     def connection_opened(self, connection: ClientConnection) -> None:
         self.connections[connection] = None
+        self.memory.change(MemoryKind.CONNECTIONS, CLIENT_CONNECTION_BYTES)
         self.sockets.clients += 1
         self.sockets.free_socket()
         self.make_room()
@@ -139,6 +150,8 @@
         for connection in list(self.connections):
             connection.check_timeouts(now)
         self.make_room()
+        if self.memory.trim_is_due():
+            trim_heap()
         self.check_scheduled = bool(self.connections)
         if self.check_scheduled:
             self.core.call_later(CHECK_INTERVAL, self.check_connections)
@@ -154,15 +167,15 @@
         At the limit this includes connections that have sent no command; where none is idle, accepting
         pauses, and new connections wait in the backlog.
         """
-        if len(self.connections) <= self.max_idle and not needed:
+        if len(self.connections) <= self.max_idle and not needed and not self.is_full:
             return  # the usual case, in which no connection need be examined
-        now, full = self.core.now(), len(self.connections) >= self.max_connections
+        now, full = self.core.now(), self.is_full
         staying = [connection for connection in self.connections if not connection.close_after_reply]
         idle = [connection for connection in staying if connection.is_idle]
         closable = [connection for connection in idle if connection.has_sent_command]
         excess = max(needed, len(closable) - self.max_idle)
         if full:
-            excess = max(excess, len(staying) + 1 - self.max_connections)
+            excess = max(excess, 1, len(staying) + 1 - self.max_connections)
             closable += [
                 connection
                 for connection in idle
@@ -178,14 +191,35 @@
                     connection.close(CloseReason.MAKE_ROOM)
             if not self.accepting_paused:
                 self.set_accepting_paused(True)
+                if len(self.connections) < self.max_connections:
+                    self.core.report_memory_refusal(MemoryRefusal.CLIENTS_WAIT, clients=len(self.connections))
 
     def connection_closed(self, connection: ClientConnection) -> None:
         if connection in self.connections:
             del self.connections[connection]
+            self.memory.change(MemoryKind.CONNECTIONS, -CLIENT_CONNECTION_BYTES)
             self.sockets.clients -= 1
-        if self.accepting_paused and len(self.connections) < self.max_connections:
+        if self.accepting_paused and not self.is_full:
             self.set_accepting_paused(False)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether there is no room for one more connection."""
+        return len(self.connections) >= self.max_connections or not self.memory.may_hold(
+            MemoryKind.CONNECTIONS, CLIENT_CONNECTION_BYTES
+        )
+
+    def change_memory(self, kind: MemoryKind, amount: int) -> None:
+        """Charge memory held for a client, or free it; where it is short, connections give way."""
+        self.memory.change(kind, amount)
+        if amount <= 0:
+            return
+        while self.memory.is_short_of(kind):
+            connection = first_to_give_way(self.connections, self.core.now())
+            if connection is None:
+                return
+            self.core.report_memory_refusal(connection.give_way(), held=self.memory.held_bytes)
+
     def set_accepting_paused(self, paused: bool) -> None:
         """Pause accepting, so that new connections wait in the backlog, or resume it."""
         self.accepting_paused = paused
--- a/laureldock/rehearsal/soak/platform.py
+++ b/laureldock/rehearsal/soak/platform.py
@@ -60,10 +60,16 @@
 
 
 def write_configuration(
-    file: Path, name: str, seed: int, listen: str, discovery: str, known: dict[str, Any]
+    file: Path,
+    name: str,
+    seed: int,
+    listen: str,
+    discovery: str,
+    known: dict[str, Any],
+    more_limits: dict[str, float] | None = None,
 ) -> None:
-    """Write the file that `LB_CONFIG` names, atomically. Raises OSError."""
-    limits = {"cores": 1, "memory_mb": 64, "sockets": SOCKETS, "disk_mb": DISK_MB}
+    """Write the file that `LB_CONFIG` names, atomically, with `more_limits` on top. Raises OSError."""
+    limits = {"cores": 1, "memory_mb": 64, "sockets": SOCKETS, "disk_mb": DISK_MB, **(more_limits or {})}
     fields = {"name": name, "seed": f"{seed:x}", "listen": listen, "discovery": discovery}
     new_file = file.with_suffix(".new")
     new_file.write_text(json.dumps({**fields, "limits": limits, "known": known, "settings": settings()}))
--- a/laureldock/setup/plan.py
+++ b/laureldock/setup/plan.py
@@ -129,6 +129,10 @@
     disk: Annotated[Size, Meta(description="disk space for the state folder")] = field(
         default_factory=partial(Size, 64 << 20)
     )
+    memory: Annotated[
+        Size | None,
+        Meta(description="memory of all processes of the dispatcher together; not set: no limit"),
+    ] = None
     slots: Annotated[int, Meta(ge=1, description="maximum calls in flight")] = 64
     room: Annotated[int, Meta(ge=4, description="maximum messages held")] = 2000
     connects: Annotated[int, Meta(ge=1, description="maximum attempts per message")] = 8
--- a/laureldock/setup/platform.py
+++ b/laureldock/setup/platform.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Mapping
+from math import isfinite
 from pathlib import Path
 from typing import Any
 
@@ -136,6 +137,16 @@
     return faults
 
 
+def memory_limit(limits: Fields) -> Size | None:
+    """The limit on memory, if there is one. Raises ValueError."""
+    megabytes = limits.get("memory_mb")
+    if megabytes is None:
+        return None
+    if not is_positive(megabytes) or not isfinite(megabytes):
+        raise ValueError(f"limits.memory_mb: must be above 0, not {megabytes!r}")
+    return Size(megabytes * 1e6)
+
+
 def plan_from_platform(environ: Mapping[str, str], reload: bool = False) -> tuple[Plan, Bounds]:
     """The plan of a dispatcher on the platform, and its bounds. Raises ValueError, with a plain message.
 
@@ -152,6 +163,7 @@
         plan.state = environ["LB_STATE"]
         plan.limits.sockets = int(limits["sockets"])
         plan.limits.disk = Size(float(limits["disk_mb"]) * 1e6)
+        plan.limits.memory = memory_limit(limits)
         listen = parse_address(environ.get("LB_LISTEN") or configuration["listen"])
         # At SIGHUP the file is newer than the environment, which was set at startup.
         directory = parse_address(
--- a/laureldock/sockets/flush.py
+++ b/laureldock/sockets/flush.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 from collections.abc import Callable
 
@@ -24,6 +25,17 @@
         return b""
 
 
+def peer_has_closed(transport: Connection) -> bool:
+    """Whether the other side has closed or shut down its sending, also if bytes before that are unread."""
+    if peek_unread(transport) == b"":
+        return True
+    poll = select.poll()
+    with contextlib.suppress(OSError, ValueError):  # ValueError: the descriptor is closed
+        poll.register(transport.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+    return False
+
+
 def half_close(transport: Connection) -> None:
     """Half-close at once; the write buffer must be empty.
 
--- a/laureldock/wire/resp.py
+++ b/laureldock/wire/resp.py
@@ -1,4 +1,4 @@
-"""RESP2 from the server's side, without I/O: reads lines and bulk bytes, returns complete commands.
+"""RESP2 from the server's side, without I/O: takes bytes as they arrive, returns complete commands.
 
 Source: the Redis serialization protocol specification, version 2: requests as arrays of bulk strings, and
 inline commands as typed by hand.
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 from collections import deque
+from math import inf
 
 LINE_END, EMPTY_ARRAY = b"\r\n", b"*0\r\n"
-MAX_WORDS = 1024  # in one command; the longest ones in a pipeline are far shorter
+MAX_WORDS = 128  # in one command; all that are known are far shorter
+MAX_WORDS_PER_TURN = 32  # that are looked through while other connections wait
 MAX_COMMAND_BYTES = 1 << 17  # in all words together: twice the longest body, which leaves room for the rest
+MAX_LINE_BYTES = 1024  # far more than a length or a count, and enough for a command typed by hand
+MAX_UNCOUNTED = 256  # lines and empty arrays that are passed over in one count of the commands that wait
 
 
 class MalformedCommandError(Exception):
@@ -33,85 +37,144 @@
     def data_received(self, data: bytes) -> None:
         self.received += len(data)
 
-    def count_behind(self, unparsed: bytes) -> int:
-        """Count them; `unparsed`: all bytes received behind the command that is carried out."""
-        start = self.received - len(unparsed)
-        while self.command_ends and self.command_ends[0] <= start:
+    def count_behind(self, data: bytes, offset: int = 0, limit: float = inf) -> int:
+        """Count them; `data` from `offset` on is all that was received behind the command carried out.
+
+        The work of one call is bounded: it stops beyond `limit` commands, or after many lines that are none.
+        """
+        origin = self.received - len(data)
+        while self.command_ends and self.command_ends[0] <= origin + offset:
             self.command_ends.popleft()
-        position = max(self.counted_to, start) - start
-        while end := find_command_end(unparsed, position, self.max_bulk):
-            if starts_command(unparsed, position):
-                self.command_ends.append(start + end)
+        position = max(self.counted_to - origin, offset)
+        uncounted = 0
+        while len(self.command_ends) <= limit and uncounted < MAX_UNCOUNTED:
+            end = find_command_end(data, position, self.max_bulk)
+            if not end:
+                break
+            if starts_command(data, position):
+                self.command_ends.append(origin + end)
+            else:
+                uncounted += 1
             position = end
-        self.counted_to = start + position
-        return len(self.command_ends) + starts_command(unparsed, position)
+        self.counted_to = origin + position
+        return len(self.command_ends) + starts_command(data, position)
 
 
-class CommandParser:
-    """Reads the commands of one connection. `wants_bulk` says whether it needs bulk bytes or a line next."""
+class CommandReader:
+    """Cuts the bytes of one connection into commands, and holds what is not a whole one yet as bytes.
+
+    A command that arrives in pieces is looked through once, however it is cut.
+    """
 
     def __init__(self, max_bulk: int) -> None:
         self.max_bulk = max_bulk
-        self.words: list[bytes] = []
-        self.missing_words = 0  # words of the current command that have not arrived
-        self.bulk_size, self.bulk_data = 0, bytearray()
-        self.command_bytes = 0
-        self.wants_bulk = False
+        self.data, self.start = b"", 0  # what is held, and where the next command starts
+        self._forget_position()
 
-    @property
-    def has_partial_command(self) -> bool:
-        """Whether a command has arrived in part."""
-        return bool(self.words or self.missing_words)
-
-    def reset(self) -> None:
-        self.words, self.missing_words, self.wants_bulk = [], 0, False
-        self.bulk_data.clear()
+    def _forget_position(self) -> None:
+        # Of the command at `start`: bytes looked through; words that have not arrived whole; where the bulk
+        # string that is due ends, 0 if a line is due; bytes of its bulk strings.
+        self.position, self.missing_words, self.bulk_end, self.command_bytes = self.start, 0, 0, 0
+        self.has_more_to_read = False  # the work of a turn ended before the bytes did
 
-    def parse_complete(self, data: bytes) -> tuple[list[bytes], int] | None:
-        """The command at the start of the bytes, if all of it is there, and its length: the fast path.
-
-        None for everything else, also for malformed bytes: `feed_line` and `feed_bulk` take those, and raise
-        an error that names the fault.
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is held."""
+        return len(self.data) == self.start
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes that were received."""
+        self.compact()
+        self.data += data
+
+    def compact(self) -> None:
+        """Drop the bytes of commands that were returned."""
+        if self.start:
+            self.data = self.data[self.start :]
+            self.position -= self.start
+            self.bulk_end -= self.start if self.bulk_end else 0
+            self.start = 0
+
+    def clear(self) -> None:
+        """Drop all that is held."""
+        self.data, self.start = b"", 0
+        self._forget_position()
+
+    def next_command(self) -> list[bytes] | None:
+        """The words of the next command; none of an empty line or array; None if it is not whole yet.
+
+        None, too, after the work of one turn, and then `has_more_to_read`. Raises MalformedCommandError.
         """
-        return None if self.missing_words else parse_complete_command(data, 0, self.max_bulk)
-
-    def feed_line(self, line: bytes) -> list[bytes] | None:
-        """Take a line without its line end; return a command if it is complete. MalformedCommandError."""
+        if self.position == self.start and (
+            found := parse_complete_command(self.data, self.start, self.max_bulk)
+        ):
+            words, end = found
+        elif end := self._find_end():
+            words = split_command(self.data, self.start, end)
+        else:
+            return None
+        self.start = end
+        self._forget_position()
+        return words
+
+    def _find_end(self) -> int:
+        """Return where the command at `start` ends, 0 if that is not known yet. MalformedCommandError."""
+        self.has_more_to_read = False
+        for _ in range(MAX_WORDS_PER_TURN):
+            if self.bulk_end:
+                if len(self.data) < self.bulk_end:
+                    return 0
+                if self.data[self.bulk_end - 2 : self.bulk_end] != LINE_END:
+                    raise MalformedCommandError("a bulk string without its end")
+                self.position, self.bulk_end = self.bulk_end, 0
+                self.missing_words -= 1
+                if not self.missing_words:
+                    return self.position
+            line_end = self.data.find(LINE_END, self.position)
+            length = (len(self.data) - len(LINE_END) if line_end < 0 else line_end) - self.position
+            if length > MAX_LINE_BYTES:
+                raise MalformedCommandError("a line too long")
+            if line_end < 0:
+                return 0
+            if self._read_line(line_end):
+                return self.position
+        self.has_more_to_read = True
+        return 0
+
+    def _read_line(self, line_end: int) -> bool:
+        """Take in a line that is due; whether it is all of the command. Raises MalformedCommandError."""
+        kind, digits = self.data[self.position : self.position + 1], self.data[self.position + 1 : line_end]
+        self.position = line_end + len(LINE_END)
         if self.missing_words:
-            if line[:1] != b"$":
+            if kind != b"$":
                 raise MalformedCommandError("a bulk string was due")
-            self.bulk_size = parse_count(line[1:], self.max_bulk)
-            self.command_bytes += self.bulk_size
+            size = parse_count(digits, self.max_bulk)
+            self.command_bytes += size
             if self.command_bytes > MAX_COMMAND_BYTES:
                 raise MalformedCommandError("a command too long")
-            self.bulk_data.clear()
-            self.wants_bulk = True
-        elif line[:1] == b"*":
-            self.words, self.missing_words, self.command_bytes = [], parse_count(line[1:], MAX_WORDS), 0
-        elif line.strip():
-            if not (line.isascii() and line.decode().isprintable()):
-                raise MalformedCommandError("neither an array nor a command typed by hand")
-            return line.split()
-        return None
-
-    def feed_bulk(self, data: bytes) -> tuple[list[bytes] | None, bytes]:
-        """Take bytes of a bulk string; return a command if it is complete, and the bytes that follow it.
-
-        MalformedCommandError.
-        """
-        part = data[: self.bulk_size + 2 - len(self.bulk_data)]
-        self.bulk_data += part
-        if len(self.bulk_data) < self.bulk_size + 2:
-            return None, b""
-        if self.bulk_data[self.bulk_size :] != b"\r\n":
-            raise MalformedCommandError("a bulk string without its end")
-        self.wants_bulk = False
-        self.words.append(bytes(self.bulk_data[: self.bulk_size]))
-        self.missing_words -= 1
-        if self.missing_words:
-            return None, data[len(part) :]
-        words, self.words = self.words, []
-        return words, data[len(part) :]
+            self.bulk_end = self.position + size + len(LINE_END)
+            return False
+        if kind != b"*":
+            return True
+        self.missing_words = parse_count(digits, MAX_WORDS)
+        return not self.missing_words
+
+
+def split_command(data: bytes, start: int, end: int) -> list[bytes]:
+    """The words of a whole command or line. Raises MalformedCommandError for a line that cannot be typed."""
+    line_end = data.index(LINE_END, start)
+    if data[start : start + 1] != b"*":
+        line = data[start:line_end]
+        if line.strip() and not (line.isascii() and line.decode().isprintable()):
+            raise MalformedCommandError("neither an array nor a command typed by hand")
+        return line.split()
+    words, position = [], line_end + len(LINE_END)
+    while position < end:
+        line_end = data.index(LINE_END, position)
+        position = line_end + len(LINE_END) + int(data[position + 1 : line_end])
+        words.append(data[line_end + len(LINE_END) : position])
+        position += len(LINE_END)
+    return words
 
 
 def parse_complete_command(data: bytes, position: int, max_bulk: int) -> tuple[list[bytes], int] | None:
--- a/tests/drivers.py
+++ b/tests/drivers.py
@@ -212,6 +212,9 @@
     def socket(self) -> MemoryConnection:
         return self
 
+    def fileno(self) -> int:
+        return -1
+
     def recv(self, size: int, flags: int) -> bytes:
         if self.unread_bytes is None:
             raise BlockingIOError
