Responses: heads and chunk lines are bounded, bodies not kept, and lists that do not fit refused

Callers saw nothing yet: found as a related path of the memory kills. A receiver could make a call hold 64 header lines of 8 KiB and a body of 64 KiB that nobody reads, and loop over interim responses, trailers and chunk sizes without end; the list server 4 MiB, which json.loads made many times that.

Change: all lines of one response may have 16 KiB, and chunk sizes an eighth of the body more; bodies are dropped as they arrive but for lists, which msgspec decodes without objects for unused fields; responses, connections, calls, lists and what is known of each endpoint are charged to the budget. A list that does not fit is refused (the known one stays, `list failed` and `memory is short` say why).

--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from math import inf
+from math import ceil, inf
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -48,10 +48,10 @@
 class RefusedMemoryError(Exception):
     """The limit on memory is less than what the program needs to start and serve. Amounts in bytes."""
 
-    def __init__(self, limit: float, required: float) -> None:
+    def __init__(self, limit: float, required: float, endpoints: int) -> None:
         super().__init__(
-            f"limits: {limit / 1e6:.0f} MB of memory cannot hold this program,"
-            f" which needs {required / 1e6:.0f} MB to start and serve"
+            f"a limit of {limit / 1e6:g} MB on memory is too small: to start and serve with {endpoints}"
+            f" endpoints this program needs {ceil(required / 1e6)} MB"
         )
 
 
@@ -365,11 +365,18 @@
     return max(running, HANDOVER_PROCESSES) if plan.passed >= 0 else running
 
 
+def listed_count(plan: Plan) -> int:
+    """The number of endpoints that are known at the start."""
+    known = plan.source.known or {}
+    return len(plan.endpoints) or len(known.get("hosts") or ())
+
+
 def memory_budget(plan: Plan, resident: int) -> MemoryBudget:
     """The budget of a process that has `resident` bytes. RefusedMemoryError if it cannot serve with it."""
     limit = inf if plan.limits.memory is None else float(plan.limits.memory)
-    if limit < required_bytes(resident, 1):
-        raise RefusedMemoryError(limit, required_bytes(resident, 1))
+    required = required_bytes(resident, listed_count(plan))
+    if limit < required:
+        raise RefusedMemoryError(limit, required, listed_count(plan))
     return MemoryBudget(limit, resident, expected_processes(plan))
 
 
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -17,6 +17,7 @@
 from laureldock.core.messages import HeldMessage
 from laureldock.core.protocols import AttemptListener, Timer
 from laureldock.delivery_connections import RestTimes
+from laureldock.delivery_memory import MemoryKind, call_bytes
 from laureldock.interface import Attempt, AttemptResult, ListedState, Outcome, Probe, Route
 from laureldock.sockets.http_client import HttpConnection, open_connection
 from laureldock.sockets.socket_budget import SocketBudget
@@ -71,6 +72,7 @@
 
         def on_finished(result: CallResult, outcome: Outcome) -> None:
             del self.calls[attempt]
+            self.core.memory.change(MemoryKind.MESSAGES, -call_bytes(message.body))
             self.core.attempt_ended(attempt, message, result, outcome)
 
         pool = self.pools[attempt.route]
@@ -86,6 +88,7 @@
         )
         call.message, call.on_sending = message, partial(self.core.attempt_sending, attempt, message)
         self.calls[attempt] = call
+        self.core.memory.change(MemoryKind.MESSAGES, call_bytes(message.body))
         call.start()
 
     def cancel_attempt(self, attempt: Attempt) -> None:
@@ -207,7 +210,7 @@
         core.counters["connections opened"] += 1
         connect_time_limit = core.settings.connect_timeout
         self.connecting = open_connection(
-            self.carrier.reactor, self.pool.address, MAX_BODY_BYTES, connect_time_limit
+            self.carrier.reactor, self.pool.address, MAX_BODY_BYTES, connect_time_limit, core.memory
         )
         self.connecting.addCallbacks(self.connected, self.connect_failed)
 
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -19,6 +19,7 @@
     Assembly,
     PreparedReload,
     RefusedMemoryError,
+    listed_count,
     memory_budget,
 )
 from laureldock.cli.config import exit_with_faults
@@ -64,7 +65,7 @@
 def warn_of_small_memory(assembly: Assembly) -> None:
     """Log where the limit on memory holds one process, but not the two of a handover."""
     memory = assembly.memory
-    needed = required_bytes(memory.resident, HANDOVER_PROCESSES)
+    needed = required_bytes(memory.resident, listed_count(assembly.plan), HANDOVER_PROCESSES)
     if assembly.plan.passed >= 0 and memory.limit < needed:
         assembly.core.log.error(
             "memory holds one process, not the two of a handover",
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -39,7 +39,14 @@
 from laureldock.core.recovery import Recovery
 from laureldock.core.submissions import Submissions
 from laureldock.delivery_connections import ExtraBytes
-from laureldock.delivery_memory import MemoryBudget, MemoryKind, MemoryRefusal, message_bytes
+from laureldock.delivery_memory import (
+    ROUTE_BYTES,
+    MemoryBudget,
+    MemoryKind,
+    MemoryRefusal,
+    list_fits,
+    message_bytes,
+)
 from laureldock.delivery_policy import DeliveryPolicy
 from laureldock.delivery_settings import DeliveryRegistry, ListedEndpoint
 from laureldock.process_memory import resident_bytes
@@ -520,9 +527,19 @@
 
     # The endpoint list
 
+    def list_fits(self, endpoints: list[tuple[ListedEndpoint, str]], full: bool) -> bool:
+        """Whether there is memory for the endpoints that a list adds."""
+        known = self.registry.routes
+        added = len(endpoints) if full else sum(each.name not in known for each, _ in endpoints)
+        if list_fits(self.memory, len(known), added, full):
+            return True
+        self.report_memory_refusal(MemoryRefusal.LIST_REFUSED, endpoints=len(endpoints))
+        return False
+
     def list_updated(self, endpoints: list[tuple[ListedEndpoint, str]], full: bool) -> None:
         """Endpoints were listed, each with its address; a `full` list replaces the known one."""
         known = self.registry.routes
+        known_before = len(known)
         listed_names = known.keys() if full else (endpoint.name for endpoint, _ in endpoints)
         before = {name: known[name] for name in listed_names if name in known}
         up = [route for route in before.values() if route.listed_state is interface.ListedState.UP]
@@ -536,6 +553,7 @@
         self.carrier.remove_routes(
             [route for route in changed if route.listed_state is interface.ListedState.REMOVED]
         )
+        self.memory.change(MemoryKind.LISTS, ROUTE_BYTES * (len(known) - known_before))
         self.call_policy(self.policy.list_updated, routes, full)
         self.invariants.routes_listed([*changed])
         self.start_serving()
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -17,7 +17,7 @@
 from laureldock.core.messages import HeldMessage, Reply, StoredMessage, Submitter
 from laureldock.core.peer_view import PeerView, RouteRecord
 from laureldock.delivery_connections import ExtraBytes
-from laureldock.delivery_memory import MemoryRefusal
+from laureldock.delivery_memory import MemoryBudget, MemoryRefusal
 from laureldock.delivery_settings import ListedEndpoint
 
 
@@ -227,6 +227,7 @@
     """Counters, time and timers, for every adapter."""
 
     counters: Counter[str]
+    memory: MemoryBudget
 
     def now(self) -> float:
         """The monotonic time in seconds."""
@@ -237,6 +238,9 @@
     def report_extra_bytes(self, peer: str, kind: ExtraBytes) -> None:
         """A peer, by its name or address, sent bytes that answer no request."""
 
+    def report_memory_refusal(self, refusal: MemoryRefusal, **facts: object) -> None:
+        """Something gave way for want of memory."""
+
 
 class SubmissionHandler(CoreServices, Protocol):
     """What fronts call on the core."""
@@ -264,9 +268,6 @@
     def report_out_of_descriptors(self) -> None:
         """The process ran out of file descriptors below the limit on clients."""
 
-    def report_memory_refusal(self, refusal: MemoryRefusal, **facts: object) -> None:
-        """Something gave way for want of memory."""
-
     def metrics(self) -> dict[str, float]:
         """Present values and all counters, by name."""
 
@@ -304,6 +305,9 @@
     def guard(self, call: Callable[..., Any], *args: Any) -> Any:
         """Call a function; an exception is logged and counted, and goes no further."""
 
+    def list_fits(self, endpoints: list[tuple[ListedEndpoint, str]], full: bool) -> bool:
+        """Whether there is memory for the endpoints that a list adds; false is logged and counted."""
+
     def list_updated(self, endpoints: list[tuple[ListedEndpoint, str]], full: bool) -> None:
         """Endpoints were listed, each with its address; a `full` list replaces the known one."""
 
--- a/laureldock/delivery_memory.py
+++ b/laureldock/delivery_memory.py
@@ -28,7 +28,7 @@
     CONNECTIONS = "connections"
     REQUESTS = "requests"  # received from clients and not carried out yet
     REPLIES = "replies"  # written to clients that have not read them yet
-    MESSAGES = "messages"  # accepted and not finished, and names of those that finished a moment ago
+    MESSAGES = "messages"  # accepted and not finished, calls with them, names of those just finished
     RESPONSES = "responses"  # of receivers and of the platform, as far as they have arrived
     LISTS = "lists"  # of endpoints, and what is known of each
 
@@ -44,23 +44,23 @@
 
 
 # Bytes that a peer's object costs beside the bytes received.
-CLIENT_CONNECTION_BYTES = 6_000
-RECEIVER_CONNECTION_BYTES = 9_000
-MESSAGE_BYTES = 5_000
+CLIENT_CONNECTION_BYTES = 3_000
+RECEIVER_CONNECTION_BYTES = 4_000
+MESSAGE_BYTES = 1_600
+CALL_BYTES = 2_000
 FINISHED_NAME_BYTES = 250
-ROUTE_BYTES = 4_000
+ROUTE_BYTES = 2_700
 BUFFER_BYTES = 64  # header of a bytes object, and the rounding of its allocation
-# A body is held once by its message and once more while a call writes it.
-BODY_COPIES = 2
 # Bytes held for each byte of a list while it is decoded.
 LIST_DECODE_FACTOR = 5
+SMALL_LIST_BYTES = 100_000
 
 # Fractions of the budget that one kind may take at most, so that none starves the others.
 MAX_SHARES = {
     MemoryKind.CONNECTIONS: 0.7,
     MemoryKind.REQUESTS: 0.35,
     MemoryKind.REPLIES: 0.2,
-    MemoryKind.MESSAGES: 0.6,
+    MemoryKind.MESSAGES: 0.75,
     MemoryKind.RESPONSES: 1.0,
     MemoryKind.LISTS: 0.7,
 }
@@ -72,9 +72,9 @@
 TRIM_AFTER_BYTES = 1_000_000
 
 
-def required_bytes(resident: float, processes: int) -> float:
-    """The least limit for so many processes, each of which has `resident` bytes before it serves."""
-    return processes * (resident + RESERVED_BYTES + MIN_BUDGET_BYTES)
+def required_bytes(resident: float, endpoints: int, processes: int = 1) -> float:
+    """The least limit for so many processes, each with `resident` bytes at first and these endpoints."""
+    return processes * (resident + RESERVED_BYTES + MIN_BUDGET_BYTES + endpoints * ROUTE_BYTES)
 
 
 class MemoryBudget:
@@ -161,7 +161,31 @@
 
 def message_bytes(body: bytes) -> int:
     """What an accepted message costs until it is finished."""
-    return BODY_COPIES * len(body) + MESSAGE_BYTES
+    return len(body) + MESSAGE_BYTES
+
+
+def call_bytes(body: bytes) -> int:
+    """What a call costs while it is out, with its copy of the message's body."""
+    return len(body) + CALL_BYTES
+
+
+def response_bytes(kind: MemoryKind, received: int) -> int:
+    """What a response costs that has arrived so far, with the objects that a list is decoded to."""
+    if not received:
+        return 0
+    return BUFFER_BYTES + (received * LIST_DECODE_FACTOR if kind is MemoryKind.LISTS else received)
+
+
+def refuses_list(memory: MemoryBudget, kind: MemoryKind, size: int) -> bool:
+    """Whether a response of the list server is too large; small ones, such as updates, are always taken."""
+    return kind is MemoryKind.LISTS and size > SMALL_LIST_BYTES and memory.is_short_of(kind)
+
+
+def list_fits(memory: MemoryBudget, known: int, added: int, full: bool) -> bool:
+    """Whether a list may be applied that adds so many endpoints to those known; a small one always may."""
+    more = max(0, added - known) if full else added
+    size = more * ROUTE_BYTES
+    return size <= SMALL_LIST_BYTES or memory.may_hold(MemoryKind.LISTS, size)
 
 
 class MemoryHolder(Protocol):
--- a/laureldock/rehearsal/soak/discovery.py
+++ b/laureldock/rehearsal/soak/discovery.py
@@ -84,8 +84,15 @@
 
     def set_health(self, name: str, health: str) -> int:
         """Change one entry, and return the version of that change."""
+        self._endpoints[name].health = health
+        return self.put(self._endpoints[name])
+
+    def put(self, *endpoints: Endpoint) -> int:
+        """Add entries or replace those of their names, in one change of the list; return its version."""
         self._version += 1
-        self._endpoints[name].health, self._endpoints[name].version = health, self._version
+        for endpoint in endpoints:
+            endpoint.version = self._version
+            self._endpoints[endpoint.name] = endpoint
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         return self._version
--- a/laureldock/sockets/http_client.py
+++ b/laureldock/sockets/http_client.py
@@ -22,9 +22,19 @@
     ConnectionReuse,
     RestTimes,
 )
+from laureldock.delivery_memory import (
+    RECEIVER_CONNECTION_BYTES,
+    MemoryBudget,
+    MemoryKind,
+    MemoryRefusal,
+    refuses_list,
+    response_bytes,
+)
 from laureldock.sockets.flush import FlushProducer, half_close, peek_unread
 from laureldock.wire.http1 import Headers, MalformedResponseError, ResponseParser
 
+READ_BYTES = 32 << 10  # of one read
+
 
 class ResponseHandler(Protocol):
     """Sent a request: gets either its response or its failure, once."""
@@ -44,7 +54,8 @@
     """One connection.
 
     Calls `on_idle` when it can carry the next request, once it has rested; `on_extra_bytes` with bytes that
-    answer no request, upon which it closes; `on_closed` when it is closed.
+    answer no request, upon which it closes; `on_closed` when it is closed. What arrives is charged to
+    `memory`: bodies are kept only of lists, and a list that does not fit ends the request.
     """
 
     transport: Connection  # type: ignore[assignment]
@@ -52,11 +63,15 @@
     MAX_LENGTH = 8192  # bytes of a line, a common limit of HTTP servers
     delimiter = b"\n"
 
-    def __init__(self, max_body: int, now: Callable[[], float]) -> None:
+    def __init__(
+        self, max_body: int, now: Callable[[], float], memory: MemoryBudget, keeps_body: bool
+    ) -> None:
         """`now`: the monotonic time in seconds."""
-        self.now = now
+        self.now, self.memory = now, memory
+        self.kind = MemoryKind.LISTS if keeps_body else MemoryKind.RESPONSES
+        self.held = 0  # bytes charged for the response that is arriving
         self.handler: ResponseHandler | None = None
-        self.parser = ResponseParser(max_body)
+        self.parser = ResponseParser(max_body, keeps_body)
         self.request_flushed = self.closed = self.half_closed = False
         self.request_count = self.bytes_received = 0
         self.history = ConnectionHistory()
@@ -64,10 +79,13 @@
         self.ready_at = 0.0  # when it has rested after its last response; set by its owner
         self.on_idle: Callable[[HttpConnection], None] = lambda connection: None
         self.on_extra_bytes: Callable[[HttpConnection, bytes], None] = lambda connection, data: None
+        self.on_memory_short: Callable[[HttpConnection], None] = lambda connection: None
         self.on_closed: Callable[[HttpConnection], None] = lambda connection: None
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
+        self.memory.change(MemoryKind.CONNECTIONS, RECEIVER_CONNECTION_BYTES)
 
     def send_request(self, head: list[bytes], body: bytes, handler: ResponseHandler) -> None:
         self.handler, self.request_flushed, self.request_count = handler, False, self.request_count + 1
@@ -114,9 +132,18 @@
         self.bytes_received += len(data)
         self.response_start += data[: COMPARED_BYTES - len(self.response_start)]
         super().dataReceived(data)
+        if self.set_held(response_bytes(self.kind, len(self._buffer) + self.parser.held_bytes)):
+            self.on_memory_short(self)
+            self.fail_malformed()
         if self.handler and self.parser.status >= 200:
             self.handler.response_started(self.parser.status, self.parser.headers)
 
+    def set_held(self, size: int) -> bool:
+        """Charge so many bytes for the response; whether it is a list that does not fit."""
+        more, self.held = size - self.held, size
+        self.memory.change(self.kind, more)
+        return more > 0 and refuses_list(self.memory, self.kind, size)
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if self.handler is None or self.closed:
             self.fail_malformed()
@@ -160,6 +187,7 @@
             self.on_extra_bytes(self, extra)
         unusable = extra or parser.closes_connection or self.half_closed
         parser.reset()
+        self.set_held(0)
         if unusable:
             self.closed = True
             self.transport.loseConnection()
@@ -189,6 +217,8 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         self.closed = True
+        self.set_held(0)
+        self.memory.change(MemoryKind.CONNECTIONS, -RECEIVER_CONNECTION_BYTES)
         handler, self.handler = self.handler, None
         parser = self.parser
         if handler and parser.body_ends_at_close:
@@ -201,13 +231,20 @@
 
 
 def open_connection(
-    reactor: PosixReactorBase, address: str, max_body: int, time_out: float
+    reactor: PosixReactorBase,
+    address: str,
+    max_body: int,
+    time_out: float,
+    memory: MemoryBudget,
+    keeps_body: bool = False,
 ) -> Deferred[HttpConnection]:
-    """Connect to `address` (host:port) within `time_out` seconds."""
+    """Connect to `address` (host:port) within `time_out` seconds. Bodies are dropped unless `keeps_body`."""
     host, _, port = address.rpartition(":")
     endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=time_out)
     connecting: Deferred[HttpConnection] = endpoint.connect(
-        Factory.forProtocol(lambda: HttpConnection(max_body, reactor.seconds))  # type: ignore
+        Factory.forProtocol(  # type: ignore
+            lambda: HttpConnection(max_body, reactor.seconds, memory, keeps_body)
+        )
     )
     return connecting
 
@@ -218,6 +255,8 @@
     A subclass writes the request in `write_request`, and handles its end in `response_received` and `fail`.
     """
 
+    keeps_body = False  # whether the bodies of responses are needed
+
     def __init__(self, core: CoreServices, reactor: PosixReactorBase, address: str, max_body: int) -> None:
         self.services, self.reactor, self.address, self.max_body = core, reactor, address, max_body
         self.reuse = ConnectionReuse(RestTimes())
@@ -251,7 +290,9 @@
         if self.connection:
             self.write_request(self.connection)
         else:
-            self.connecting = open_connection(self.reactor, self.address, self.max_body, time_out)
+            self.connecting = open_connection(
+                self.reactor, self.address, self.max_body, time_out, self.services.memory, self.keeps_body
+            )
             self.connecting.addCallbacks(self.connected, self.connect_failed)
 
     def can_reuse(self, connection: HttpConnection) -> bool:
@@ -269,11 +310,16 @@
     def connected(self, connection: HttpConnection) -> None:
         self.connecting, self.connection = None, connection
         connection.on_idle, connection.on_extra_bytes = self.response_ended, self.extra_bytes_received
+        connection.on_memory_short = self.response_refused
         self.write_request(connection)
 
     def response_ended(self, connection: HttpConnection) -> None:
         connection.ready_at = self.reuse.ready_at(self.reactor.seconds())
 
+    def response_refused(self, connection: HttpConnection) -> None:
+        """A response does not fit into the memory that is left."""
+        self.services.report_memory_refusal(MemoryRefusal.LIST_REFUSED, received=connection.held)
+
     def extra_bytes_received(self, connection: HttpConnection, data: bytes) -> None:
         kind = self.reuse.extra_bytes_received(self.reactor.seconds(), data, connection.history)
         self.services.report_extra_bytes(self.address, kind)
--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+from msgspec import DecodeError, Struct, ValidationError, convert, field
+from msgspec.json import Decoder
 from twisted.internet.posixbase import PosixReactorBase
 
 from laureldock.core.call_results import CallResult
@@ -16,6 +17,7 @@
 from laureldock.wire.http1 import Headers
 
 LISTED_STATES = {"Ready": ListedState.UP, "Terminating": ListedState.DRAINING, "Gone": ListedState.REMOVED}
+ListUpdate = tuple[int, bool, list[tuple[ListedEndpoint, str]]]
 MAX_LIST_BYTES = 1 << 22  # about ten thousand entries, and far below the memory limit
 # Seconds beyond the wait for updates after which a response that still arrives in parts is given up. The
 # platform counts a change as known six seconds after the watch fell silent. Detecting the silent watch takes
@@ -24,33 +26,68 @@
 PARTIAL_RESPONSE_TIME = 0.7
 
 
-def parse_endpoint_list(data: Any) -> tuple[int, bool, list[tuple[ListedEndpoint, str]]]:
-    """Parse a full endpoint list or an update of it, as decoded from JSON.
+Scalar = str | int | float | bool
 
-    Returns its version, whether it is a full list, and its entries, each with the address to connect to.
-    Raises ValueError if it is malformed.
-    """
+
+class HostEntry(Struct, frozen=True):
+    """An endpoint in the server's list, as far as it is used; other fields are skipped."""
+
+    host: Scalar
+    dial: Scalar
+    block: Scalar
+    health: str
+    share: Scalar | None = None
+    site: Scalar | None = None
+    kind: Scalar | None = field(default=None, name="class")
+
+    def to_endpoint(self) -> ListedEndpoint:
+        """The entry as the core has it. Raises ValueError, KeyError, OverflowError."""
+        rate = float(self.share or 0)
+        if not 0 <= rate < 1e9:
+            raise ValueError(f"share is out of range: {rate}")
+        return ListedEndpoint(
+            name=str(self.host),
+            destination=int(self.block),
+            zone=str(self.site),
+            kind=str(self.kind),
+            listed_rate=rate,
+            listed_state=LISTED_STATES[self.health],
+        )
+
+
+class HostList(Struct, frozen=True):
+    """A list of the server: the full one, or the entries that changed."""
+
+    seq: int
+    whole: bool
+    hosts: list[HostEntry]
+
+    def to_update(self) -> ListUpdate:
+        """The version, whether it is a full list, and the entries with their addresses. ValueError."""
+        try:
+            entries = [(host.to_endpoint(), str(parse_address(host.dial))) for host in self.hosts]
+        except (KeyError, OverflowError) as error:
+            raise ValueError(f"not an endpoint list: {error!r}") from None
+        return self.seq, self.whole, entries
+
+
+decoder = Decoder(HostList)
+
+
+def parse_endpoint_list(data: Any) -> ListUpdate:
+    """Parse an endpoint list that was decoded from JSON already. Raises ValueError if it is malformed."""
     try:
-        version, full, hosts = data["seq"], data["whole"], data["hosts"]
-        if not isinstance(version, int) or not isinstance(full, bool):
-            raise ValueError("seq or whole has a wrong type")
-        return version, full, [(parse_endpoint(host), parse_address(host["dial"])) for host in hosts]
-    except (KeyError, TypeError, AttributeError, OverflowError) as error:
-        raise ValueError(f"not an endpoint list: {error!r}") from None
-
-
-def parse_endpoint(host: dict[str, Any]) -> ListedEndpoint:
-    rate = float(host.get("share") or 0)
-    if not 0 <= rate < 1e9:
-        raise ValueError(f"share is out of range: {rate}")
-    return ListedEndpoint(
-        name=str(host["host"]),
-        destination=int(host["block"]),
-        zone=str(host.get("site")),
-        kind=str(host.get("class")),
-        listed_rate=rate,
-        listed_state=LISTED_STATES[host["health"]],
-    )
+        return convert(data, HostList).to_update()
+    except ValidationError as error:
+        raise ValueError(f"not an endpoint list: {error}") from None
+
+
+def decode_endpoint_list(body: bytes) -> ListUpdate:
+    """Decode an endpoint list from JSON, without objects for what is not used. Raises ValueError."""
+    try:
+        return decoder.decode(body).to_update()
+    except DecodeError as error:
+        raise ValueError(f"not an endpoint list: {error}") from None
 
 
 class PlatformSource(SerialHttpClient):
@@ -59,6 +96,8 @@
     `known` is the list that this dispatcher had last, from its configuration.
     """
 
+    keeps_body = True
+
     def __init__(
         self, core: EndpointListListener, reactor: PosixReactorBase, address: str, known: Any
     ) -> None:
@@ -105,7 +144,7 @@
         if status != 200:
             return self.fail(f"answer {status}")
         try:
-            update = parse_endpoint_list(json.loads(body))
+            update = decode_endpoint_list(body)
         except (ValueError, RecursionError) as error:
             self.version = None
             return self.fail(str(error))
@@ -118,6 +157,8 @@
             and self.core.now() < self.requested_at + self.wait_time / 2
         ):
             return self.fail("nothing newer long before the requested wait was over")
+        if not self.core.list_fits(update[2], update[1]):
+            return self.fail("a list that does not fit into the limit on memory")
         self.end_request()
         self.watching = self.settled = True
         self.core.guard(self.apply, *update)
--- a/laureldock/wire/http1.py
+++ b/laureldock/wire/http1.py
@@ -9,6 +9,10 @@
 
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: .*)?")
 MAX_HEADERS = 64
+# Bytes of all lines of one response (interim responses, head, chunk sizes, trailers), a common limit of HTTP
+# programs; and how many more there may be for each byte of the body.
+MAX_LINE_BYTES = 16 << 10
+MAX_CHUNK_LINE_FRACTION = 1 / 8
 Headers = dict[bytes, bytes]
 
 
@@ -20,14 +24,20 @@
     """Reads the responses of one connection. `wants_data` says whether it needs raw bytes or a line next.
 
     `head_complete`: the status and the headers of the current response are known. `complete`: its body too.
+    Bodies are dropped as they arrive unless `keeps_body`.
     """
 
-    def __init__(self, max_body: int) -> None:
-        self.max_body = max_body
+    def __init__(self, max_body: int, keeps_body: bool = True) -> None:
+        self.max_body, self.keeps_body = max_body, keeps_body
         self.reset()
 
     def reset(self) -> None:
+        self.line_bytes = 0  # of all lines of the response, with interim ones
+        self._reset_head()
+
+    def _reset_head(self) -> None:
         self.status, self.headers, self.body = 0, Headers(), bytearray()
+        self.body_bytes = 0
         self.keep_alive = True  # by its HTTP version the server keeps the connection open
         self.missing_bytes: int | None = 0  # of the body or of the current chunk; None: up to the close
         self.head_complete = self.complete = self.wants_data = False
@@ -39,6 +49,11 @@
         """Whether the server closes the connection after this response."""
         return not self.keep_alive or b"close" in self.headers.get(b"connection", b"").lower()
 
+    @property
+    def held_bytes(self) -> int:
+        """What the response holds so far."""
+        return min(self.line_bytes, MAX_LINE_BYTES) + len(self.body)
+
     @property
     def body_ends_at_close(self) -> bool:
         """Whether the body extends to the close of the connection, which completes it."""
@@ -46,6 +61,9 @@
 
     def feed_line(self, line: bytes) -> None:
         """Take a line without its line feed. MalformedResponseError."""
+        self.line_bytes += len(line) + 1
+        if self.line_bytes > MAX_LINE_BYTES + MAX_CHUNK_LINE_FRACTION * self.body_bytes:
+            raise MalformedResponseError("too many lines")
         line = line.removesuffix(b"\r")
         if self.in_trailers:
             self.complete = not line
@@ -63,7 +81,7 @@
                 raise MalformedResponseError("invalid header, or too many headers")
             self.headers[name.strip().lower()] = value.strip()
         elif self.status < 200:
-            self.reset()
+            self._reset_head()
         else:
             self.start_body()
 
@@ -82,7 +100,7 @@
 
     def start_chunk(self, line: bytes) -> None:
         size = line.partition(b";")[0].strip()
-        if not size and self.body:
+        if not size and self.body_bytes:
             return  # the line end of the previous chunk
         if not re.fullmatch(rb"[0-9a-fA-F]{1,7}", size):
             raise MalformedResponseError("invalid chunk size")
@@ -92,8 +110,10 @@
     def feed_data(self, data: bytes) -> bytes:
         """Take bytes of a body; return the bytes that follow it or its chunk. MalformedResponseError."""
         part = data if self.missing_bytes is None else data[: self.missing_bytes]
-        self.body += part
-        if len(self.body) > self.max_body:
+        self.body_bytes += len(part)
+        if self.keeps_body:
+            self.body += part
+        if self.body_bytes > self.max_body:
             raise MalformedResponseError("body too long")
         if self.missing_bytes is not None:
             self.missing_bytes -= len(part)
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -20,6 +20,7 @@
 
 from laureldock.core.messages import StoredMessage
 from laureldock.delivery_connections import ExtraBytes
+from laureldock.delivery_memory import MemoryBudget, MemoryRefusal
 from laureldock.logs import LossyStream
 from laureldock.outlets.lines import LineFile, LineOutlet
 from laureldock.rehearsal.soak.system_calls import FaultInjector, FaultWindow, SystemCallFault
@@ -186,6 +187,7 @@
         self.due: list[Any] = []
         self.log: Any = structlog.get_logger()
         self.counters: Counter[str] = Counter()
+        self.memory = MemoryBudget()
 
     def notice_acknowledged(self, name: bytes) -> None:
         self.acknowledged.append(name)
@@ -200,6 +202,9 @@
     def report_extra_bytes(self, peer: str, kind: ExtraBytes) -> None:
         """Notices to a file come with no responses."""
 
+    def report_memory_refusal(self, refusal: MemoryRefusal, **facts: object) -> None:
+        """Notices to a file hold no memory for peers."""
+
     def run(self) -> None:
         due, self.due = self.due, []
         for call in due:
