--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -18,6 +18,7 @@
 from laureldock.delivery_memory import MemoryBudget, required_bytes
 from laureldock.delivery_settings import DeliveryRegistry
 from laureldock.fronts.resp_server import RespServer
+from laureldock.operators.http_server import OperatorActions, OperatorServer
 from laureldock.outlets.lines import LineOutlet
 from laureldock.outlets.platform import PlatformOutlet
 from laureldock.setup.entries import index_terms
@@ -118,9 +119,7 @@
         core.attach(fronts, self.carrier, self.source, self.outlet)
         self.fleet = self.make_fleet_transport(plan, state) if plan.fleet else None
         self.operator_server = None
-        if plan.management:  # else twisted.web is not imported, which saves some 4 MB
-            from laureldock.operators.http_server import OperatorActions, OperatorServer
-
+        if plan.management:
             actions = OperatorActions(
                 core.accepts_clients,
                 core.operator_metrics,
