An endpoint under a known id with another destination is a new route; calls go to current addresses

Callers saw: after a change of the list that gave a known id another `block`, messages of its old destination went on to it; after an id moved to another address, calls went to the former one.

Cause: the platform's list updated the route of a name in place, whatever else its entry said; only the list of a file told a removal first. A call that was connecting, or a connection whose call ended, kept no note of the address it led to.

Change: the registry removes a route whose entry has another destination, zone or kind, for every source of a list (the special case of the file's list is gone). A connection knows its address: one to a former address carries no call and is not kept.

--- a/laureldock/benchlink/instance.py
+++ b/laureldock/benchlink/instance.py
@@ -90,12 +90,9 @@
         if form not in ("update", "replace", "restored"):
             raise ValueError(f"unknown form {form!r}")
         full = form != "update"
-        self.call_policy(
-            "list_updated",
-            now,
-            self.registry.update_list([self.entry(record) for record in records], full),
-            full,
-        )
+        entries = [self.entry(record) for record in records]
+        replaced = self.registry.remove_replaced(entries)
+        self.call_policy("list_updated", now, [*replaced, *self.registry.update_list(entries, full)], full)
 
     def entry(self, record: Fields) -> ListedEndpoint:
         return ListedEndpoint(
--- a/laureldock/carriers/connection_pool.py
+++ b/laureldock/carriers/connection_pool.py
@@ -17,7 +17,6 @@
 
     connection: HttpConnection
     idle_since: float
-    address: str  # that it leads to
 
 
 class ConnectionPool:
@@ -68,7 +67,7 @@
             since, connection = self.idle.pop(index)
             del self.all_idle[connection]
             if not connection.discard_if_unread():
-                return IdleConnection(connection, since, self.address)
+                return IdleConnection(connection, since)
         self.close_idle(max_idle_time)
         return None
 
@@ -78,8 +77,12 @@
         self.release(connection)
 
     def release(self, connection: HttpConnection) -> None:
-        """Take back a connection that carries no call; close it if it cannot carry another one."""
-        if self.route.listed_state is ListedState.UP and connection.ready_at < inf:
+        """Take back a connection that carries no call; close it if it cannot carry another one.
+
+        It cannot if its route drains or is gone, or has moved to another address since it was opened.
+        """
+        usable = self.route.listed_state is ListedState.UP and connection.address == self.address
+        if usable and connection.ready_at < inf:
             self.idle.append((self.now(), connection))
             self.all_idle[connection] = self
         else:
--- a/laureldock/carriers/http.py
+++ b/laureldock/carriers/http.py
@@ -192,8 +192,6 @@
         if (idle := self.resting) is None:
             return  # given up meanwhile
         self.resting = None
-        if idle.address != self.pool.address:
-            idle.connection.discard()
         if idle.connection.discard_if_unread():
             self.take_connection()
         else:
@@ -230,6 +228,12 @@
         self.finish(CallResult.NOT_CONNECTED)
 
     def send(self, connection: HttpConnection) -> None:
+        """Send over a connection, or over another one if the route has moved to another address meanwhile."""
+        if connection.address != self.pool.address:
+            connection.discard()
+            if not self.finished:
+                self.take_connection()
+            return
         if connection.closed:
             self.finish(CallResult.NOT_CONNECTED)
             return
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -543,7 +543,9 @@
         listed_names = known.keys() if full else (endpoint.name for endpoint, _ in endpoints)
         before = {name: known[name] for name in listed_names if name in known}
         up = [route for route in before.values() if route.listed_state is interface.ListedState.UP]
-        routes = self.registry.update_list([endpoint for endpoint, _ in endpoints], full)
+        entries = [endpoint for endpoint, _ in endpoints]
+        replaced = self.registry.remove_replaced(entries)
+        routes = self.registry.update_list(entries, full)
         for route, (_, address) in zip(routes, endpoints, strict=True):
             self.carrier.update_route(route, address)
         no_longer_up = [route.name for route in up if route.listed_state is not interface.ListedState.UP]
@@ -554,7 +556,7 @@
             [route for route in changed if route.listed_state is interface.ListedState.REMOVED]
         )
         self.memory.change(MemoryKind.LISTS, ROUTE_BYTES * (len(known) - known_before))
-        self.call_policy(self.policy.list_updated, routes, full)
+        self.call_policy(self.policy.list_updated, [*replaced, *routes], full)
         self.invariants.routes_listed([*changed])
         self.start_serving()
 
--- a/laureldock/delivery_settings.py
+++ b/laureldock/delivery_settings.py
@@ -328,6 +328,33 @@
         )
         return None if terms == defaults else terms
 
+    def remove_replaced(self, entries: list[ListedEndpoint]) -> list[interface.Route]:
+        """Remove the routes whose names these entries give to other endpoints, and return them.
+
+        An endpoint with another destination, kind or zone is not the one that had its name before.
+        """
+        replaced = []
+        for entry in entries:
+            route = self.routes.get(entry.name)
+            if route is not None and not self.is_same_endpoint(route, entry):
+                route.listed_state = interface.ListedState.REMOVED
+                replaced.append(self.routes.pop(entry.name))
+        return replaced
+
+    def is_same_endpoint(self, route: interface.Route, entry: ListedEndpoint) -> bool:
+        """Whether an entry is of the endpoint that a route leads to."""
+        kind = self.kind_of_entry(entry)
+        return (
+            route.destination is self.destinations.get(entry.destination)
+            and route.zone == entry.zone
+            and (route.kind.batch_size, route.kind.limits_per_route)
+            == (kind.batch_size, kind.limits_per_route)
+        )
+
+    def kind_of_entry(self, entry: ListedEndpoint) -> interface.DestinationKind:
+        """The kind of an entry's destination, with the defaults if the settings do not know it."""
+        return self.kinds.get(entry.kind) or interface.DestinationKind()
+
     def update_list(self, entries: list[ListedEndpoint], full: bool) -> list[interface.Route]:
         """Bring routes up to date by the list; a full one removes all others. Those that it names."""
         named = [self.update_route(entry) for entry in entries]
@@ -347,10 +374,7 @@
         if route is None:
             if entry.kind:
                 self.kind_names.setdefault(entry.destination, entry.kind)
-            kind, destination = (
-                self.kinds.get(entry.kind) or interface.DestinationKind(),
-                self.destination(entry.destination),
-            )
+            kind, destination = self.kind_of_entry(entry), self.destination(entry.destination)
             route = interface.Route(
                 destination, entry.zone, kind, entry.listed_rate, entry.listed_state, entry.name
             )
--- a/laureldock/sockets/http_client.py
+++ b/laureldock/sockets/http_client.py
@@ -64,10 +64,10 @@
     delimiter = b"\n"
 
     def __init__(
-        self, max_body: int, now: Callable[[], float], memory: MemoryBudget, keeps_body: bool
+        self, address: str, max_body: int, now: Callable[[], float], memory: MemoryBudget, keeps_body: bool
     ) -> None:
-        """`now`: the monotonic time in seconds."""
-        self.now, self.memory = now, memory
+        """`address`: that it leads to; `now`: the monotonic time in seconds."""
+        self.address, self.now, self.memory = address, now, memory
         self.kind = MemoryKind.LISTS if keeps_body else MemoryKind.RESPONSES
         self.held = 0  # bytes charged for the response that is arriving
         self.handler: ResponseHandler | None = None
@@ -243,7 +243,7 @@
     endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout=time_out)
     connecting: Deferred[HttpConnection] = endpoint.connect(
         Factory.forProtocol(  # type: ignore
-            lambda: HttpConnection(max_body, reactor.seconds, memory, keeps_body)
+            lambda: HttpConnection(address, max_body, reactor.seconds, memory, keeps_body)
         )
     )
     return connecting
--- a/laureldock/sources/listed.py
+++ b/laureldock/sources/listed.py
@@ -40,11 +40,6 @@
     }
 
 
-def fixed_properties(entry: ListedEndpoint) -> tuple[int | str, str, str]:
-    """What a route keeps for as long as it is listed; an entry that differs in it is another route."""
-    return entry.destination, entry.kind, entry.zone
-
-
 class ListedSource:
     """Reports the endpoints of the configuration, and what changes in them."""
 
@@ -66,19 +61,13 @@
         removed_entries = [self.endpoints.pop(name) for name in removed]
         updated = []
         for name, listed in put.items():
-            previous = self.endpoints.get(name)
-            if previous == listed:
-                continue
-            if previous is not None and fixed_properties(previous[0]) != fixed_properties(listed[0]):
-                removed_entries.append(previous)
-            self.endpoints[name] = listed
-            updated.append(listed)
+            if self.endpoints.get(name) != listed:
+                self.endpoints[name] = listed
+                updated.append(listed)
         removals = [
             (replace(entry, listed_state=interface.ListedState.REMOVED), address)
             for entry, address in removed_entries
         ]
-        # Removals are reported first. A name that moved to another destination would otherwise still denote
-        # the route of the old destination, and messages would go to the wrong one.
         for entries in (removals, updated):
             if entries:
                 self.core.guard(self.core.list_updated, entries, False)
