A request that comes again after its message finished runs nothing a second time

Callers saw: a client left with its answer unread, sent the same id again, and a once-only message ran twice; more so across an upgrade or a kill.

Cause: a finished message was forgotten at once; at a peer process its name was known for two seconds, and for no longer than that process.

The `over` record says so, a compaction writes them anew, peers and the next process read them; older releases skip both.

A refused message that never ran is a new one when it comes again.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -40,6 +40,7 @@
 from laureldock.core.submissions import Submissions
 from laureldock.delivery_connections import ExtraBytes
 from laureldock.delivery_memory import (
+    FINISHED_NAME_BYTES,
     ROUTE_BYTES,
     MemoryBudget,
     MemoryKind,
@@ -377,15 +378,26 @@
         self.memory.change(MemoryKind.MESSAGES, message_bytes(held.body))
         self.invariants.message_held(held)
 
-    def forget_message(self, held: HeldMessage) -> None:
-        """Drop a message that is finished or withdrawn, also from the store."""
+    def forget_message(self, held: HeldMessage, accepted: bool | None = None) -> None:
+        """Drop a message that is finished or withdrawn, also from the store.
+
+        `accepted`: what its request is told if it comes again; None if it is a new message then.
+        """
         if self.holds(held):
-            self.record_keeping.write(self.store.record_finished, held.name)
+            self.record_keeping.write(self.store.record_finished, held.name, accepted)
             del self.messages_by_name[held.name]
+        self.memory.set_held(MemoryKind.FINISHED, len(self.store.finished) * FINISHED_NAME_BYTES)
         if self.held_messages.pop(held.message, None):
             self.memory.change(MemoryKind.MESSAGES, -message_bytes(held.body))
         self.invariants.message_forgotten(held)
 
+    def may_not_run_again(self, held: HeldMessage) -> bool:
+        """Whether a message may have run, and a repeat of it would be another effect."""
+        stored = self.store.pending.get(held.name)
+        if stored is None or held.message.queue_class.repeat_safety is interface.RepeatSafety.REDELIVERABLE:
+            return False
+        return stored.in_flight_since is not None or stored.first_may_have_run_at is not None
+
     # Outcomes of messages
 
     def log_finished(self, message: HeldMessage, outcome: str) -> None:
@@ -408,7 +420,9 @@
         awaits_reply = held.submitter is not None or self.reattachment.is_waiting(held)
         if not awaits_reply:
             self.finish_by_notice(held.name, handed_back, retry_after)
-        elif self.record_keeping.write(self.store.record_refusal, held.name):
+        elif self.record_keeping.write(
+            self.store.record_refusal, held.name, not handed_back and self.may_not_run_again(held)
+        ):
             held.refusal = Reply(ReplyKind.BUSY if handed_back else ReplyKind.FAILED, retry_after)
             self.reattachment.message_finished(held, held.refusal)
             self.forget_message(held)
@@ -426,10 +440,10 @@
         """A notice was acknowledged: its message is finished."""
         held = self.messages_by_name.get(name)
         if held:
-            self.forget_message(held)
+            self.forget_message(held, accepted=True)
             self.call_policy(self.policy.notice_acknowledged, held.message)
         else:  # ended by a previous process
-            self.record_keeping.write(self.store.record_finished, name)
+            self.record_keeping.write(self.store.record_finished, name, True)
 
     # Carriers
 
@@ -497,7 +511,7 @@
                     self.count_message(message, "relayed")
                 self.log_finished(message, result.value)
                 self.reattachment.message_finished(message, ACCEPTED)
-            self.forget_message(message)
+            self.forget_message(message, accepted=True)
         elif self.holds(message) and message.recorded_attempt is attempt:
             self.record_attempt_end(message, outcome)
         # A requested wait binds the peer process too: to the rules, both are one dispatcher.
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sized
 from typing import Any, Protocol
 
 from laureldock import interface
@@ -184,11 +184,24 @@
     def record_notice(self, name: bytes, notice: bytes) -> None:
         """A message ends undelivered by this notice, once that is acknowledged."""
 
-    def record_refusal(self, name: bytes) -> None:
-        """A message is no longer pending, since its client is about to be told that it was refused."""
+    def record_refusal(self, name: bytes, may_have_run: bool = False) -> None:
+        """A message is no longer pending, since its client is about to be told that it was refused.
 
-    def record_finished(self, name: bytes) -> None:
-        """A message is no longer pending."""
+        One that `may_have_run` is told so again if its request is repeated.
+        """
+
+    def record_finished(self, name: bytes, accepted: bool | None = None) -> None:
+        """A message is no longer pending.
+
+        `accepted`: whether its request is accepted or has failed if it is repeated; None: a new message then.
+        """
+
+    def finished_reply(self, name: bytes) -> bool | None:
+        """What a repeat of a finished message's request is told: accepted, or failed; None if unknown."""
+
+    @property
+    def finished(self) -> Sized:
+        """Names of messages that finished a moment ago."""
 
     @property
     def is_shared(self) -> bool:
--- a/laureldock/core/submissions.py
+++ b/laureldock/core/submissions.py
@@ -42,6 +42,8 @@
         if not core.peers.read():
             core.counters["refused: other processes cannot be read"] += 1
             return Reply(ReplyKind.BUSY)
+        if (reply := self._reply_to_finished(stored.name)) is not None:
+            return reply
         if core.peers.view.knows(stored.name):
             return self._submit_known_to_peer(submitter, stored.name)
         if not core.memory.may_hold(MemoryKind.MESSAGES, message_bytes(stored.body)):
@@ -56,6 +58,15 @@
             return Reply(ReplyKind.BUSY)
         return self._hold(submitter, stored, queue_class, time_left)
 
+    def _reply_to_finished(self, name: bytes) -> Reply | None:
+        """The reply to a request that comes again after its message has finished, here or elsewhere."""
+        core = self._dispatcher
+        accepted = core.store.finished_reply(name)
+        if accepted is None:
+            return None
+        core.counters["repeated after their end"] += 1
+        return ACCEPTED if accepted else Reply(ReplyKind.FAILED)
+
     def reply_to_all(self) -> None:
         """Reply to all messages accepted since the last turn; those that it ended undelivered are refused."""
         messages, self._awaiting_reply = self._awaiting_reply, []
@@ -85,7 +96,7 @@
             core.record_cooldown(held, held.recorded_attempt.timeout + core.settings.key_cooldown_time)
         core.record_keeping.drop_notice(held.name)
         core.call_policy(core.policy.message_withdrawn, held.message)
-        core.forget_message(held)
+        core.forget_message(held, accepted=False if core.may_not_run_again(held) else None)
 
     def _class_of(self, stored: StoredMessage) -> interface.QueueClass:
         """The queue class of a message. Raises InvalidMessageError if it or the destination is unknown."""
--- a/laureldock/delivery_memory.py
+++ b/laureldock/delivery_memory.py
@@ -28,7 +28,8 @@
     CONNECTIONS = "connections"
     REQUESTS = "requests"  # received from clients and not carried out yet
     REPLIES = "replies"  # written to clients that have not read them yet
-    MESSAGES = "messages"  # accepted and not finished, calls with them, names of those just finished
+    MESSAGES = "messages"  # accepted and not finished, and calls with them
+    FINISHED = "finished names"  # of messages that finished a moment ago
     RESPONSES = "responses"  # of receivers and of the platform, as far as they have arrived
     LISTS = "lists"  # of endpoints, and what is known of each
 
@@ -61,6 +62,7 @@
     MemoryKind.REQUESTS: 0.35,
     MemoryKind.REPLIES: 0.2,
     MemoryKind.MESSAGES: 0.75,
+    MemoryKind.FINISHED: 1.0,
     MemoryKind.RESPONSES: 1.0,
     MemoryKind.LISTS: 0.7,
 }
@@ -109,6 +111,10 @@
         self.highest = max(self.highest, held)
         self._highest_since_trim = max(self._highest_since_trim, held)
 
+    def set_held(self, kind: MemoryKind, amount: int) -> None:
+        """Hold just so many bytes of a kind."""
+        self.change(kind, amount - self.held[kind])
+
     def may_hold(self, kind: MemoryKind, amount: int) -> bool:
         """Whether so many bytes more of a kind fit."""
         return (
--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -9,6 +9,7 @@
 
 from laureldock.clocks import read_clocks
 from laureldock.core.peer_view import RouteRecord
+from laureldock.stores.finished_names import FinishedNames
 from laureldock.stores.spool_records import RecordReader, decode_route
 
 READ_SIZE = 1 << 20
@@ -30,11 +31,13 @@
         self.accepted_at: dict[bytes, float] = {}  # by name of a pending message
         self.accepted_by_key: dict[str, dict[bytes, float]] = {}  # the same, by ordering key
         self.finished_at: dict[bytes, float] = {}  # by name of a message that finished a moment ago
+        self.finished = FinishedNames()  # those of which is known what a repeat is told
         self.routes_in_flight: dict[bytes, str] = {}  # the route, by name of a message with a call in flight
         self.requested_waits: dict[str, float] = {}  # until when, by route name
         self.cooldowns: dict[str, float] = {}  # until when, by ordering key
         self.routes: dict[str, RouteRecord] = {}
         self._key_of: dict[bytes, str] = {}
+        self._expires_at: dict[bytes, float] = {}
 
     def read(self) -> bool:
         """Read what was appended; false if there was nothing. Raises OSError if it cannot be read now."""
@@ -60,6 +63,7 @@
         match kind:
             case "mail":
                 key, out = rest[0], rest[-1]
+                self._expires_at[name] = rest[5] + shift
                 # Older releases do not record the time of acceptance: the present time is after it, and still
                 # before whatever is accepted next.
                 self._accept(name, key, time.monotonic())
@@ -75,7 +79,9 @@
             case "back" | "end":
                 self.routes_in_flight.pop(name, None)
             case "over":
-                self._finish(name)
+                self._finish(name, *rest)
+            case "finished":
+                self.finished.add(name, rest[0] + shift, rest[1])
             case "wait":
                 self.requested_waits[subject] = rest[0] + shift
             case "rest":
@@ -89,15 +95,18 @@
             self._key_of[name] = key
             self.accepted_by_key.setdefault(key, {})[name] = at
 
-    def _finish(self, name: bytes) -> None:
+    def _finish(self, name: bytes, accepted: bool | None = None) -> None:
         self.accepted_at.pop(name, None)
+        expires_at = self._expires_at.pop(name, 0.0)
+        if accepted is not None:
+            self.finished.add(name, expires_at, accepted)
         self.routes_in_flight.pop(name, None)
         if (key := self._key_of.pop(name, None)) is not None:
             self.accepted_by_key[key].pop(name, None)
             if not self.accepted_by_key[key]:
                 del self.accepted_by_key[key]
         now = time.monotonic()
-        self.finished_at = {
-            each: at for each, at in self.finished_at.items() if at > now - FINISHED_KEPT_TIME
-        }
+        while self.finished_at and next(iter(self.finished_at.values())) <= now - FINISHED_KEPT_TIME:
+            del self.finished_at[next(iter(self.finished_at))]
+        self.finished_at.pop(name, None)  # to the end
         self.finished_at[name] = now
--- a/laureldock/stores/peer_spools.py
+++ b/laureldock/stores/peer_spools.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from laureldock.core.peer_view import PeerView, newest_records
+from laureldock.stores.finished_names import FinishedName
 from laureldock.stores.peer_spool import PeerSpool
 
 READ_TRIES = 8  # reads while the list of files changes
@@ -93,6 +94,11 @@
                 by_key.setdefault(key, {}).update(accepted_of_key)
         return view
 
+    def finished(self, name: bytes) -> FinishedName | None:
+        """What a peer process has recorded of a finished message, by its latest read."""
+        found = (peer.finished.get(name) for peer in self._peers.values())
+        return next((entry for entry in found if entry), None)
+
     def close(self) -> None:
         """Close the files."""
         for peer in self._peers.values():
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -31,6 +31,7 @@
 from laureldock.file_locks import FILE_MODE, open_locked
 from laureldock.interface import QueueClass
 from laureldock.stores.class_records import CLASS_RECORD, UNDER_RECORD, ClassReader, ClassTable
+from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
 from laureldock.stores.peer_spools import PeerSpools, list_spools
 from laureldock.stores.record_file import RecordFile
 from laureldock.stores.spool_records import (
@@ -47,6 +48,7 @@
 )
 
 ROUTE_KEPT_TIME = 60.0  # seconds; a route that recovered longer ago is warm under any settings
+FINISHED_FRACTION = 0.25  # of the room for pending messages, that names of finished ones may take in a file
 DISK_BLOCK_BYTES = 512  # unit in which the size of the folder is counted
 
 
@@ -61,6 +63,7 @@
         self.folder = folder
         self.peer_paths: list[Path] = []  # files of running peer processes
         self.pending: dict[bytes, StoredMessage] = {}
+        self.finished = FinishedNames()
         self.reserved_bytes = 0  # for all pending messages, without their classes
         self._classes = ClassTable()
         # Recorded by this process or in a file that it took over: until when, by route or by ordering key.
@@ -184,6 +187,14 @@
             self.peer_paths += self.unknown_files()
         return view
 
+    def finished_reply(self, name: bytes) -> bool | None:
+        """Whether the request of a finished message is told `accepted` if it comes again, else failed.
+
+        None if no such message is known, here or by the latest read of peer processes.
+        """
+        entry = self.finished.get(name) or self._peers.finished(name)
+        return entry.accepted if entry else None
+
     def record_requested_wait(self, route: str, until: float, now: float) -> None:
         """A receiver requested a wait; peer processes read this. OSError: the record is queued."""
         self.requested_waits = {name: end for name, end in self.requested_waits.items() if end > now}
@@ -263,6 +274,8 @@
             self.cooldowns[name] = max(rest[0] + shift, self.cooldowns.get(name, -inf))
         elif kind == "route":
             self.routes[name] = decode_route(rest, shift)
+        elif kind == FINISHED_RECORD:
+            self.finished.add(name.encode(), rest[0] + shift, rest[1])
         elif (pending := self.pending.get(name.encode())) is not None:
             if kind in ("out", "accepted"):
                 rest = [rest[0] + shift, *rest[1:]]
@@ -313,6 +326,8 @@
             case "over":
                 self._release(message)
                 del self.pending[message.name]
+                if rest:  # older releases do not say what a repeat is told
+                    self.finished.add(message.name, message.expires_at, rest[0])
 
     def accept(self, message: StoredMessage) -> bool:
         """Add a pending message; false if there is no room for it, or it cannot be written."""
@@ -328,6 +343,7 @@
             return False
         self._classes.written(message)
         self.add_pending(message, len(payload))
+        self.finished.remove(message.name)
         return True
 
     def set_accepted_class(self, message: StoredMessage, queue_class: QueueClass) -> None:
@@ -344,9 +360,9 @@
         """A message ends undelivered by this notice. OSError: it is not recorded, and may not be sent."""
         self._record_then_apply("notice", name, notice.decode())
 
-    def record_refusal(self, name: bytes) -> None:
+    def record_refusal(self, name: bytes, may_have_run: bool = False) -> None:
         """A message was refused. OSError: that is not recorded, and the message is still pending."""
-        self._record_then_apply("over", name)
+        self._record_then_apply("over", name, *([False] if may_have_run else []))
 
     def record_not_run(self, name: bytes) -> None:
         """The last attempt of a message has not run. OSError: the record is queued."""
@@ -356,9 +372,12 @@
         """The last attempt of a message ended and may have run. OSError: the record is queued."""
         self._apply_then_record("end", name)
 
-    def record_finished(self, name: bytes) -> None:
-        """A message is no longer pending. OSError: the record is queued."""
-        self._apply_then_record("over", name)
+    def record_finished(self, name: bytes, accepted: bool | None = None) -> None:
+        """A message is no longer pending. OSError: the record is queued.
+
+        `accepted`: what its request is told if it comes again; None if it may then run as a new message.
+        """
+        self._apply_then_record("over", name, *([] if accepted is None else [accepted]))
 
     def _record_then_apply(self, kind: str, name: bytes, *rest: Any) -> None:
         """Record and apply a change of a message, if it is pending; on OSError neither."""
@@ -454,6 +473,17 @@
         for route, record in self.routes.items():
             if not is_old(record):
                 yield encode_route(route, record)
+        yield from self._finished_payloads()
+
+    def _finished_payloads(self) -> Iterator[bytes]:
+        """The payloads of the newest finished names, within their part of the file."""
+        room = self.max_pending_bytes * FINISHED_FRACTION
+        for name, entry in self.finished.newest():
+            payload = encode_payload([FINISHED_RECORD, name.decode(), entry.until, entry.accepted])
+            room -= RECORD_HEADER.size + len(payload)
+            if room < 0:
+                return
+            yield payload
 
     def close(self) -> None:
         """Close the files, which releases their locks."""
--- a/tests/test_race_clients.py
+++ b/tests/test_race_clients.py
@@ -208,3 +208,14 @@
     dispatcher.connect_client()
     accepted = next(iter(dispatcher.front.connections))
     assert accepted.transport.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+def test_requests_of_a_client_that_has_left_are_not_sent_on_though_much_is_unread(
+    dispatcher: SocketDispatcher,
+) -> None:
+    client = dispatcher.connect_client()
+    client.send(b"".join(dispatcher.put_request(name, "charge", body="x" * 30_000) for name in "abcde"))
+    client.close()
+    dispatcher.step_for(0.3)
+    assert dispatcher.core.counters["taken"] == 0
+    assert not [each for each in dispatcher.receiver.connections if each.receive()]
