--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -256,8 +256,11 @@
         if not core.running:
             return
         plan.state, plan.management, plan.passed = self.plan.state, self.plan.management, self.plan.passed
+        if plan.limits.memory is None:
+            plan.limits.memory = self.plan.limits.memory
         changed = changed_tables(self.plan, plan)
         self.plan = plan
+        self.memory.set_limit(memory_limit(plan), expected_processes(plan, 1 + core.peers.view.processes))
         core.registry.update_classes(plan)
         core.call_policy(core.policy.update_settings, core.registry.settings)
         self.update_addresses(plan.source.address, plan.outlet.address)
@@ -364,6 +367,11 @@
     return max(running, HANDOVER_PROCESSES) if plan.passed >= 0 else running
 
 
+def memory_limit(plan: Plan) -> float:
+    """The limit on memory in bytes, infinite if there is none."""
+    return inf if plan.limits.memory is None else float(plan.limits.memory)
+
+
 def listed_count(plan: Plan) -> int:
     """The number of endpoints that are known at the start."""
     known = plan.source.known or {}
@@ -372,7 +380,7 @@
 
 def memory_budget(plan: Plan, resident: int) -> MemoryBudget:
     """The budget of a process that has `resident` bytes. RefusedMemoryError if it cannot serve with it."""
-    limit = inf if plan.limits.memory is None else float(plan.limits.memory)
+    limit = memory_limit(plan)
     required = required_bytes(resident, listed_count(plan))
     if limit < required:
         raise RefusedMemoryError(limit, required, listed_count(plan))
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -160,7 +160,8 @@
             plan, bounds = plan_from_platform(os.environ, reload=True)
             if faults := faults_in_plan(plan, bounds):
                 raise ValueError("; ".join(faults[:20]))
-        except ValueError as fault:
+            memory_budget(plan, round(memory.resident))
+        except (ValueError, RefusedMemoryError) as fault:
             assembly.report_refused_configuration([str(fault)])
             return
         assembly.apply_platform_settings(plan)
--- a/laureldock/delivery_memory.py
+++ b/laureldock/delivery_memory.py
@@ -99,6 +99,11 @@
         left = self.limit / processes - self.resident - RESERVED_BYTES
         self.total = max(MIN_BUDGET_BYTES, left - RESERVED_FRACTION * max(0.0, left)) if left < inf else inf
 
+    def set_limit(self, limit: float, processes: int) -> None:
+        """Another limit for so many processes from now on; what is held stays."""
+        self.limit = limit
+        self.set_processes(processes)
+
     @property
     def held_bytes(self) -> int:
         """The sum of all kinds."""
--- a/laureldock/file_writes.py
+++ b/laureldock/file_writes.py
@@ -9,7 +9,7 @@
 WRITE_TRIES = 4
 
 
-def write_whole(descriptor: int, data: bytes, offset: int) -> None:
+def write_whole(descriptor: int, data: bytes | bytearray, offset: int) -> None:
     """Write all data at an offset. Raises OSError, after which part of the data may have been written."""
     remaining = memoryview(data)
     failures = 0
--- a/laureldock/stores/record_file.py
+++ b/laureldock/stores/record_file.py
@@ -9,6 +9,8 @@
 from laureldock.file_writes import write_whole
 from laureldock.stores.spool_records import encode_record
 
+CHUNK_BYTES = 1 << 18  # of one write, unless its last record is longer
+
 
 class RecordFile:
     """An open file of records. Bytes past `size` are left by a failed write, and will be overwritten."""
@@ -19,16 +21,19 @@
         self.checksum = checksum  # of the last record
 
     def append_all(self, payloads: Iterable[bytes]) -> None:
-        """Append all records or none. Raises OSError, then none of them will ever be read."""
-        records = []
-        checksum = self.checksum
+        """Append all records or none. Raises OSError, then none of them will ever be read.
+
+        A compaction, of all that is pending, is written in chunks.
+        """
+        size, checksum, chunk = self.size, self.checksum, bytearray()
         for payload in payloads:
             record, checksum = encode_record(payload, checksum)
-            records.append(record)
-        data = b"".join(records)
-        write_whole(self.descriptor, data, self.size)
-        self.size += len(data)
-        self.checksum = checksum
+            chunk += record
+            if len(chunk) >= CHUNK_BYTES:
+                write_whole(self.descriptor, chunk, size)
+                size, chunk = size + len(chunk), bytearray()
+        write_whole(self.descriptor, chunk, size)
+        self.size, self.checksum = size + len(chunk), checksum
 
     def drop_torn_end(self) -> None:
         """Truncate what a failed write has left, if the disk allows it; nothing depends on this."""
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -49,6 +49,7 @@
 
 ROUTE_KEPT_TIME = 60.0  # seconds; a route that recovered longer ago is warm under any settings
 FINISHED_FRACTION = 0.25  # of the room for pending messages, that names of finished ones may take in a file
+READ_BYTES = 1 << 20  # of one read, more than any record has
 DISK_BLOCK_BYTES = 512  # unit in which the size of the folder is counted
 
 
@@ -106,16 +107,15 @@
             file = locked
         self._file = RecordFile(file)
         self.path = self.path_of(number)
-        data = self.path.read_bytes() if self.path.exists() else b""
-        reader, classes = self._replay_all(data)
+        reader, classes, file_bytes = self._replay_file(self.path)
         self._classes.set_numbers(classes.by_number)
         self._inherited_routes = dict(self.routes)
         self._file = RecordFile(file, reader.size, reader.checksum)
         self._compaction_due = not reader.accepts_appends
-        self.torn_bytes = len(data) - reader.size
+        self.torn_bytes = file_bytes - reader.size
         for path in self.unknown_files():
             if not writes:
-                self._replay_all(path.read_bytes())
+                self._replay_file(path)
             elif not self._take_over(path):
                 self.peer_paths.append(path)
 
@@ -250,11 +250,24 @@
             self.flush()
         return adopted
 
-    def _replay_all(self, data: bytes) -> tuple[RecordReader, ClassReader]:
+    def _replay_file(self, path: Path) -> tuple[RecordReader, ClassReader, int]:
+        """Replay a file in pieces, and return its size; one that does not exist has none. Raises OSError."""
+        reader, classes = RecordReader(read_clocks()), ClassReader()
+        if not path.exists():
+            return reader, classes, 0
+        with path.open("rb") as file:
+            while data := os.pread(file.fileno(), READ_BYTES, reader.size):
+                size = reader.size
+                for record in reader.read(data):
+                    self._replay(record, reader.time_shift, classes)
+                if reader.size == size:  # what is left is torn
+                    break
+            return reader, classes, os.fstat(file.fileno()).st_size
+
+    def _replay_all(self, data: bytes) -> None:
         reader, classes = RecordReader(read_clocks()), ClassReader()
         for record in reader.read(data):
             self._replay(record, reader.time_shift, classes)
-        return reader, classes
 
     def _replay(self, record: Record, shift: float, classes: ClassReader) -> None:
         """Apply a record that was read; `shift` is added to its times."""
--- a/tests/memory_rig.py
+++ b/tests/memory_rig.py
@@ -113,10 +113,8 @@
         await process.wait_ready()
         return process
 
-    async def start(self, **limits: Any) -> DispatcherProcess:
-        """Start a process."""
-        number = len(self.processes)
-        file, management = self.folder / f"config-{number}.json", ("127.0.0.1", free_port())
+    def write_file(self, file: Path, **limits: Any) -> None:
+        """Write the platform's configuration, with other limits than those of the rig."""
         write_configuration(
             file,
             "n0",
@@ -126,6 +124,12 @@
             self.discovery.full_list(),
             {"memory_mb": self.memory_mb, "sockets": self.sockets, "disk_mb": 3, **limits},
         )
+
+    async def start(self, **limits: Any) -> DispatcherProcess:
+        """Start a process."""
+        file = self.folder / f"config-{len(self.processes)}.json"
+        management = ("127.0.0.1", free_port())
+        self.write_file(file, **limits)
         state = self.folder / "state"
         state.mkdir(exist_ok=True)
         passed = self.listening.fileno() if self.listening else -1
