Soak: crowds of slow clients, signals in series and watched memory (--crowds)

Crowds of 240 clients in one, three or all forms come and go, drawn apart from the other faults, so that the schedules of the known seeds stay. Every stop is followed by SIGTERM, SIGHUP and SIGUSR1 in series. The memory of all processes together is held to the platform's 128 MB, two processes of a handover included.

--- a/laureldock/cli/rehearse.py
+++ b/laureldock/cli/rehearse.py
@@ -128,6 +128,7 @@
 @click.option("--rate", default=6.0, show_default=True, help="Messages per second and dispatcher.")
 @click.option("--hand-over", is_flag=True, help="Hand over between processes on a passed socket.")
 @click.option("--platform", is_flag=True, help="Use a platform's endpoint list and notices.")
+@click.option("--crowds", is_flag=True, help="Crowds of slow clients, signals in series, watched memory.")
 @click.option(
     "--repeat-within",
     default=0.0,
@@ -142,6 +143,7 @@
     rate: float,
     hand_over: bool,
     platform: bool,
+    crowds: bool,
     repeat_within: float,
     folder: Path | None,
 ) -> None:
@@ -165,7 +167,17 @@
     with tempfile.TemporaryDirectory() as temporary:
         seeds = range(seed, seed + dispatchers)
         results = asyncio.run(
-            play(folder or Path(temporary), seeds, seconds, rate, print_result, hand_over, platform, repeats)
+            play(
+                folder or Path(temporary),
+                seeds,
+                seconds,
+                rate,
+                print_result,
+                hand_over,
+                platform,
+                repeats,
+                crowds,
+            )
         )
     failed_seeds = [each.seed for each in results if each.failures]
     click.echo(
--- a/laureldock/rehearsal/soak/dispatcher_soak.py
+++ b/laureldock/rehearsal/soak/dispatcher_soak.py
@@ -22,8 +22,9 @@
 from laureldock.rehearsal.soak.evaluation import evaluate_run
 from laureldock.rehearsal.soak.faults import ProcessFault, ScheduledFault
 from laureldock.rehearsal.soak.platform import write_configuration
-from laureldock.rehearsal.soak.process_group import ProcessGroup
+from laureldock.rehearsal.soak.process_group import EXTRA_SIGNAL_SHARE, ProcessGroup
 from laureldock.rehearsal.soak.relay import Relay
+from laureldock.rehearsal.soak.slow_clients import SOAK_CROWD, Crowd, ScheduledCrowd, draw_crowds
 from laureldock.rehearsal.soak.soak_result import SoakResult
 from laureldock.rehearsal.soak.system_calls import FaultWindow, SystemCallFault
 from laureldock.rehearsal.stub_receivers import FaultPeriod, StubReceiver
@@ -35,6 +36,9 @@
 NOTICE_INTERVAL = 0.02  # seconds between two reads of a file of notices
 SHORTEST_STALL = 0.02  # seconds; shorter ones are within the tolerances of the rules
 EMPTY_POLLS = 6  # in a row, a tenth of a second apart, after which no message counts as pending
+MEMORY_MB = 128  # of all processes together, in runs with crowds
+CROWD_SOCKETS = 1024  # descriptors of a process in such runs
+MEMORY_INTERVAL = 0.1  # seconds between two looks at the memory
 SETTLE_TIME = LIFETIME + 3.0  # seconds in which all accepted messages reach their final outcomes
 
 
@@ -44,7 +48,8 @@
     `passed`: the listening socket is held here and passed to each process, as the platform does when a new
     version is deployed under load; then processes hand over. `platform`: the endpoint list and the notices
     are the platform's. `repeats`: receivers and platform send responses once more; then there are no relays,
-    which cannot tell the two apart, and so no faults of connections to receivers.
+    which cannot tell the two apart, and so no faults of connections to receivers. `crowds`: crowds of slow
+    clients come and go, all signals of a stop come in series, and memory is watched.
     """
 
     def __init__(
@@ -57,7 +62,9 @@
         passed: bool = False,
         platform: bool = False,
         repeats: ResponseRepeats | None = None,
+        crowds: bool = False,
     ) -> None:
+        self.crowds = draw_crowds(seed, length) if crowds else []
         self.folder, self.name, self.seed, self.length = folder, name, seed, length
         self.record = RunRecord(sees_calls_end=repeats is not None)
         self.result = SoakResult(name, seed)
@@ -104,6 +111,7 @@
             self.record,
             self.result,
             platform,
+            EXTRA_SIGNAL_SHARE if not crowds else 1.0,
         )
 
     # Faults that are active now
@@ -161,7 +169,10 @@
         listen = f"{self.host}:{self.port}"
         if self.discovery:
             agent = f"127.0.0.1:{self.discovery.port}"
-            write_configuration(file, self.name, self.seed, listen, agent, self.discovery.full_list())
+            limits: dict[str, float] | None = None
+            if self.crowds:
+                limits = {"sockets": CROWD_SOCKETS, "memory_mb": MEMORY_MB}
+            write_configuration(file, self.name, self.seed, listen, agent, self.discovery.full_list(), limits)
             return
         ports = [
             (each, self.receiver_port(name)) for name, each in self.receivers.items() if name != self.without
@@ -221,6 +232,9 @@
         background = [asyncio.create_task(self.watch_notices())]
         background += [asyncio.create_task(each.run()) for each in self.receivers.values()]
         background += [asyncio.create_task(self.run_client_fault(each)) for each in self.faults]
+        if self.crowds:
+            background.append(asyncio.create_task(self.watch_memory()))
+        background += [asyncio.create_task(self.run_crowd(each)) for each in self.crowds]
         process_faults = asyncio.create_task(self.run_process_faults())
         try:
             await self.load.run(max(0.0, self.length - self.elapsed()))
@@ -233,6 +247,20 @@
         errors = [each for each in done if isinstance(each, Exception)]
         self.result.errors += [f"the soak itself failed: {error!r}" for error in errors]
 
+    async def run_crowd(self, crowd: ScheduledCrowd) -> None:
+        """Run a crowd of slow clients at its time."""
+        await self.wait_until(crowd.since)
+        await Crowd((self.host, self.port), crowd.forms, SOAK_CROWD).run(crowd.until - crowd.since)
+
+    async def watch_memory(self) -> None:
+        """Hold the resident memory of all processes together to the limit."""
+        while True:
+            self.result.highest_memory = max(self.result.highest_memory, self.processes.resident_bytes())
+            if self.result.highest_memory > MEMORY_MB * 1e6:
+                self.result.errors.append(f"over {MEMORY_MB} MB of memory at {self.elapsed():.1f}s")
+                return
+            await asyncio.sleep(MEMORY_INTERVAL)
+
     async def run_client_fault(self, fault: ScheduledFault) -> None:
         """Run a client fault at its time."""
         if isinstance(fault.kind, faults.ClientFault):
--- a/laureldock/rehearsal/soak/process_group.py
+++ b/laureldock/rehearsal/soak/process_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import signal
 import socket
@@ -13,6 +14,7 @@
 from typing import Any
 
 from laureldock.rehearsal.rule_checks import Restart, RunRecord
+from laureldock.rehearsal.scale.process_usage import resident_bytes
 from laureldock.rehearsal.scripted_run import free_port
 from laureldock.rehearsal.soak.dispatcher_process import Address, DispatcherProcess
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
@@ -47,7 +49,9 @@
         record: RunRecord,
         result: SoakResult,
         platform: bool = False,
+        extra_signal_share: float = EXTRA_SIGNAL_SHARE,
     ) -> None:
+        self.extra_signal_share = extra_signal_share
         self.folder, self.host, self.seed = folder, host, seed
         self.listening, self.write_file, self.windows = listening, write_file, windows
         self.record, self.result, self.platform = record, result, platform
@@ -69,6 +73,14 @@
             raise RuntimeError("a process ended unexpectedly")
         return self.running[-1]
 
+    def resident_bytes(self) -> int:
+        """Resident memory of all processes that run."""
+        total = 0
+        for process in self.running:
+            with contextlib.suppress(OSError):
+                total += resident_bytes(process.process_id)
+        return total
+
     def configure(self) -> None:
         """Write the file of each process. Raises OSError."""
         for process in self.running:
@@ -202,7 +214,7 @@
     async def _wait_stopped(self, process: DispatcherProcess) -> None:
         """Wait for the end of a process that was sent SIGTERM; more signals may follow meanwhile."""
         for number in EXTRA_SIGNALS:
-            if self._rng.random() < EXTRA_SIGNAL_SHARE:
+            if self._rng.random() < self.extra_signal_share:
                 await asyncio.sleep(self._rng.uniform(0.0, 0.2))
                 process.send_signal(number)
         if not await process.wait_stopped():
--- a/laureldock/rehearsal/soak/run.py
+++ b/laureldock/rehearsal/soak/run.py
@@ -22,12 +22,13 @@
     passed: bool = False,
     platform: bool = False,
     repeats: ResponseRepeats | None = None,
+    crowds: bool = False,
 ) -> list[SoakResult]:
     """Soak one dispatcher per seed, all at once; `report_result` gets each result after all have ended.
 
     `length` is in seconds, `rate` in messages per second; `passed`: with a passed listening socket, and
     handovers; `platform`: with a platform's endpoint list and notices; `repeats`: servers send responses
-    again, and connections to receivers have no faults.
+    again, and connections to receivers have no faults; `crowds`: with crowds of slow clients.
     """
 
     async def soak_one(index: int, seed: int) -> DispatcherSoak:
@@ -35,7 +36,9 @@
         dispatcher_folder = folder / f"seed-{seed}"
         dispatcher_folder.mkdir(parents=True)
         name = f"dock-{seed}"
-        dispatcher = DispatcherSoak(dispatcher_folder, name, seed, length, rate, passed, platform, repeats)
+        dispatcher = DispatcherSoak(
+            dispatcher_folder, name, seed, length, rate, passed, platform, repeats, crowds
+        )
         await dispatcher.play()
         return dispatcher
 
--- a/laureldock/rehearsal/soak/slow_clients.py
+++ b/laureldock/rehearsal/soak/slow_clients.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -19,6 +20,9 @@
 SMALL_WORDS = 1020  # words of one byte
 FIELD_COUNT = 8000  # of a list of names and values
 UNREAD_ECHO = 60_000  # bytes of a reply that is not read
+# Seconds between two crowds of a soak, on average, and the longest time of one.
+MEAN_PAUSE, MAX_CROWD_TIME = 2.5, 5.0
+SOAK_CROWD = 240  # clients; a process that hands over has room for a quarter of its 1,024 descriptors
 CONNECT_BATCH = 64  # connections opened side by side, below any listen backlog
 
 
@@ -112,6 +116,27 @@
         self.ended_after = time.monotonic() - started_at
 
 
+@dataclass(frozen=True, slots=True)
+class ScheduledCrowd:
+    """A crowd of a soak. Times are seconds from the start of the load."""
+
+    since: float
+    until: float
+    forms: tuple[CrowdForm, ...]
+
+
+def draw_crowds(seed: int, length: float) -> list[ScheduledCrowd]:
+    """The crowds of one dispatcher over `length` seconds; drawn apart from its other faults."""
+    rng = random.Random(f"crowds {seed}")
+    crowds, since = [], 1.0
+    while (since := since + rng.uniform(0.5, 2 * MEAN_PAUSE)) < length:
+        until = since + rng.uniform(1.0, MAX_CROWD_TIME)
+        forms = tuple(rng.sample(list(CrowdForm), rng.choice([1, 3, len(CrowdForm)])))
+        crowds.append(ScheduledCrowd(since, until, forms))
+        since = until
+    return crowds
+
+
 @dataclass(eq=False, slots=True)
 class Crowd:
     """Clients that connect at once, each in one of the forms in turn."""
--- a/laureldock/rehearsal/soak/soak_result.py
+++ b/laureldock/rehearsal/soak/soak_result.py
@@ -25,6 +25,7 @@
     # Seconds for which this process, and so its stub receivers, was not scheduled, at most.
     longest_stall: float = 0.0
     longest_stall_at: float = 0.0  # when it began, in seconds from the start of the load
+    highest_memory: int = 0  # bytes that were resident in all processes together; 0 if nobody looked
     # Of each message that violated a rule: what stubs and clients observed, then what its processes logged.
     message_histories: list[str] = field(default_factory=list)
 
@@ -50,4 +51,5 @@
             f" {self.accepted} accepted, {self.delivered} delivered, {self.restarts} restarts,"
             f" {self.handovers} hand-overs, {len(self.faults)} faults; stub receivers stalled for"
             f" {self.longest_stall:.2f}s at most, at {self.longest_stall_at:.1f}s"
+            + (f"; {self.highest_memory / 1e6:.1f} MB at most" if self.highest_memory else "")
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 SEEDS = range(1, 9)
 HANDOVER_SEEDS = range(25, 33)
 PLATFORM_SEEDS = range(49, 57)
+CROWD_SEEDS = range(73, 77)
 SECONDS = 20.0
 
 
@@ -58,6 +59,19 @@
     assert sum(each.handovers for each in results) >= len(results)
 
 
+def test_the_rules_hold_beside_crowds_of_slow_clients(tmp_path: Path) -> None:
+    """On a platform and a passed socket; the memory of all processes together stays within their limit."""
+    reported: list[SoakResult] = []
+    soak_run = soak(
+        tmp_path, CROWD_SEEDS, SECONDS, 12.0, reported.append, passed=True, platform=True, crowds=True
+    )
+    results = asyncio.run(soak_run)
+    assert_rules_held(results)
+    assert all(each.accepted > SECONDS and each.delivered > SECONDS for each in results)
+    assert all(each.highest_memory for each in results)
+    assert sum(each.handovers for each in results) >= len(results) // 2
+
+
 def test_a_signal_to_a_process_that_has_just_ended_leaves_its_exit_status(tmp_path: Path) -> None:
     """A planned stop was reported as one with exit code 255."""
 
