Log who was malformed, how many clients wait and what was held; plain errors for a bad list at the start

malformed request has client and held, clients wait to be accepted has clients and held, memory is short has client, freed and held or the message. A list of the configuration that cannot be read ends the start with one line again (a regression of that tests/test_process.py showed).

--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -135,9 +135,6 @@
     try:
         return_freed_memory()
         memory = memory_budget(plan, resident_bytes())
-    except RefusedMemoryError as refusal:
-        raise click.ClickException(f"cannot start: {refusal}") from None
-    try:
         logs = wait_for(partial(Logs, plan.log, file is None), log_wait("log"))
         store = wait_for(partial(Spool, state, plan.limits.disk), log_wait("spool"))
         assembly = Assembly(plan, state, reactor, end, store, memory)
@@ -148,6 +145,8 @@
             )
         assembly.core.verbose = plan.log.level == "debug"
         assembly.start()
+    except RefusedMemoryError as refusal:
+        raise click.ClickException(f"cannot start: {refusal}") from None
     except (ValueError, KeyError, TypeError, AttributeError, OSError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
 
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -344,19 +344,21 @@
         log = self.log.debug if self.verbose else self.log.info
         log(event, mail=message_id, **names, connects=message.attempts, **fields)
 
-    def report_accepting_paused(self, paused: bool) -> None:
+    def report_accepting_paused(self, paused: bool, clients: int) -> None:
         """Log that a front is at its limit on connections, or no longer."""
-        self.log.warning("clients wait to be accepted" if paused else "clients are accepted again")
+        event = "clients wait to be accepted" if paused else "clients are accepted again"
+        self.log.warning(event, clients=clients, held=self.memory.held_bytes)
 
     def report_out_of_descriptors(self) -> None:
         """Log and count that the process ran out of file descriptors."""
         self.counters["out of descriptors"] += 1
         self.log.warning("out of descriptors", so_far=self.counters["out of descriptors"])
 
-    def report_malformed_request(self, reason: str) -> None:
+    def report_malformed_request(self, reason: str, client: int, held: int) -> None:
         """Log and count a request that could not be parsed or carried out."""
         self.counters["malformed requests"] += 1
-        self.log.warning("malformed request", why=reason, so_far=self.counters["malformed requests"])
+        so_far = self.counters["malformed requests"]
+        self.log.warning("malformed request", why=reason, so_far=so_far, client=client, held=held)
 
     def report_memory_refusal(self, refusal: MemoryRefusal, **facts: object) -> None:
         """Log and count what gave way for want of memory."""
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -272,10 +272,10 @@
     def client_withdrew(self, message: HeldMessage) -> None:
         """The client disconnected before its reply could be sent: nobody waits for the message any more."""
 
-    def report_malformed_request(self, reason: str) -> None:
-        """A request could not be parsed or carried out."""
+    def report_malformed_request(self, reason: str, client: int, held: int) -> None:
+        """A request of a client could not be parsed or carried out; so many bytes were held for it."""
 
-    def report_accepting_paused(self, paused: bool) -> None:
+    def report_accepting_paused(self, paused: bool, clients: int) -> None:
         """The front is at its limit on connections, so that clients wait to be accepted; or no longer."""
 
     def report_out_of_descriptors(self) -> None:
--- a/laureldock/core/submissions.py
+++ b/laureldock/core/submissions.py
@@ -47,7 +47,11 @@
         if core.peers.view.knows(stored.name):
             return self._submit_known_to_peer(submitter, stored.name)
         if not core.memory.may_hold(MemoryKind.MESSAGES, message_bytes(stored.body)):
-            core.report_memory_refusal(MemoryRefusal.MESSAGE_REFUSED, held=core.memory.held_bytes)
+            core.report_memory_refusal(
+                MemoryRefusal.MESSAGE_REFUSED,
+                mail=stored.name.decode(errors="replace"),
+                held=core.memory.held_bytes,
+            )
             core.count(stored.queue_class, "deferred")
             return Reply(ReplyKind.BUSY)
         stored.accepted_class = queue_class
--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -188,9 +188,12 @@
         if self.recent_errors > MAX_ERRORS:
             self.close_with_error("too many errors")
             return
-        self.server.core.report_malformed_request(why)
+        self.report_malformed(why)
         self.write_reply(resp.error(f"ERR {why}"))
 
+    def report_malformed(self, why: str) -> None:
+        self.server.core.report_malformed_request(why, self.client_id, self.requests_held)
+
     # Replies
 
     def reply(self, reply: Reply) -> None:
@@ -248,7 +251,7 @@
     def close_with_error(self, why: str) -> None:
         """Reply an error, and close."""
         if not self.closing:
-            self.server.core.report_malformed_request(why)
+            self.report_malformed(why)
             self.close_with(resp.error(f"ERR {why}"))
 
     def close_with(self, reply: bytes) -> None:
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -218,11 +218,14 @@
             connection = first_to_give_way(self.connections, self.core.now())
             if connection is None:
                 return
-            self.core.report_memory_refusal(connection.give_way(), held=self.memory.held_bytes)
+            freed, client = connection.closable_bytes, connection.client_id
+            self.core.report_memory_refusal(
+                connection.give_way(), client=client, freed=freed, held=self.memory.held_bytes
+            )
 
     def set_accepting_paused(self, paused: bool) -> None:
         """Pause accepting, so that new connections wait in the backlog, or resume it."""
         self.accepting_paused = paused
-        self.core.report_accepting_paused(paused)
+        self.core.report_accepting_paused(paused, len(self.connections))
         if self.port:
             (self.port.stopReading if paused else self.port.startReading)()
