--- a/laureldock/rehearsal/soak/dispatcher_soak.py
+++ b/laureldock/rehearsal/soak/dispatcher_soak.py
@@ -17,6 +17,7 @@
 from laureldock.rehearsal.scripted_run import LIFETIME, RECEIVERS, free_port, new_lines, write_example
 from laureldock.rehearsal.soak import faults
 from laureldock.rehearsal.soak.clients import SteadyLoad, run_client_fault
+from laureldock.rehearsal.soak.crowd_process import run_crowd_process
 from laureldock.rehearsal.soak.discovery import DRAINING, READY, Endpoint, StubDiscovery
 from laureldock.rehearsal.soak.dispatcher_process import Address
 from laureldock.rehearsal.soak.evaluation import evaluate_run
@@ -24,7 +25,7 @@
 from laureldock.rehearsal.soak.platform import write_configuration
 from laureldock.rehearsal.soak.process_group import EXTRA_SIGNAL_SHARE, ProcessGroup
 from laureldock.rehearsal.soak.relay import Relay
-from laureldock.rehearsal.soak.slow_clients import SOAK_CROWD, Crowd, ScheduledCrowd, draw_crowds
+from laureldock.rehearsal.soak.slow_clients import ScheduledCrowd, draw_crowds
 from laureldock.rehearsal.soak.soak_result import SoakResult
 from laureldock.rehearsal.soak.system_calls import FaultWindow, SystemCallFault
 from laureldock.rehearsal.stub_receivers import FaultPeriod, StubReceiver
@@ -250,7 +251,7 @@
     async def run_crowd(self, crowd: ScheduledCrowd) -> None:
         """Run a crowd of slow clients at its time."""
         await self.wait_until(crowd.since)
-        await Crowd((self.host, self.port), crowd.forms, SOAK_CROWD).run(crowd.until - crowd.since)
+        await run_crowd_process((self.host, self.port), crowd)
 
     async def watch_memory(self) -> None:
         """Hold the resident memory of all processes together to the limit."""
--- a/laureldock/rehearsal/soak/evaluation.py
+++ b/laureldock/rehearsal/soak/evaluation.py
@@ -37,6 +37,10 @@
     result.faults = [
         f"{each.since:.1f}-{each.until:.1f}s {each.kind} {each.target}".strip() for each in faults
     ]
+    result.periods = [
+        f"{since - started_at:.2f}-{until - started_at:.2f}s {what}"
+        for since, until, what in periods_of(record)
+    ]
     cases = [case for rule_result in result.rule_results for case in rule_result.violations]
     for name in record.messages:
         if any(name in case for case in cases):
@@ -45,6 +49,19 @@
     read_log(result, log)
 
 
+def periods_of(record: RunRecord) -> list[tuple[float, float, str]]:
+    """What a failure may have to do with, in the order in which it began: begin, end and what it was."""
+    found = [(since, until, "stub receivers stalled") for since, until in record.stalls]
+    found += [
+        (each.since, each.until, f"wait of {each.receiver} for {each.message}")
+        for each in record.requested_waits
+    ]
+    found += [
+        (each.down_at, each.ready_at, "killed" if each.killed else "restarted") for each in record.restarts
+    ]
+    return sorted(found)
+
+
 def discard_lost_responses(record: RunRecord, relays: Mapping[str, Relay]) -> None:
     """Remove from the records what a stub receiver sent and its relay did not pass on."""
     for call in (each for each in record.calls if each.receiver in relays):
--- a/laureldock/rehearsal/soak/soak_result.py
+++ b/laureldock/rehearsal/soak/soak_result.py
@@ -26,6 +26,8 @@
     longest_stall: float = 0.0
     longest_stall_at: float = 0.0  # when it began, in seconds from the start of the load
     highest_memory: int = 0  # bytes that were resident in all processes together; 0 if nobody looked
+    # Stalls of this process, waits that receivers requested, and restarts.
+    periods: list[str] = field(default_factory=list)
     # Of each message that violated a rule: what stubs and clients observed, then what its processes logged.
     message_histories: list[str] = field(default_factory=list)
 
@@ -41,7 +43,7 @@
         """The failures, with the histories of their messages and the faults of the run, line by line."""
         if not self.failures:
             return []
-        details = [*self.message_histories, *self.faults]
+        details = [*self.message_histories, *self.faults, *self.periods]
         return [f"  {each}" for each in self.failures] + [f"    {each}" for each in details]
 
     def summary(self) -> str:
