--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -26,6 +26,7 @@
 from laureldock.sockets.socket_budget import SocketBudget
 from laureldock.transient_errors import is_transient
 
+MIN_CONNECTIONS = 16  # that find room however short memory is
 ACCEPT_BACKLOG = 512  # connections that wait to be accepted
 # Seconds. Before the port closes, the connections that wait are accepted; where that fails, it is tried again
 # for so long, at this interval.
@@ -150,6 +151,7 @@
         for connection in list(self.connections):
             connection.check_timeouts(now)
         self.make_room()
+        self.resume_accepting()  # memory may have been freed elsewhere
         if self.memory.trim_is_due():
             trim_heap()
         self.check_scheduled = bool(self.connections)
@@ -175,7 +177,8 @@
         closable = [connection for connection in idle if connection.has_sent_command]
         excess = max(needed, len(closable) - self.max_idle)
         if full:
-            excess = max(excess, 1, len(staying) + 1 - self.max_connections)
+            short_of_memory = len(self.connections) < self.max_connections
+            excess = max(excess, 1 if short_of_memory else len(staying) + 1 - self.max_connections)
             closable += [
                 connection
                 for connection in idle
@@ -199,15 +202,21 @@
             del self.connections[connection]
             self.memory.change(MemoryKind.CONNECTIONS, -CLIENT_CONNECTION_BYTES)
             self.sockets.clients -= 1
+        self.resume_accepting()
+
+    def resume_accepting(self) -> None:
+        """Accept clients again once there is room."""
         if self.accepting_paused and not self.is_full:
             self.set_accepting_paused(False)
 
     @property
     def is_full(self) -> bool:
-        """Whether there is no room for one more connection."""
-        return len(self.connections) >= self.max_connections or not self.memory.may_hold(
+        """Whether there is no room for one more connection; for a few there is always memory."""
+        count = len(self.connections)
+        short = count >= MIN_CONNECTIONS and not self.memory.may_hold(
             MemoryKind.CONNECTIONS, CLIENT_CONNECTION_BYTES
         )
+        return short or count >= self.max_connections
 
     def change_memory(self, kind: MemoryKind, amount: int) -> None:
         """Charge memory held for a client, or free it; where it is short, connections give way."""
--- a/laureldock/sockets/flush.py
+++ b/laureldock/sockets/flush.py
@@ -11,6 +11,8 @@
 from twisted.internet.tcp import Connection
 from zope.interface import implementer
 
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 def peek_unread(transport: Connection, size: int = 1) -> bytes | None:
     """The first `size` bytes, if so many, that were received but not read yet.
@@ -31,8 +33,8 @@
         return True
     poll = select.poll()
     with contextlib.suppress(OSError, ValueError):  # ValueError: the descriptor is closed
-        poll.register(transport.socket, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        poll.register(transport.socket, CLOSED_EVENTS)
+        return any(event & CLOSED_EVENTS for _, event in poll.poll(0))
     return False
 
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -12,7 +12,7 @@
 
 from laureldock.setup.platform import PIPELINE
 from laureldock.wire import resp
-from laureldock.wire.resp import PipelineCounter
+from laureldock.wire.resp import CommandReader, PipelineCounter
 
 # A menu, as a person writes it: each line begins like a command.
 MENU = b"Lunches:\r\n" + b"* a dish\r\n" * (PIPELINE + 4)
@@ -79,3 +79,34 @@
             expected = sum(part.startswith(b"*") and part != b"*0\r\n" for part in begun)
             if commands[index] not in UNCOUNTED:
                 assert counter.count_behind(stream[ends[index] : received]) == expected
+
+
+def read_all(reader: CommandReader) -> list[list[bytes]]:
+    found: list[list[bytes]] = []
+    while (words := reader.next_command()) is not None or reader.has_more_to_read:
+        if words:
+            found.append(words)
+    return found
+
+
+@given(
+    commands=st.lists(
+        st.one_of(ARRAYS, st.sampled_from(UNCOUNTED), st.just(resp.command(*[b"w"] * 100))),
+        min_size=1,
+        max_size=12,
+    ),
+    pieces=st.lists(st.integers(1, 400), max_size=12),
+)
+def test_commands_are_the_same_however_their_bytes_are_cut(commands: list[bytes], pieces: list[int]) -> None:
+    stream = b"".join(commands)
+    whole = CommandReader(MAX_BULK)
+    whole.feed(stream)
+    expected = read_all(whole)
+    reader, received, found = CommandReader(MAX_BULK), 0, list[list[bytes]]()
+    for cut in [*(size for size in accumulate(pieces) if size < len(stream)), len(stream)]:
+        reader.feed(stream[received:cut])
+        received = cut
+        found += read_all(reader)
+    assert found == expected
+    assert reader.is_empty
+    assert len(expected) == sum(command not in UNCOUNTED or command == b"PING\r\n" for command in commands)
