--- a/laureldock/assembly.py
+++ b/laureldock/assembly.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from math import ceil, inf
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -14,8 +13,9 @@
 
 from laureldock.carriers.http import HttpCarrier
 from laureldock.core.dispatcher import Dispatcher
+from laureldock.core.memory_limit import expected_processes, memory_limit
 from laureldock.core.protocols import Front, Outlet, Source
-from laureldock.delivery_memory import MemoryBudget, required_bytes
+from laureldock.delivery_memory import MemoryBudget
 from laureldock.delivery_settings import DeliveryRegistry
 from laureldock.fronts.resp_server import RespServer
 from laureldock.operators.http_server import OperatorActions, OperatorServer
@@ -42,20 +42,9 @@
     from laureldock.sources.controlled import ControllerSource
 
 
-HANDOVER_PROCESSES = 2
 CONFIGURATION_FOLDER = "configuration"  # in the state folder; entries received from a controller
 
 
-class RefusedMemoryError(Exception):
-    """The limit on memory is less than what the program needs to start and serve. Amounts in bytes."""
-
-    def __init__(self, limit: float, required: float, endpoints: int) -> None:
-        super().__init__(
-            f"a limit of {limit / 1e6:g} MB on memory is too small: to start and serve with {endpoints}"
-            f" endpoints this program needs {ceil(required / 1e6)} MB"
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class PreparedReload:
     """A plan with everything derived from it, so that a reload does not delay messages by computing that."""
@@ -362,31 +351,6 @@
         )
 
 
-def expected_processes(plan: Plan, running: int = 1) -> int:
-    """For how many processes memory has to suffice: on a passed socket the next one runs beside this."""
-    return max(running, HANDOVER_PROCESSES) if plan.passed >= 0 else running
-
-
-def memory_limit(plan: Plan) -> float:
-    """The limit on memory in bytes, infinite if there is none."""
-    return inf if plan.limits.memory is None else float(plan.limits.memory)
-
-
-def listed_count(plan: Plan) -> int:
-    """The number of endpoints that are known at the start."""
-    known = plan.source.known or {}
-    return len(plan.endpoints) or len(known.get("hosts") or ())
-
-
-def memory_budget(plan: Plan, resident: int) -> MemoryBudget:
-    """The budget of a process that has `resident` bytes. RefusedMemoryError if it cannot serve with it."""
-    limit = memory_limit(plan)
-    required = required_bytes(resident, listed_count(plan))
-    if limit < required:
-        raise RefusedMemoryError(limit, required, listed_count(plan))
-    return MemoryBudget(limit, resident, expected_processes(plan))
-
-
 def make_catalog(plan: Plan) -> Catalog | None:
     """A catalog for the entries of a controller, if the plan has one; imported only then."""
     if plan.source.kind != "controller":
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -14,15 +14,14 @@
 import structlog
 from twisted.internet.main import installReactor
 
-from laureldock.assembly import (
+from laureldock.assembly import Assembly, PreparedReload
+from laureldock.cli.config import exit_with_faults
+from laureldock.core.memory_limit import (
     HANDOVER_PROCESSES,
-    Assembly,
-    PreparedReload,
     RefusedMemoryError,
     listed_count,
     memory_budget,
 )
-from laureldock.cli.config import exit_with_faults
 from laureldock.delivery_memory import required_bytes
 from laureldock.logs import Logs
 from laureldock.process_memory import resident_bytes, return_freed_memory
--- a/laureldock/outlets/platform.py
+++ b/laureldock/outlets/platform.py
@@ -7,7 +7,8 @@
 from laureldock.core import MAX_BODY_BYTES
 from laureldock.core.call_results import CallResult
 from laureldock.core.protocols import NoticeListener
-from laureldock.sockets.http_client import HttpConnection, SerialHttpClient
+from laureldock.sockets.http_client import HttpConnection
+from laureldock.sockets.serial_http_client import SerialHttpClient
 from laureldock.wire.http1 import Headers
 
 # Seconds. The protocol has notices acknowledged at once, and allows the end of a message to be reported 0.3 s
--- a/laureldock/sources/platform.py
+++ b/laureldock/sources/platform.py
@@ -13,7 +13,8 @@
 from laureldock.delivery_settings import ListedEndpoint
 from laureldock.interface import FetchList, ListedState
 from laureldock.setup.units import parse_address
-from laureldock.sockets.http_client import HttpConnection, SerialHttpClient
+from laureldock.sockets.http_client import HttpConnection
+from laureldock.sockets.serial_http_client import SerialHttpClient
 from laureldock.wire.http1 import Headers
 
 LISTED_STATES = {"Ready": ListedState.UP, "Terminating": ListedState.DRAINING, "Gone": ListedState.REMOVED}
