--- a/laureldock/delivery_memory.py
+++ b/laureldock/delivery_memory.py
@@ -89,6 +89,7 @@
     def __init__(self, limit: float = inf, resident: float = 0.0, processes: int = 1) -> None:
         self.limit, self.resident = limit, resident
         self.held: dict[MemoryKind, int] = dict.fromkeys(MemoryKind, 0)
+        self.held_bytes = 0  # the sum of all kinds
         self.refusals: Counter[MemoryRefusal] = Counter()
         self.highest = 0  # of the sum of all kinds, so far
         self._highest_since_trim = 0
@@ -104,17 +105,13 @@
         self.limit = limit
         self.set_processes(processes)
 
-    @property
-    def held_bytes(self) -> int:
-        """The sum of all kinds."""
-        return sum(self.held.values())
-
     def change(self, kind: MemoryKind, amount: int) -> None:
         """Hold so many bytes more of a kind, or fewer; never refused."""
         self.held[kind] += amount
-        held = self.held_bytes
-        self.highest = max(self.highest, held)
-        self._highest_since_trim = max(self._highest_since_trim, held)
+        self.held_bytes += amount
+        if self.held_bytes > self._highest_since_trim:
+            self._highest_since_trim = self.held_bytes
+            self.highest = max(self.highest, self.held_bytes)
 
     def set_held(self, kind: MemoryKind, amount: int) -> None:
         """Hold just so many bytes of a kind."""
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -220,7 +220,8 @@
 
     def change_memory(self, kind: MemoryKind, amount: int) -> None:
         """Charge memory held for a client, or free it; where it is short, connections give way."""
-        self.memory.change(kind, amount)
+        if amount:
+            self.memory.change(kind, amount)
         if amount <= 0:
             return
         while self.memory.is_short_of(kind):
--- a/laureldock/sockets/http_client.py
+++ b/laureldock/sockets/http_client.py
@@ -136,7 +136,8 @@
     def set_held(self, size: int) -> bool:
         """Charge so many bytes for the response; whether it is a list that does not fit."""
         more, self.held = size - self.held, size
-        self.memory.change(self.kind, more)
+        if more:
+            self.memory.change(self.kind, more)
         return more > 0 and refuses_list(self.memory, self.kind, size)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
