--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -199,6 +199,9 @@
     def finished_reply(self, name: bytes) -> bool | None:
         """What a repeat of a finished message's request is told: accepted, or failed; None if unknown."""
 
+    def finished_by_peer(self, name: bytes) -> bool:
+        """Whether a running peer process has finished a message, by the latest read of its records."""
+
     @property
     def finished(self) -> Sized:
         """Names of messages that finished a moment ago."""
--- a/laureldock/core/submissions.py
+++ b/laureldock/core/submissions.py
@@ -44,7 +44,7 @@
             return Reply(ReplyKind.BUSY)
         if (reply := self._reply_to_finished(stored.name)) is not None:
             return reply
-        if core.peers.view.knows(stored.name):
+        if core.peers.view.knows(stored.name) or core.store.finished_by_peer(stored.name):
             return self._submit_known_to_peer(submitter, stored.name)
         if not core.memory.may_hold(MemoryKind.MESSAGES, message_bytes(stored.body)):
             core.report_memory_refusal(
--- a/laureldock/stores/peer_spools.py
+++ b/laureldock/stores/peer_spools.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 
 from laureldock.core.peer_view import PeerView, newest_records
-from laureldock.stores.finished_names import FinishedName
 from laureldock.stores.peer_spool import PeerSpool
 
 READ_TRIES = 8  # reads while the list of files changes
@@ -94,10 +93,9 @@
                 by_key.setdefault(key, {}).update(accepted_of_key)
         return view
 
-    def finished(self, name: bytes) -> FinishedName | None:
-        """What a peer process has recorded of a finished message, by its latest read."""
-        found = (peer.finished.get(name) for peer in self._peers.values())
-        return next((entry for entry in found if entry), None)
+    def has_finished(self, name: bytes) -> bool:
+        """Whether a peer process has recorded that a message finished, by the latest read."""
+        return any(peer.finished.get(name) for peer in self._peers.values())
 
     def close(self) -> None:
         """Close the files."""
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -188,13 +188,14 @@
         return view
 
     def finished_reply(self, name: bytes) -> bool | None:
-        """Whether the request of a finished message is told `accepted` if it comes again, else failed.
-
-        None if no such message is known, here or by the latest read of peer processes.
-        """
-        entry = self.finished.get(name) or self._peers.finished(name)
+        """What a repeat of a finished message's request is told: accepted, or failed; None if unknown."""
+        entry = self.finished.get(name)
         return entry.accepted if entry else None
 
+    def finished_by_peer(self, name: bytes) -> bool:
+        """Whether a running peer process has finished a message, by the latest read of its records."""
+        return self._peers.has_finished(name)
+
     def record_requested_wait(self, route: str, until: float, now: float) -> None:
         """A receiver requested a wait; peer processes read this. OSError: the record is queued."""
         self.requested_waits = {name: end for name, end in self.requested_waits.items() if end > now}
