Connections give way one after another, not within one another, and none that has its last reply

Found by reading: where memory is short as a whole (messages take it), the -BUSY to one that gives way is a reply, whose charge made the next one give way within the same call, and so on: RecursionError at some 200 connections, and connections with an unwritten -BUSY were aborted. One loop frees memory now, and a connection that closes already is not chosen again.

--- a/laureldock/fronts/resp.py
+++ b/laureldock/fronts/resp.py
@@ -83,13 +83,13 @@
     @property
     def closable_bytes(self) -> int:
         """Memory that is freed if this connection gives way; 0 if it may not: its reply is on the way."""
-        if self.unreplied or (self.replying and not self.leaves_reply_unread):
+        if self.closing or self.unreplied or (self.replying and not self.leaves_reply_unread):
             return 0
         return self.requests_held + self.reply_bytes
 
     @property
     def leaves_reply_unread(self) -> bool:
-        return self.replying and self.server.core.now() > self.waiting_since + CHECK_INTERVAL
+        return self.reply_bytes > 0 and self.server.core.now() > self.waiting_since + CHECK_INTERVAL
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -55,6 +55,7 @@
         self.connections: dict[ClientConnection, None] = {}
         self.last_client_id = 0
         self.accepting_paused = self.check_scheduled = self.lameduck = False
+        self.freeing_memory = False
         self.stopping = False  # the last waiting connections are being accepted
         self.port: Port | None = None
         # The longest time, in seconds, for which bytes that are read now can have waited to be read.
@@ -222,8 +223,16 @@
         """Charge memory held for a client, or free it; where it is short, connections give way."""
         if amount:
             self.memory.change(kind, amount)
-        if amount <= 0:
+        if amount <= 0 or self.freeing_memory:  # the last reply to one that gives way is charged, too
             return
+        self.freeing_memory = True
+        try:
+            self.free_memory(kind)
+        finally:
+            self.freeing_memory = False
+
+    def free_memory(self, kind: MemoryKind) -> None:
+        """Have connections give way while memory of a kind is short."""
         while self.memory.is_short_of(kind):
             connection = first_to_give_way(self.connections, self.core.now())
             if connection is None:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -90,3 +90,22 @@
     memory.change(MemoryKind.MESSAGES, -100 * MB)
     client.send(dispatcher.put_request("c"))
     dispatcher.step_until(lambda: client.receive() == b"+OK\r\n-BUSY\r\n+OK\r\n")
+
+
+def test_all_requests_in_part_give_way_with_their_answers_when_messages_take_the_whole_budget(
+    tmp_path: Path,
+) -> None:
+    dispatcher = SocketDispatcher(tmp_path, sockets=1024).start_until_ready()
+    memory = dispatcher.core.memory
+    clients = [dispatcher.connect_client(ping=False) for _ in range(300)]
+    for client in clients:
+        client.send(dispatcher.put_request("h", body="x" * 500)[:-200])
+    dispatcher.step_until(lambda: memory.held[MemoryKind.REQUESTS] > 300 * 420)
+    memory.set_limit(40 * MB, 1)
+    memory.change(MemoryKind.MESSAGES, 100 * MB)
+    clients[0].send(b"x")
+    dispatcher.step_until(lambda: sum(bool(client.receive()) for client in clients) == len(clients))
+    assert {client.received for client in clients} == {b"-BUSY\r\n"}
+    assert not dispatcher.core.counters["faults"]
+    assert memory.held[MemoryKind.REQUESTS] == 0
+    dispatcher.close()
