--- a/laureldock/delivery_memory.py
+++ b/laureldock/delivery_memory.py
@@ -6,7 +6,7 @@
 1. requests of clients that have arrived in part, and replies that their clients do not read: the connection
    that has held the most for the longest gets `-BUSY` and is closed;
 2. new messages: refused with `-BUSY`, harmless to repeat;
-3. new connections of clients: they wait to be accepted;
+3. new connections of clients, beyond their share: they wait to be accepted;
 4. lists of endpoints that do not fit: the list known before stays in force;
 5. what belongs to accepted messages (bodies, notices, responses of receivers) is charged and never refused.
 
@@ -117,12 +117,13 @@
         """Hold just so many bytes of a kind."""
         self.change(kind, amount - self.held[kind])
 
+    def is_within_share(self, kind: MemoryKind, amount: int) -> bool:
+        """Whether a kind has room for so many bytes more in its own share."""
+        return self.held[kind] + amount <= MAX_SHARES[kind] * self.total
+
     def may_hold(self, kind: MemoryKind, amount: int) -> bool:
         """Whether so many bytes more of a kind fit."""
-        return (
-            self.held[kind] + amount <= MAX_SHARES[kind] * self.total
-            and self.held_bytes + amount <= self.total
-        )
+        return self.is_within_share(kind, amount) and self.held_bytes + amount <= self.total
 
     def is_short_of(self, kind: MemoryKind) -> bool:
         """Whether something of a kind has to give way now."""
--- a/laureldock/fronts/resp_server.py
+++ b/laureldock/fronts/resp_server.py
@@ -212,9 +212,12 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether there is no room for one more connection; for a few there is always memory."""
+        """Whether there is no room for one more connection; for a few there is always memory.
+
+        Connections have a share of their own: a client is told `-BUSY` rather than not accepted.
+        """
         count = len(self.connections)
-        short = count >= MIN_CONNECTIONS and not self.memory.may_hold(
+        short = count >= MIN_CONNECTIONS and not self.memory.is_within_share(
             MemoryKind.CONNECTIONS, CLIENT_CONNECTION_BYTES
         )
         return short or count >= self.max_connections
