--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -87,10 +87,11 @@
     share: float = 0.0
     health: str = "Ready"
     version: int = 40
+    address: str = "127.0.0.1"
 
     def encode(self) -> dict[str, Any]:
         return {
-            "host": self.host, "dial": f"127.0.0.1:{self.port}", "site": self.site, "class": self.kind,
+            "host": self.host, "dial": f"{self.address}:{self.port}", "site": self.site, "class": self.kind,
             "block": self.block, "health": self.health, "share": self.share, "born_ms": 0,
         }  # fmt: skip
 
@@ -106,11 +107,20 @@
         self.told_at: dict[int, float] = {}  # when an answer with this version was first written
         self.port = 0
         self.server: asyncio.Server | None = None
+        self.open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def move_away(self) -> None:
+        """The address that a reload replaces: no new connection, and an end of the open ones after 1.5 s."""
+        assert self.server is not None
+        self.server.close()
+        await asyncio.sleep(1.5)
+        for writer in self.open:
+            writer.transport.abort()
+
     def whole(self) -> dict[str, Any]:
         listed = [each.encode() for each in self.entries.values() if each.health != "Gone"]
         return {"seq": self.version, "whole": True, "hosts": listed}
@@ -124,6 +134,7 @@
         changed.set()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
         with contextlib.suppress(OSError):
             while (request := await read_request(reader)) is not None:
                 first, _, body = request
@@ -133,6 +144,7 @@
                 else:
                     writer.write(await self.answer_list(target))
                 await writer.drain()
+        self.open.discard(writer)
         writer.transport.abort()
 
     def take_notices(self, body: bytes) -> bytes:
