--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -26,6 +26,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENT_WAIT = 0.4  # seconds that a client waits for its answer
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes
+PASSED = 7  # the descriptor of the clients' listening socket, where the platform holds it
 
 
 class CannotRunError(Exception):
@@ -313,6 +314,8 @@
         self.port, self.seed = free_port(), 0x8C1F30D27A5BE964 + sum(name.encode())
         self.client = Client(record, self.port)
         self.processes: list[asyncio.subprocess.Process] = []
+        self.passed = -1  # the descriptor of the clients' listening socket, where the platform holds it
+        self.management = 0  # the port where operators call the process that was started last
         self.write_config()
 
     def write_config(self) -> None:
@@ -335,16 +338,20 @@
             "LB_LISTEN": f"127.0.0.1:{self.port}", "LB_DISCOVERY": f"127.0.0.1:{self.platform.port}",
             "TMPDIR": str(self.temporary), "PYTHONDONTWRITEBYTECODE": "1",
         }  # fmt: skip
+        if self.passed >= 0:
+            self.management = free_port()
+            environment["LB_PASSED_SOCKET"] = str(self.passed)
+            environment["LB_MANAGEMENT"] = f"127.0.0.1:{self.management}"
         with (self.folder / "log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                stdout=log, stderr=log, pass_fds=[self.passed] if self.passed >= 0 else [],
             )  # fmt: skip
         self.processes.append(process)
         self.record.write("start", self.name)
         if wait:
             until = time.monotonic() + 30
-            while not await self.client.ping():
+            while not await self.is_ready():
                 if time.monotonic() > until or process.returncode is not None:
                     raise CannotRunError(
                         f"{self.name} was not ready: {(self.folder / 'log').read_text()[-600:]}"
@@ -353,10 +360,36 @@
             self.record.write("ready", self.name)
         return process
 
-    def signal(self, number: signal.Signals) -> None:
+    async def is_ready(self) -> bool:
+        """Whether the process that was started last takes clients."""
+        if not self.management:
+            return await self.client.ping()
+        with contextlib.suppress(OSError, TimeoutError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.management)
+            writer.write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.transport.abort()
+            return line.split()[1:2] == [b"200"]
+        return False
+
+    def signal(self, number: signal.Signals, process: asyncio.subprocess.Process | None = None) -> None:
+        """Signal a process, the one that was started last if none is named."""
         self.record.write(number.name, self.name)
         with contextlib.suppress(ProcessLookupError):
-            os.kill(self.processes[-1].pid, number)
+            os.kill((process or self.processes[-1]).pid, number)
+
+    def hold_socket(self) -> None:
+        """Have the platform hold the clients' listening socket, as descriptor 7 of each process."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", self.port))
+        held.listen(512)
+        if held.fileno() != PASSED:
+            os.dup2(held.fileno(), PASSED)
+            held.close()
+        else:
+            held.detach()
+        self.passed = PASSED
 
     async def end(self) -> None:
         for process in self.processes:
@@ -434,6 +467,13 @@
 
 def play(case: Case, folder: Path, limit: float = 115.0) -> None:
     """Play a case, end all that it started, print the verdict, and exit with its code."""
+    with contextlib.suppress(OSError):  # kept free for the clients' listening socket
+        os.fstat(PASSED)
+        os.close(PASSED)
+    reserved = os.open(os.devnull, os.O_RDONLY)
+    if reserved != PASSED:
+        os.dup2(reserved, PASSED)
+        os.close(reserved)
     record, temporary, started = Record(folder), Path(tempfile.mkdtemp(prefix="case-")), []
 
     async def main() -> tuple[int, str]:
