--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -477,9 +477,12 @@
     record, temporary, started = Record(folder), Path(tempfile.mkdtemp(prefix="case-")), []
 
     async def main() -> tuple[int, str]:
+        playing = asyncio.ensure_future(asyncio.wait_for(case(record, temporary, started), limit))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
-            return await asyncio.wait_for(case(record, temporary, started), limit)
-        except (CannotRunError, TimeoutError, OSError) as error:
+            return await playing
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             return NOT_RUN, f"could not run: {error!r}"
         finally:
             for each in started:
