--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -227,13 +227,15 @@
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
                     self.record.write(self.name, "reset", call.message)
                     break
-                call.ended = answer.split(b" ", 2)[1].decode()
-                self.record.write(self.name, call.ended, call.message)
-                if gone.done():
-                    break
                 gone.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await gone
+                if not gone.cancelled():  # the caller was quicker: nothing is written
+                    call.ended = "given up"
+                    self.record.write(self.name, "given up", call.message)
+                    break
+                call.ended = answer.split(b" ", 2)[1].decode()
+                self.record.write(self.name, call.ended, call.message)
                 writer.write(answer)
                 await writer.drain()
         writer.transport.abort()
