Spool: all files together stay within the limit on the folder, at every moment

Cause: the limit was divided by arithmetic over shares. What a rewrite keeps was bounded by what is reserved for pending messages, but names of finished messages, waits, cooldowns and routes had no room; what other processes had in the folder, or had left there when killed, was not looked at.

Change: everything that can stand in a file is counted by an upper bound before a message is accepted; a file grows only under the lock of the folder, after all sizes were added up; a message is accepted only where the files of all processes leave room to rewrite all that they keep. Abandoned new files are removed. Names of finished messages are kept for their lifetimes. A limit with no room for a message ends the start. So no step depends on what another process believes, and a take-over has its room.

--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -41,6 +41,10 @@
 }
 
 VIEW = "laureldock/fleet/view.py"
+SPOOL_LIMIT = (
+    "messages of 200 bytes; a third of a folder's limit is for messages: 3 MB take on 1,356 of these"
+    " (1,458 before names and other records had room of their own)"
+)
 LISTED_SOURCE = "laureldock/sources/listed.py"
 RELOAD = "laureldock/setup/reload.py"
 SPOOL = "laureldock/stores/spool.py"
@@ -81,7 +85,7 @@
         Row("memory, each further endpoint", "B", slopes.per_unit("endpoint: memory"), None, LISTED_SOURCE),
         Row("memory, view of the fleet", "B", view, budget, VIEW),
         Row("memory, pending messages", "B", held, None, SPOOL, no_budget, DISK_BACKLOG),
-        Row("disk, pending messages", "B", spooled, None, SPOOL, "messages of 200 bytes"),
+        Row("disk, pending messages", "B", spooled, None, SPOOL, SPOOL_LIMIT),
         Row("disk, the configuration file", "B", file, None, LISTED_SOURCE),
     ]
 
--- a/laureldock/cli/serve.py
+++ b/laureldock/cli/serve.py
@@ -16,9 +16,11 @@
 
 from laureldock.assembly import Assembly, PreparedReload
 from laureldock.cli.config import exit_with_faults
+from laureldock.core import MAX_BODY_BYTES
 from laureldock.core.memory_limit import (
     HANDOVER_PROCESSES,
     RefusedMemoryError,
+    expected_processes,
     listed_count,
     memory_budget,
 )
@@ -31,6 +33,7 @@
 from laureldock.setup.reading import Override, load, overrides_of
 from laureldock.setup.rules import Bounds, check
 from laureldock.sockets.reactor import BackgroundReader, MonotonicReactor
+from laureldock.stores.disk_room import RefusedDiskError, check_disk, holds_largest_message, required_disk
 from laureldock.stores.spool import Spool
 from laureldock.transient_errors import wait_for
 
@@ -73,6 +76,17 @@
         )
 
 
+def warn_of_small_disk(assembly: Assembly) -> None:
+    """Log where the limit on the state folder has no room for the largest message."""
+    limit, processes = assembly.plan.limits.disk, expected_processes(assembly.plan)
+    if not holds_largest_message(limit, processes):
+        assembly.core.log.error(
+            "the state folder has no room for the largest message",
+            limit_kb=round(limit / 1e3),
+            needed_kb=round(required_disk(MAX_BODY_BYTES, processes) / 1e3),
+        )
+
+
 @click.command("serve", context_settings={"auto_envvar_prefix": "LAURELDOCK"})
 @click.argument("file", required=False)
 @click.option("--name", show_envvar=True, help="Name of this dispatcher.")
@@ -132,19 +146,21 @@
         reactor.callLater(0, reactor.stop)
 
     try:
+        check_disk(plan.limits.disk)
         return_freed_memory()
         memory = memory_budget(plan, resident_bytes())
         logs = wait_for(partial(Logs, plan.log, file is None), log_wait("log"))
         store = wait_for(partial(Spool, state, plan.limits.disk), log_wait("spool"))
         assembly = Assembly(plan, state, reactor, end, store, memory)
         warn_of_small_memory(assembly)
+        warn_of_small_disk(assembly)
         if plan_faults:  # applied all the same: a dispatcher must not stay down for them
             assembly.core.log.warning(
                 "settings questionable", faults=plan_faults[:20], count=len(plan_faults)
             )
         assembly.core.verbose = plan.log.level == "debug"
         assembly.start()
-    except RefusedMemoryError as refusal:
+    except (RefusedMemoryError, RefusedDiskError) as refusal:
         raise click.ClickException(f"cannot start: {refusal}") from None
     except (ValueError, KeyError, TypeError, AttributeError, OSError) as fault:
         raise click.ClickException(f"cannot start: {type(fault).__name__}: {fault}") from None
--- a/laureldock/stores/finished_names.py
+++ b/laureldock/stores/finished_names.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from laureldock.stores.record_sizes import finished_name_bytes
+
 FINISHED_RECORD = "finished"
 MAX_NAMES = 4096  # more than a dispatcher finishes within the longest lifetime at its usual load
 MIN_KEPT_TIME = 2.0  # seconds; a request that crossed the end of its connection comes again sooner
@@ -30,6 +32,7 @@
     def __init__(self) -> None:
         self._entries: dict[bytes, FinishedName] = {}
         self._pruned_at = 0.0
+        self.record_bytes = 0  # of the records of all names, at most
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -37,10 +40,12 @@
     def add(self, name: bytes, until: float, accepted: bool) -> None:
         """Keep a name until a time, or a little longer."""
         now = time.monotonic()
-        self._entries.pop(name, None)
+        self.remove(name)
         self._entries[name] = FinishedName(max(until, now + MIN_KEPT_TIME), accepted)
-        if now > self._pruned_at + PRUNE_INTERVAL or len(self._entries) > MAX_NAMES:
-            self._prune(now)
+        self.record_bytes += bytes_of(name)
+        self.drop_expired()
+        if len(self._entries) > MAX_NAMES:
+            self.remove(next(iter(self._entries)))
 
     def get(self, name: bytes) -> FinishedName | None:
         """The entry of a name; None if it is not known, or not any more."""
@@ -49,14 +54,24 @@
 
     def remove(self, name: bytes) -> None:
         """Forget a name, since a new message has it."""
-        self._entries.pop(name, None)
+        if self._entries.pop(name, None) is not None:
+            self.record_bytes -= bytes_of(name)
+
+    def drop_expired(self) -> None:
+        """Drop the names that are kept no longer, if that was not done a moment ago."""
+        now = time.monotonic()
+        if now <= self._pruned_at + PRUNE_INTERVAL:
+            return
+        self._pruned_at = now
+        for name in [name for name, entry in self._entries.items() if entry.until <= now]:
+            self.remove(name)
 
     def newest(self) -> Iterator[tuple[bytes, FinishedName]]:
         """The names that are still kept, the newest first."""
         now = time.monotonic()
         return ((name, entry) for name, entry in reversed(self._entries.items()) if entry.until > now)
 
-    def _prune(self, now: float) -> None:
-        self._pruned_at = now
-        kept = [(name, entry) for name, entry in self._entries.items() if entry.until > now]
-        self._entries = dict(kept[-MAX_NAMES:])
+
+def bytes_of(name: bytes) -> int:
+    """Bytes of the record of a name, at most."""
+    return finished_name_bytes(name.decode())
--- /dev/null
+++ b/laureldock/stores/kept_records.py
@@ -0,0 +1,85 @@
+"""Records of a spool file that belong to no message: requested waits, cooldowns and records of routes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from math import inf
+
+from laureldock.clocks import read_clocks
+from laureldock.core.peer_view import RouteRecord, newest_records
+from laureldock.stores.record_sizes import kept_records_bytes
+from laureldock.stores.spool_records import encode_payload, encode_route
+
+ROUTE_KEPT_TIME = 60.0  # seconds; a route that recovered longer ago is warm under any settings
+
+
+class KeptRecords:
+    """Until when waits and cooldowns last, and what was seen of routes, by route or by ordering key.
+
+    They were recorded by this process, or in a file that it took over. Times are seconds of the monotonic
+    clock.
+    """
+
+    def __init__(self) -> None:
+        self.requested_waits: dict[str, float] = {}
+        self.cooldowns: dict[str, float] = {}
+        self.routes: dict[str, RouteRecord] = {}
+        self._record_bytes: int | None = None  # unknown after a change
+
+    @property
+    def record_bytes(self) -> int:
+        """Bytes of all records in a rewritten file, at most."""
+        if self._record_bytes is None:
+            self._record_bytes = kept_records_bytes((self.requested_waits, self.cooldowns, self.routes))
+        return self._record_bytes
+
+    def set_wait(self, route: str, until: float, now: float) -> None:
+        """Keep a requested wait; those that are over `now` are dropped."""
+        self.requested_waits = {name: end for name, end in self.requested_waits.items() if end > now}
+        self.requested_waits[route] = until
+        self._record_bytes = None
+
+    def set_cooldown(self, key: str, until: float, now: float) -> None:
+        """Keep the cooldown of an ordering key; those that are over `now` are dropped."""
+        self.cooldowns = {name: end for name, end in self.cooldowns.items() if end > now}
+        self.cooldowns[key] = until
+        self._record_bytes = None
+
+    def set_route(self, route: str, record: RouteRecord) -> None:
+        """Keep what was seen of a route."""
+        self.routes[route] = record
+        self._record_bytes = None
+
+    def replay_wait(self, route: str, until: float) -> None:
+        """Keep a wait that was read; the one that ends last counts."""
+        self.requested_waits[route] = max(until, self.requested_waits.get(route, -inf))
+        self._record_bytes = None
+
+    def replay_cooldown(self, key: str, until: float) -> None:
+        """Keep a cooldown that was read; the one that ends last counts."""
+        self.cooldowns[key] = max(until, self.cooldowns.get(key, -inf))
+        self._record_bytes = None
+
+    def add(self, other: KeptRecords) -> dict[str, RouteRecord]:
+        """Add the records of another file; returns the records of routes that are newer there."""
+        for route, until in other.requested_waits.items():
+            self.replay_wait(route, until)
+        for key, until in other.cooldowns.items():
+            self.replay_cooldown(key, until)
+        own, self.routes = self.routes, newest_records([self.routes, other.routes])
+        return {name: record for name, record in self.routes.items() if own.get(name) is not record}
+
+    def payloads(self) -> Iterator[bytes]:
+        """The payloads of all records, obsolete ones left out."""
+        for route, until in self.requested_waits.items():
+            yield encode_payload(["wait", route, until])
+        for key, until in self.cooldowns.items():
+            yield encode_payload(["rest", key, until])
+        for route, record in self.routes.items():
+            if not is_old(record):
+                yield encode_route(route, record)
+
+
+def is_old(record: RouteRecord) -> bool:
+    """Whether a record is obsolete: the route recovered so long ago that it is warm."""
+    return record.recovered_at is not None and record.recovered_at < read_clocks().monotonic - ROUTE_KEPT_TIME
--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -9,8 +9,15 @@
 
 from laureldock.clocks import read_clocks
 from laureldock.core.peer_view import RouteRecord
-from laureldock.stores.finished_names import FinishedNames
-from laureldock.stores.spool_records import RecordReader, decode_route
+from laureldock.stores.class_records import CLASS_RECORD
+from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
+from laureldock.stores.record_sizes import (
+    CLOCK_RECORD_BYTES,
+    kept_records_bytes,
+    long_route_bytes,
+    pending_message_bytes,
+)
+from laureldock.stores.spool_records import RECORD_HEADER, Record, RecordReader, decode_route
 
 READ_SIZE = 1 << 20
 # Seconds for which a finished message is remembered: its client repeats the request sooner, or never.
@@ -38,6 +45,9 @@
         self.routes: dict[str, RouteRecord] = {}
         self._key_of: dict[bytes, str] = {}
         self._expires_at: dict[bytes, float] = {}
+        self._message_bytes: dict[bytes, int] = {}  # by name of a pending message
+        self._pending_bytes = 0  # of all pending messages
+        self._class_bytes = 0  # of the records of queue classes
 
     def read(self) -> bool:
         """Read what was appended; false if there was nothing. Raises OSError if it cannot be read now."""
@@ -45,12 +55,42 @@
         while data := os.pread(self._file, READ_SIZE, self._reader.size):
             size = self._reader.size
             for record in self._reader.read(data):
+                self._count_bytes(record)
                 self._apply(*record.fields)
             if self._reader.size == size:  # the rest is a record that is still being written, or was torn
                 break
             found = True
         return found
 
+    @property
+    def content_bytes(self) -> int:
+        """Bytes of the file at most, once it is rewritten with only what is needed."""
+        kept = kept_records_bytes((self.requested_waits, self.cooldowns, self.routes))
+        return (
+            CLOCK_RECORD_BYTES + self._pending_bytes + self._class_bytes + self.finished.record_bytes + kept
+        )
+
+    def _count_bytes(self, record: Record) -> None:
+        """Count the bytes of a pending message, or of a queue class; called before the record is applied."""
+        kind, subject, *rest = record.fields
+        name = subject.encode()
+        match kind:
+            case "mail":
+                self._set_message_bytes(name, pending_message_bytes(subject, record.payload_bytes))
+            case "out" | "sent_to" if name in self._message_bytes:
+                route_before = self.routes_in_flight.get(name, "")
+                longer = long_route_bytes(rest[-1]) - long_route_bytes(route_before) if rest else 0
+                self._set_message_bytes(name, self._message_bytes[name] + max(0, longer))
+            case "over":
+                self._set_message_bytes(name, 0)
+            case kind if kind == CLASS_RECORD:
+                self._class_bytes += RECORD_HEADER.size + record.payload_bytes
+
+    def _set_message_bytes(self, name: bytes, size: int) -> None:
+        self._pending_bytes += size - self._message_bytes.pop(name, 0)
+        if size:
+            self._message_bytes[name] = size
+
     def close(self) -> None:
         """Close the file."""
         if self._file >= 0:
@@ -80,7 +120,7 @@
                 self.routes_in_flight.pop(name, None)
             case "over":
                 self._finish(name, *rest)
-            case "finished":
+            case kind if kind == FINISHED_RECORD:
                 self.finished.add(name, rest[0] + shift, rest[1])
             case "wait":
                 self.requested_waits[subject] = rest[0] + shift
--- a/laureldock/stores/peer_spools.py
+++ b/laureldock/stores/peer_spools.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from laureldock.core.peer_view import PeerView, newest_records
+from laureldock.stores.folder_limit import COMPACTED_SUFFIX, SPOOL_PREFIX
 from laureldock.stores.peer_spool import PeerSpool
 
 READ_TRIES = 8  # reads while the list of files changes
@@ -23,7 +24,7 @@
     found: dict[int, Path] = {}
     with os.scandir(folder) as entries:
         for entry in sorted(entries, key=lambda each: each.name):
-            if entry.name.startswith("spool") and not entry.name.endswith(".new"):
+            if entry.name.startswith(SPOOL_PREFIX) and not entry.name.endswith(COMPACTED_SUFFIX):
                 found.setdefault(entry.inode(), Path(entry.path))
     return found
 
@@ -35,25 +36,38 @@
         self._folder = folder
         self._peers: dict[int, PeerSpool] = {}  # by inode
         self.view = PeerView()
+        self._changed = False  # whether something was read that the view does not have
 
     def read(self, own: Iterable[int]) -> PeerView:
         """All that peer processes have recorded; `own` are inodes of this process's files.
 
         Raises OSError if it cannot be read now.
         """
+        self.refresh(own)
+        if self._changed:
+            self._changed, self.view = False, self._combine()
+        return self.view
+
+    def refresh(self, own: Iterable[int]) -> None:
+        """Read what was recorded since the last time, as for `read`. Raises OSError."""
         skipped = set(own)
         files = list_spools(self._folder)
         for _ in range(READ_TRIES):
-            changed = self._open({inode: path for inode, path in files.items() if inode not in skipped})
+            self._changed |= self._open(
+                {inode: path for inode, path in files.items() if inode not in skipped}
+            )
             for peer in self._peers.values():
-                changed |= peer.read()
+                self._changed |= peer.read()
             listed, files = files, list_spools(self._folder)
             if listed.keys() == files.keys() and self._peers.keys() == files.keys() - skipped:
-                if changed or self.view.processes != len(self._peers):
-                    self.view = self._combine()
-                return self.view
+                return
         raise OSError(errno.EAGAIN, "spool files of peer processes keep changing")
 
+    @property
+    def content_bytes(self) -> int:
+        """Bytes of the files of all peer processes at most, once they are rewritten; by the latest read."""
+        return sum(peer.content_bytes for peer in self._peers.values())
+
     def _open(self, files: dict[int, Path]) -> bool:
         """Keep exactly these files open; true if that changed anything."""
         removed = [inode for inode in self._peers if inode not in files]
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -12,28 +12,35 @@
 as it runs. A file that is not locked belongs to a process that has ended: all that is pending in it is
 taken over, then it is removed. The records of running peer processes are read from their files
 (`peer_spools.py`).
+
+The folder has a limit on its size (`folder_limit.py`). A part of it is for the content of all files, that is
+all that a compaction keeps of them; the rest is for the files as they grow until then. So there is always
+room to compact any file, and to take over that of an ended process. A message that does not fit is refused.
 """
 
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import os
 from collections import deque
-from collections.abc import Iterable, Iterator
-from math import inf
+from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from laureldock.clocks import read_clocks
 from laureldock.core.messages import StoredMessage
-from laureldock.core.peer_view import PeerView, RouteRecord, newest_records
+from laureldock.core.peer_view import PeerView, RouteRecord
 from laureldock.file_locks import FILE_MODE, open_locked
 from laureldock.interface import QueueClass
 from laureldock.stores.class_records import CLASS_RECORD, UNDER_RECORD, ClassReader, ClassTable
 from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
+from laureldock.stores.folder_limit import COMPACTED_SUFFIX, DISK_BLOCK_BYTES, FolderLimit, whole_blocks
+from laureldock.stores.kept_records import KeptRecords, is_old
 from laureldock.stores.peer_spools import PeerSpools, list_spools
 from laureldock.stores.record_file import RecordFile
+from laureldock.stores.record_sizes import CLOCK_RECORD_BYTES, long_route_bytes, pending_message_bytes
 from laureldock.stores.spool_records import (
     RECORD_HEADER,
     Record,
@@ -47,10 +54,23 @@
     encode_route,
 )
 
-ROUTE_KEPT_TIME = 60.0  # seconds; a route that recovered longer ago is warm under any settings
-FINISHED_FRACTION = 0.25  # of the room for pending messages, that names of finished ones may take in a file
 READ_BYTES = 1 << 20  # of one read, more than any record has
-DISK_BLOCK_BYTES = 512  # unit in which the size of the folder is counted
+# Of the limit on the folder. No file grows into it, so that a process can start while the folder is full, and
+# the sizes of files can be rounded up.
+RESERVED_BYTES = 8 * DISK_BLOCK_BYTES
+# Parts of the limit: for pending messages with their queue classes, and for all else that files keep, mostly
+# names of finished messages. The rest has to hold both once more, as files that grow.
+PENDING_FRACTION, OTHER_CONTENT_FRACTION = 1 / 3, 1 / 12
+# If room is short, a file is compacted once it has grown by this fraction of its size after the last time.
+LEAST_GROWTH = 1 / 16
+
+
+class OtherFiles(NamedTuple):
+    """The files beside that of a process, at a version of the folder, in bytes."""
+
+    version: int
+    file_bytes: int  # of all of them, also those that are being taken over
+    content_bytes: int  # of those of peer processes, at most, once they are compacted
 
 
 class Spool:
@@ -67,10 +87,7 @@
         self.finished = FinishedNames()
         self.reserved_bytes = 0  # for all pending messages, without their classes
         self._classes = ClassTable()
-        # Recorded by this process or in a file that it took over: until when, by route or by ordering key.
-        self.requested_waits: dict[str, float] = {}
-        self.cooldowns: dict[str, float] = {}
-        self.routes: dict[str, RouteRecord] = {}
+        self._kept = KeptRecords()
         self._inherited_routes: dict[str, RouteRecord] = {}  # of previous and ended processes
         self.taken_over_files: list[tuple[Path, int]] = []  # with their locked descriptors
         self._peers = PeerSpools(folder)
@@ -79,23 +96,25 @@
         self._compaction_due = True  # before anything is appended
         self._failing = False  # whether the last write failed
         self._file = RecordFile(-1)
+        self._compacted_bytes = 0  # size of the file after it was compacted
         self.path = self.path_of(0)
+        self._limit = FolderLimit(folder, disk)
+        self._other_files = OtherFiles(-1, 0, 0)
         try:
             self._load(writes)
         except OSError:
             self.close()
             raise
         self._disk = disk
+        self._usable_bytes = max(0, int(disk) - RESERVED_BYTES)
+        self.max_content_bytes = int(self._usable_bytes * (PENDING_FRACTION + OTHER_CONTENT_FRACTION))
         self.share_disk(1 + len(self.peer_paths))
 
     def share_disk(self, processes: int) -> None:
-        """Use this process's part of the limit on the folder, shared by so many processes.
-
-        During a compaction there are two files: one third of the part is for pending messages, and two thirds
-        are for the file that grows. The size of each file may be rounded up by a block.
-        """
-        self.max_pending_bytes = int(self._disk / (3 * processes)) - 2 * DISK_BLOCK_BYTES
-        self.max_file_bytes = 2 * self.max_pending_bytes
+        """Use this process's part of the limit on the folder, shared by so many processes."""
+        self.max_pending_bytes = pending_limit(self._disk) // processes
+        self.max_own_content_bytes = self.max_content_bytes // processes
+        self.max_file_bytes = (self._usable_bytes - self.max_content_bytes) // processes
 
     def _load(self, writes: bool) -> None:
         number, file = 0, -1
@@ -109,7 +128,7 @@
         self.path = self.path_of(number)
         reader, classes, file_bytes = self._replay_file(self.path)
         self._classes.set_numbers(classes.by_number)
-        self._inherited_routes = dict(self.routes)
+        self._inherited_routes = dict(self._kept.routes)
         self._file = RecordFile(file, reader.size, reader.checksum)
         self._compaction_due = not reader.accepts_appends
         self.torn_bytes = file_bytes - reader.size
@@ -132,7 +151,7 @@
     @property
     def compacted_path(self) -> Path:
         """Where the compacted file is written before it replaces the other."""
-        return self.path.with_name(self.path.name + ".new")
+        return self.path.with_name(self.path.name + COMPACTED_SUFFIX)
 
     @property
     def has_unwritten(self) -> bool:
@@ -165,13 +184,11 @@
         except OSError:
             os.close(file)
             raise
-        own, self.routes = self.routes, {}
+        own, self._kept = self._kept, KeptRecords()
         self._replay_all(data)
-        self.routes = newest_records([own, self.routes])
+        own, self._kept = self._kept, own
         # Records that this process made itself are not inherited.
-        self._inherited_routes |= {
-            name: record for name, record in self.routes.items() if own.get(name) is not record
-        }
+        self._inherited_routes |= self._kept.add(own)
         self.taken_over_files.append((path, file))
         self._compaction_due = True
         return True
@@ -198,21 +215,29 @@
 
     def record_requested_wait(self, route: str, until: float, now: float) -> None:
         """A receiver requested a wait; peer processes read this. OSError: the record is queued."""
-        self.requested_waits = {name: end for name, end in self.requested_waits.items() if end > now}
-        self.requested_waits[route] = until
+        self._kept.set_wait(route, until, now)
         self._queue(encode_payload(["wait", route, until]))
 
     def record_cooldown(self, key: str, until: float, now: float) -> None:
         """An ordering key cools down, here and in the next process. OSError: the record is queued."""
-        self.cooldowns = {name: end for name, end in self.cooldowns.items() if end > now}
-        self.cooldowns[key] = until
+        self._kept.set_cooldown(key, until, now)
         self._queue(encode_payload(["rest", key, until]))
 
     def record_route(self, route: str, record: RouteRecord) -> None:
         """A route failed or recovered; peer processes read this. OSError: the record is queued."""
-        self.routes[route] = record
+        self._kept.set_route(route, record)
         self._queue(encode_route(route, record))
 
+    @property
+    def cooldowns(self) -> Mapping[str, float]:
+        """Until when ordering keys cool down, by the records of this process and of previous ones."""
+        return self._kept.cooldowns
+
+    @property
+    def routes(self) -> Mapping[str, RouteRecord]:
+        """What this process and previous ones saw of routes."""
+        return self._kept.routes
+
     def inherit_routes(self) -> dict[str, RouteRecord]:
         """Route records of previous and ended processes; each is returned once."""
         inherited, self._inherited_routes = self._inherited_routes, {}
@@ -235,6 +260,8 @@
         """Begin to write. What cannot be written now is written by the next successful write."""
         with contextlib.suppress(OSError):
             self.compacted_path.unlink(missing_ok=True)
+        with contextlib.suppress(OSError):
+            self._limit.remove_abandoned()
         self._file.drop_torn_end()
         with contextlib.suppress(OSError):
             self.flush()
@@ -283,11 +310,11 @@
         elif kind == UNDER_RECORD:
             classes.read_under(name, *rest)
         elif kind == "wait":
-            self.requested_waits[name] = max(rest[0] + shift, self.requested_waits.get(name, -inf))
+            self._kept.replay_wait(name, rest[0] + shift)
         elif kind == "rest":
-            self.cooldowns[name] = max(rest[0] + shift, self.cooldowns.get(name, -inf))
+            self._kept.replay_cooldown(name, rest[0] + shift)
         elif kind == "route":
-            self.routes[name] = decode_route(rest, shift)
+            self._kept.set_route(name, decode_route(rest, shift))
         elif kind == FINISHED_RECORD:
             self.finished.add(name.encode(), rest[0] + shift, rest[1])
         elif (pending := self.pending.get(name.encode())) is not None:
@@ -295,16 +322,11 @@
                 rest = [rest[0] + shift, *rest[1:]]
             self.apply_change(kind, pending, rest)
 
-    @staticmethod
-    def reserved_for(message: StoredMessage, payload_bytes: int) -> int:
-        """Bytes to reserve for a message, the number of its class, its notice, and its other records."""
-        return RECORD_HEADER.size + payload_bytes + 8 * len(message.name) + 256
-
     def add_pending(self, message: StoredMessage, payload_bytes: int) -> None:
         """Add a pending message, by the size of the payload of its record."""
         if before := self.pending.get(message.name):
             self._release(before)
-        message.reserved_bytes = self.reserved_for(message, payload_bytes)
+        message.reserved_bytes = pending_message_bytes(message.name.decode(), payload_bytes)
         self.reserved_bytes += message.reserved_bytes
         self._classes.add(message)
         self.pending[message.name] = message
@@ -321,11 +343,11 @@
                 if message.first_may_have_run_at is None:
                     message.first_may_have_run_at = message.in_flight_since
                 message.attempts, message.in_flight_since = message.attempts + 1, rest[0]
-                message.route = rest[1] if len(rest) > 1 else ""  # older releases have none
+                self._set_route_of(message, rest[1] if len(rest) > 1 else "")  # older releases have none
             case "accepted":
                 message.accepted_at = rest[0]
             case "sent_to":
-                message.route = rest[0]
+                self._set_route_of(message, rest[0])
             case "back":
                 message.in_flight_since = None
             case "end":
@@ -343,16 +365,50 @@
                 if rest:  # older releases do not say what a repeat is told
                     self.finished.add(message.name, message.expires_at, rest[0])
 
+    def _set_route_of(self, message: StoredMessage, route: str) -> None:
+        """Set the route of a message's last attempt, and reserve what a long name takes."""
+        longer = long_route_bytes(route) - long_route_bytes(message.route)
+        message.route = route
+        message.reserved_bytes += longer
+        self.reserved_bytes += longer
+
+    @property
+    def content_bytes(self) -> int:
+        """Bytes of the file at most, once it is compacted, files that were taken over included."""
+        return (
+            CLOCK_RECORD_BYTES
+            + self.reserved_bytes
+            + self._classes.reserved_bytes
+            + self.finished.record_bytes
+            + self._kept.record_bytes
+        )
+
+    def _read_other_files(self) -> OtherFiles:
+        """What there is beside the file of this process. The lock of the folder is held. Raises OSError."""
+        if self._other_files.version != self._limit.version:
+            sizes = self._limit.sizes()
+            sizes.pop(self.path.name, None)
+            if sizes or self._peers.content_bytes:
+                self._peers.refresh(self._own_inodes())
+            self._other_files = OtherFiles(
+                self._limit.version, sum(sizes.values()), self._peers.content_bytes
+            )
+        return self._other_files
+
     def accept(self, message: StoredMessage) -> bool:
         """Add a pending message; false if there is no room for it, or it cannot be written."""
         payload = encode_message(message)
-        needed = self.reserved_for(message, len(payload)) + self._classes.bytes_to_reserve(message)
-        if self.reserved_bytes + self._classes.reserved_bytes + needed > self.max_pending_bytes:
-            return False
         try:
-            self._make_room(needed)
-            # Not before there is room for it: a compaction leaves out classes that no message has.
-            self._append(*self._classes.payloads_for(message), payload, *encode_accepted(message))
+            with self._limit:
+                needed = pending_message_bytes(message.name.decode(), len(payload))
+                needed += self._classes.bytes_to_reserve(message)
+                if not self._has_room_for_content(needed):
+                    return False
+                self._make_room(needed)
+                if not self._leaves_room_to_compact(needed, needed):
+                    return False
+                # Not before there is room for it: a compaction leaves out classes that no message has.
+                self._append(*self._classes.payloads_for(message), payload, *encode_accepted(message))
         except OSError:
             return False
         self._classes.written(message)
@@ -408,59 +464,134 @@
 
     def flush(self) -> None:
         """Write all that is queued, and remove files that were taken over. OSError: some of it is left."""
-        if self._compaction_due or self._size_with(self._queued) > self.max_file_bytes:
-            self._compact()
-        if self._failing and not self._queued:
-            self._append(encode_clocks(read_clocks()))  # changes nothing; shows whether writes succeed
-        while self._queued:
-            self._append(self._queued[0])
-            self._queued.popleft()
+        if not (self._compaction_due or self._failing or self._has_outgrown_share() or self.has_unwritten):
+            return
+        with self._limit:
+            if self._compaction_due:
+                self._compact()
+            self._compact_if_needed(encoded_size(self._queued))
+            if self._failing and not self._queued:
+                self._append(encode_clocks(read_clocks()))  # changes nothing; shows whether writes succeed
+            while self._queued:
+                self._append(self._queued[0])
+                self._queued.popleft()
+            self._remove_taken_over_files()
+
+    def _remove_taken_over_files(self) -> None:
+        """Remove the files whose content is in the file of this process by now. Raises OSError."""
         while self.taken_over_files:
             path, file = self.taken_over_files[0]
             path.unlink(missing_ok=True)
+            self._limit.files_changed()
             os.close(file)
             self.taken_over_files.pop(0)
 
     def _write(self, *payloads: bytes) -> None:
         """Append records after all that is queued, or none of them. Raises OSError."""
-        self._make_room(sum(RECORD_HEADER.size + len(payload) for payload in payloads))
-        self._append(*payloads)
+        with self._limit:
+            self._make_room(encoded_size(payloads))
+            self._append(*payloads)
 
     def _make_room(self, size: int) -> None:
-        """Write all that is queued, and compact the file unless so many bytes fit in. Raises OSError."""
+        """Write all that is queued, and compact the file before so many bytes if needed. Raises OSError."""
         self.flush()
-        if self._file.size + size > self.max_file_bytes:
-            self._compact()
+        self._compact_if_needed(size)
+
+    def _compact_if_needed(self, size: int) -> None:
+        """Compact the file before it grows by so many bytes, if that is due and possible. Raises OSError."""
+        if self._needs_compaction(size):
+            with contextlib.suppress(OSError):  # it may still have room to grow
+                self._compact()
+
+    def _needs_compaction(self, size: int) -> bool:
+        """Whether to compact the file before it grows by so many bytes. Raises OSError."""
+        if self._file.size - self._compacted_bytes <= max(
+            DISK_BLOCK_BYTES, LEAST_GROWTH * self._compacted_bytes
+        ):
+            return False  # it would be as large again
+        if self._has_outgrown_share(size):
+            return True
+        return not self._leaves_room_to_compact(size, 0)
+
+    def _has_outgrown_share(self, size: int = 0) -> bool:
+        """Whether the file is larger than its share, with so many bytes more.
+
+        A peer process may have come when the content was larger than its share; then the file may grow by a
+        quarter of that.
+        """
+        return self._file.size + size > max(self.max_file_bytes, self._compacted_bytes * 5 // 4)
 
-    def _append(self, *payloads: bytes) -> None:
-        self._failing = True
-        self._file.append_all(payloads)
-        self._failing = False
+    def _has_room_for_content(self, needed: int) -> bool:
+        """Whether that much more content is within the limits of this process, and of all. Raises OSError."""
+        if self.reserved_bytes + self._classes.reserved_bytes + needed > self.max_pending_bytes:
+            return False
+        if self.content_bytes + needed > self.max_own_content_bytes:
+            self.finished.drop_expired()
+        content = self.content_bytes + needed
+        if content > self.max_own_content_bytes:
+            return False
+        return content + self._read_other_files().content_bytes <= self.max_content_bytes
 
-    def _size_with(self, payloads: Iterable[bytes]) -> int:
-        return self._file.size + sum(RECORD_HEADER.size + len(payload) for payload in payloads)
+    def _leaves_room_to_compact(self, size: int, needed: int) -> bool:
+        """Whether any file can be compacted once this one has grown by so many bytes. Raises OSError.
+
+        `needed`: bytes that are added to the content.
+        """
+        content = self.content_bytes + needed + self._read_other_files().content_bytes
+        return self._free_bytes_with(size) >= content * (1 + LEAST_GROWTH)
+
+    def _free_bytes_with(self, size: int) -> int:
+        """What is left of the limit once the file has grown by so many bytes. Raises OSError."""
+        grown = self._file.size + size
+        if self._failing:  # a write that failed may have left more
+            grown = max(grown, os.fstat(self.file).st_size)
+        others = self._read_other_files().file_bytes
+        return self._limit.limit - others - whole_blocks(grown) - RESERVED_BYTES
+
+    def _append(self, *payloads: bytes) -> None:
+        with self._limit:
+            has_room = self._free_bytes_with(encoded_size(payloads)) >= 0
+            self._failing = True
+            if not has_room:
+                raise OSError(errno.ENOSPC, "the limit on the folder leaves no room")
+            self._file.append_all(payloads)
+            self._failing = False
 
     def _compact(self) -> None:
         """Rewrite the file with only what is needed, queued changes included. OSError: the old file stays."""
+        with self._limit:
+            self._limit.remove_abandoned()
+            self._rewrite()
+
+    def _rewrite(self) -> None:
+        """Write the compacted file and let it replace the other. Raises OSError."""
         classes = self._classes_in_use()
         descriptor = os.open(self.compacted_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, FILE_MODE)
         compacted = RecordFile(descriptor)
         try:
             with contextlib.suppress(OSError):  # locked before it gets the name of the spool
                 fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            compacted.append_all(self._all_payloads(classes))
+            room = self._room_to_rewrite()
+            compacted.append_all(self._payloads_within(room, classes))
             os.rename(self.compacted_path, self.path)
         except OSError:
             compacted.close()
             with contextlib.suppress(OSError):
                 self.compacted_path.unlink(missing_ok=True)
             raise
+        self._limit.files_changed()
         self._file.close()
-        self._file, self._classes = compacted, classes
+        self._file, self._classes, self._compacted_bytes = compacted, classes, compacted.size
         self._queued.clear()
         self._compaction_due = False
         self._failing = False
 
+    def _room_to_rewrite(self) -> int:
+        """Bytes that the compacted file may have beside all files that there are. Raises OSError."""
+        sizes = self._limit.sizes()
+        sizes.pop(self.compacted_path.name, None)
+        return (self._limit.limit - sum(sizes.values())) // DISK_BLOCK_BYTES * DISK_BLOCK_BYTES
+
     def _classes_in_use(self) -> ClassTable:
         """The queue classes that pending messages have; no file has them yet."""
         classes = ClassTable()
@@ -468,8 +599,25 @@
             classes.add(message)
         return classes
 
-    def _all_payloads(self, classes: ClassTable) -> Iterator[bytes]:
-        """The payloads of a compacted file, which will have these classes."""
+    def _payloads_within(self, room: int, classes: ClassTable) -> Iterator[bytes]:
+        """The payloads of a compacted file, which will have these classes and so many bytes at most.
+
+        Names of finished messages are left out if the limit has become smaller, the oldest ones first. Raises
+        OSError if there is no room for the rest.
+        """
+        for payload in self._needed_payloads(classes):
+            room -= RECORD_HEADER.size + len(payload)
+            if room < 0:
+                raise OSError(errno.ENOSPC, "the limit on the folder leaves no room for a compaction")
+            yield payload
+        for payload in self._finished_payloads():
+            room -= RECORD_HEADER.size + len(payload)
+            if room < 0:
+                return
+            yield payload
+
+    def _needed_payloads(self, classes: ClassTable) -> Iterator[bytes]:
+        """The payloads of a compacted file without the names of finished messages."""
         yield encode_clocks(read_clocks())
         for message in self.pending.values():
             yield from classes.payloads_for(message)
@@ -480,34 +628,28 @@
                 yield encode_payload(["sent_to", message.name.decode(), message.route])
             if message.notice:
                 yield encode_payload(["notice", message.name.decode(), message.notice.decode()])
-        for route, until in self.requested_waits.items():
-            yield encode_payload(["wait", route, until])
-        for key, until in self.cooldowns.items():
-            yield encode_payload(["rest", key, until])
-        for route, record in self.routes.items():
-            if not is_old(record):
-                yield encode_route(route, record)
-        yield from self._finished_payloads()
+        yield from self._kept.payloads()
 
     def _finished_payloads(self) -> Iterator[bytes]:
-        """The payloads of the newest finished names, within their part of the file."""
-        room = self.max_pending_bytes * FINISHED_FRACTION
+        """The payloads of the names of finished messages, the newest first."""
         for name, entry in self.finished.newest():
-            payload = encode_payload([FINISHED_RECORD, name.decode(), entry.until, entry.accepted])
-            room -= RECORD_HEADER.size + len(payload)
-            if room < 0:
-                return
-            yield payload
+            yield encode_payload([FINISHED_RECORD, name.decode(), entry.until, entry.accepted])
 
     def close(self) -> None:
         """Close the files, which releases their locks."""
         self._peers.close()
         self._file.close()
+        self._limit.close()
         for _, file in self.taken_over_files:
             os.close(file)
         self.taken_over_files = []
 
 
-def is_old(record: RouteRecord) -> bool:
-    """Whether a record is obsolete: the route recovered so long ago that it is warm."""
-    return record.recovered_at is not None and record.recovered_at < read_clocks().monotonic - ROUTE_KEPT_TIME
+def pending_limit(disk: float) -> int:
+    """Bytes of pending messages for which a limit on the folder has room, of all processes together."""
+    return int(max(0, int(disk) - RESERVED_BYTES) * PENDING_FRACTION)
+
+
+def encoded_size(payloads: Iterable[bytes]) -> int:
+    """Bytes of the records of these payloads."""
+    return sum(RECORD_HEADER.size + len(payload) for payload in payloads)
