Failback: a receiver that was shut is cold also for those whom it told a wait

What callers saw: a receiver that shut for some seconds and told its callers when it would open got all that had waited at full pace once it opened, and fell over.

Cause: of a refusal with a wait, only the wait was kept. Its signal had no effect on the circuit, so the trial after the wait found no outage, and nothing was recorded for a next process or one beside. Endpoints that share a limit were held back one by one, and each was paced by the whole limit. With many instances all trials came at the told moment.

Change: a refusal is taken for an outage if it requests a longer wait than limits do, or if call after call is refused with none served; that is a signal of the circuit breaker (SHUT). The outage is recorded at once, for all routes that share the limit; trials begin at a moment of each instance's own; the route is cold once served. Shorter waits leave a route warm, since a limit tells them.

--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -34,20 +34,31 @@
 # its backoff or for a requested wait. HALF_OPEN: one trial is in flight.
 CircuitState = Enum("CircuitState", "CLOSED OPEN HALF_OPEN")
 # What the outcome of a call says of its route. FAILURE_RUN: it failed, and so did most calls before it;
-# WAIT_REQUESTED: the receiver requested a wait; NO_EVIDENCE: the outcome says nothing of the route.
-RouteSignal = Enum("RouteSignal", "SERVED FAILED FAILURE_RUN WAIT_REQUESTED TRIAL_STARTED NO_EVIDENCE")
+# WAIT_REQUESTED: the receiver requested a wait; SHUT: it refused as one does that is shut, with or without a
+# wait; NO_EVIDENCE: the outcome says nothing of the route.
+RouteSignal = Enum("RouteSignal", "SERVED FAILED FAILURE_RUN WAIT_REQUESTED SHUT TRIAL_STARTED NO_EVIDENCE")
 # By state and signal: the next state, and the method of DeliveryPolicy that carries out the change, if any.
 CIRCUIT_TRANSITIONS = {
     (CircuitState.CLOSED, RouteSignal.FAILURE_RUN): (CircuitState.OPEN, "open_circuit"),
     (CircuitState.CLOSED, RouteSignal.WAIT_REQUESTED): (CircuitState.OPEN, ""),
+    (CircuitState.CLOSED, RouteSignal.SHUT): (CircuitState.OPEN, "open_shut_circuit"),
+    (CircuitState.OPEN, RouteSignal.SHUT): (CircuitState.OPEN, "open_shut_circuit"),
     (CircuitState.OPEN, RouteSignal.TRIAL_STARTED): (CircuitState.HALF_OPEN, ""),
     (CircuitState.HALF_OPEN, RouteSignal.SERVED): (CircuitState.CLOSED, "close_circuit"),
     (CircuitState.HALF_OPEN, RouteSignal.FAILED): (CircuitState.OPEN, "open_circuit"),
     (CircuitState.HALF_OPEN, RouteSignal.FAILURE_RUN): (CircuitState.OPEN, "open_circuit"),
     (CircuitState.HALF_OPEN, RouteSignal.WAIT_REQUESTED): (CircuitState.OPEN, ""),
+    (CircuitState.HALF_OPEN, RouteSignal.SHUT): (CircuitState.OPEN, "open_shut_circuit"),
     (CircuitState.HALF_OPEN, RouteSignal.NO_EVIDENCE): (CircuitState.OPEN, ""),
 }
 
+# A refusal is taken for a limit unless the receiver requests a longer wait than limits do, which count calls
+# in spans of two seconds at most; or refuses so many calls in turn, over so many seconds, and serves none.
+LONGEST_LIMIT_WAIT, SHUT_REFUSED_TIME = 2.0, 2.5  # seconds
+SHUT_REFUSALS = 4
+SPARSE_SHUT_REFUSALS = 2  # where traffic is sparse: refused calls are seconds apart
+UNSERVED_CALLS = 3  # and no less than the time in which so many calls would fit into the instance's fraction
+
 # A message waits for its first or a further attempt, has an attempt in flight, or has its final outcome.
 MessageStage = Enum("MessageStage", "WAITING IN_FLIGHT FINISHED")
 # SENT: an attempt starts; MAY_RETRY: it failed and another one is allowed; GIVEN_UP: no further attempt is
@@ -408,6 +419,8 @@
     def route_failed_elsewhere(self, now: float, listed: Route, at: float) -> None:
         """Open the circuit that a peer or previous process opened at that time; a trial here closes it."""
         route: RouteState | None = listed.policy_state
+        if route:
+            route.cold_when_served = True
         if route and route.circuit is CircuitState.CLOSED:
             route.circuit, route.first_failed_at = CircuitState.OPEN, route.first_failed_at or at
             # So high that the route still counts as failing after a served trial, and so as cold.
@@ -418,7 +431,7 @@
         """Close the circuit: another process had a call served. The route is cold from `recovered_at` on."""
         if route := listed.policy_state:
             if recovered_at > route.recovered_at:
-                route.recovered_at, route.credit = recovered_at, 0.0
+                route.recovered_at, route.credit, route.cold_when_served = recovered_at, 0.0, False
             if route.circuit is CircuitState.OPEN and route.wait_until <= now:
                 route.circuit, route.backoff_until, route.failure_rate = (
                     CircuitState.CLOSED,
@@ -429,9 +442,17 @@
     def route_requested_wait(self, now: float, listed: Route, wait: float) -> None:
         """Send nothing for `wait` seconds, as a call of this process or of a peer process was asked."""
         if route := listed.policy_state:
-            limited = route if listed.kind.limits_per_route else route.destination
+            limited = self.limited_by(route)
             limited.wait_until = max(limited.wait_until, now + wait)
 
+    def limited_by(self, route: RouteState) -> RouteState | DestinationState:
+        """What the receiver's limit, and with it a requested wait, holds for: a route or a destination."""
+        return route if route.listed.kind.limits_per_route else route.destination
+
+    def routes_limited_with(self, route: RouteState) -> list[RouteState]:
+        """The routes that share a limit with this one, itself included."""
+        return [route] if route.listed.kind.limits_per_route else list(route.destination.routes.values())
+
     @property
     def slots_full(self) -> bool:
         """Whether no slot is free. A process that ends leaves half of them to the one that takes over."""
@@ -516,11 +537,14 @@
                 if self.sparse_traffic
                 else self.keep_idle_time
             )
-            route.first_refused_at = route.destination.first_refused_at = 0.0
+            for each in (route, route.destination):
+                each.first_refused_at, each.refusals = 0.0, 0
             route.refusal_backoff, route.destination.refusal_backoff = (
                 0.8 * route.refusal_backoff,
                 0.8 * route.destination.refusal_backoff,
             )
+        if outcome.result is AttemptResult.REFUSED:
+            self.count_refusal(now, route, outcome)
         limit_used_up = (
             outcome.result is AttemptResult.REFUSED and route.advertised_rate and route.advertised_left < 0.5
         )
@@ -540,11 +564,8 @@
         elif self.sparse_traffic and outcome.result is AttemptResult.REFUSED:
             # An instance that calls a route rarely cannot learn its fraction of the limit from refusals: each
             # comes again after a backoff of its own.
-            limited = route if route.listed.kind.limits_per_route else route.destination
-            limited.first_refused_at = limited.first_refused_at or now
-            rate = self.route_rate(route) * (
-                1 if route.listed.kind.limits_per_route else len(route.destination.routes)
-            )
+            limited = self.limited_by(route)
+            rate = self.part_of_limit(route) * len(self.routes_limited_with(route))
             even_interval = 1 / (rate * self.instance_fraction) if rate else 2.0
             limited.refusal_backoff = min(max(4.0, 3 * limited.refusal_backoff), max(1.0, 2 * even_interval))
             backoff = max(
@@ -560,9 +581,7 @@
                     )
                     * self.random_fraction()
                 )
-                for each in (
-                    (route,) if route.listed.kind.limits_per_route else route.destination.routes.values()
-                ):
+                for each in self.routes_limited_with(route):
                     each.recovered_at = now + backoff
                     self.effects.append(interface.RouteRecovered(each.listed, each.recovered_at))
             limited.wait_until = max(limited.wait_until, now + backoff)
@@ -617,7 +636,9 @@
                 self.effects.append(interface.RouteRecovered(route.listed, now))
             route.first_failed_at = route.first_outage_at = 0.0
         failure = (
-            RouteSignal.WAIT_REQUESTED
+            RouteSignal.SHUT
+            if outcome.result is AttemptResult.REFUSED and self.is_shut(now, route, outcome)
+            else RouteSignal.WAIT_REQUESTED
             if outcome.requested_wait
             else RouteSignal.FAILURE_RUN
             if self.is_failing(route)
@@ -625,6 +646,27 @@
         )
         return RouteSignal.SERVED if served else failure
 
+    def count_refusal(self, now: float, route: RouteState, outcome: Outcome) -> None:
+        """Count a refusal, unless its call was in flight at the time of the one before it."""
+        limited = self.limited_by(route)
+        limited.first_refused_at = limited.first_refused_at or now
+        if now - outcome.duration >= limited.last_refused_at:
+            limited.refusals, limited.last_refused_at = limited.refusals + 1, now
+
+    def is_shut(self, now: float, route: RouteState, outcome: Outcome) -> bool:
+        """Whether a receiver that refused a call is shut, and not just above its limit."""
+        limited = self.limited_by(route)
+        refusals, least_time = SPARSE_SHUT_REFUSALS, SHUT_REFUSED_TIME
+        if not self.sparse_traffic:
+            # Above the limit, this instance still has its fraction of it served.
+            own_rate = self.part_of_limit(route) * self.instance_fraction
+            refusals, least_time = (
+                SHUT_REFUSALS,
+                max(least_time, UNSERVED_CALLS / own_rate if own_rate else 0),
+            )
+        in_turn = limited.refusals >= refusals and now - limited.first_refused_at >= least_time
+        return outcome.requested_wait > LONGEST_LIMIT_WAIT or in_turn
+
     def is_failing(self, route: RouteState) -> bool:
         """Whether three calls failed in a row, or most of the last few; one error in ten never suffices."""
         return route.failure_rate > 0.6
@@ -673,14 +715,35 @@
         self.effects.append(interface.RouteFailed(route.listed))
         self.back_off(now, route)
 
+    def open_shut_circuit(self, now: float, route: RouteState) -> None:
+        """Report the outage of all routes that share the limit, and start trials some time after the wait.
+
+        The receiver tells the same end of the wait to all whom it refuses: each begins at a moment of its
+        own, within the time in which it sends one call to a cold route, or for which it had to wait.
+        """
+        wait_until = self.limited_by(route).wait_until
+        for each in self.routes_limited_with(route):
+            each.cold_when_served = True
+            each.circuit = CircuitState.OPEN if each.circuit is CircuitState.CLOSED else each.circuit
+            self.open_circuit(now, each)
+            if wait_until > now and not self.sparse_traffic:
+                spread = min(self.cold_call_interval(each), max(0.5, wait_until - now))
+                spread = spread if self.many_instances else min(2.0, spread)
+                each.backoff_until = max(each.backoff_until, wait_until + spread * self.random_fraction())
+
+    def cold_call_interval(self, route: RouteState) -> float:
+        """Seconds between the calls of this instance to a route that is as cold as can be; 0 if unknown."""
+        rate = (
+            self.part_of_limit(route) * self.instance_fraction * self.cold_load_factor * self.start_capacity
+        )
+        return 1 / rate if rate else 0.0
+
     def back_off(self, now: float, route: RouteState) -> None:
         """Set when the next trial may go."""
         # 0.5 s, growing by half each time up to 2 s. With many instances up to the interval at which all of
         # them together send what a cold route bears.
-        cold_rate = (
-            self.route_rate(route) * self.instance_fraction * self.cold_load_factor * self.start_capacity
-        )
-        most = 1 / cold_rate if cold_rate and self.many_instances and not self.sparse_traffic else 2.0
+        cold_interval = self.cold_call_interval(route)
+        most = cold_interval if cold_interval and self.many_instances and not self.sparse_traffic else 2.0
         shared_interval = (
             self.shared_retry_interval(now - (route.first_failed_at or now), self.route_rate(route), 2.0)
             if self.sparse_traffic
@@ -713,11 +776,12 @@
         # `opened_by_failures` is from before the served trial, which says nothing of the time before it: with
         # the trial counted in the failure rate, outages of under three seconds were not recognized. With many
         # instances, a full connection table is no outage.
-        cold = (
+        cold = route.cold_when_served or (
             self.is_failing(route)
             if self.many_instances and not self.sparse_traffic
             else route.opened_by_failures or route.first_outage_at > 0
         )
+        route.cold_when_served = False
         route.opened_by_failures = route.opened_by_failures and self.sparse_traffic
         if cold:
             route.recovered_at = now
@@ -749,6 +813,11 @@
             1, sharing_routes
         )
 
+    def part_of_limit(self, route: RouteState) -> float:
+        """The route's even part of a limit, in calls a second; each route that shares it advertises all."""
+        sharing_routes = max(1, len(self.routes_limited_with(route)))
+        return route.advertised_rate / sharing_routes if route.advertised_rate else self.route_rate(route)
+
     def share(self, now: float, route: RouteState, rate: float) -> float:
         """The weight of a route in the draw. `rate`: calls a second, or a substitute if not known."""
         # A route whose response is due and missing gets hardly any messages.
@@ -796,7 +865,8 @@
             route.rate_factor = min(1.0, route.rate_factor + growth * (now - route.refilled_at))
         if route.circuit is CircuitState.CLOSED:
             route.failure_rate *= 0.8 ** (now - route.refilled_at)
-        fill_rate = self.route_rate(route) * self.instance_fraction * self.sendable_fraction(now, route)
+        rate = self.route_rate(route) if self.slow_start(now, route) == 1 else self.part_of_limit(route)
+        fill_rate = rate * self.instance_fraction * self.sendable_fraction(now, route)
         unlimited = self.slow_start(now, route) == 1 and (
             route.rate_factor >= 1 if self.many_instances else route.advertised_rate == 0
         )
--- a/laureldock/delivery_state.py
+++ b/laureldock/delivery_state.py
@@ -35,11 +35,15 @@
     backoff_until: float = 0.0  # nothing is sent before: it was silent or failed
     trial_backoff: float = 0.0  # seconds between its trials
     opened_by_failures: bool = False  # its circuit was opened by a run of failures
+    # It was shut, or another process saw an outage: it is cold once it serves again.
+    cold_when_served: bool = False
     first_failed_at: float = 0.0  # the first failure of any kind since it was last served
     first_outage_at: float = (
         0.0  # likewise, without refusals and connects that found its connection table full
     )
     first_refused_at: float = 0.0  # the first refusal since it was last served
+    last_refused_at: float = 0.0
+    refusals: int = 0  # since it was last served, of calls that were sent one after another
     refusal_backoff: float = 0.0  # seconds, after its latest refusal
     refilled_at: float = 0.0  # when its credit was last filled up
     last_response_at: float = 0.0  # when it last responded in any way
@@ -67,6 +71,8 @@
     window_halved_at: float = 0.0
     wait_until: float = 0.0  # nothing is sent before: a route of it requested a wait or refused
     first_refused_at: float = 0.0  # the first refusal since it was last served
+    last_refused_at: float = 0.0
+    refusals: int = 0  # since it was last served, of calls that were sent one after another
     refusal_backoff: float = 0.0  # seconds, after its latest refusal
     queue_length: int = 0  # messages in all of its queues
     routes: dict[Route, RouteState] = field(default_factory=dict)  # those listed as up
