Failback: once-only messages go on at a receiver that only refused, after a restart

Cause: since the commit before, an outage by refusals is recorded for the next process, which took it for a run of failures and held once-only messages back until the route was steady: six tests of tests/test_accepted_classes.py (messages of a dropped class) failed with it. Refused calls have surely not run.

Change: the record of a route says whether it only refused (a fourth field, which earlier releases skip); the receiver is cold then, and the route counts as steady.

Measured: tests/test_accepted_classes.py passes whole again, tests/test_shut_receivers.py checks the once-only message.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -307,8 +307,9 @@
                     self.source.fetch_list(effect)
             case interface.StartTimer(delay=delay, name=name):
                 self.call_later(delay, self.call_policy, self.policy.timer_expired, name)
-            case interface.RouteFailed(route=route):
-                self.record_keeping.write(self.store.record_route, route.name, RouteRecord(None, self.now()))
+            case interface.RouteFailed(route=route, shut=shut):
+                record = RouteRecord(None, self.now(), shut)
+                self.record_keeping.write(self.store.record_route, route.name, record)
             case interface.RouteRecovered(route=route, recovered_at=recovered_at):
                 self.record_keeping.write(
                     self.store.record_route, route.name, RouteRecord(recovered_at, self.now())
--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -103,6 +103,6 @@
         """Tell the policy what a peer or previous process saw of a route."""
         core = self._dispatcher
         if record.recovered_at is None:
-            core.call_policy(core.policy.route_failed_elsewhere, route, record.seen_at)
+            core.call_policy(core.policy.route_failed_elsewhere, route, record.seen_at, record.shut)
         else:
             core.call_policy(core.policy.route_recovered_elsewhere, route, record.recovered_at)
--- a/laureldock/core/peer_view.py
+++ b/laureldock/core/peer_view.py
@@ -17,11 +17,12 @@
     """That a route failed or recovered. Times are seconds of the monotonic clock.
 
     `recovered_at`: since when it is cold after its recovery, 0 if it is not; None if it failed. `seen_at`:
-    when a process saw this.
+    when a process saw this. `shut`: it refused calls, and none failed otherwise.
     """
 
     recovered_at: float | None
     seen_at: float
+    shut: bool = False
 
 
 def newest_records(sources: Iterable[Mapping[str, RouteRecord]]) -> dict[str, RouteRecord]:
--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -416,15 +416,18 @@
             key_queue.cooldown_until, key_queue.cooldown_exempt = until, None
         self.start_next_of_key(now, key_queue)
 
-    def route_failed_elsewhere(self, now: float, listed: Route, at: float) -> None:
-        """Open the circuit that a peer or previous process opened at that time; a trial here closes it."""
+    def route_failed_elsewhere(self, now: float, listed: Route, at: float, shut: bool = False) -> None:
+        """Open the circuit that a peer or previous process opened at that time; a trial here closes it.
+
+        `shut`: the route refused calls there, and none failed otherwise.
+        """
         route: RouteState | None = listed.policy_state
         if route:
             route.cold_when_served = True
         if route and route.circuit is CircuitState.CLOSED:
             route.circuit, route.first_failed_at = CircuitState.OPEN, route.first_failed_at or at
-            # So high that the route still counts as failing after a served trial, and so as cold.
-            route.failure_rate = max(route.failure_rate, 0.9)
+            # So high that the route is not steady after a served trial, unless it only refused.
+            route.failure_rate = max(route.failure_rate, 0.0 if shut else 0.9)
             self.back_off(at, route)
 
     def route_recovered_elsewhere(self, now: float, listed: Route, recovered_at: float) -> None:
@@ -725,7 +728,8 @@
         for each in self.routes_limited_with(route):
             each.cold_when_served = True
             each.circuit = CircuitState.OPEN if each.circuit is CircuitState.CLOSED else each.circuit
-            self.open_circuit(now, each)
+            self.effects.append(interface.RouteFailed(each.listed, shut=not each.first_outage_at))
+            self.back_off(now, each)
             if wait_until > now and not self.sparse_traffic:
                 spread = min(self.cold_call_interval(each), max(0.5, wait_until - now))
                 spread = spread if self.many_instances else min(2.0, spread)
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -25,7 +25,7 @@
     update_peer_load(now, load)                   what peer processes have pending and in flight
     cool_down_key(now, key, until)                a call of that key broke, in a peer or previous process
     route_requested_wait(now, route, wait)        a receiver requested a wait, from this or a peer process
-    route_failed_elsewhere(now, route, at)        a peer process, or the previous one, saw a route fail
+    route_failed_elsewhere(now, route, at, shut)  a peer process, or the previous one, saw a route fail
     route_recovered_elsewhere(now, route, since)  it saw the route recover; the route is cold since then
     turn(now) -> list[Effect]                     all effects of the turn, in the order to be carried out
 """
@@ -313,9 +313,10 @@
 
 @dataclass(eq=False, slots=True)
 class RouteFailed:
-    """Effect: tell peer processes that the circuit of a route opened after failures."""
+    """Effect: tell peer processes that the circuit of a route opened after failures, or while it is shut."""
 
     route: Route
+    shut: bool = False  # it refused calls, and none failed otherwise
 
 
 @dataclass(eq=False, slots=True)
--- a/laureldock/stores/spool_records.py
+++ b/laureldock/stores/spool_records.py
@@ -68,14 +68,16 @@
 
 def encode_route(name: str, record: RouteRecord) -> bytes:
     """The payload of the record that a route failed or recovered."""
-    return encode_payload(["route", name, record.recovered_at, record.seen_at])
+    shut = [True] if record.shut else []  # older releases skip it
+    return encode_payload(["route", name, record.recovered_at, record.seen_at, *shut])
 
 
 def decode_route(fields: list[Any] | tuple[Any, ...], shift: float) -> RouteRecord:
     """The record of a route from its fields after kind and name; `shift` is added to each time."""
     # Older releases do not record when it was seen.
     recovered_at, seen_at = fields[0], fields[1] if len(fields) > 1 else 0.0
-    return RouteRecord(None if recovered_at is None else recovered_at + shift, seen_at + shift)
+    shut = len(fields) > 2 and bool(fields[2])
+    return RouteRecord(None if recovered_at is None else recovered_at + shift, seen_at + shift, shut)
 
 
 def decode_message(fields: list[Any], body: bytes, shift: float = 0.0) -> StoredMessage:
--- a/tests/test_shut_receivers.py
+++ b/tests/test_shut_receivers.py
@@ -91,12 +91,15 @@
     heir = PolicyDriver(instances=instances, connect_timeout=1.5, max_attempts=9)
     heir.update_list("north/1", *(f"other/{number}" for number in range(others)))
     route = heir.routes["north/1"]
-    heir.policy.route_failed_elsewhere(heir.now, route, heir.now)
+    heir.policy.route_failed_elsewhere(heir.now, route, heir.now, reported[0].shut)
     heir.accept("n", "redeliverable", lifetime=60.0)
     while "n" not in heir.attempts:
         heir.advance(0.05)
     heir.end_attempt("n", "served")
     assert heir.policy.slow_start(heir.now, route.policy_state) < 0.5
+    assert heir.policy.is_eligible(heir.messages["n"].policy_state, route.policy_state)
+    heir.accept("o", "once-only")  # refusals have not run: the route is steady
+    assert heir.policy.is_eligible(heir.messages["o"].policy_state, route.policy_state)
 
 
 def test_an_outage_is_recorded_when_its_wait_is_told(tmp_path: Path, monkeypatch: Any) -> None:
@@ -106,7 +109,7 @@
     dispatcher.respond("1", "429 no", "X-RateLimit-Wait-Ms: 8000")
     dispatcher.advance(0.1)
     record = Spool(dispatcher.folder, 1e6, writes=False).routes["r1"]
-    assert record.recovered_at is None
+    assert record.recovered_at is None and record.shut
 
 
 def test_a_served_call_from_before_the_outage_does_not_end_it() -> None:
