--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -117,14 +117,15 @@
             settings.may_cancel,
             settings.has_notices,
         )
-        self.max_retry_after, self.key_cooldown_time = settings.max_retry_after, settings.key_cooldown_time
+        self.max_retry_after = settings.max_retry_after
+        self.set_rule_figures(settings)
         self.connect_timeout = settings.connect_timeout or inf
         self.zone_fees, self.handshake_cost, self.list_is_local = (
             settings.zone_fees,
             settings.handshake_cost,
             settings.list_is_local,
         )
-        self.may_hedge, self.drain_grace = settings.may_hedge, settings.drain_grace
+        self.may_hedge = settings.may_hedge
         # The fraction of each limit that this process keeps to. `sparse_traffic`: whether there are many
         # instances and so many routes that each instance calls any one route only rarely.
         self.instance_fraction, self.instances, self.sparse_traffic = (
@@ -145,10 +146,6 @@
             max(1, -(-settings.slots * 3 // 4) - 1),
             max(1, settings.slots // 2),
         )
-        self.start_capacity, self.warm_time = settings.start_capacity, settings.warm_time
-        # Calls that a cold route is sent, as a multiple of the capacity that it has by slow start. The rest
-        # of the multiple that it tolerates is left for trials and for random variation.
-        self.cold_load_factor = 0.6 * settings.tip_multiple
         # Listed rates that are rough may be 1.5 times the real ones.
         self.listed_rate_trust = {"nominal": 1.0, "rough": 2 / 3}.get(settings.listed_rates, 0.0)
         self.routes_up = 0  # routes that are listed as up, of all destinations
@@ -191,6 +188,14 @@
         if settings.must_fetch_list:
             self.timer_expired(now, "ask")
 
+    def set_rule_figures(self, settings: interface.DeliverySettings) -> None:
+        """Take the figures of the rules from the settings, at the start and at a reload."""
+        self.key_cooldown_time, self.drain_grace = settings.key_cooldown_time, settings.drain_grace
+        self.start_capacity, self.warm_time = settings.start_capacity, settings.warm_time
+        # Calls that a cold route is sent, as a multiple of the capacity that it has by slow start. The rest
+        # of the multiple that it tolerates is left for trials and for random variation.
+        self.cold_load_factor = 0.6 * settings.tip_multiple
+
     def list_updated(self, now: float, listed_routes: list[Route], full: bool) -> None:
         """Take in an update of the endpoint list; a full list is compared with all routes known."""
         self.list_backoff = 0.0
@@ -392,8 +397,9 @@
         self.sends_held = hold
 
     def update_settings(self, now: float, settings: interface.DeliverySettings) -> None:
-        """Apply the limits on attempts and waits of a reload to every message from now on."""
+        """Apply the limits and the figures of the rules of a reload to every message from now on."""
         self.max_attempts, self.max_retry_after = settings.max_attempts, settings.max_retry_after
+        self.set_rule_figures(settings)
         # Drops terms of queue classes that no longer exist, too; messages that wait keep theirs.
         self.default_terms.clear()
         for destination in self.destination_states.values():
--- a/laureldock/delivery_settings.py
+++ b/laureldock/delivery_settings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from math import inf
 from operator import attrgetter
 from typing import TYPE_CHECKING, Any
@@ -225,7 +225,10 @@
 
     def update_classes(self, plan: Plan) -> None:
         """Apply other queue classes and limits from now on; accepted messages keep their class."""
-        self.plan, self.settings = plan, delivery_settings(plan, self.settings.has_notices)
+        before, self.settings = self.settings, delivery_settings(plan, self.settings.has_notices)
+        self.plan = plan
+        if not self.settings.key_cooldown_time:  # messages of a dropped class that go in order still wait
+            self.settings = replace(self.settings, key_cooldown_time=before.key_cooldown_time)
         self.term_book = index_terms(plan)[0]
         self.set_classes()
         self.customers = {name: interface.Customer(each.quota) for name, each in plan.customers.items()}
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -21,7 +21,7 @@
     may_start(now, attempt) -> bool               whether an attempt may be sent, once its connection is up
     hold_sends(now, hold)                         nothing new may be sent from now on, or may again
     begin_shutdown(now, time_left, hands_over)    the process ends in so many seconds
-    update_settings(now, settings)                a reload changed the limits on attempts and waits
+    update_settings(now, settings)                a reload changed limits, or figures of the rules
     update_peer_load(now, load)                   what peer processes have pending and in flight
     cool_down_key(now, key, until)                a call of that key broke, in a peer or previous process
     route_requested_wait(now, route, wait)        a receiver requested a wait, from this or a peer process
