Failback and folder lock: one report of an outage, one wait for a lock that is kept

Each refused call that was out when a receiver shut wrote a record of the outage and put the trial off further. A process that is stopped while it holds the lock of the folder made each write of its peers wait for 50 ms, which held up their clients.

Change: calls that were sent before the outage was known report nothing; after a wait for the lock in vain, the next writes try once until one succeeds.

--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -732,6 +732,8 @@
         """
         wait_until = self.limited_by(route).wait_until
         for each in self.routes_limited_with(route):
+            if each.cold_when_served and each.backoff_until > now:
+                continue  # the call was sent before the outage was known
             each.cold_when_served = True
             each.circuit = CircuitState.OPEN if each.circuit is CircuitState.CLOSED else each.circuit
             self.effects.append(interface.RouteFailed(each.listed, shut=not each.first_outage_at))
--- a/laureldock/stores/folder_limit.py
+++ b/laureldock/stores/folder_limit.py
@@ -37,6 +37,7 @@
         self.folder, self.limit = folder, int(limit)
         self._descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
         self._depth = 0
+        self._tries = LOCK_TRIES  # of the next time; one while another process keeps the lock
         # Grows whenever files may have changed: when the lock is taken, and by what its holder does.
         self.version = 0
 
@@ -56,15 +57,17 @@
     def _lock(self) -> None:
         if self._descriptor < 0:
             raise OSError(errno.EBADF, "the folder is closed")
-        for _ in range(LOCK_TRIES):
+        for tries_left in reversed(range(self._tries)):
             try:
                 fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
             except BlockingIOError:
-                time.sleep(LOCK_RETRY_INTERVAL)
+                time.sleep(LOCK_RETRY_INTERVAL if tries_left else 0.0)
+                continue
             except OSError:  # a file system without locks: this process is assumed to be the only one
-                return
-            else:
-                return
+                pass
+            self._tries = LOCK_TRIES
+            return
+        self._tries = 1
         raise OSError(errno.EAGAIN, "another process is writing in the folder")
 
     def sizes(self) -> dict[str, int]:
--- a/tests/test_disk_limit.py
+++ b/tests/test_disk_limit.py
@@ -242,9 +242,13 @@
 
 
 def test_while_another_process_holds_the_folder_nothing_is_written(tmp_path: Path) -> None:
+    """A process that is stopped there must not make each write of the others wait."""
     spool, other = open_spool(tmp_path), open_spool(tmp_path)
     with other._limit:
         assert not spool.accept(message("m"))
+        since = time.process_time(), time.monotonic()
+        assert not any(spool.accept(message(f"m{number}")) for number in range(100))
+        assert time.monotonic() - since[1] - (time.process_time() - since[0]) < 1.0  # 50 ms each before
         with pytest.raises(OSError):
             spool.record_requested_wait("r", 1.0, 0.0)
     spool.flush()
--- a/tests/test_shut_receivers.py
+++ b/tests/test_shut_receivers.py
@@ -112,6 +112,22 @@
     assert record.recovered_at is None and record.shut
 
 
+def test_an_outage_is_reported_once_for_all_calls_that_were_out() -> None:
+    """Each of them is refused; each wrote a record, and put the trial off further."""
+    driver = PolicyDriver(instances=3)
+    driver.update_list("north/1")
+    for number in range(8):
+        driver.accept(f"m{number}", "redeliverable")
+        driver.turn()
+        if number < 4:
+            driver.end_attempt(f"m{number}", "served")
+    assert len(driver.attempts) > 2
+    for name in list(driver.attempts):
+        driver.end_attempt(name, "full", requested_wait=5.0)
+    reported = [effect for effect in driver.policy.effects if isinstance(effect, interface.RouteFailed)]
+    assert len(reported) == 1
+
+
 def test_a_served_call_from_before_the_outage_does_not_end_it() -> None:
     """Calls that the receiver took before it shut end while the told wait runs."""
     driver = PolicyDriver(instances=3)
