Spool and policy: one class for waits, cooldowns and routes of a file; usable bytes named once

Need: what this change had written twice. The reader of a peer process's file kept the same three maps as KeptRecords and added up their records at each write; the limit less its reserve was worked out in two places, once from a stored copy of the limit; is_shut assigned a pair over an expression in two lines.

Change: PeerSpool has KeptRecords (a wait of a peer that was recorded again and shorter keeps its later end, as in the own file; the policy heeds the later one in any case), usable_bytes is the one place, and is_shut reads line by line. No other change of behaviour.

Measured: the tests of the spool, of hand-overs and of shut receivers pass.

--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -665,15 +665,13 @@
     def is_shut(self, now: float, route: RouteState, outcome: Outcome) -> bool:
         """Whether a receiver that refused a call is shut, and not just above its limit."""
         limited = self.limited_by(route)
-        refusals, least_time = SPARSE_SHUT_REFUSALS, SHUT_REFUSED_TIME
+        least_refusals, least_time = SPARSE_SHUT_REFUSALS, SHUT_REFUSED_TIME
         if not self.sparse_traffic:
+            least_refusals = SHUT_REFUSALS
             # Above the limit, this instance still has its fraction of it served.
-            own_rate = self.part_of_limit(route) * self.instance_fraction
-            refusals, least_time = (
-                SHUT_REFUSALS,
-                max(least_time, UNSERVED_CALLS / own_rate if own_rate else 0),
-            )
-        in_turn = limited.refusals >= refusals and now - limited.first_refused_at >= least_time
+            if own_rate := self.part_of_limit(route) * self.instance_fraction:
+                least_time = max(least_time, UNSERVED_CALLS / own_rate)
+        in_turn = limited.refusals >= least_refusals and now - limited.first_refused_at >= least_time
         return outcome.requested_wait > LONGEST_LIMIT_WAIT or in_turn
 
     def is_failing(self, route: RouteState) -> bool:
--- a/laureldock/stores/disk_room.py
+++ b/laureldock/stores/disk_room.py
@@ -5,7 +5,7 @@
 from math import ceil
 
 from laureldock.core import MAX_BODY_BYTES
-from laureldock.stores.spool import PENDING_FRACTION, RESERVED_BYTES, pending_limit
+from laureldock.stores.spool import PENDING_FRACTION, RESERVED_BYTES, usable_bytes
 
 MESSAGE_BYTES = 2048  # of a message without its body, with its queue class and its other records
 
@@ -28,7 +28,7 @@
 
 def check_disk(limit: float) -> None:
     """Raises RefusedDiskError if the limit, in bytes, has no room for a message."""
-    if pending_limit(limit) < MESSAGE_BYTES:
+    if int(usable_bytes(limit) * PENDING_FRACTION) < MESSAGE_BYTES:
         raise RefusedDiskError(limit)
 
 
--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -8,12 +8,11 @@
 from typing import Any
 
 from laureldock.clocks import read_clocks
-from laureldock.core.peer_view import RouteRecord
 from laureldock.stores.class_records import CLASS_RECORD
 from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
+from laureldock.stores.kept_records import KeptRecords
 from laureldock.stores.record_sizes import (
     CLOCK_RECORD_BYTES,
-    kept_records_bytes,
     long_route_bytes,
     pending_message_bytes,
 )
@@ -40,9 +39,7 @@
         self.finished_at: dict[bytes, float] = {}  # by name of a message that finished a moment ago
         self.finished = FinishedNames()  # those of which is known what a repeat is told
         self.routes_in_flight: dict[bytes, str] = {}  # the route, by name of a message with a call in flight
-        self.requested_waits: dict[str, float] = {}  # until when, by route name
-        self.cooldowns: dict[str, float] = {}  # until when, by ordering key
-        self.routes: dict[str, RouteRecord] = {}
+        self.kept = KeptRecords()
         self._key_of: dict[bytes, str] = {}
         self._expires_at: dict[bytes, float] = {}
         self._message_bytes: dict[bytes, int] = {}  # by name of a pending message
@@ -65,10 +62,8 @@
     @property
     def content_bytes(self) -> int:
         """Bytes of the file at most, once it is rewritten with only what is needed."""
-        kept = kept_records_bytes((self.requested_waits, self.cooldowns, self.routes))
-        return (
-            CLOCK_RECORD_BYTES + self._pending_bytes + self._class_bytes + self.finished.record_bytes + kept
-        )
+        messages = self._pending_bytes + self._class_bytes
+        return CLOCK_RECORD_BYTES + messages + self.finished.record_bytes + self.kept.record_bytes
 
     def _count_bytes(self, record: Record) -> None:
         """Count the bytes of a pending message, or of a queue class; called before the record is applied."""
@@ -123,11 +118,11 @@
             case kind if kind == FINISHED_RECORD:
                 self.finished.add(name, rest[0] + shift, rest[1])
             case "wait":
-                self.requested_waits[subject] = rest[0] + shift
+                self.kept.replay_wait(subject, rest[0] + shift)
             case "rest":
-                self.cooldowns[subject] = rest[0] + shift
+                self.kept.replay_cooldown(subject, rest[0] + shift)
             case "route":
-                self.routes[subject] = decode_route(rest, shift)
+                self.kept.set_route(subject, decode_route(rest, shift))
 
     def _accept(self, name: bytes, key: str | None, at: float) -> None:
         self.accepted_at[name] = at
--- a/laureldock/stores/peer_spools.py
+++ b/laureldock/stores/peer_spools.py
@@ -96,9 +96,9 @@
             accepted_at=accepted,
             accepted_by_key=by_key,
             recently_finished=finished,
-            requested_waits=latest_times(peer.requested_waits for peer in self._peers.values()),
-            cooldowns=latest_times(peer.cooldowns for peer in self._peers.values()),
-            routes=newest_records(peer.routes for peer in self._peers.values()),
+            requested_waits=latest_times(peer.kept.requested_waits for peer in self._peers.values()),
+            cooldowns=latest_times(peer.kept.cooldowns for peer in self._peers.values()),
+            routes=newest_records(peer.kept.routes for peer in self._peers.values()),
         )
         for peer in self._peers.values():
             accepted.update(peer.accepted_at)
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -105,14 +105,13 @@
         except OSError:
             self.close()
             raise
-        self._disk = disk
-        self._usable_bytes = max(0, int(disk) - RESERVED_BYTES)
+        self._usable_bytes = usable_bytes(disk)
         self.max_content_bytes = int(self._usable_bytes * (PENDING_FRACTION + OTHER_CONTENT_FRACTION))
         self.share_disk(1 + len(self.peer_paths))
 
     def share_disk(self, processes: int) -> None:
         """Use this process's part of the limit on the folder, shared by so many processes."""
-        self.max_pending_bytes = pending_limit(self._disk) // processes
+        self.max_pending_bytes = int(self._usable_bytes * PENDING_FRACTION) // processes
         self.max_own_content_bytes = self.max_content_bytes // processes
         self.max_file_bytes = (self._usable_bytes - self.max_content_bytes) // processes
 
@@ -645,9 +644,9 @@
         self.taken_over_files = []
 
 
-def pending_limit(disk: float) -> int:
-    """Bytes of pending messages for which a limit on the folder has room, of all processes together."""
-    return int(max(0, int(disk) - RESERVED_BYTES) * PENDING_FRACTION)
+def usable_bytes(disk: float) -> int:
+    """Bytes of a limit on the folder that files may take as they grow."""
+    return max(0, int(disk) - RESERVED_BYTES)
 
 
 def encoded_size(payloads: Iterable[bytes]) -> int:
