Upgrades: a wait that is told to the old process at its end binds the new one

What callers saw: a receiver that told the old process of an upgrade a wait, just before that process ended, was called by the new process within the wait.

Cause: two ways led from a file to the decisions. A running process's waits, cooldowns and records of routes were read by PeerProcesses; of a file that was taken over, Recovery.adopt passed on messages and records of routes, cooldowns only beside messages, and waits never. A record that was made after the last read was in the file and in the new process's own file, but in no decision.

Evidence: tests that force the crossing, with the old process's last record between the last read and the taking over. The record was complete, no read failed, and the call went out at once. So neither a late record nor a failing read is needed.

Change: BindingRecords.apply is the one way for waits and records of routes (cooldowns of running processes, too). A file's records are applied in the step in which it stops being read. A start beside a running process applies the waits of abandoned files; a restart ends them, in the file as well.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -10,6 +10,7 @@
 import structlog
 
 from laureldock import interface
+from laureldock.core.binding_records import BindingRecords
 from laureldock.core.call_results import ATTEMPT_RESULTS, CallResult
 from laureldock.core.class_counters import ClassCounters
 from laureldock.core.invariants import Invariants
@@ -114,6 +115,7 @@
         self.policy = DeliveryPolicy(self.registry.settings, self.now())
         self.recovery = Recovery(self)
         self.record_keeping = RecordKeeping(self)
+        self.binding_records = BindingRecords(self)
         self.peers = PeerProcesses(self)
         self.reattachment = Reattachment(self)
         self.submissions = Submissions(self)
@@ -157,7 +159,7 @@
         if self.recovered or self.stop_began_at or not self.source.settled:
             return
         self.recovered = True
-        self.recovery.apply_inherited_routes()
+        self.recovery.apply_inherited_records()
         self.recovery.apply_cooldowns()
         self.recovery.restore_messages(list(self.store.pending.values()))
         self.start_listening()
--- a/laureldock/core/peer_processes.py
+++ b/laureldock/core/peer_processes.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from laureldock.core.peer_view import PeerView, RouteRecord
-from laureldock.interface import Route
+from laureldock.core.peer_view import PeerView
 
 if TYPE_CHECKING:
     from laureldock.core.dispatcher import Dispatcher
@@ -20,9 +19,6 @@
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
-        self._applied_waits: dict[str, float] = {}  # until when, by route name
-        self._applied_cooldowns: dict[str, float] = {}  # until when, by ordering key
-        self._applied_routes: dict[str, RouteRecord] = {}
         self._failing = False
         self.view = PeerView()
 
@@ -67,42 +63,4 @@
             core.guard(core.on_process_count, 1 + view.processes)
         self.view = view
         core.call_policy(core.policy.update_peer_load, view.to_peer_load())
-        self._apply_waits(view)
-        self._apply_cooldowns(view)
-        self._apply_routes(view)
-
-    def _apply_waits(self, view: PeerView) -> None:
-        core, now = self._dispatcher, self._dispatcher.now()
-        for name, until in view.requested_waits.items():
-            if until <= now or self._applied_waits.get(name) == until:
-                continue
-            if (route := core.registry.routes.get(name)) is not None:
-                self._applied_waits[name] = until
-                core.call_policy(core.policy.route_requested_wait, route, until - now)
-
-    def _apply_cooldowns(self, view: PeerView) -> None:
-        core, now = self._dispatcher, self._dispatcher.now()
-        self._applied_cooldowns = {
-            key: until for key, until in self._applied_cooldowns.items() if until > now
-        }
-        for key, until in view.cooldowns.items():
-            if until > now and self._applied_cooldowns.get(key) != until:
-                self._applied_cooldowns[key] = until
-                core.call_policy(core.policy.cool_down_key, key, until)
-
-    def _apply_routes(self, view: PeerView) -> None:
-        core = self._dispatcher
-        for name, record in view.routes.items():
-            route = core.registry.routes.get(name)
-            if route is None or self._applied_routes.get(name) == record:
-                continue
-            self._applied_routes[name] = record
-            self.apply_route_record(route, record)
-
-    def apply_route_record(self, route: Route, record: RouteRecord) -> None:
-        """Tell the policy what a peer or previous process saw of a route."""
-        core = self._dispatcher
-        if record.recovered_at is None:
-            core.call_policy(core.policy.route_failed_elsewhere, route, record.seen_at, record.shut)
-        else:
-            core.call_policy(core.policy.route_recovered_elsewhere, route, record.recovered_at)
+        core.binding_records.apply(view)
--- a/laureldock/core/peer_view.py
+++ b/laureldock/core/peer_view.py
@@ -36,7 +36,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PeerView:
+class SharedRecords:
+    """Records that bind every process of a dispatcher. Times are seconds of the monotonic clock."""
+
+    requested_waits: Mapping[str, float] = field(default_factory=dict)  # until when, by route name
+    cooldowns: Mapping[str, float] = field(default_factory=dict)  # until when, by ordering key
+    routes: Mapping[str, RouteRecord] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerView(SharedRecords):
     """Records of all peer processes together. Times are seconds of the monotonic clock."""
 
     processes: int = 0
@@ -46,9 +55,6 @@
     # The same, by ordering key.
     accepted_by_key: Mapping[str, Mapping[bytes, float]] = field(default_factory=dict)
     recently_finished: Set[bytes] = frozenset()  # names of messages that finished a moment ago
-    requested_waits: Mapping[str, float] = field(default_factory=dict)  # until when, by route name
-    cooldowns: Mapping[str, float] = field(default_factory=dict)  # until when, by ordering key
-    routes: Mapping[str, RouteRecord] = field(default_factory=dict)
 
     def first_accepted(self, key: str) -> float:
         """When the first pending message of an ordering key was accepted; infinite if there is none."""
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -15,7 +15,7 @@
 from laureldock.core.call_results import CallResult
 from laureldock.core.invariants import Invariants
 from laureldock.core.messages import HeldMessage, Reply, StoredMessage, Submitter
-from laureldock.core.peer_view import PeerView, RouteRecord
+from laureldock.core.peer_view import PeerView, RouteRecord, SharedRecords
 from laureldock.delivery_connections import ExtraBytes
 from laureldock.delivery_memory import MemoryBudget, MemoryRefusal
 from laureldock.delivery_settings import ListedEndpoint
@@ -232,8 +232,11 @@
     def record_route(self, route: str, record: RouteRecord) -> None:
         """A route failed or recovered; peer processes and the next process read this."""
 
-    def inherit_routes(self) -> Mapping[str, RouteRecord]:
-        """Route records of previous processes and of peer processes that ended; each is returned once."""
+    def inherit_records(self) -> SharedRecords:
+        """What previous processes, and peer processes that ended, have recorded; each is returned once.
+
+        A requested wait is returned only if a process of this dispatcher has run ever since.
+        """
 
 
 # The core, as adapters see it
--- a/laureldock/core/recovery.py
+++ b/laureldock/core/recovery.py
@@ -43,16 +43,13 @@
             if until > core.now():
                 core.call_policy(core.policy.cool_down_key, key, until)
 
-    def apply_inherited_routes(self) -> None:
-        """Apply records of routes that a previous or ended process saw fail or recover a moment ago.
+    def apply_inherited_records(self) -> None:
+        """Apply what previous or ended processes have recorded, whether or not they left any message.
 
-        The circuit of such a route is open until a trial attempt, or the route is cold: what its receiver can
-        take does not depend on which process calls.
+        The circuit of a route that failed is open until a trial attempt, or the route is cold: what its
+        receiver can take does not depend on which process calls. So are its waits.
         """
-        core = self._dispatcher
-        for name, record in core.store.inherit_routes().items():
-            if (route := core.registry.routes.get(name)) is not None:
-                core.peers.apply_route_record(route, record)
+        self._dispatcher.binding_records.apply(self._dispatcher.store.inherit_records())
 
     def watch_peer_processes(self) -> None:
         """During a possible handover, poll peer processes, and take over from those that have ended."""
@@ -69,6 +66,7 @@
         """Take over the pending messages and records of peer processes that have ended."""
         core = self._dispatcher
         adopted = core.store.adopt()
+        self.apply_inherited_records()  # first: nothing of a file binds by `peers` any more
         if adopted:
             core.log.info("taken over", owed=len(adopted))
             self.send_notices(adopted)
@@ -76,7 +74,6 @@
             self.restore_messages(adopted)
         if not core.store.is_shared:
             core.peers.all_ended()
-        self.apply_inherited_routes()
 
     def _restore(self, stored: StoredMessage, now: float) -> None:
         core = self._dispatcher
--- a/laureldock/stores/kept_records.py
+++ b/laureldock/stores/kept_records.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from laureldock.clocks import read_clocks
-from laureldock.core.peer_view import RouteRecord, newest_records
+from laureldock.core.peer_view import RouteRecord, SharedRecords, newest_records
 from laureldock.stores.record_sizes import kept_records_bytes
 from laureldock.stores.spool_records import encode_payload, encode_route
 
@@ -60,14 +60,31 @@
         self.cooldowns[key] = max(until, self.cooldowns.get(key, -inf))
         self._record_bytes = None
 
-    def add(self, other: KeptRecords) -> dict[str, RouteRecord]:
-        """Add the records of another file; returns the records of routes that are newer there."""
+    def add(self, other: SharedRecords) -> None:
+        """Add the records of another file; of each wait and cooldown the one that ends last counts."""
         for route, until in other.requested_waits.items():
             self.replay_wait(route, until)
         for key, until in other.cooldowns.items():
             self.replay_cooldown(key, until)
-        own, self.routes = self.routes, newest_records([self.routes, other.routes])
-        return {name: record for name, record in self.routes.items() if own.get(name) is not record}
+        self.routes = newest_records([self.routes, other.routes])
+        self._record_bytes = None
+
+    def end_waits(self) -> None:
+        """Drop all waits."""
+        self.requested_waits = {}
+        self._record_bytes = None
+
+    def snapshot(self) -> SharedRecords:
+        """A copy of all records that are not obsolete."""
+        routes = {name: record for name, record in self.routes.items() if not is_old(record)}
+        return SharedRecords(dict(self.requested_waits), dict(self.cooldowns), routes)
+
+    def newer_than(self, other: KeptRecords) -> SharedRecords:
+        """Waits and cooldowns, and the records of routes that are newer here or unknown to the other."""
+        found = self.snapshot()
+        newest = newest_records([other.routes, found.routes])
+        routes = {name: record for name, record in found.routes.items() if newest[name] is record}
+        return SharedRecords(found.requested_waits, found.cooldowns, routes)
 
     def payloads(self) -> Iterator[bytes]:
         """The payloads of all records, obsolete ones left out."""
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -26,18 +26,19 @@
 import os
 from collections import deque
 from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from laureldock.clocks import read_clocks
 from laureldock.core.messages import StoredMessage
-from laureldock.core.peer_view import PeerView, RouteRecord
+from laureldock.core.peer_view import PeerView, RouteRecord, SharedRecords
 from laureldock.file_locks import FILE_MODE, open_locked
 from laureldock.interface import QueueClass
 from laureldock.stores.class_records import CLASS_RECORD, UNDER_RECORD, ClassReader, ClassTable
 from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
 from laureldock.stores.folder_limit import COMPACTED_SUFFIX, DISK_BLOCK_BYTES, FolderLimit, whole_blocks
-from laureldock.stores.kept_records import KeptRecords, is_old
+from laureldock.stores.kept_records import KeptRecords
 from laureldock.stores.peer_spools import PeerSpools, list_spools
 from laureldock.stores.record_file import RecordFile
 from laureldock.stores.record_sizes import CLOCK_RECORD_BYTES, long_route_bytes, pending_message_bytes
@@ -89,7 +90,7 @@
         self.reserved_bytes = 0  # for all pending messages, without their classes
         self._classes = ClassTable()
         self._kept = KeptRecords()
-        self._inherited_routes: dict[str, RouteRecord] = {}  # of previous and ended processes
+        self._inherited = KeptRecords()  # of previous and ended processes, until they are asked for
         self.taken_over_files: list[tuple[Path, int]] = []  # with their locked descriptors
         self._peers = PeerSpools(folder)
         self.torn_bytes = 0  # at the end of the file, of an incomplete record
@@ -126,17 +127,22 @@
             file = locked
         self._file = RecordFile(file)
         self.path = self.path_of(number)
-        reader, classes, file_bytes = self._replay_file(self.path)
+        reader, classes, file_bytes = self._replay_file(self.path, self._kept)
         self._classes.set_numbers(classes.by_number)
-        self._inherited_routes = dict(self._kept.routes)
+        self._inherited.add(self._kept.snapshot())
         self._file = RecordFile(file, reader.size, reader.checksum)
         self._compaction_due = not reader.accepts_appends
         self.torn_bytes = file_bytes - reader.size
         for path in self.unknown_files():
             if not writes:
-                self._replay_file(path)
+                self._replay_file(path, self._kept)
             elif not self._take_over(path):
                 self.peer_paths.append(path)
+        if writes and not self.peer_paths and self._kept.requested_waits:
+            # A restart, which ends waits by the platform's protocol; also for those who read the file next.
+            self._kept.end_waits()
+            self._inherited.end_waits()
+            self._compaction_due = True
 
     @property
     def file(self) -> int:
@@ -184,11 +190,10 @@
         except OSError:
             os.close(file)
             raise
-        own, self._kept = self._kept, KeptRecords()
-        self._replay_all(data)
-        own, self._kept = self._kept, own
-        # Records that this process made itself are not inherited.
-        self._inherited_routes |= self._kept.add(own)
+        taken_over = KeptRecords()
+        self._replay_all(data, taken_over)
+        self._inherited.add(taken_over.newer_than(self._kept))
+        self._kept.add(taken_over.snapshot())
         self.taken_over_files.append((path, file))
         self._compaction_due = True
         return True
@@ -238,10 +243,10 @@
         """What this process and previous ones saw of routes."""
         return self._kept.routes
 
-    def inherit_routes(self) -> dict[str, RouteRecord]:
-        """Route records of previous and ended processes; each is returned once."""
-        inherited, self._inherited_routes = self._inherited_routes, {}
-        return {name: record for name, record in inherited.items() if not is_old(record)}
+    def inherit_records(self) -> SharedRecords:
+        """Records of previous and ended processes; each is returned once."""
+        inherited, self._inherited = self._inherited, KeptRecords()
+        return replace(inherited.snapshot(), cooldowns={})
 
     def _queue(self, payload: bytes) -> None:
         self._queued.append(payload)
@@ -278,7 +283,7 @@
             self.flush()
         return adopted
 
-    def _replay_file(self, path: Path) -> tuple[RecordReader, ClassReader, int]:
+    def _replay_file(self, path: Path, kept: KeptRecords) -> tuple[RecordReader, ClassReader, int]:
         """Replay a file in pieces, and return its size; one that does not exist has none. Raises OSError."""
         reader, classes = RecordReader(read_clocks()), ClassReader()
         if not path.exists():
@@ -287,18 +292,21 @@
             while data := os.pread(file.fileno(), READ_BYTES, reader.size):
                 size = reader.size
                 for record in reader.read(data):
-                    self._replay(record, reader.time_shift, classes)
+                    self._replay(record, reader.time_shift, classes, kept)
                 if reader.size == size:  # what is left is torn
                     break
             return reader, classes, os.fstat(file.fileno()).st_size
 
-    def _replay_all(self, data: bytes) -> None:
+    def _replay_all(self, data: bytes, kept: KeptRecords) -> None:
         reader, classes = RecordReader(read_clocks()), ClassReader()
         for record in reader.read(data):
-            self._replay(record, reader.time_shift, classes)
+            self._replay(record, reader.time_shift, classes, kept)
 
-    def _replay(self, record: Record, shift: float, classes: ClassReader) -> None:
-        """Apply a record that was read; `shift` is added to its times."""
+    def _replay(self, record: Record, shift: float, classes: ClassReader, kept: KeptRecords) -> None:
+        """Apply a record that was read; `shift` is added to its times.
+
+        One that belongs to no message is added to `kept`.
+        """
         kind, name, *rest = record.fields
         if kind == "mail":
             message = decode_message(record.fields[1:], record.body, shift)
@@ -310,11 +318,11 @@
         elif kind == UNDER_RECORD:
             classes.read_under(name, *rest)
         elif kind == "wait":
-            self._kept.replay_wait(name, rest[0] + shift)
+            kept.replay_wait(name, rest[0] + shift)
         elif kind == "rest":
-            self._kept.replay_cooldown(name, rest[0] + shift)
+            kept.replay_cooldown(name, rest[0] + shift)
         elif kind == "route":
-            self._kept.set_route(name, decode_route(rest, shift))
+            kept.set_route(name, decode_route(rest, shift))
         elif kind == FINISHED_RECORD:
             self.finished.add(name.encode(), rest[0] + shift, rest[1])
         elif (pending := self.pending.get(name.encode())) is not None:
--- a/tests/test_peer_spools.py
+++ b/tests/test_peer_spools.py
@@ -13,7 +13,7 @@
 from drivers import InMemoryDispatcher
 
 from laureldock.core.messages import StoredMessage
-from laureldock.core.peer_view import RouteRecord
+from laureldock.core.peer_view import RouteRecord, SharedRecords
 from laureldock.file_locks import open_locked
 from laureldock.stores import peer_spools
 from laureldock.stores.peer_spool import PeerSpool
@@ -290,11 +290,12 @@
     assert third.read_peers().routes == latest
     old.close()
     new.adopt()
-    assert new.inherit_routes() == {"r2": RouteRecord(None, now - 1)} and not new.inherit_routes()
+    assert new.inherit_records().routes == {"r2": RouteRecord(None, now - 1)}
+    assert new.inherit_records() == SharedRecords()
     assert third.read_peers().routes == latest
     new.close()
     third.close()
-    assert spool(tmp_path).inherit_routes() == latest
+    assert spool(tmp_path).inherit_records().routes == latest
 
 
 def test_a_route_failure_recorded_by_an_older_release_is_inherited(tmp_path: Path) -> None:
@@ -307,5 +308,6 @@
     assert new.read_peers().routes["r1"].recovered_at is None
     old.close()
     new.adopt()
-    assert [name for name, each in new.inherit_routes().items() if each.recovered_at is None] == ["r1"]
+    inherited = new.inherit_records().routes
+    assert [name for name, each in inherited.items() if each.recovered_at is None] == ["r1"]
     assert new.routes["r2"] == recovered
--- /dev/null
+++ b/tests/test_records_of_peers.py
@@ -0,0 +1,203 @@
+"""What another process of the dispatcher has recorded binds this one, however the two are scheduled.
+
+The other process is a `Spool` beside a whole dispatcher: its last record falls between the dispatcher's last
+read of its file and the moment at which that file is taken over.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from drivers import PLATFORM_SETTINGS, InMemoryDispatcher
+from test_handover import fail, message
+
+from laureldock.stores.spool import Spool
+
+WAIT = 1.0  # seconds
+Record = Callable[[Spool], None]
+
+
+class Upgrade:
+    """A dispatcher whose previous process still runs, as far as its file shows."""
+
+    def __init__(self, folder: Path, monkeypatch: Any, routes: str = "1") -> None:
+        self.monkeypatch = monkeypatch
+        self.dispatcher = InMemoryDispatcher(folder, monkeypatch, routes=routes)
+        self.previous = self.launch_peer()
+        self.watch_peers()
+        self.client = self.dispatcher.connect_client()
+
+    def launch_peer(self) -> Spool:
+        """One more process of the dispatcher."""
+        peer = Spool(self.dispatcher.folder, 1e6)
+        peer.open()
+        return peer
+
+    def end_dispatcher(self) -> None:
+        """End the dispatcher's process, as far as its file shows."""
+        store: Any = self.dispatcher.core.store
+        store.close()
+
+    def watch_peers(self) -> None:
+        """Begin to read the files of other processes."""
+        self.dispatcher.core.shares_listening_socket = True
+        self.dispatcher.core.recovery.watch_peer_processes()
+        assert self.dispatcher.core.store.is_shared
+
+    @property
+    def now(self) -> float:
+        return self.dispatcher.core.now()
+
+    def told_wait(self, route: str = "r1", seconds: float = WAIT) -> Record:
+        """A record that a route told a process to wait, from now on."""
+        now = self.now
+        return lambda spool: spool.record_requested_wait(route, now + seconds, now)
+
+    def before_taking_over(self, record: Record, *ended: Spool) -> None:
+        """The previous process makes its last record and ends, after its file was last read."""
+        store = self.dispatcher.core.store
+        take_over = store.adopt
+
+        def adopt() -> Any:
+            self.monkeypatch.setattr(store, "adopt", take_over)
+            record(self.previous)
+            for each in ended or [self.previous]:
+                each.close()
+            return take_over()
+
+        self.monkeypatch.setattr(store, "adopt", adopt)
+
+    def calls(self) -> list[tuple[float, str]]:
+        """When calls were sent, by the dispatcher's clock, and the ports of their receivers."""
+        sent = [line.split() for line in self.dispatcher.lines if "POST /hook" in line]
+        return [(100 + float(words[0]), words[2].rstrip(":")) for words in sent]
+
+    def first_call_after_submitting(self, seconds: float = 2 * WAIT) -> float:
+        """When the first call was sent, after a message was handed in now."""
+        self.dispatcher.put(self.client, "n")
+        self.dispatcher.advance(seconds)
+        assert self.calls(), self.dispatcher.lines
+        return self.calls()[0][0]
+
+
+@pytest.mark.parametrize("way", ["round", "accepted message", "retry"])
+def test_a_wait_recorded_right_before_its_file_is_taken_over_is_kept(
+    tmp_path: Path, monkeypatch: Any, way: str
+) -> None:
+    """Guards against waits that only reads of a running process's file passed on, not its taking over."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    dispatcher, until = upgrade.dispatcher, upgrade.now + WAIT
+    if way == "accepted message":  # the previous process knows its id: the file is taken over at once
+        assert upgrade.previous.accept(message(b"m"))
+        upgrade.previous.record_finished(b"m", accepted=True)
+        dispatcher.core.peers.read()
+    upgrade.before_taking_over(upgrade.told_wait())
+    if way == "accepted message":
+        dispatcher.put(upgrade.client, "m")
+    elif way == "round":
+        dispatcher.advance(0.05)
+    else:
+        with monkeypatch.context() as failing:
+            failing.setattr(Path, "read_bytes", fail)
+            dispatcher.core.recovery.adopt()
+        assert dispatcher.core.store.is_shared
+        with monkeypatch.context() as failing:
+            failing.setattr(os, "pwrite", fail)
+            failing.setattr(os, "rename", fail)
+            dispatcher.core.recovery.adopt()
+        assert dispatcher.core.store.has_unwritten
+    assert not dispatcher.core.store.is_shared
+    assert upgrade.first_call_after_submitting() >= until
+
+
+def test_waits_of_two_processes_that_end_at_once_are_kept(tmp_path: Path, monkeypatch: Any) -> None:
+    """Guards against a taking over that keeps the records of one file only."""
+    upgrade = Upgrade(tmp_path, monkeypatch, routes="12")
+    middle, until = upgrade.launch_peer(), upgrade.now + WAIT
+    upgrade.dispatcher.core.peers.read()
+    first, second = upgrade.told_wait("r1"), upgrade.told_wait("r2")
+
+    def record(previous: Spool) -> None:
+        first(previous)
+        second(middle)
+
+    upgrade.before_taking_over(record, upgrade.previous, middle)
+    upgrade.dispatcher.advance(0.05)
+    assert not upgrade.dispatcher.core.store.is_shared
+    assert upgrade.first_call_after_submitting() >= until
+
+
+def test_a_wait_binds_all_endpoints_that_share_the_limit_and_no_others(
+    tmp_path: Path, monkeypatch: Any
+) -> None:
+    """Guards against a wait that is taken over for the endpoint alone that told it, or for too many."""
+    for shared in (True, False):
+        with monkeypatch.context() as settings:
+            family = {**PLATFORM_SETTINGS["family_info"], "routes_apart": [not shared]}
+            settings.setitem(PLATFORM_SETTINGS, "family_info", family)
+            folder = tmp_path / str(shared)
+            folder.mkdir()
+            upgrade = Upgrade(folder, monkeypatch, routes="12")
+            until = upgrade.now + WAIT
+            upgrade.before_taking_over(upgrade.told_wait("r1"))
+            upgrade.dispatcher.advance(0.05)
+            called_at = upgrade.first_call_after_submitting()
+            assert (called_at >= until) is shared
+            assert shared or upgrade.calls()[0][1] == "2"
+
+
+def test_a_process_that_starts_as_another_ends_keeps_its_waits(tmp_path: Path, monkeypatch: Any) -> None:
+    """Guards against waits in a file that a third process takes over at its start."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    until = upgrade.now + 3 * WAIT
+    first: Any = upgrade.dispatcher.core.store
+    upgrade.told_wait(seconds=3 * WAIT)(first)
+    upgrade.dispatcher.start()  # a third process; the second, here a `Spool`, has not noticed the end yet
+    assert upgrade.dispatcher.core.store.is_shared
+    upgrade.client = upgrade.dispatcher.connect_client()
+    upgrade.watch_peers()
+    assert upgrade.first_call_after_submitting(4 * WAIT) >= until
+
+
+def test_a_wait_outlives_two_upgrades(tmp_path: Path, monkeypatch: Any) -> None:
+    """Guards against a wait that was taken over, but is not read by the process after that."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    until = upgrade.now + 3 * WAIT
+    upgrade.before_taking_over(upgrade.told_wait(seconds=3 * WAIT))
+    upgrade.dispatcher.advance(0.05)
+    assert not upgrade.dispatcher.core.store.is_shared
+    third = upgrade.launch_peer()  # reads the file of the second
+    assert third.read_peers().requested_waits == {"r1": pytest.approx(until, abs=0.01)}
+    upgrade.end_dispatcher()
+    third.adopt()
+    assert third.inherit_records().requested_waits == {"r1": pytest.approx(until, abs=0.01)}
+
+
+def test_a_restart_ends_a_wait_for_all_processes_that_follow(tmp_path: Path, monkeypatch: Any) -> None:
+    """By the platform's protocol; guards against waits of a time in which no process ran."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    upgrade.told_wait(seconds=30.0)(upgrade.previous)
+    upgrade.end_dispatcher()
+    upgrade.previous.close()
+    upgrade.dispatcher.start()
+    assert not upgrade.dispatcher.core.store.is_shared
+    upgrade.client = upgrade.dispatcher.connect_client()
+    began = upgrade.now
+    assert upgrade.first_call_after_submitting() <= began + 0.05
+    assert not upgrade.launch_peer().read_peers().requested_waits
+
+
+def test_a_wait_that_is_over_holds_nobody_back(tmp_path: Path, monkeypatch: Any) -> None:
+    """Guards against a taking over that begins a wait anew."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    upgrade.told_wait(seconds=0.5)(upgrade.previous)
+    upgrade.dispatcher.advance(0.6)
+    began = upgrade.now
+    upgrade.before_taking_over(lambda spool: None)
+    upgrade.dispatcher.advance(0.05)
+    assert not upgrade.dispatcher.core.store.is_shared
+    assert upgrade.first_call_after_submitting() <= began + 0.1
