Upgrades: a key rests also if the process that recorded the rest left no message

What callers saw: two messages of one key within some milliseconds of each other, in place of 0.3 s, where the call of the first broke or was given up just before the old process of an upgrade ended.

Cause: Recovery.adopt applied the cooldowns of a file under 'if adopted', that is only where messages were taken over with it. One that was recorded after the last read of the running process's file was lost if nothing was owed.

Evidence: with a forced crossing (the record falls between the last read and the taking over) the next message goes out at once with nothing owed, and after the rest with one message owed. The order of the old process's records is right: the rest is written before anything that lets the next message go.

Change: cooldowns go through BindingRecords.apply with all other records, at the start and at each taking over; Recovery.apply_cooldowns is gone.

--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -160,7 +160,6 @@
             return
         self.recovered = True
         self.recovery.apply_inherited_records()
-        self.recovery.apply_cooldowns()
         self.recovery.restore_messages(list(self.store.pending.values()))
         self.start_listening()
         self.recovery.watch_peer_processes()
--- a/laureldock/core/recovery.py
+++ b/laureldock/core/recovery.py
@@ -36,18 +36,11 @@
         for message in sorted(messages, key=lambda each: each.accepted_at):
             self._restore(message, now)
 
-    def apply_cooldowns(self) -> None:
-        """Apply the cooldowns of ordering keys that began before, for the rest of their time."""
-        core = self._dispatcher
-        for key, until in core.store.cooldowns.items():
-            if until > core.now():
-                core.call_policy(core.policy.cool_down_key, key, until)
-
     def apply_inherited_records(self) -> None:
         """Apply what previous or ended processes have recorded, whether or not they left any message.
 
-        The circuit of a route that failed is open until a trial attempt, or the route is cold: what its
-        receiver can take does not depend on which process calls. So are its waits.
+        What a receiver can take, and how long it is to be left alone, does not depend on which process calls;
+        and a broken call of an ordering key may still run, whichever process made it.
         """
         self._dispatcher.binding_records.apply(self._dispatcher.store.inherit_records())
 
@@ -70,7 +63,6 @@
         if adopted:
             core.log.info("taken over", owed=len(adopted))
             self.send_notices(adopted)
-            self.apply_cooldowns()
             self.restore_messages(adopted)
         if not core.store.is_shared:
             core.peers.all_ended()
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -26,7 +26,6 @@
 import os
 from collections import deque
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -246,7 +245,7 @@
     def inherit_records(self) -> SharedRecords:
         """Records of previous and ended processes; each is returned once."""
         inherited, self._inherited = self._inherited, KeptRecords()
-        return replace(inherited.snapshot(), cooldowns={})
+        return inherited.snapshot()
 
     def _queue(self, payload: bytes) -> None:
         self._queued.append(payload)
--- a/tests/test_records_of_peers.py
+++ b/tests/test_records_of_peers.py
@@ -71,14 +71,29 @@
 
         self.monkeypatch.setattr(store, "adopt", adopt)
 
+    def take_over_with_faults(self) -> None:
+        """Take over files, first while they cannot be read, then while the own one cannot be written."""
+        core = self.dispatcher.core
+        with self.monkeypatch.context() as failing:
+            failing.setattr(Path, "read_bytes", fail)
+            core.recovery.adopt()
+        assert core.store.is_shared
+        with self.monkeypatch.context() as failing:
+            failing.setattr(os, "pwrite", fail)
+            failing.setattr(os, "rename", fail)
+            core.recovery.adopt()
+        assert core.store.has_unwritten and not core.store.is_shared
+
     def calls(self) -> list[tuple[float, str]]:
         """When calls were sent, by the dispatcher's clock, and the ports of their receivers."""
         sent = [line.split() for line in self.dispatcher.lines if "POST /hook" in line]
         return [(100 + float(words[0]), words[2].rstrip(":")) for words in sent]
 
-    def first_call_after_submitting(self, seconds: float = 2 * WAIT) -> float:
+    def first_call_after_submitting(
+        self, seconds: float = 2 * WAIT, queue_class: str = "news", key: str = "0"
+    ) -> float:
         """When the first call was sent, after a message was handed in now."""
-        self.dispatcher.put(self.client, "n")
+        self.dispatcher.put(self.client, "n", queue_class, key)
         self.dispatcher.advance(seconds)
         assert self.calls(), self.dispatcher.lines
         return self.calls()[0][0]
@@ -101,15 +116,7 @@
     elif way == "round":
         dispatcher.advance(0.05)
     else:
-        with monkeypatch.context() as failing:
-            failing.setattr(Path, "read_bytes", fail)
-            dispatcher.core.recovery.adopt()
-        assert dispatcher.core.store.is_shared
-        with monkeypatch.context() as failing:
-            failing.setattr(os, "pwrite", fail)
-            failing.setattr(os, "rename", fail)
-            dispatcher.core.recovery.adopt()
-        assert dispatcher.core.store.has_unwritten
+        upgrade.take_over_with_faults()
     assert not dispatcher.core.store.is_shared
     assert upgrade.first_call_after_submitting() >= until
 
@@ -201,3 +208,26 @@
     upgrade.dispatcher.advance(0.05)
     assert not upgrade.dispatcher.core.store.is_shared
     assert upgrade.first_call_after_submitting() <= began + 0.1
+
+
+@pytest.mark.parametrize("owed", [False, True], ids=["nothing else owed", "a message owed"])
+@pytest.mark.parametrize("way", ["round", "retry"])
+def test_the_rest_of_a_key_recorded_right_before_its_file_is_taken_over_is_kept(
+    tmp_path: Path, monkeypatch: Any, way: str, owed: bool
+) -> None:
+    """Guards against rests of keys that were taken over only beside messages."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    began = upgrade.now
+    if owed:  # of another key
+        assert upgrade.previous.accept(message(b"m", "other"))
+        upgrade.dispatcher.core.peers.read()
+    upgrade.before_taking_over(lambda spool: spool.record_cooldown("k", began + WAIT, began))
+    if way == "retry":
+        upgrade.take_over_with_faults()
+    upgrade.dispatcher.advance(0.05)
+    assert not upgrade.dispatcher.core.store.is_shared
+    if owed:
+        upgrade.dispatcher.respond("1", "200 OK")
+    upgrade.first_call_after_submitting(queue_class="order", key="k")
+    calls = [line for line in upgrade.dispatcher.lines if "POST /hook" in line and "X-Call-Id: n" in line]
+    assert len(calls) == 1 and float(calls[0].split()[0]) + 100 >= began + WAIT, upgrade.dispatcher.lines
