Spool: of two waits, or rests of a key, the one that ends last is kept in a rewritten file

A receiver that tells two waits, the later one ending sooner, would be called by the next process within the longer wait; likewise the next message of a key within the longer rest of a withdrawn one.

Cause: a process kept the latest wait of a route and the latest rest of a key for its next rewrite, while reading a file keeps the one that ends last. After a rewrite the longer one was gone.

Change: both keep the one that ends last.

Measured: both new tests fail before (50.0 in place of 60.0 after the rewrite) and pass.

--- a/laureldock/stores/kept_records.py
+++ b/laureldock/stores/kept_records.py
@@ -34,16 +34,14 @@
         return self._record_bytes
 
     def set_wait(self, route: str, until: float, now: float) -> None:
-        """Keep a requested wait; those that are over `now` are dropped."""
+        """Keep a requested wait unless a longer one is kept; those that are over `now` are dropped."""
         self.requested_waits = {name: end for name, end in self.requested_waits.items() if end > now}
-        self.requested_waits[route] = until
-        self._record_bytes = None
+        self.replay_wait(route, until)
 
     def set_cooldown(self, key: str, until: float, now: float) -> None:
-        """Keep the cooldown of an ordering key; those that are over `now` are dropped."""
+        """Keep the cooldown of a key unless a longer one is kept; those that are over `now` are dropped."""
         self.cooldowns = {name: end for name, end in self.cooldowns.items() if end > now}
-        self.cooldowns[key] = until
-        self._record_bytes = None
+        self.replay_cooldown(key, until)
 
     def set_route(self, route: str, record: RouteRecord) -> None:
         """Keep what was seen of a route."""
--- a/tests/test_records_of_peers.py
+++ b/tests/test_records_of_peers.py
@@ -231,3 +231,25 @@
     upgrade.first_call_after_submitting(queue_class="order", key="k")
     calls = [line for line in upgrade.dispatcher.lines if "POST /hook" in line and "X-Call-Id: n" in line]
     assert len(calls) == 1 and float(calls[0].split()[0]) + 100 >= began + WAIT, upgrade.dispatcher.lines
+
+
+def test_the_wait_that_ends_last_counts_after_a_rewrite(tmp_path: Path) -> None:
+    """Guards against a shorter wait, told later, that replaced a longer one in a rewritten file."""
+    old, new = Spool(tmp_path, 1e6), Spool(tmp_path, 1e6)
+    old.open()
+    old.record_requested_wait("r1", 60.0, now=40.0)
+    old.record_requested_wait("r1", 50.0, now=41.0)
+    for _ in range(2):
+        assert new.read_peers().requested_waits == {"r1": 60.0}
+        old._compact()
+
+
+def test_the_rest_of_a_key_that_ends_last_counts_after_a_rewrite(tmp_path: Path) -> None:
+    """Guards against a shorter rest, recorded later, that replaced that of a call with much time left."""
+    old, new = Spool(tmp_path, 1e6), Spool(tmp_path, 1e6)
+    old.open()
+    old.record_cooldown("k", 60.0, now=40.0)
+    old.record_cooldown("k", 50.0, now=41.0)
+    for _ in range(2):
+        assert new.read_peers().cooldowns == {"k": 60.0}
+        old._compact()
