List: an endpoint that leaves and returns is still bound by its wait and its outage

What callers saw: a receiver that told a wait, left the list and was listed again was called within the wait.

Cause: the policy begins with an empty state for each route that is listed as up anew, also one that only drained; a late response of a call that was out told its wait to the former route; and records of other processes were passed on only for names that were listed at that moment, and never again.

Change: BindingRecords keeps by name what binds an endpoint (wait, newest failure or recovery), whichever process recorded it, and applies it to the route that is listed anew, unless that leads elsewhere. 4,096 names at most; the spool keeps as many records of routes, all of them before.

--- a/laureldock/core/binding_records.py
+++ b/laureldock/core/binding_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from laureldock.core.peer_view import RouteRecord, SharedRecords
@@ -10,39 +12,81 @@
 if TYPE_CHECKING:
     from laureldock.core.dispatcher import Dispatcher
 
+MAX_ENTRIES = 4096  # routes; more than a list is expected to have endpoints
+
+
+@dataclass(slots=True)
+class RouteEntry:
+    """What binds an endpoint, by its name. Times are seconds of the monotonic clock."""
+
+    route: Route | None = None  # the one listed last under the name, if any was since the first record
+    wait_until: float = -inf
+    record: RouteRecord | None = None  # the newest
+
 
 class BindingRecords:
     """Requested waits, cooldowns of ordering keys, and failures and recoveries of routes.
 
     Whichever process made a record, and whether its file is read while it runs or taken over at its end: all
-    records go through `apply`, which passes those on that the policy does not have yet.
+    records of other processes go through `apply`, which passes those on that the policy does not have yet.
+    What binds an endpoint is kept by its name, and applied again to the route that it has when it is listed
+    after having left the list.
     """
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
-        self._requested_waits: dict[str, float] = {}  # until when, by route name
+        self._entries: dict[str, RouteEntry] = {}  # by name of the route, the one changed last at the end
         self._cooldowns: dict[str, float] = {}  # until when, by ordering key
-        self._routes: dict[str, RouteRecord] = {}  # the newest, by route name
 
     def apply(self, records: SharedRecords) -> None:
         """Apply records of other processes, running or ended."""
-        self._apply_waits(records)
-        self._apply_cooldowns(records)
-        self._apply_routes(records)
-
-    def _apply_waits(self, records: SharedRecords) -> None:
         now = self._dispatcher.now()
-        self._requested_waits = {name: until for name, until in self._requested_waits.items() if until > now}
         for name, until in records.requested_waits.items():
-            if until <= max(now, self._requested_waits.get(name, now)):
+            if until > now:
+                self._apply_wait(name, until)
+        self._apply_cooldowns(records)
+        for name, record in records.routes.items():
+            self._apply_route_record(name, record)
+
+    def wait_requested(self, route: Route, until: float) -> None:
+        """A receiver requested a wait from this process, whose policy knows."""
+        entry = self._changed_entry(route.name, route)
+        entry.wait_until = max(until, entry.wait_until)
+        if (current := self._current_route(entry)) is not route:
+            self._pass_wait(current, until)
+
+    def route_changed(self, route: Route, record: RouteRecord) -> None:
+        """A route failed or recovered, as the policy of this process found."""
+        entry = self._changed_entry(route.name, route)
+        entry.record = record
+        if (current := self._current_route(entry)) is not route:
+            self._pass_route_record(current, record)
+
+    def routes_listed_anew(self, routes: list[Route]) -> None:
+        """Apply what binds the endpoints of routes that were not listed as up before."""
+        for route in routes:
+            entry = self._entries.get(route.name)
+            if entry is None:
                 continue
-            if (route := self._dispatcher.registry.routes.get(name)) is not None:
-                self._requested_waits[name] = until
-                self._apply_wait(route, until)
+            if entry.route is not None and not is_same_endpoint(entry.route, route):
+                del self._entries[route.name]
+                continue
+            entry.route = route
+            self._pass_wait(route, entry.wait_until)
+            if entry.record is not None:
+                self._pass_route_record(route, entry.record)
 
-    def _apply_wait(self, route: Route, until: float) -> None:
-        core = self._dispatcher
-        core.call_policy(core.policy.route_requested_wait, route, until - core.now())
+    def wait_until(self, name: str) -> float:
+        """Until when nothing may be sent to a route, by all waits known; minus infinity if there is none."""
+        entry = self._entries.get(name)
+        return entry.wait_until if entry else -inf
+
+    def _apply_wait(self, name: str, until: float) -> None:
+        entry = self._entries.get(name)
+        if entry is None or until > entry.wait_until:
+            entry = self._changed_entry(name)
+            entry.wait_until = until
+            self._pass_wait(self._current_route(entry), until)
 
     def _apply_cooldowns(self, records: SharedRecords) -> None:
         core, now = self._dispatcher, self._dispatcher.now()
@@ -52,16 +96,50 @@
                 self._cooldowns[key] = until
                 core.call_policy(core.policy.cool_down_key, key, until)
 
-    def _apply_routes(self, records: SharedRecords) -> None:
-        for name, record in records.routes.items():
-            known, route = self._routes.get(name), self._dispatcher.registry.routes.get(name)
-            if route is not None and (known is None or record.seen_at > known.seen_at):
-                self._routes[name] = record
-                self._apply_route(route, record)
+    def _apply_route_record(self, name: str, record: RouteRecord) -> None:
+        entry = self._entries.get(name)
+        if entry is None or entry.record is None or record.seen_at > entry.record.seen_at:
+            entry = self._changed_entry(name)
+            entry.record = record
+            self._pass_route_record(self._current_route(entry), record)
+
+    def _changed_entry(self, name: str, route: Route | None = None) -> RouteEntry:
+        """The entry of a route, which is about to change; the one that changed longest ago gives way.
+
+        `route`: the one that the change is about, else the one that is listed now.
+        """
+        route = route or self._dispatcher.registry.routes.get(name)
+        entry = self._entries.pop(name, None)
+        if entry is None or (entry.route and route and not is_same_endpoint(entry.route, route)):
+            entry = RouteEntry()
+        entry.route = route or entry.route
+        self._entries[name] = entry
+        if len(self._entries) > MAX_ENTRIES:
+            del self._entries[next(iter(self._entries))]
+        return entry
 
-    def _apply_route(self, route: Route, record: RouteRecord) -> None:
+    def _current_route(self, entry: RouteEntry) -> Route | None:
+        """The route of an entry's endpoint: as listed now, else the one that it had when it was listed."""
+        if entry.route is None:
+            return None
+        listed = self._dispatcher.registry.routes.get(entry.route.name)
+        return listed if listed is not None and is_same_endpoint(listed, entry.route) else entry.route
+
+    def _pass_wait(self, route: Route | None, until: float) -> None:
+        core = self._dispatcher
+        if route is not None and until > core.now():
+            core.call_policy(core.policy.route_requested_wait, route, until - core.now())
+
+    def _pass_route_record(self, route: Route | None, record: RouteRecord) -> None:
         core = self._dispatcher
+        if route is None:
+            return
         if record.recovered_at is None:
             core.call_policy(core.policy.route_failed_elsewhere, route, record.seen_at, record.shut)
         else:
             core.call_policy(core.policy.route_recovered_elsewhere, route, record.recovered_at)
+
+
+def is_same_endpoint(one: Route, other: Route) -> bool:
+    """Whether two routes of one name lead to the same endpoint."""
+    return one.destination is other.destination and one.zone == other.zone
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -309,12 +309,9 @@
             case interface.StartTimer(delay=delay, name=name):
                 self.call_later(delay, self.call_policy, self.policy.timer_expired, name)
             case interface.RouteFailed(route=route, shut=shut):
-                record = RouteRecord(None, self.now(), shut)
-                self.record_keeping.write(self.store.record_route, route.name, record)
+                self.record_route(route, RouteRecord(None, self.now(), shut))
             case interface.RouteRecovered(route=route, recovered_at=recovered_at):
-                self.record_keeping.write(
-                    self.store.record_route, route.name, RouteRecord(recovered_at, self.now())
-                )
+                self.record_route(route, RouteRecord(recovered_at, self.now()))
             case interface.LogLine(text=text):
                 self.log.info(text)
             case interface.PeerNote():
@@ -518,12 +515,8 @@
             self.forget_message(message, accepted=True)
         elif self.holds(message) and message.recorded_attempt is attempt:
             self.record_attempt_end(message, outcome)
-        # A requested wait binds the peer process too: to the rules, both are one dispatcher.
-        if outcome.requested_wait and self.shares_listening_socket:
-            now = self.now()
-            self.record_keeping.write(
-                self.store.record_requested_wait, attempt.route.name, now + outcome.requested_wait, now
-            )
+        if outcome.requested_wait:
+            self.record_requested_wait(attempt.route, outcome.requested_wait)
         self.call_policy(self.policy.attempt_ended, attempt, outcome)
 
     def record_attempt_end(self, message: HeldMessage, outcome: interface.Outcome) -> None:
@@ -533,6 +526,19 @@
         elif self.shares_listening_socket:  # peer processes count calls in flight
             self.record_keeping.write(self.store.record_attempt_end, message.name)
 
+    def record_requested_wait(self, route: interface.Route, wait: float) -> None:
+        """Record that a receiver asked to be sent nothing for so many seconds."""
+        now = self.now()
+        # It binds peer processes, too: to the rules, all processes are one dispatcher.
+        if self.shares_listening_socket:
+            self.record_keeping.write(self.store.record_requested_wait, route.name, now + wait, now)
+        self.binding_records.wait_requested(route, now + wait)
+
+    def record_route(self, route: interface.Route, record: RouteRecord) -> None:
+        """Record that a route failed or recovered, for peer processes and the next process."""
+        self.record_keeping.write(self.store.record_route, route.name, record)
+        self.binding_records.route_changed(route, record)
+
     def record_cooldown(self, held: HeldMessage, seconds: float) -> None:
         """Record the cooldown of a message's ordering key, for peer processes and the next process."""
         message, now = held.message, self.now()
@@ -575,6 +581,9 @@
         )
         self.memory.change(MemoryKind.LISTS, ROUTE_BYTES * (len(known) - known_before))
         self.call_policy(self.policy.list_updated, [*replaced, *routes], full)
+        up_before = set(up)
+        listed_anew = [route for route in routes if route.listed_state is interface.ListedState.UP]
+        self.binding_records.routes_listed_anew([each for each in listed_anew if each not in up_before])
         self.invariants.routes_listed([*changed])
         self.start_serving()
 
--- a/laureldock/core/invariants.py
+++ b/laureldock/core/invariants.py
@@ -131,7 +131,8 @@
         not_up_since = self._not_up_since.get(route, inf)
         drained = now > not_up_since + core.settings.drain_grace
         self.check(not drained, Invariant.SENT_TO_DRAINING, late=now - not_up_since, **facts)
-        until = max(self._waits_until.get(route, -inf), self._waits_until.get(route.destination, -inf))
+        own_until = max(self._waits_until.get(route, -inf), self._waits_until.get(route.destination, -inf))
+        until = max(own_until, core.binding_records.wait_until(route.name))
         self.check(now >= until, Invariant.SENT_DURING_WAIT, early=until - now, **facts)
         self._check_key(held, facts)
         max_copies = held.message.terms.max_copies if held.message.terms else 1
--- a/laureldock/stores/kept_records.py
+++ b/laureldock/stores/kept_records.py
@@ -10,6 +10,7 @@
 from laureldock.stores.record_sizes import kept_records_bytes
 from laureldock.stores.spool_records import encode_payload, encode_route
 
+MAX_ROUTE_RECORDS = 4096  # more than a list is expected to have endpoints
 ROUTE_KEPT_TIME = 60.0  # seconds; a route that recovered longer ago is warm under any settings
 
 
@@ -44,8 +45,14 @@
         self.replay_cooldown(key, until)
 
     def set_route(self, route: str, record: RouteRecord) -> None:
-        """Keep what was seen of a route."""
+        """Keep what was seen of a route; of too many, the one that was changed longest ago gives way."""
+        self.routes.pop(route, None)  # to the end
         self.routes[route] = record
+        self._drop_excess_routes()
+
+    def _drop_excess_routes(self) -> None:
+        while len(self.routes) > MAX_ROUTE_RECORDS:
+            del self.routes[next(iter(self.routes))]
         self._record_bytes = None
 
     def replay_wait(self, route: str, until: float) -> None:
@@ -65,7 +72,7 @@
         for key, until in other.cooldowns.items():
             self.replay_cooldown(key, until)
         self.routes = newest_records([self.routes, other.routes])
-        self._record_bytes = None
+        self._drop_excess_routes()
 
     def end_waits(self) -> None:
         """Drop all waits."""
