Rehearsal: a free port is drawn outside the range of outgoing connections

What was seen: a test of reused names failed once beside a review case; the log of its process has 'Couldn't listen on 127.0.0.1:33903: Address already in use'. The port had been chosen by the system for a listening socket, closed again, and then given to an outgoing connection or another rig before the process listened on it.

Change: free_port is a module of its own, and draws below the system's range of outgoing connections.

--- a/benchmarks/first_fill.py
+++ b/benchmarks/first_fill.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 
 from laureldock.controller import client
-from laureldock.rehearsal.scripted_run import free_port
+from laureldock.rehearsal.ports import free_port
 from laureldock.replication import messages
 from laureldock.replication.messages import NO_POSITION, Accepted, Heartbeat, Message, Subscribe
 from laureldock.setup.changes import Change, EndpointEntry
--- a/laureldock/rehearsal/scripted_run.py
+++ b/laureldock/rehearsal/scripted_run.py
@@ -23,6 +23,7 @@
 from redis.asyncio.retry import Retry
 from redis.backoff import NoBackoff
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import (
     ABANDONED,
     ACCEPTED,
@@ -312,15 +313,6 @@
     return lines.splitlines(), offset + len(lines) + len(newline)
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that was free a moment ago."""
-    import socket
-
-    with socket.create_server((host, 0)) as server:
-        port: int = server.getsockname()[1]
-    return port
-
-
 def quantile(values: list[float], fraction: float) -> float:
     """Return a quantile; of one value that value, and of none zero."""
     return statistics.quantiles(values, n=100)[round(fraction * 100) - 1] if len(values) > 1 else sum(values)
--- a/laureldock/rehearsal/soak/dispatcher_soak.py
+++ b/laureldock/rehearsal/soak/dispatcher_soak.py
@@ -12,9 +12,10 @@
 from pathlib import Path
 from typing import Any
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.response_repeats import ResponseRepeats
 from laureldock.rehearsal.rule_checks import ReceiverPeriod, RunRecord
-from laureldock.rehearsal.scripted_run import LIFETIME, RECEIVERS, free_port, new_lines, write_example
+from laureldock.rehearsal.scripted_run import LIFETIME, RECEIVERS, new_lines, write_example
 from laureldock.rehearsal.soak import faults
 from laureldock.rehearsal.soak.clients import SteadyLoad, run_client_fault
 from laureldock.rehearsal.soak.crowd_process import run_crowd_process
--- a/laureldock/rehearsal/soak/process_group.py
+++ b/laureldock/rehearsal/soak/process_group.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 from typing import Any
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import Restart, RunRecord
 from laureldock.rehearsal.scale.process_usage import resident_bytes
-from laureldock.rehearsal.scripted_run import free_port
 from laureldock.rehearsal.soak.dispatcher_process import Address, DispatcherProcess
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
 from laureldock.rehearsal.soak.platform import environment
--- a/tests/controlled.py
+++ b/tests/controlled.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from laureldock.controller import client
-from laureldock.rehearsal.scripted_run import free_port
+from laureldock.rehearsal.ports import free_port
 from laureldock.replication import messages
 from laureldock.replication.messages import (
     NO_POSITION,
--- a/tests/daemon.py
+++ b/tests/daemon.py
@@ -13,8 +13,8 @@
 
 import redis.asyncio as redis
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import RunRecord
-from laureldock.rehearsal.scripted_run import free_port
 from laureldock.rehearsal.stub_receivers import StubReceiver
 
 HEAD = """\
--- a/tests/followers.py
+++ b/tests/followers.py
@@ -16,8 +16,8 @@
 from daemon import HEAD, Daemon
 from replication_rig import MemoryController
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import RunRecord
-from laureldock.rehearsal.scripted_run import free_port
 from laureldock.rehearsal.stub_receivers import StubReceiver
 from laureldock.replication import messages
 from laureldock.replication.messages import (
--- a/tests/handover.py
+++ b/tests/handover.py
@@ -16,8 +16,9 @@
 from pathlib import Path
 from typing import Any
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import ACCEPTED, RunRecord, SubmittedMessage, check_rules
-from laureldock.rehearsal.scripted_run import free_port, new_lines
+from laureldock.rehearsal.scripted_run import new_lines
 from laureldock.rehearsal.soak.clients import Connection, command
 from laureldock.rehearsal.soak.dispatcher_process import DispatcherProcess
 from laureldock.rehearsal.soak.process_group import UNREAD_RESPONSE_TIME
--- a/tests/memory_rig.py
+++ b/tests/memory_rig.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import RunRecord
-from laureldock.rehearsal.scripted_run import free_port
 from laureldock.rehearsal.soak.clients import command
 from laureldock.rehearsal.soak.discovery import Endpoint, StubDiscovery
 from laureldock.rehearsal.soak.dispatcher_process import DispatcherProcess
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -11,8 +11,9 @@
 import pytest
 from memory_rig import MemoryRig, SoundClients, memory_of, memory_rig
 
+from laureldock.rehearsal.ports import free_port
 from laureldock.rehearsal.rule_checks import RunRecord
-from laureldock.rehearsal.scripted_run import free_port, write_example
+from laureldock.rehearsal.scripted_run import write_example
 from laureldock.rehearsal.soak.clients import Address
 from laureldock.rehearsal.soak.dispatcher_process import DispatcherProcess
 from laureldock.rehearsal.soak.slow_clients import Crowd, CrowdForm
--- a/tests/test_controlled.py
+++ b/tests/test_controlled.py
@@ -20,7 +20,7 @@
 from msgspec import structs
 from test_process import Process, platform
 
-from laureldock.rehearsal.scripted_run import free_port
+from laureldock.rehearsal.ports import free_port
 from laureldock.replication.messages import ChangeMessage, InForce, Subscribe
 from laureldock.setup import plan
 from laureldock.setup.changes import Change, TermsEntry
--- a/tests/test_controlled_faults.py
+++ b/tests/test_controlled_faults.py
@@ -20,7 +20,7 @@
 from followers import ControllerProcess, CuttableRelay, Follower, Receivers, RejectedError, followers, removal
 from test_controlled import FRESH_CLASS, NAMES, change_with_new_class, deliveries, run, wait_until
 
-from laureldock.rehearsal.scripted_run import free_port
+from laureldock.rehearsal.ports import free_port
 from laureldock.setup import plan
 from laureldock.setup.changes import Change, EndpointEntry
 from laureldock.setup.units import Address
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -21,7 +21,8 @@
 
 from laureldock.core.messages import StoredMessage
 from laureldock.fronts.resp import ClientConnection
-from laureldock.rehearsal.scripted_run import free_port, new_lines
+from laureldock.rehearsal.ports import free_port
+from laureldock.rehearsal.scripted_run import new_lines
 from laureldock.rehearsal.soak.faulty_process import FaultPlan
 from laureldock.rehearsal.soak.system_calls import FaultWindow, SystemCallFault
 from laureldock.stores.spool import Spool
