--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -34,19 +34,16 @@
 from laureldock.core.peer_view import PeerView, RouteRecord, SharedRecords
 from laureldock.file_locks import FILE_MODE, open_locked
 from laureldock.interface import QueueClass
-from laureldock.stores.class_records import CLASS_RECORD, UNDER_RECORD, ClassReader, ClassTable
-from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
+from laureldock.stores.class_records import ClassTable
+from laureldock.stores.finished_names import FinishedNames
 from laureldock.stores.folder_limit import COMPACTED_SUFFIX, DISK_BLOCK_BYTES, FolderLimit, whole_blocks
 from laureldock.stores.kept_records import KeptRecords
 from laureldock.stores.peer_spools import PeerSpools, list_spools
 from laureldock.stores.record_file import RecordFile
-from laureldock.stores.record_sizes import CLOCK_RECORD_BYTES, long_route_bytes, pending_message_bytes
+from laureldock.stores.record_sizes import pending_message_bytes
+from laureldock.stores.spool_content import SpoolContent
 from laureldock.stores.spool_records import (
     RECORD_HEADER,
-    Record,
-    RecordReader,
-    decode_message,
-    decode_route,
     encode_accepted,
     encode_clocks,
     encode_message,
@@ -54,7 +51,6 @@
     encode_route,
 )
 
-READ_BYTES = 1 << 20  # of one read, more than any record has
 # Of the limit on the folder. No file grows into it, so that a process can start while the folder is full, and
 # the sizes of files can be rounded up.
 RESERVED_BYTES = 8 * DISK_BLOCK_BYTES
@@ -84,11 +80,7 @@
     def __init__(self, folder: Path, disk: float, writes: bool = True) -> None:
         self.folder = folder
         self.peer_paths: list[Path] = []  # files of running peer processes
-        self.pending: dict[bytes, StoredMessage] = {}
-        self.finished = FinishedNames()
-        self.reserved_bytes = 0  # for all pending messages, without their classes
-        self._classes = ClassTable()
-        self._kept = KeptRecords()
+        self.content = SpoolContent()
         self._inherited = KeptRecords()  # of previous and ended processes, until they are asked for
         self.taken_over_files: list[tuple[Path, int]] = []  # with their locked descriptors
         self._peers = PeerSpools(folder)
@@ -126,23 +118,33 @@
             file = locked
         self._file = RecordFile(file)
         self.path = self.path_of(number)
-        reader, classes, file_bytes = self._replay_file(self.path, self._kept)
-        self._classes.set_numbers(classes.by_number)
-        self._inherited.add(self._kept.snapshot())
+        reader, classes, file_bytes = self.content.replay_file(self.path)
+        self.content.classes.set_numbers(classes.by_number)
+        self._inherited.add(self.content.kept.snapshot())
         self._file = RecordFile(file, reader.size, reader.checksum)
         self._compaction_due = not reader.accepts_appends
         self.torn_bytes = file_bytes - reader.size
         for path in self.unknown_files():
             if not writes:
-                self._replay_file(path, self._kept)
+                self.content.replay_file(path)
             elif not self._take_over(path):
                 self.peer_paths.append(path)
-        if writes and not self.peer_paths and self._kept.requested_waits:
+        if writes and not self.peer_paths and self.content.kept.requested_waits:
             # A restart, which ends waits by the platform's protocol; also for those who read the file next.
-            self._kept.end_waits()
+            self.content.kept.end_waits()
             self._inherited.end_waits()
             self._compaction_due = True
 
+    @property
+    def pending(self) -> Mapping[bytes, StoredMessage]:
+        """Accepted messages without a final outcome, by name."""
+        return self.content.pending
+
+    @property
+    def finished(self) -> FinishedNames:
+        """Names of messages that finished a moment ago."""
+        return self.content.finished
+
     @property
     def file(self) -> int:
         """The descriptor of the file that this process writes; negative once it is closed."""
@@ -189,10 +191,7 @@
         except OSError:
             os.close(file)
             raise
-        taken_over = KeptRecords()
-        self._replay_all(data, taken_over)
-        self._inherited.add(taken_over.newer_than(self._kept))
-        self._kept.add(taken_over.snapshot())
+        self._inherited.add(self.content.take_over(data))
         self.taken_over_files.append((path, file))
         self._compaction_due = True
         return True
@@ -210,7 +209,7 @@
 
     def finished_reply(self, name: bytes) -> bool | None:
         """What a repeat of a finished message's request is told: accepted, or failed; None if unknown."""
-        entry = self.finished.get(name)
+        entry = self.content.finished.get(name)
         return entry.accepted if entry else None
 
     def finished_by_peer(self, name: bytes) -> bool:
@@ -219,28 +218,28 @@
 
     def record_requested_wait(self, route: str, until: float, now: float) -> None:
         """A receiver requested a wait; peer processes read this. OSError: the record is queued."""
-        self._kept.set_wait(route, until, now)
+        self.content.kept.set_wait(route, until, now)
         self._queue(encode_payload(["wait", route, until]))
 
     def record_cooldown(self, key: str, until: float, now: float) -> None:
         """An ordering key cools down, here and in the next process. OSError: the record is queued."""
-        self._kept.set_cooldown(key, until, now)
+        self.content.kept.set_cooldown(key, until, now)
         self._queue(encode_payload(["rest", key, until]))
 
     def record_route(self, route: str, record: RouteRecord) -> None:
         """A route failed or recovered; peer processes read this. OSError: the record is queued."""
-        self._kept.set_route(route, record)
+        self.content.kept.set_route(route, record)
         self._queue(encode_route(route, record))
 
     @property
     def cooldowns(self) -> Mapping[str, float]:
         """Until when ordering keys cool down, by the records of this process and of previous ones."""
-        return self._kept.cooldowns
+        return self.content.kept.cooldowns
 
     @property
     def routes(self) -> Mapping[str, RouteRecord]:
         """What this process and previous ones saw of routes."""
-        return self._kept.routes
+        return self.content.kept.routes
 
     def inherit_records(self) -> SharedRecords:
         """Records of previous and ended processes; each is returned once."""
@@ -282,114 +281,6 @@
             self.flush()
         return adopted
 
-    def _replay_file(self, path: Path, kept: KeptRecords) -> tuple[RecordReader, ClassReader, int]:
-        """Replay a file in pieces, and return its size; one that does not exist has none. Raises OSError."""
-        reader, classes = RecordReader(read_clocks()), ClassReader()
-        if not path.exists():
-            return reader, classes, 0
-        with path.open("rb") as file:
-            while data := os.pread(file.fileno(), READ_BYTES, reader.size):
-                size = reader.size
-                for record in reader.read(data):
-                    self._replay(record, reader.time_shift, classes, kept)
-                if reader.size == size:  # what is left is torn
-                    break
-            return reader, classes, os.fstat(file.fileno()).st_size
-
-    def _replay_all(self, data: bytes, kept: KeptRecords) -> None:
-        reader, classes = RecordReader(read_clocks()), ClassReader()
-        for record in reader.read(data):
-            self._replay(record, reader.time_shift, classes, kept)
-
-    def _replay(self, record: Record, shift: float, classes: ClassReader, kept: KeptRecords) -> None:
-        """Apply a record that was read; `shift` is added to its times.
-
-        One that belongs to no message is added to `kept`.
-        """
-        kind, name, *rest = record.fields
-        if kind == "mail":
-            message = decode_message(record.fields[1:], record.body, shift)
-            message.accepted_class = classes.class_of_next(name)
-            # Other times may be longer as text.
-            self.add_pending(message, len(encode_message(message)) if shift else record.payload_bytes)
-        elif kind == CLASS_RECORD:
-            classes.read_class(name, *rest)
-        elif kind == UNDER_RECORD:
-            classes.read_under(name, *rest)
-        elif kind == "wait":
-            kept.replay_wait(name, rest[0] + shift)
-        elif kind == "rest":
-            kept.replay_cooldown(name, rest[0] + shift)
-        elif kind == "route":
-            kept.set_route(name, decode_route(rest, shift))
-        elif kind == FINISHED_RECORD:
-            self.finished.add(name.encode(), rest[0] + shift, rest[1])
-        elif (pending := self.pending.get(name.encode())) is not None:
-            if kind in ("out", "accepted"):
-                rest = [rest[0] + shift, *rest[1:]]
-            self.apply_change(kind, pending, rest)
-
-    def add_pending(self, message: StoredMessage, payload_bytes: int) -> None:
-        """Add a pending message, by the size of the payload of its record."""
-        if before := self.pending.get(message.name):
-            self._release(before)
-        message.reserved_bytes = pending_message_bytes(message.name.decode(), payload_bytes)
-        self.reserved_bytes += message.reserved_bytes
-        self._classes.add(message)
-        self.pending[message.name] = message
-
-    def _release(self, message: StoredMessage) -> None:
-        """Release what is reserved for a message."""
-        self.reserved_bytes -= message.reserved_bytes
-        self._classes.remove(message)
-
-    def apply_change(self, kind: str, message: StoredMessage, rest: list[Any]) -> None:
-        """Apply a record to a pending message."""
-        match kind:
-            case "out":
-                if message.first_may_have_run_at is None:
-                    message.first_may_have_run_at = message.in_flight_since
-                message.attempts, message.in_flight_since = message.attempts + 1, rest[0]
-                self._set_route_of(message, rest[1] if len(rest) > 1 else "")  # older releases have none
-            case "accepted":
-                message.accepted_at = rest[0]
-            case "sent_to":
-                self._set_route_of(message, rest[0])
-            case "back":
-                message.in_flight_since = None
-            case "end":
-                message.first_may_have_run_at = (
-                    message.in_flight_since
-                    if message.first_may_have_run_at is None
-                    else message.first_may_have_run_at
-                )
-                message.in_flight_since = None
-            case "notice":
-                message.notice = rest[0].encode()
-            case "over":
-                self._release(message)
-                del self.pending[message.name]
-                if rest:  # older releases do not say what a repeat is told
-                    self.finished.add(message.name, message.expires_at, rest[0])
-
-    def _set_route_of(self, message: StoredMessage, route: str) -> None:
-        """Set the route of a message's last attempt, and reserve what a long name takes."""
-        longer = long_route_bytes(route) - long_route_bytes(message.route)
-        message.route = route
-        message.reserved_bytes += longer
-        self.reserved_bytes += longer
-
-    @property
-    def content_bytes(self) -> int:
-        """Bytes of the file at most, once it is compacted, files that were taken over included."""
-        return (
-            CLOCK_RECORD_BYTES
-            + self.reserved_bytes
-            + self._classes.reserved_bytes
-            + self.finished.record_bytes
-            + self._kept.record_bytes
-        )
-
     def _read_folder(self) -> FolderContent:
         """What there is in the folder, of which the lock is held. Raises OSError."""
         if self._folder_content.version != self._limit.version:
@@ -408,25 +299,25 @@
         try:
             with self._limit:
                 needed = pending_message_bytes(message.name.decode(), len(payload))
-                needed += self._classes.bytes_to_reserve(message)
+                needed += self.content.classes.bytes_to_reserve(message)
                 if not self._has_room_for_content(needed):
                     return False
                 self._make_room(needed)
                 if not self._leaves_room_to_compact(needed, needed):
                     return False
                 # Not before there is room for it: a compaction leaves out classes that no message has.
-                self._append(*self._classes.payloads_for(message), payload, *encode_accepted(message))
+                self._append(*self.content.classes.payloads_for(message), payload, *encode_accepted(message))
         except OSError:
             return False
-        self._classes.written(message)
-        self.add_pending(message, len(payload))
-        self.finished.remove(message.name)
+        self.content.classes.written(message)
+        self.content.add_pending(message, len(payload))
+        self.content.finished.remove(message.name)
         return True
 
     def set_accepted_class(self, message: StoredMessage, queue_class: QueueClass) -> None:
         """Keep a queue class with a pending message that has none; written at the next write."""
         message.accepted_class = queue_class
-        self._classes.add(message)
+        self.content.classes.add(message)
         self._compaction_due = True
 
     def record_attempt_start(self, name: bytes, at: float, route: str) -> None:
@@ -460,12 +351,12 @@
         """Record and apply a change of a message, if it is pending; on OSError neither."""
         if (message := self.pending.get(name)) is not None:
             self._write(encode_payload([kind, name.decode(), *rest]))
-            self.apply_change(kind, message, list(rest))
+            self.content.apply_change(kind, message, list(rest))
 
     def _apply_then_record(self, kind: str, name: bytes, *rest: Any) -> None:
         """Apply a change of a message, if it is pending, and record it; later if it raises OSError."""
         if (message := self.pending.get(name)) is not None:
-            self.apply_change(kind, message, list(rest))
+            self.content.apply_change(kind, message, list(rest))
             self._queued.append(encode_payload([kind, name.decode(), *rest]))
             self.flush()
 
@@ -530,11 +421,11 @@
 
     def _has_room_for_content(self, needed: int) -> bool:
         """Whether that much more content is within the limits of this process, and of all. Raises OSError."""
-        if self.reserved_bytes + self._classes.reserved_bytes + needed > self.max_pending_bytes:
+        if self.content.pending_bytes + needed > self.max_pending_bytes:
             return False
-        if self.content_bytes + needed > self.max_own_content_bytes:
-            self.finished.drop_expired()
-        content = self.content_bytes + needed
+        if self.content.content_bytes + needed > self.max_own_content_bytes:
+            self.content.finished.drop_expired()
+        content = self.content.content_bytes + needed
         if content > self.max_own_content_bytes:
             return False
         return content + self._read_folder().content_bytes <= self.max_content_bytes
@@ -544,7 +435,7 @@
 
         `needed`: bytes that are added to the content.
         """
-        content = self.content_bytes + needed + self._read_folder().content_bytes
+        content = self.content.content_bytes + needed + self._read_folder().content_bytes
         return self._free_bytes_with(size) >= content * (1 + LEAST_GROWTH)
 
     def _free_bytes_with(self, size: int) -> int:
@@ -570,7 +461,7 @@
 
     def _rewrite(self) -> None:
         """Write the compacted file and let it replace the other. Raises OSError."""
-        classes = self._classes_in_use()
+        classes = self.content.classes_in_use()
         descriptor = os.open(self.compacted_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, FILE_MODE)
         compacted = RecordFile(descriptor)
         try:
@@ -586,7 +477,7 @@
             raise
         self._limit.files_changed()
         self._file.close()
-        self._file, self._classes, self._compacted_bytes = compacted, classes, compacted.size
+        self._file, self.content.classes, self._compacted_bytes = compacted, classes, compacted.size
         self._queued.clear()
         self._compaction_due = False
         self._failing = False
@@ -597,49 +488,23 @@
         sizes.pop(self.compacted_path.name, None)
         return (self._limit.limit - sum(sizes.values())) // DISK_BLOCK_BYTES * DISK_BLOCK_BYTES
 
-    def _classes_in_use(self) -> ClassTable:
-        """The queue classes that pending messages have; no file has them yet."""
-        classes = ClassTable()
-        for message in self.pending.values():
-            classes.add(message)
-        return classes
-
     def _payloads_within(self, room: int, classes: ClassTable) -> Iterator[bytes]:
         """The payloads of a compacted file, which will have these classes and so many bytes at most.
 
         Names of finished messages are left out if the limit has become smaller, the oldest ones first. Raises
         OSError if there is no room for the rest.
         """
-        for payload in self._needed_payloads(classes):
+        for payload in self.content.needed_payloads(classes):
             room -= RECORD_HEADER.size + len(payload)
             if room < 0:
                 raise OSError(errno.ENOSPC, "the limit on the folder leaves no room for a compaction")
             yield payload
-        for payload in self._finished_payloads():
+        for payload in self.content.finished_payloads():
             room -= RECORD_HEADER.size + len(payload)
             if room < 0:
                 return
             yield payload
 
-    def _needed_payloads(self, classes: ClassTable) -> Iterator[bytes]:
-        """The payloads of a compacted file without the names of finished messages."""
-        yield encode_clocks(read_clocks())
-        for message in self.pending.values():
-            yield from classes.payloads_for(message)
-            classes.written(message)
-            yield encode_message(message)
-            yield from encode_accepted(message)
-            if message.in_flight_since is not None:
-                yield encode_payload(["sent_to", message.name.decode(), message.route])
-            if message.notice:
-                yield encode_payload(["notice", message.name.decode(), message.notice.decode()])
-        yield from self._kept.payloads()
-
-    def _finished_payloads(self) -> Iterator[bytes]:
-        """The payloads of the names of finished messages, the newest first."""
-        for name, entry in self.finished.newest():
-            yield encode_payload([FINISHED_RECORD, name.decode(), entry.until, entry.accepted])
-
     def close(self) -> None:
         """Close the files, which releases their locks."""
         self._peers.close()
--- a/tests/test_class_records.py
+++ b/tests/test_class_records.py
@@ -97,7 +97,7 @@
     spool = open_spool(tmp_path)
     for name in list(spool.pending):
         spool.record_finished(name)
-    assert spool.reserved_bytes == 0 and spool._classes.reserved_bytes == 0
+    assert spool.content.reserved_bytes == 0 and spool.content.classes.reserved_bytes == 0
     spool._compact()
     assert set(kinds(spool.path)) <= {"boot"}
     assert spool.accept(message("c", first)) and kinds(spool.path).count("class") == 1
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -622,7 +622,7 @@
     dispatcher = make_dispatcher(disk=3900)
     client = dispatcher.connect_client()
     dispatcher.put(client, "m1")
-    assert isinstance(dispatcher.core.store, Spool) and dispatcher.core.store.reserved_bytes == 0
+    assert isinstance(dispatcher.core.store, Spool) and dispatcher.core.store.content.reserved_bytes == 0
     assert dispatcher.matches_trace("net-full")
 
 
