Upgrades: a wait of an endpoint that is not listed binds those that share its limit

Where endpoints share a limit, a wait told to the old process by one that had left the list bound none of the others in the new process.

Cause: the spool has a wait by the name of its route. A process that does not have that route in its list cannot tell the destination.

Change: where limits are shared, a second record names the destination; it goes the way of all others, and is kept until the destination is known.

--- a/laureldock/core/binding_records.py
+++ b/laureldock/core/binding_records.py
@@ -8,6 +8,7 @@
 
 from laureldock.core.peer_view import RouteRecord, SharedRecords
 from laureldock.interface import Route
+from laureldock.setup.entries import destination_id
 
 if TYPE_CHECKING:
     from laureldock.core.dispatcher import Dispatcher
@@ -37,6 +38,7 @@
         self._dispatcher = dispatcher
         self._entries: dict[str, RouteEntry] = {}  # by name of the route, the one changed last at the end
         self._cooldowns: dict[str, float] = {}  # until when, by ordering key
+        self._destination_waits: dict[str, float] = {}  # until when, by destination
 
     def apply(self, records: SharedRecords) -> None:
         """Apply records of other processes, running or ended."""
@@ -44,6 +46,7 @@
         for name, until in records.requested_waits.items():
             if until > now:
                 self._apply_wait(name, until)
+        self._apply_destination_waits(records)
         self._apply_cooldowns(records)
         for name, record in records.routes.items():
             self._apply_route_record(name, record)
@@ -64,6 +67,8 @@
 
     def routes_listed_anew(self, routes: list[Route]) -> None:
         """Apply what binds the endpoints of routes that were not listed as up before."""
+        for destination, until in self._destination_waits.items():
+            self._pass_destination_wait(destination, until)
         for route in routes:
             entry = self._entries.get(route.name)
             if entry is None:
@@ -88,6 +93,14 @@
             entry.wait_until = until
             self._pass_wait(self._current_route(entry), until)
 
+    def _apply_destination_waits(self, records: SharedRecords) -> None:
+        now, known = self._dispatcher.now(), self._destination_waits
+        self._destination_waits = {each: until for each, until in known.items() if until > now}
+        for destination, until in records.destination_waits.items():
+            if until > max(now, self._destination_waits.get(destination, now)):
+                self._destination_waits[destination] = until
+                self._pass_destination_wait(destination, until)
+
     def _apply_cooldowns(self, records: SharedRecords) -> None:
         core, now = self._dispatcher, self._dispatcher.now()
         self._cooldowns = {key: until for key, until in self._cooldowns.items() if until > now}
@@ -130,6 +143,12 @@
         if route is not None and until > core.now():
             core.call_policy(core.policy.route_requested_wait, route, until - core.now())
 
+    def _pass_destination_wait(self, name: str, until: float) -> None:
+        core = self._dispatcher
+        destination = core.registry.destinations.get(destination_id(name))
+        if destination is not None and until > core.now():
+            core.call_policy(core.policy.destination_requested_wait, destination, until - core.now())
+
     def _pass_route_record(self, route: Route | None, record: RouteRecord) -> None:
         core = self._dispatcher
         if route is None:
--- a/laureldock/core/dispatcher.py
+++ b/laureldock/core/dispatcher.py
@@ -516,7 +516,9 @@
         elif self.holds(message) and message.recorded_attempt is attempt:
             self.record_attempt_end(message, outcome)
         if outcome.requested_wait:
-            self.record_requested_wait(attempt.route, outcome.requested_wait)
+            stored = self.store.pending.get(message.name)
+            destination = str(stored.destination) if stored else ""
+            self.record_requested_wait(attempt.route, destination, outcome.requested_wait)
         self.call_policy(self.policy.attempt_ended, attempt, outcome)
 
     def record_attempt_end(self, message: HeldMessage, outcome: interface.Outcome) -> None:
@@ -526,12 +528,17 @@
         elif self.shares_listening_socket:  # peer processes count calls in flight
             self.record_keeping.write(self.store.record_attempt_end, message.name)
 
-    def record_requested_wait(self, route: interface.Route, wait: float) -> None:
-        """Record that a receiver asked to be sent nothing for so many seconds."""
+    def record_requested_wait(self, route: interface.Route, destination: str, wait: float) -> None:
+        """Record that a receiver asked to be sent nothing for so many seconds.
+
+        `destination`: of the message that it refused; empty if that is no longer known.
+        """
         now = self.now()
         # It binds peer processes, too: to the rules, all processes are one dispatcher.
         if self.shares_listening_socket:
             self.record_keeping.write(self.store.record_requested_wait, route.name, now + wait, now)
+            if destination and not route.kind.limits_per_route:
+                self.record_keeping.write(self.store.record_destination_wait, destination, now + wait, now)
         self.binding_records.wait_requested(route, now + wait)
 
     def record_route(self, route: interface.Route, record: RouteRecord) -> None:
--- a/laureldock/core/peer_view.py
+++ b/laureldock/core/peer_view.py
@@ -42,6 +42,8 @@
     requested_waits: Mapping[str, float] = field(default_factory=dict)  # until when, by route name
     cooldowns: Mapping[str, float] = field(default_factory=dict)  # until when, by ordering key
     routes: Mapping[str, RouteRecord] = field(default_factory=dict)
+    # Until when, by destination, for those whose endpoints share one limit.
+    destination_waits: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -226,6 +226,9 @@
     def record_requested_wait(self, route: str, until: float, now: float) -> None:
         """A receiver requested a wait; peer processes read this."""
 
+    def record_destination_wait(self, destination: str, until: float, now: float) -> None:
+        """A receiver requested a wait for all routes of a destination; peer processes read this."""
+
     def record_cooldown(self, key: str, until: float, now: float) -> None:
         """An ordering key cools down; peer processes and the next process read this."""
 
--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -454,6 +454,11 @@
             limited = self.limited_by(route)
             limited.wait_until = max(limited.wait_until, now + wait)
 
+    def destination_requested_wait(self, now: float, listed: interface.Destination, wait: float) -> None:
+        """Likewise for all routes of a destination, also where the one that requested it is not listed."""
+        destination = self.destination_state_of(listed)
+        destination.wait_until = max(destination.wait_until, now + wait)
+
     def limited_by(self, route: RouteState) -> RouteState | DestinationState:
         """What the receiver's limit, and with it a requested wait, holds for: a route or a destination."""
         return route if route.listed.kind.limits_per_route else route.destination
--- a/laureldock/interface.py
+++ b/laureldock/interface.py
@@ -25,6 +25,8 @@
     update_peer_load(now, load)                   what peer processes have pending and in flight
     cool_down_key(now, key, until)                a call of that key broke, in a peer or previous process
     route_requested_wait(now, route, wait)        a receiver requested a wait, from this or a peer process
+    destination_requested_wait(now, destination, wait)
+                                                  likewise, for all routes of a destination
     route_failed_elsewhere(now, route, at, shut)  a peer process, or the previous one, saw a route fail
     route_recovered_elsewhere(now, route, since)  it saw the route recover; the route is cold since then
     turn(now) -> list[Effect]                     all effects of the turn, in the order to be carried out
--- a/laureldock/stores/peer_spool.py
+++ b/laureldock/stores/peer_spool.py
@@ -10,7 +10,7 @@
 from laureldock.clocks import read_clocks
 from laureldock.stores.class_records import CLASS_RECORD
 from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
-from laureldock.stores.kept_records import KeptRecords
+from laureldock.stores.kept_records import DESTINATION_WAIT_RECORD, KeptRecords
 from laureldock.stores.record_sizes import (
     CLOCK_RECORD_BYTES,
     long_route_bytes,
@@ -119,6 +119,8 @@
                 self.finished.add(name, rest[0] + shift, rest[1])
             case "wait":
                 self.kept.replay_wait(subject, rest[0] + shift)
+            case kind if kind == DESTINATION_WAIT_RECORD:
+                self.kept.replay_destination_wait(subject, rest[0] + shift)
             case "rest":
                 self.kept.replay_cooldown(subject, rest[0] + shift)
             case "route":
--- a/laureldock/stores/peer_spools.py
+++ b/laureldock/stores/peer_spools.py
@@ -98,6 +98,7 @@
             recently_finished=finished,
             requested_waits=latest_times(peer.kept.requested_waits for peer in self._peers.values()),
             cooldowns=latest_times(peer.kept.cooldowns for peer in self._peers.values()),
+            destination_waits=latest_times(peer.kept.destination_waits for peer in self._peers.values()),
             routes=newest_records(peer.kept.routes for peer in self._peers.values()),
         )
         for peer in self._peers.values():
--- a/laureldock/stores/spool.py
+++ b/laureldock/stores/spool.py
@@ -37,7 +37,7 @@
 from laureldock.stores.class_records import ClassTable
 from laureldock.stores.finished_names import FinishedNames
 from laureldock.stores.folder_limit import COMPACTED_SUFFIX, DISK_BLOCK_BYTES, FolderLimit, whole_blocks
-from laureldock.stores.kept_records import KeptRecords
+from laureldock.stores.kept_records import DESTINATION_WAIT_RECORD, KeptRecords
 from laureldock.stores.peer_spools import PeerSpools, list_spools
 from laureldock.stores.record_file import RecordFile
 from laureldock.stores.record_sizes import pending_message_bytes
@@ -129,7 +129,7 @@
                 self.content.replay_file(path)
             elif not self._take_over(path):
                 self.peer_paths.append(path)
-        if writes and not self.peer_paths and self.content.kept.requested_waits:
+        if writes and not self.peer_paths and self.content.kept.has_waits:
             # A restart, which ends waits by the platform's protocol; also for those who read the file next.
             self.content.kept.end_waits()
             self._inherited.end_waits()
@@ -221,6 +221,11 @@
         self.content.kept.set_wait(route, until, now)
         self._queue(encode_payload(["wait", route, until]))
 
+    def record_destination_wait(self, destination: str, until: float, now: float) -> None:
+        """A wait for all routes of a destination; peer processes read this. OSError: the record is queued."""
+        self.content.kept.set_destination_wait(destination, until, now)
+        self._queue(encode_payload([DESTINATION_WAIT_RECORD, destination, until]))
+
     def record_cooldown(self, key: str, until: float, now: float) -> None:
         """An ordering key cools down, here and in the next process. OSError: the record is queued."""
         self.content.kept.set_cooldown(key, until, now)
--- a/laureldock/stores/spool_content.py
+++ b/laureldock/stores/spool_content.py
@@ -15,7 +15,7 @@
 from laureldock.core.peer_view import SharedRecords
 from laureldock.stores.class_records import CLASS_RECORD, UNDER_RECORD, ClassReader, ClassTable
 from laureldock.stores.finished_names import FINISHED_RECORD, FinishedNames
-from laureldock.stores.kept_records import KeptRecords
+from laureldock.stores.kept_records import DESTINATION_WAIT_RECORD, KeptRecords
 from laureldock.stores.record_sizes import CLOCK_RECORD_BYTES, long_route_bytes, pending_message_bytes
 from laureldock.stores.spool_records import (
     Record,
@@ -89,6 +89,8 @@
             classes.read_under(name, *rest)
         elif kind == "wait":
             kept.replay_wait(name, rest[0] + shift)
+        elif kind == DESTINATION_WAIT_RECORD:
+            kept.replay_destination_wait(name, rest[0] + shift)
         elif kind == "rest":
             kept.replay_cooldown(name, rest[0] + shift)
         elif kind == "route":
--- a/tests/test_returning_routes.py
+++ b/tests/test_returning_routes.py
@@ -6,13 +6,14 @@
 from typing import Any
 
 import pytest
-from drivers import InMemoryDispatcher
+from drivers import PLATFORM_SETTINGS, InMemoryDispatcher
 from test_records_of_peers import Upgrade
 
 from laureldock import interface
 from laureldock.core import binding_records
 from laureldock.core.invariants import Invariant
 from laureldock.core.peer_view import RouteRecord, SharedRecords
+from laureldock.stores.spool import Spool
 
 WAIT = 3.0  # seconds
 TELLS_WAIT = ("429 no", f"X-RateLimit-Wait-Ms: {WAIT * 1000:.0f}")
@@ -176,3 +177,46 @@
     upgrade.dispatcher.advance(0.05)
     upgrade.first_call_after_submitting(0.1)
     assert core.invariants.violations == {Invariant.SENT_DURING_WAIT: 1}
+
+
+@pytest.mark.parametrize("taken_over", [False, True], ids=["read", "taken over"])
+def test_a_wait_of_an_endpoint_that_is_not_listed_binds_those_that_share_its_limit(
+    tmp_path: Path, monkeypatch: Any, taken_over: bool
+) -> None:
+    """Guards against a wait that is lost with its endpoint, though others share the limit."""
+    family = {**PLATFORM_SETTINGS["family_info"], "routes_apart": [False]}
+    monkeypatch.setitem(PLATFORM_SETTINGS, "family_info", family)
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    core, now = upgrade.dispatcher.core, upgrade.now
+
+    def record(previous: Spool) -> None:
+        previous.record_requested_wait("gone", now + WAIT, now)
+        previous.record_destination_wait("7", now + WAIT, now)
+
+    if taken_over:
+        upgrade.before_taking_over(record)
+    else:
+        record(upgrade.previous)
+    upgrade.dispatcher.advance(0.05)
+    assert core.store.is_shared is not taken_over
+    assert upgrade.first_call_after_submitting(WAIT + 0.5) >= now + WAIT
+
+
+@pytest.mark.parametrize("shared", [True, False])
+def test_a_wait_is_recorded_for_the_destination_where_its_endpoints_share_a_limit(
+    tmp_path: Path, monkeypatch: Any, shared: bool
+) -> None:
+    """Guards against a wait that binds more endpoints than share the limit, or fewer."""
+    family = {**PLATFORM_SETTINGS["family_info"], "routes_apart": [not shared]}
+    monkeypatch.setitem(PLATFORM_SETTINGS, "family_info", family)
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    upgrade.dispatcher.put(upgrade.client, "m")
+    upgrade.dispatcher.respond("1", *TELLS_WAIT)
+    view = upgrade.previous.read_peers()
+    until = pytest.approx(upgrade.now + WAIT, abs=0.1)
+    assert view.requested_waits == {"r1": until}
+    assert view.destination_waits == ({"7": until} if shared else {})
+    upgrade.dispatcher.core.store.flush()
+    upgrade.end_dispatcher()
+    upgrade.previous.adopt()
+    assert upgrade.previous.inherit_records().destination_waits == ({"7": until} if shared else {})
