Records of other processes: fewer calls a round; a log line says what was taken over

No change of behaviour. A round in which nothing was taken over passes nothing on, and records that are known are skipped without a call. 'records taken over' in the log has how many waits, rests of keys and records of routes an ended process left: so far nothing showed whether a record was in a file.

--- a/laureldock/core/binding_records.py
+++ b/laureldock/core/binding_records.py
@@ -42,14 +42,10 @@
 
     def apply(self, records: SharedRecords) -> None:
         """Apply records of other processes, running or ended."""
-        now = self._dispatcher.now()
-        for name, until in records.requested_waits.items():
-            if until > now:
-                self._apply_wait(name, until)
+        self._apply_waits(records)
         self._apply_destination_waits(records)
         self._apply_cooldowns(records)
-        for name, record in records.routes.items():
-            self._apply_route_record(name, record)
+        self._apply_routes(records)
 
     def wait_requested(self, route: Route, until: float) -> None:
         """A receiver requested a wait from this process, whose policy knows."""
@@ -86,12 +82,13 @@
         entry = self._entries.get(name)
         return entry.wait_until if entry else -inf
 
-    def _apply_wait(self, name: str, until: float) -> None:
-        entry = self._entries.get(name)
-        if entry is None or until > entry.wait_until:
-            entry = self._changed_entry(name)
-            entry.wait_until = until
-            self._pass_wait(self._current_route(entry), until)
+    def _apply_waits(self, records: SharedRecords) -> None:
+        now, known = self._dispatcher.now(), self._entries
+        for name, until in records.requested_waits.items():
+            if until > now and (name not in known or until > known[name].wait_until):
+                entry = self._changed_entry(name)
+                entry.wait_until = until
+                self._pass_wait(self._current_route(entry), until)
 
     def _apply_destination_waits(self, records: SharedRecords) -> None:
         now, known = self._dispatcher.now(), self._destination_waits
@@ -109,12 +106,13 @@
                 self._cooldowns[key] = until
                 core.call_policy(core.policy.cool_down_key, key, until)
 
-    def _apply_route_record(self, name: str, record: RouteRecord) -> None:
-        entry = self._entries.get(name)
-        if entry is None or entry.record is None or record.seen_at > entry.record.seen_at:
-            entry = self._changed_entry(name)
-            entry.record = record
-            self._pass_route_record(self._current_route(entry), record)
+    def _apply_routes(self, records: SharedRecords) -> None:
+        for name, record in records.routes.items():
+            known = self._entries[name].record if name in self._entries else None
+            if known is None or record.seen_at > known.seen_at:
+                entry = self._changed_entry(name)
+                entry.record = record
+                self._pass_route_record(self._current_route(entry), record)
 
     def _changed_entry(self, name: str, route: Route | None = None) -> RouteEntry:
         """The entry of a route, which is about to change; the one that changed longest ago gives way.
--- a/laureldock/core/peer_view.py
+++ b/laureldock/core/peer_view.py
@@ -45,6 +45,11 @@
     # Until when, by destination, for those whose endpoints share one limit.
     destination_waits: Mapping[str, float] = field(default_factory=dict)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no record."""
+        return not (self.requested_waits or self.cooldowns or self.routes or self.destination_waits)
+
 
 @dataclass(frozen=True, slots=True)
 class PeerView(SharedRecords):
--- a/laureldock/core/recovery.py
+++ b/laureldock/core/recovery.py
@@ -42,7 +42,17 @@
         What a receiver can take, and how long it is to be left alone, does not depend on which process calls;
         and a broken call of an ordering key may still run, whichever process made it.
         """
-        self._dispatcher.binding_records.apply(self._dispatcher.store.inherit_records())
+        core = self._dispatcher
+        inherited = core.store.inherit_records()
+        if inherited.is_empty:
+            return
+        core.log.info(
+            "records taken over",
+            waits=len(inherited.requested_waits) + len(inherited.destination_waits),
+            keys=len(inherited.cooldowns),
+            routes=len(inherited.routes),
+        )
+        core.binding_records.apply(inherited)
 
     def watch_peer_processes(self) -> None:
         """During a possible handover, poll peer processes, and take over from those that have ended."""
