Binding records: entries that bind nothing any more are dropped, the oldest first

Cause: what is kept by name of endpoints that have left was bounded by number alone, and each entry holds the state of its former route; with ever new names all 4,096 would be filled in a long run.

Change: an entry ends ten minutes after its last change and the end of its wait. A listed route whose circuit stays open changes at each trial. Two tests that were alike are one with its cases.

--- a/laureldock/core/binding_records.py
+++ b/laureldock/core/binding_records.py
@@ -14,6 +14,9 @@
     from laureldock.core.dispatcher import Dispatcher
 
 MAX_ENTRIES = 4096  # routes; more than a list is expected to have endpoints
+# Seconds from its last change and the end of its wait. A listed route whose circuit stays open changes at
+# each trial, and one that recovered is warm by then under any settings.
+ENTRY_KEPT_TIME = 600.0
 
 
 @dataclass(slots=True)
@@ -23,6 +26,7 @@
     route: Route | None = None  # the one listed last under the name, if any was since the first record
     wait_until: float = -inf
     record: RouteRecord | None = None  # the newest
+    changed_at: float = 0.0
 
 
 class BindingRecords:
@@ -123,12 +127,20 @@
         entry = self._entries.pop(name, None)
         if entry is None or (entry.route and route and not is_same_endpoint(entry.route, route)):
             entry = RouteEntry()
-        entry.route = route or entry.route
+        entry.route, entry.changed_at = route or entry.route, self._dispatcher.now()
         self._entries[name] = entry
-        if len(self._entries) > MAX_ENTRIES:
-            del self._entries[next(iter(self._entries))]
+        self._drop_obsolete_entries()
         return entry
 
+    def _drop_obsolete_entries(self) -> None:
+        now = self._dispatcher.now()
+        while self._entries:
+            name, oldest = next(iter(self._entries.items()))
+            kept_until = max(oldest.changed_at, oldest.wait_until) + ENTRY_KEPT_TIME
+            if len(self._entries) <= MAX_ENTRIES and kept_until > now:
+                return
+            del self._entries[name]
+
     def _current_route(self, entry: RouteEntry) -> Route | None:
         """The route of an entry's endpoint: as listed now, else the one that it had when it was listed."""
         if entry.route is None:
--- a/tests/test_records_of_peers.py
+++ b/tests/test_records_of_peers.py
@@ -233,23 +233,21 @@
     assert len(calls) == 1 and float(calls[0].split()[0]) + 100 >= began + WAIT, upgrade.dispatcher.lines
 
 
-def test_the_wait_that_ends_last_counts_after_a_rewrite(tmp_path: Path) -> None:
-    """Guards against a shorter wait, told later, that replaced a longer one in a rewritten file."""
+@pytest.mark.parametrize("kind", ["wait", "rest of a key", "wait of a destination"])
+def test_the_time_that_ends_last_counts_after_a_rewrite(tmp_path: Path, kind: str) -> None:
+    """Guards against a shorter wait or rest, recorded later, that replaced a longer one in the file."""
     old, new = Spool(tmp_path, 1e6), Spool(tmp_path, 1e6)
     old.open()
-    old.record_requested_wait("r1", 60.0, now=40.0)
-    old.record_requested_wait("r1", 50.0, now=41.0)
+    record = {
+        "wait": old.record_requested_wait,
+        "rest of a key": old.record_cooldown,
+        "wait of a destination": old.record_destination_wait,
+    }[kind]
+    record("name", 60.0, now=40.0)
+    record("name", 50.0, now=41.0)
     for _ in range(2):
-        assert new.read_peers().requested_waits == {"r1": 60.0}
-        old._compact()
-
-
-def test_the_rest_of_a_key_that_ends_last_counts_after_a_rewrite(tmp_path: Path) -> None:
-    """Guards against a shorter rest, recorded later, that replaced that of a call with much time left."""
-    old, new = Spool(tmp_path, 1e6), Spool(tmp_path, 1e6)
-    old.open()
-    old.record_cooldown("k", 60.0, now=40.0)
-    old.record_cooldown("k", 50.0, now=41.0)
-    for _ in range(2):
-        assert new.read_peers().cooldowns == {"k": 60.0}
+        view = new.read_peers()
+        assert [*view.requested_waits.items(), *view.cooldowns.items(), *view.destination_waits.items()] == [
+            ("name", 60.0)
+        ]
         old._compact()
--- a/tests/test_returning_routes.py
+++ b/tests/test_returning_routes.py
@@ -162,6 +162,9 @@
         kept.apply(SharedRecords(waits, {}, {f"gone{number}": RouteRecord(None, core.now())}))
     assert len(kept._entries) == most
     assert f"gone{most + 99}" in kept._entries and "gone0" not in kept._entries
+    dispatcher.reactor.advance(3600.0 + binding_records.ENTRY_KEPT_TIME)
+    kept.apply(SharedRecords({}, {}, {"new": RouteRecord(None, core.now())}))
+    assert list(kept._entries) == ["new"]
     for number in range(most + 100):
         core.store.record_route(f"gone{number}", RouteRecord(None, core.now()))
     store: Any = core.store
