Decisions: the order of ordering keys is a module of its own

MessageStage is a type of the state.

One difference: a cooldown that has longer to run is not shortened by that of a later broken call of the same key.

Tests that break the order on purpose, or look at the keys, do so at the new place.

--- a/laureldock/delivery_policy.py
+++ b/laureldock/delivery_policy.py
@@ -19,7 +19,8 @@
 from math import exp, inf
 
 from laureldock import interface
-from laureldock.delivery_state import Call, DestinationState, KeyQueue, MessageState, RouteState
+from laureldock.delivery_keys import KeyOrder
+from laureldock.delivery_state import Call, DestinationState, MessageStage, MessageState, RouteState
 from laureldock.interface import (
     Attempt,
     AttemptResult,
@@ -59,8 +60,6 @@
 SPARSE_SHUT_REFUSALS = 2  # where traffic is sparse: refused calls are seconds apart
 UNSERVED_CALLS = 3  # and no less than the time in which so many calls would fit into the instance's fraction
 
-# A message waits for its first or a further attempt, has an attempt in flight, or has its final outcome.
-MessageStage = Enum("MessageStage", "WAITING IN_FLIGHT FINISHED")
 # SENT: an attempt starts; MAY_RETRY: it failed and another one is allowed; GIVEN_UP: no further attempt is
 # allowed or useful; COMPLETED: the message was relayed or withdrawn.
 MessageEvent = Enum("MessageEvent", "SENT MAY_RETRY GIVEN_UP COMPLETED")
@@ -159,10 +158,8 @@
         self.expiries: list[tuple[float, int, MessageState]] = []
         self.default_terms: dict[interface.QueueClass, interface.Terms] = {}
         self.hedges_due: list[tuple[float, int, MessageState]] = []  # when a hedged attempt is due, as a heap
-        self.key_queues: dict[str, KeyQueue] = {}
+        self.key_order = KeyOrder(self.enqueue, self.sequence)
         self.peer_load = interface.PeerLoad()  # of peer processes, while one hands over to the next
-        # When the cooldown of each key ends, as a heap.
-        self.cooldowns: list[tuple[float, int, KeyQueue]] = []
         # Seconds that an idle connection is kept. Idle connections cost room at receivers: with many
         # instances they are kept as long as receivers keep them, and for less where connects find no room.
         self.max_idle_time = min(settings.idle_time or inf, 30.0)
@@ -275,27 +272,15 @@
             route.credit += self.sendable_fraction(now, route) / len(destination.routes)
         heapq.heappush(self.expiries, (message.expires_at, next(self.sequence), message))
         if queue_class.in_order and submitted.key is not None:
-            message.key_queue = key_queue = self.key_queues.setdefault(submitted.key, KeyQueue(submitted.key))
-            # In the order of acceptance, whichever process of this dispatcher accepted them.
-            place = len(key_queue.messages)
-            while (
-                place
-                and not (before := key_queue.messages[place - 1]).outstanding
-                and submitted.accepted_at < before.submitted.accepted_at
-            ):
-                place -= 1
-            key_queue.messages.insert(place, message)
+            self.key_order.add(submitted.key, message)
             if submitted.call_interrupted:
-                key_queue.cooldown_until, key_queue.cooldown_exempt = (
-                    max(key_queue.cooldown_until, now + self.key_cooldown_time),
-                    message,
-                )
+                self.key_order.call_broke(message, now + self.key_cooldown_time)
         if submitted.awaits_notice:  # the next message of its key waits until the notice is acknowledged
             message.stage, message.outstanding = MessageStage.FINISHED, 1
         elif message.attempts and not self.may_attempt(now, message):
             self.apply_event(now, message, MessageEvent.GIVEN_UP)
         elif message.key_queue:
-            self.start_next_of_key(now, message.key_queue)
+            self.key_order.start_next(now, message.key_queue)
         else:
             self.enqueue(now, message)
 
@@ -324,11 +309,8 @@
         self.evaluate_call(now, call, outcome)
         message.outstanding -= 1
         message.attempts -= not outcome.started  # one that never started is not counted
-        if message.key_queue and outcome.result in interface.RESULTS_THAT_MAY_STILL_RUN:
-            message.key_queue.cooldown_until, message.key_queue.cooldown_exempt = (
-                now + self.key_cooldown_time,
-                message,
-            )
+        if outcome.result in interface.RESULTS_THAT_MAY_STILL_RUN:
+            self.key_order.call_broke(message, now + self.key_cooldown_time)
         if not message.may_have_run_at and outcome.result not in (
             AttemptResult.REFUSED,
             AttemptResult.NO_CONNECTION,
@@ -383,7 +365,7 @@
         fits = len(self.calls) + self.peer_load.calls_in_flight <= self.slots and self.fits_shared_windows(
             route
         )
-        return open_now and fits and self.may_attempt(now, message) and self.has_turn(now, message)
+        return open_now and fits and self.may_attempt(now, message) and self.key_order.has_turn(now, message)
 
     def begin_shutdown(self, now: float, time_left: float, hands_over: bool = False) -> None:
         """The process ends in `time_left` seconds; `hands_over`: the next one takes over what waits then."""
@@ -409,18 +391,13 @@
 
     def update_peer_load(self, now: float, peer_load: interface.PeerLoad) -> None:
         """Share limits, slots, room and the order of keys with peer processes: together they count as one."""
-        before, self.peer_load = self.peer_load, peer_load
+        self.peer_load = peer_load
         self.instance_fraction = 1.0 / (self.instances * (1 + peer_load.processes))
-        for key in before.first_accepted_at:
-            if (key_queue := self.key_queues.get(key)) is not None:
-                self.start_next_of_key(now, key_queue)
+        self.key_order.peers_changed(now, peer_load.first_accepted_at)
 
     def cool_down_key(self, now: float, key: str, until: float) -> None:
         """Start no message of the key before `until`: a broken call of another process may still run."""
-        key_queue = self.key_queues.setdefault(key, KeyQueue(key))
-        if until > key_queue.cooldown_until:
-            key_queue.cooldown_until, key_queue.cooldown_exempt = until, None
-        self.start_next_of_key(now, key_queue)
+        self.key_order.cool_down(now, key, until)
 
     def route_failed_elsewhere(self, now: float, listed: Route, at: float, shut: bool = False) -> None:
         """Open the circuit that a peer or previous process opened at that time; a trial here closes it.
@@ -499,8 +476,7 @@
             ended_at, route = self.idle_routes.popleft()
             if route.last_call_ended_at == ended_at:
                 self.effects.append(interface.CloseIdleConnections(route.listed))
-        while self.cooldowns and self.cooldowns[0][0] <= now:
-            self.start_next_of_key(now, heapq.heappop(self.cooldowns)[2])
+        self.key_order.end_cooldowns(now)
         # Bounds the memory for messages that finish long before their lifetime ends: at most about as many
         # entries of finished messages are kept as of pending ones.
         if len(self.expiries) > 2 * self.pending_count + 64:
@@ -953,8 +929,8 @@
 
     def enqueue(self, now: float, message: MessageState) -> None:
         """Put a message into a queue of its destination, or leave it to its key's queue for now."""
-        if message.key_queue and not self.has_turn(now, message):
-            self.start_next_of_key(now, message.key_queue)
+        if message.key_queue and not self.key_order.has_turn(now, message):
+            self.key_order.start_next(now, message.key_queue)
             return
         message.destination.queue_length, message.queued = message.destination.queue_length + 1, True
         self.queued_destinations[message.destination] = None
@@ -1002,30 +978,7 @@
 
     def leave_key_queue(self, now: float, message: MessageState) -> None:
         """Let the next message of its key go, once this one is finished and has nothing outstanding."""
-        if message.key_queue and not message.outstanding:
-            message.key_queue.messages.remove(message)
-            self.start_next_of_key(now, message.key_queue)
-
-    def start_next_of_key(self, now: float, key_queue: KeyQueue) -> None:
-        """Queue the first message of a key if it may go; otherwise this is called again when that changes."""
-        head = key_queue.messages[0] if key_queue.messages else None
-        if key_queue.cooldown_until > now and (head is None or head is not key_queue.cooldown_exempt):
-            heapq.heappush(self.cooldowns, (key_queue.cooldown_until, next(self.sequence), key_queue))
-        elif head is None:
-            # Unless this queue was removed before, and later messages of the key have a new one.
-            if self.key_queues.get(key_queue.key) is key_queue:
-                del self.key_queues[key_queue.key]
-        elif head.stage is MessageStage.WAITING and not head.queued and self.has_turn(now, head):
-            self.enqueue(now, head)
-
-    def has_turn(self, now: float, message: MessageState) -> bool:
-        """Whether a message's key is not cooling down, and has no earlier message pending in any process."""
-        if (key_queue := message.key_queue) is None:
-            return True
-        first_at_peers = self.peer_load.first_accepted_at.get(key_queue.key, inf)
-        cooling_down = key_queue.cooldown_until > now and key_queue.cooldown_exempt is not message
-        is_first = bool(key_queue.messages) and key_queue.messages[0] is message
-        return is_first and message.submitted.accepted_at <= first_at_peers and not cooling_down
+        self.key_order.leave(now, message)
 
     def may_attempt(self, now: float, message: MessageState) -> bool:
         """Whether a further attempt is allowed, and can still be of use."""
@@ -1066,7 +1019,11 @@
                 # Not one call in four would end in time.
                 message.reason = UndeliveredReason.NO_CALL_IN_TIME
                 self.apply_event(now, message, MessageEvent.GIVEN_UP)
-            elif not route or not self.has_turn(now, message) or not self.send_attempt(now, message, route):
+            elif (
+                not route
+                or not self.key_order.has_turn(now, message)
+                or not self.send_attempt(now, message, route)
+            ):
                 put_back.append(message)
                 misses[place] += 1
             # Enough tries for a destination to fill the calls that were started for it in this turn.
@@ -1308,7 +1265,7 @@
         queues = (destination.retries, *destination.first_attempts.values())
         candidates = [queue for queue in queues if queue and self.may_attempt(now, queue[0])]
         candidates = [queue for queue in candidates if queue[0].bound_zone in (None, route.listed.zone)]
-        candidates = [queue for queue in candidates if self.has_turn(now, queue[0])]
+        candidates = [queue for queue in candidates if self.key_order.has_turn(now, queue[0])]
         candidates.sort(
             key=lambda queue: list(RepeatSafety).index(queue[0].submitted.queue_class.repeat_safety)
         )
--- a/laureldock/delivery_state.py
+++ b/laureldock/delivery_state.py
@@ -8,12 +8,21 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum
 from math import inf
 from typing import Any
 
 from laureldock.interface import Attempt, Destination, Message, QueueClass, Route, Terms, UndeliveredReason
 
 
+class MessageStage(Enum):
+    """How far a message has come."""
+
+    WAITING = 1  # for its first or a further attempt
+    IN_FLIGHT = 2  # an attempt has no outcome yet
+    FINISHED = 3  # it has its final outcome
+
+
 @dataclass(eq=False, slots=True)
 class RouteState:
     """A route, as one instance knows it."""
@@ -87,7 +96,7 @@
 
     submitted: Message  # as the adapter handed it in
     destination: DestinationState
-    stage: Any  # delivery_policy.MessageStage
+    stage: MessageStage
     handed_in_at: float  # when its client first handed it in, to whichever instance
     expires_at: float  # end of its lifetime
     fades_at: float  # when its importance begins to fade fast
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -274,7 +274,7 @@
     dispatcher.respond("1", "200 OK")
     dispatcher.rest()
     dispatcher.respond("1", "200 OK")
-    assert not dispatcher.core.store.pending and not dispatcher.core.policy.key_queues
+    assert not dispatcher.core.store.pending and not dispatcher.core.policy.key_order.queues
     assert dispatcher.matches_trace("net-owed-notices")
 
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -11,8 +11,7 @@
 
 from laureldock.core.invariants import Invariant
 from laureldock.core.peer_view import PeerView
-from laureldock.delivery_policy import MessageStage
-from laureldock.delivery_state import KeyQueue
+from laureldock.delivery_state import KeyQueue, MessageStage
 from laureldock.fronts.resp import CloseReason
 
 
@@ -92,13 +91,13 @@
     """Break the order of keys: every message of a key is queued at once, and always has its turn."""
     policy = dispatcher.core.policy
 
-    def queue_all(now: float, key_queue: KeyQueue) -> None:
-        for message in key_queue.messages:
+    def queue_all(now: float, queue: KeyQueue) -> None:
+        for message in queue.messages:
             if message.stage is MessageStage.WAITING and not message.queued:
                 policy.enqueue(now, message)
 
-    policy.start_next_of_key = queue_all  # type: ignore[method-assign]
-    policy.has_turn = lambda *_: True  # type: ignore[method-assign]
+    policy.key_order.start_next = queue_all  # type: ignore[method-assign]
+    policy.key_order.has_turn = lambda *_: True  # type: ignore[method-assign]
 
 
 def sent_out_of_order(dispatcher: InMemoryDispatcher) -> None:
--- a/tests/test_race_exit.py
+++ b/tests/test_race_exit.py
@@ -152,8 +152,8 @@
         assert calls
     # The key is free for its next message after the cooldown for a call that the kill or a timeout broke.
     cooled_down_at = time.monotonic() + dispatcher.core.settings.key_cooldown_time + 0.1
-    while dispatcher.core.policy.key_queues:
-        assert time.monotonic() < cooled_down_at, dispatcher.core.policy.key_queues
+    while dispatcher.core.policy.key_order.queues:
+        assert time.monotonic() < cooled_down_at, dispatcher.core.policy.key_order.queues
         dispatcher.step(0.002)
         dispatcher.core.run_turn()  # as any event would
 
@@ -533,4 +533,4 @@
     dispatcher.start_until_ready()
     dispatcher.step_until(lambda: not dispatcher.core.store.pending)
     assert [json.loads(line)["message"] for line in dispatcher.platform.notices] == ["a"]
-    assert not dispatcher.core.policy.key_queues
+    assert not dispatcher.core.policy.key_order.queues
