Memory: the limit that a refused start names is not refused at the next start

A start with 32 MB was refused, 'this program needs 53 MB'; the next one, with 53 MB, was refused, 'needs 54 MB'.

Cause: the number was the need of that one start, rounded up.

Change: the number has a megabyte for that. What is refused is unchanged.

--- a/laureldock/core/memory_limit.py
+++ b/laureldock/core/memory_limit.py
@@ -8,15 +8,20 @@
 from laureldock.setup.plan import Plan
 
 HANDOVER_PROCESSES = 2
+START_VARIATION_BYTES = 1_000_000  # by which the resident size of one start differs from that of the next
 
 
 class RefusedMemoryError(Exception):
-    """The limit on memory is less than what the program needs to start and serve. Amounts in bytes."""
+    """The limit on memory is less than what the program needs to start and serve. Amounts in bytes.
+
+    The limit that it names also holds for a start that needs a little more than this one.
+    """
 
     def __init__(self, limit: float, required: float, endpoints: int) -> None:
+        named = ceil((required + START_VARIATION_BYTES) / 1e6)
         super().__init__(
             f"a limit of {limit / 1e6:g} MB on memory is too small: to start and serve with {endpoints}"
-            f" endpoints this program needs {ceil(required / 1e6)} MB"
+            f" endpoints this program needs {named} MB"
         )
 
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -9,6 +9,7 @@
 import pytest
 from socket_dispatcher import SocketDispatcher
 
+from laureldock.core.memory_limit import RefusedMemoryError
 from laureldock.delivery_memory import (
     MIN_BUDGET_BYTES,
     MemoryBudget,
@@ -111,3 +112,11 @@
     assert not dispatcher.core.counters["faults"]
     assert memory.held[MemoryKind.REQUESTS] == 0
     dispatcher.close()
+
+
+def test_the_limit_that_a_refusal_names_is_not_refused_at_the_next_start() -> None:
+    """Guards against a limit that is named, and refused since the next start takes a little more memory."""
+    for resident in range(45 * MB, 46 * MB, 50_000):
+        required = required_bytes(resident, endpoints=1)
+        words = str(RefusedMemoryError(32 * MB, required, 1)).split()
+        assert int(words[-2]) * MB >= required_bytes(resident + 900_000, endpoints=1)
