Records of peers: a wait whose first write failed binds once it is written

One more way for a record to reach the next process: its write fails, and succeeds at a later try, before the last read or after it. No change of the program.

--- a/tests/test_records_of_peers.py
+++ b/tests/test_records_of_peers.py
@@ -251,3 +251,29 @@
             ("name", 60.0)
         ]
         old._compact()
+
+
+@pytest.mark.parametrize("ended", [False, True], ids=["still running", "ended"])
+def test_a_wait_whose_first_write_failed_binds_once_it_is_written(
+    tmp_path: Path, monkeypatch: Any, ended: bool
+) -> None:
+    """Guards against a record that is lost, or held back for good, by a write that failed at first."""
+    upgrade = Upgrade(tmp_path, monkeypatch)
+    until, record = upgrade.now + WAIT, upgrade.told_wait()
+
+    def record_at_the_second_try(previous: Spool) -> None:
+        with monkeypatch.context() as failing:
+            failing.setattr(os, "pwrite", fail)
+            failing.setattr(os, "rename", fail)
+            with pytest.raises(OSError):
+                record(previous)
+        assert previous.has_unwritten
+        previous.flush()
+
+    if ended:
+        upgrade.before_taking_over(record_at_the_second_try)
+    else:
+        record_at_the_second_try(upgrade.previous)
+    upgrade.dispatcher.advance(0.05)
+    assert upgrade.dispatcher.core.store.is_shared is not ended
+    assert upgrade.first_call_after_submitting() >= until
