Store: the core no longer asks for cooldowns by themselves

They come with all other records since keys rest whatever an ended process left. The property stays on the spool, which a test reads. No change of behaviour.

--- a/laureldock/core/protocols.py
+++ b/laureldock/core/protocols.py
@@ -216,10 +216,6 @@
     def adopt(self) -> list[StoredMessage]:
         """Take over the pending messages of peer processes that have ended."""
 
-    @property
-    def cooldowns(self) -> Mapping[str, float]:
-        """Until when ordering keys cool down, by the records of this process and of previous ones."""
-
     def read_peers(self) -> PeerView:
         """What running peer processes have recorded. Raises OSError if it cannot be read now."""
 
